--- /dev/null
+++ b/quetzalmill/__init__.py
@@ -0,0 +1,1 @@
+"""A scheduler for agent programs whose teams share one fleet."""
--- /dev/null
+++ b/quetzalmill_load/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool of quetzalmill."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of quetzalmill."""
