--- /dev/null
+++ b/quetzalmill/objects.py
@@ -0,0 +1,206 @@
+"""The objects that operators publish and the records that carry them.
+
+Every object has a kind, a name and a specification. Its revision is the log
+offset of the record that last changed it. Processes announce themselves, team
+shares and quarantined requests as objects too, so one fold serves all.
+"""
+
+from typing import Any
+
+import attrs
+
+ANY_REVISION = -1
+"""A base revision that matches whatever revision an object has."""
+
+TEAM = "team"
+KEY = "key"
+ENDPOINT = "endpoint"
+MODEL = "model"
+ROUTE = "route"
+PROCESS = "process"
+SHARES = "shares"
+QUARANTINE = "quarantine"
+
+ENGINE = "engine"
+SERVICE = "service"
+
+
+@attrs.frozen(kw_only=True)
+class TeamSpec:
+    """What a team may take.
+
+    Attributes:
+        rate_per_s: Requests a second, over all entries together.
+        burst: Requests that may come at once, over all entries together.
+        weight: The team's part of contended endpoints.
+        selector: Labels of the models and routes that the team may use.
+    """
+
+    rate_per_s: float
+    burst: float
+    weight: float = 1.0
+    selector: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class KeySpec:
+    """A key of a team; only the hash of its secret is published.
+
+    Attributes:
+        team: The team that the key belongs to.
+        secret_sha256: Hexadecimal SHA-256 of the whole key.
+        withdrawn: Whether the key has stopped working.
+    """
+
+    team: str
+    secret_sha256: str
+    withdrawn: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class EndpointSpec:
+    """A back end: a model engine or a plain service.
+
+    Attributes:
+        host: The host whose sidecar serves the endpoint.
+        address: IP address and port, such as ``127.0.0.1:8000``.
+        kind: ``engine`` or ``service``.
+        labels: Labels that selectors match.
+        slots: Requests that may run at once.
+        memory_tokens: Tokens of cached history that the engine can hold.
+        checks_fencing: Whether it refuses orders with an old fencing number.
+    """
+
+    host: str
+    address: str
+    kind: str = ENGINE
+    labels: dict[str, str] = attrs.field(factory=dict)
+    slots: int = 8
+    memory_tokens: int = 200_000
+    checks_fencing: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class ModelSpec:
+    """A model that callers name in requests.
+
+    Attributes:
+        selector: Labels of the engine endpoints that serve it.
+        labels: Labels that teams' selectors match.
+    """
+
+    selector: str
+    labels: dict[str, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen(kw_only=True)
+class RouteSpec:
+    """A plain service that callers name in the request path.
+
+    Attributes:
+        selector: Labels of the service endpoints behind the route.
+        labels: Labels that teams' selectors match.
+        open: Whether requests without a key are served.
+    """
+
+    selector: str
+    labels: dict[str, str] = attrs.field(factory=dict)
+    open: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class ProcessSpec:
+    """One process; its revision serves as its incarnation.
+
+    Attributes:
+        role: ``entry`` or ``sidecar``.
+        http_address: Where it serves HTTP.
+        control_address: Where it serves control calls.
+        failure_domain: The failure domain of its host.
+        leaving: Whether it takes no new work.
+    """
+
+    role: str
+    http_address: str
+    control_address: str
+    failure_domain: str
+    leaving: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class SharesSpec:
+    """The entries that hold shares of the teams' rates.
+
+    Attributes:
+        holders: Host names of the entries and their incarnations.
+    """
+
+    holders: dict[str, int]
+
+
+@attrs.frozen(kw_only=True)
+class QuarantineSpec:
+    """A request that crashed endpoints and is refused everywhere.
+
+    Attributes:
+        team: The team that sent it.
+        crashes: Endpoints that ended while they ran it.
+    """
+
+    team: str
+    crashes: int
+
+
+SPEC_TYPES: dict[str, type[Any]] = {
+    TEAM: TeamSpec,
+    KEY: KeySpec,
+    ENDPOINT: EndpointSpec,
+    MODEL: ModelSpec,
+    ROUTE: RouteSpec,
+    PROCESS: ProcessSpec,
+    SHARES: SharesSpec,
+    QUARANTINE: QuarantineSpec,
+}
+
+
+@attrs.frozen(kw_only=True)
+class ObjectChange:
+    """One object's new specification, or its deletion.
+
+    Attributes:
+        kind: One of the kinds named in this module.
+        name: The object's name within its kind.
+        base_revision: The revision that the change was based on; 0 for an
+            object that does not exist, ``ANY_REVISION`` to overwrite.
+        spec: The specification as plain data; None deletes the object.
+    """
+
+    kind: str
+    name: str
+    base_revision: int
+    spec: dict[str, Any] | None
+
+
+@attrs.frozen(kw_only=True)
+class ConfigRecord:
+    """Changes that take effect together or not at all.
+
+    Attributes:
+        record_id: Unique; a second record with the same id has no effect.
+        author: Who appended it, for the history that operators read.
+        changes: The changes, at most one for each object.
+    """
+
+    record_id: str
+    author: str
+    changes: list[ObjectChange]
+
+
+@attrs.frozen(kw_only=True)
+class StoredObject:
+    """An object as the fold holds it."""
+
+    kind: str
+    name: str
+    revision: int
+    spec: dict[str, Any]
