--- /dev/null
+++ b/quetzalmill/logs.py
@@ -0,0 +1,66 @@
+"""Logs one line of key=value pairs for each event, on standard error.
+
+Keys of callers never reach a log line: values that look like one, and values
+under names that hold one, are masked whatever the calling code passes.
+"""
+
+import re
+import sys
+from typing import Any
+
+import structlog
+
+MASK = "***"
+
+_LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
+_SECRET_NAMES = frozenset({"authorization", "api_key", "key", "secret"})
+_KEY = re.compile(r"\bqm_([0-9A-Za-z]+)_[0-9A-Za-z_-]+")
+_BEARER = re.compile(r"(?i)\b(bearer|basic)\s+[^\s,;\"']+")
+
+
+def configure(level: str = "info") -> None:
+    """Sets up logging for the whole process.
+
+    Args:
+        level: The least severe level that is logged: ``debug``, ``info``,
+            ``warning`` or ``error``.
+    """
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
+            structlog.processors.format_exc_info,
+            _mask_secrets,
+            structlog.processors.LogfmtRenderer(
+                key_order=["time", "level", "event"], drop_missing=True
+            ),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(_LEVELS[level]),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+
+
+def get(name: str) -> Any:
+    """Returns a logger that adds ``module=<name>`` to each line.
+
+    It may be called before ``configure``, which then still takes effect.
+    """
+    return structlog.get_logger(module=name.removeprefix("quetzalmill."))
+
+
+def _mask_secrets(
+    _logger: Any, _method: str, event: structlog.typing.EventDict
+) -> structlog.typing.EventDict:
+    return {name: _masked(name, value) for name, value in event.items()}
+
+
+def _masked(name: str, value: Any) -> Any:
+    if name.lower() in _SECRET_NAMES:
+        return MASK
+    if value is None or isinstance(value, bool | int | float):
+        return value
+    text = value if isinstance(value, str) else repr(value)
+    text = _BEARER.sub(rf"\1 {MASK}", text)
+    return _KEY.sub(rf"qm_\1_{MASK}", text)
