Add the HTTP server, client and server-sent events

Every process speaks HTTP to callers, endpoints and the platform, so the errors say whether bytes of a request were sent. A handler notices that its caller is gone by reading on while it runs; the bytes of pipelined requests are kept for later. At a stop, connections that were made but have not sent their first request get half a second to do so, since their caller cannot know of the stop; kept ones close at once.

--- /dev/null
+++ b/quetzalmill/http_client.py
@@ -0,0 +1,385 @@
+"""Sends HTTP/1.1 requests and keeps connections alive between them.
+
+An error says whether bytes of the request may have reached the server:
+``ConnectFailedError`` means that none was sent, all others that some were.
+"""
+
+from collections.abc import AsyncIterator
+import contextlib
+import select
+import socket
+
+import attrs
+import h11
+import trio
+
+from quetzalmill import errors, http_message
+
+_RECEIVE_BYTES = 65_536
+_MAX_HEAD_BYTES = 65_536
+_DEFAULT_MAX_BODY_BYTES = 16_777_216
+_BAD_GATEWAY = 502
+
+_Parsed = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+
+
+class StreamedResponse(AsyncIterator[bytes]):
+    """A response whose body is read in pieces, by ``async for``."""
+
+    def __init__(
+        self,
+        connection: "_Connection",
+        head: h11.Response,
+        idle_timeout_ms: float,
+        max_body_bytes: int,
+    ) -> None:
+        self._connection = connection
+        self._idle_timeout_ms = idle_timeout_ms
+        self._left_bytes = max_body_bytes
+        self.status = head.status_code
+        self.headers = http_message.join_headers(list(head.headers))
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Returns itself."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Returns the next piece of the body.
+
+        Raises:
+            errors.ConnectionLostError: The connection ended before the body.
+            errors.ResponseTimeoutError: No piece came in time.
+            errors.BadMessageError: The body is broken or too large.
+        """
+        event = await self._next_event()
+        if not isinstance(event, h11.Data):
+            raise StopAsyncIteration
+        self._left_bytes -= len(event.data)
+        if self._left_bytes < 0:
+            raise errors.BadMessageError(
+                "the response body is too large", _BAD_GATEWAY
+            )
+        return bytes(event.data)
+
+    async def read(self) -> bytes:
+        """Reads the rest of the body whole; see ``__anext__`` for errors."""
+        return b"".join([piece async for piece in self])
+
+    async def _next_event(self) -> _Parsed:
+        with trio.move_on_after(self._idle_timeout_ms / 1000.0):
+            return await self._connection.next_event()
+        raise errors.ResponseTimeoutError("the response body stalled")
+
+
+class HttpClient:
+    """Sends requests; keeps idle connections for each address.
+
+    Args:
+        connect_timeout_ms: The time that making a connection may take.
+        max_idle: Idle connections kept for each address.
+        idle_timeout_ms: The time that an idle connection is kept.
+    """
+
+    def __init__(
+        self,
+        *,
+        connect_timeout_ms: float = 2000.0,
+        max_idle: int = 16,
+        idle_timeout_ms: float = 15_000.0,
+    ) -> None:
+        self._connect_timeout_ms = connect_timeout_ms
+        self._max_idle = max_idle
+        self._idle_timeout_ms = idle_timeout_ms
+        self._idle: dict[str, list[_Connection]] = {}
+        self._closed = False
+        self._swept_s = 0.0
+
+    async def request(
+        self,
+        address: str,
+        request: http_message.Request,
+        *,
+        timeout_ms: float,
+        fresh_connection: bool = False,
+        idempotent: bool = False,
+        max_body_bytes: int = _DEFAULT_MAX_BODY_BYTES,
+    ) -> http_message.Response:
+        """Sends a request and reads the whole response.
+
+        Args:
+            address: IP address and port of the server.
+            request: The request; hop-by-hop headers are left out.
+            timeout_ms: The time from connecting to the body's end.
+            fresh_connection: Whether to use a new connection.
+            idempotent: Whether the request may be sent again when a kept
+                connection turns out to have ended.
+            max_body_bytes: The largest body that is read.
+
+        Raises:
+            errors.ConnectFailedError: No byte of the request was sent.
+            errors.ConnectionLostError: The connection ended early.
+            errors.ResponseTimeoutError: The response did not end in time.
+            errors.BadMessageError: The response is broken or too large.
+        """
+        deadline_s = trio.current_time() + timeout_ms / 1000.0
+        async with self.stream(
+            address,
+            request,
+            timeout_ms=timeout_ms,
+            idle_timeout_ms=timeout_ms,
+            fresh_connection=fresh_connection,
+            idempotent=idempotent,
+            max_body_bytes=max_body_bytes,
+        ) as response:
+            with trio.move_on_at(deadline_s):
+                return http_message.Response(
+                    status=response.status,
+                    headers=response.headers,
+                    body=await response.read(),
+                )
+            raise errors.ResponseTimeoutError("the response did not end")
+
+    @contextlib.asynccontextmanager
+    async def stream(
+        self,
+        address: str,
+        request: http_message.Request,
+        *,
+        timeout_ms: float,
+        idle_timeout_ms: float | None = None,
+        fresh_connection: bool = False,
+        idempotent: bool = False,
+        max_body_bytes: int = _DEFAULT_MAX_BODY_BYTES,
+    ) -> AsyncIterator[StreamedResponse]:
+        """Sends a request and yields the response with its body unread.
+
+        A body that is not read to its end costs the connection. Errors are
+        those of ``request``.
+
+        Args:
+            address: IP address and port of the server.
+            request: The request; hop-by-hop headers are left out.
+            timeout_ms: The time from connecting to the response's head.
+            idle_timeout_ms: The time between two pieces of the body;
+                ``timeout_ms`` when left out.
+            fresh_connection: Whether to use a new connection.
+            idempotent: Whether the request may be sent again when a kept
+                connection turns out to have ended.
+            max_body_bytes: The largest body that is read.
+        """
+        deadline_s = trio.current_time() + timeout_ms / 1000.0
+        connection, head = await self._open(
+            address, request, deadline_s, fresh_connection, idempotent
+        )
+        try:
+            yield StreamedResponse(
+                connection,
+                head,
+                timeout_ms if idle_timeout_ms is None else idle_timeout_ms,
+                max_body_bytes,
+            )
+        except BaseException:
+            connection.close()
+            raise
+        self._keep(address, connection)
+
+    async def aclose(self) -> None:
+        """Closes the idle connections and keeps no further ones."""
+        self._closed = True
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.close()
+        self._idle.clear()
+        await trio.lowlevel.checkpoint()
+
+    async def _open(
+        self,
+        address: str,
+        request: http_message.Request,
+        deadline_s: float,
+        fresh_connection: bool,
+        idempotent: bool,
+    ) -> tuple["_Connection", h11.Response]:
+        kept = None if fresh_connection else self._take_idle(address)
+        if kept is not None:
+            try:
+                return kept, await kept.exchange(request, deadline_s)
+            except errors.ConnectionLostError:
+                if not idempotent or kept.received_bytes:
+                    raise
+        connection = await self._connect(address, deadline_s)
+        return connection, await connection.exchange(request, deadline_s)
+
+    async def _connect(self, address: str, deadline_s: float) -> "_Connection":
+        timeout_s = self._connect_timeout_ms / 1000.0
+        limit_s = min(deadline_s, trio.current_time() + timeout_s)
+        try:
+            with trio.move_on_at(limit_s):
+                return _Connection(address, await _connect_stream(address))
+        except (OSError, ValueError) as error:
+            raise errors.ConnectFailedError(f"{address}: {error}") from error
+        raise errors.ConnectFailedError(f"{address}: connecting timed out")
+
+    def _take_idle(self, address: str) -> "_Connection | None":
+        connections = self._idle.get(address, [])
+        oldest_s = trio.current_time() - self._idle_timeout_ms / 1000.0
+        while connections:
+            connection = connections.pop()
+            if connection.idle_since_s >= oldest_s and connection.is_quiet():
+                return connection
+            connection.close()
+        self._idle.pop(address, None)
+        return None
+
+    def _keep(self, address: str, connection: "_Connection") -> None:
+        self._sweep()
+        connections = self._idle.setdefault(address, [])
+        full = len(connections) >= self._max_idle
+        if self._closed or full or not connection.start_next():
+            connection.close()
+            return
+        connection.idle_since_s = trio.current_time()
+        connections.append(connection)
+
+    def _sweep(self) -> None:
+        """Closes old connections to addresses that are no longer used."""
+        now_s = trio.current_time()
+        oldest_s = now_s - self._idle_timeout_ms / 1000.0
+        if self._swept_s > oldest_s:
+            return
+        self._swept_s = now_s
+        for address, connections in list(self._idle.items()):
+            for connection in connections:
+                if connection.idle_since_s < oldest_s:
+                    connection.close()
+            kept = [c for c in connections if c.idle_since_s >= oldest_s]
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
+
+@attrs.define(eq=False)
+class _Connection:
+    """A connection that carries one exchange at a time."""
+
+    address: str
+    stream: trio.SocketStream
+    idle_since_s: float = 0.0
+    received_bytes: int = 0
+    http: h11.Connection = attrs.field(
+        factory=lambda: h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
+        )
+    )
+
+    async def exchange(
+        self, request: http_message.Request, deadline_s: float
+    ) -> h11.Response:
+        """Sends a request and reads the head of its response."""
+        self.received_bytes = 0
+        try:
+            data = self._encode(request)
+            with trio.move_on_at(deadline_s):
+                return await self._exchange(data)
+            raise errors.ResponseTimeoutError("no response in time")
+        except BaseException:
+            self.close()
+            raise
+
+    async def next_event(self) -> _Parsed:
+        """Reads the next part of the response."""
+        data = b"-"
+        try:
+            event = self.http.next_event()
+            while event is h11.NEED_DATA:
+                data = await self._receive()
+                self.http.receive_data(data)
+                event = self.http.next_event()
+        except h11.RemoteProtocolError as error:
+            if not data:
+                raise _connection_lost() from error
+            raise errors.BadMessageError(str(error), _BAD_GATEWAY) from error
+        if isinstance(event, h11.ConnectionClosed):
+            raise _connection_lost()
+        return event
+
+    def is_quiet(self) -> bool:
+        """Returns whether the server has neither closed nor sent bytes."""
+        poll = select.poll()
+        poll.register(self.stream.socket.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    def start_next(self) -> bool:
+        """Prepares for another exchange; returns whether there may be one."""
+        if self.http.states != {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
+            return False
+        self.http.start_next_cycle()
+        return True
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        self.stream.socket.close()
+
+    def _encode(self, request: http_message.Request) -> bytes:
+        headers = _request_headers(request, self.address)
+        try:
+            head = h11.Request(
+                method=request.method, target=request.target(), headers=headers
+            )
+            data = self.http.send(head) or b""
+            if request.body:
+                data += self.http.send(h11.Data(data=request.body)) or b""
+            return data + (self.http.send(h11.EndOfMessage()) or b"")
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            raise errors.BadMessageError(str(error)) from error
+
+    async def _exchange(self, data: bytes) -> h11.Response:
+        # A server that refuses a large request may answer and close while
+        # the request is still being sent, so the answer is read all the same.
+        with contextlib.suppress(trio.BrokenResourceError):
+            await self.stream.send_all(data)
+        while True:
+            event = await self.next_event()
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise errors.BadMessageError("no response head", _BAD_GATEWAY)
+
+    async def _receive(self) -> bytes:
+        try:
+            data = bytes(await self.stream.receive_some(_RECEIVE_BYTES))
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise _connection_lost() from error
+        self.received_bytes += len(data)
+        return data
+
+
+async def _connect_stream(address: str) -> trio.SocketStream:
+    host, port = http_message.split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    connecting = trio.socket.socket(family, socket.SOCK_STREAM)
+    try:
+        await connecting.connect((host, port))
+        return trio.SocketStream(connecting)
+    except BaseException:
+        connecting.close()
+        raise
+
+
+def _request_headers(
+    request: http_message.Request, address: str
+) -> list[tuple[str, str]]:
+    headers = [("host", address)]
+    headers += [
+        (name, value)
+        for name, value in request.headers.items()
+        if name.lower() not in http_message.HOP_BY_HOP
+    ]
+    if request.body or request.method not in ("GET", "HEAD"):
+        headers.append(("content-length", str(len(request.body))))
+    return headers
+
+
+def _connection_lost() -> errors.ConnectionLostError:
+    return errors.ConnectionLostError("the server ended the connection")
--- /dev/null
+++ b/quetzalmill/http_server.py
@@ -0,0 +1,512 @@
+"""Serves HTTP/1.1 over TCP, one task for each connection.
+
+The server reads each request whole, within limits, and hands it to a handler
+together with an ``Exchange`` that writes the answer. A caller that closes its
+side of the connection counts as gone, also when it only closes for writing.
+"""
+
+from collections.abc import Awaitable, Callable
+import errno
+import json
+import socket
+
+import h11
+import trio
+
+from quetzalmill import errors, http_message
+
+_RECEIVE_BYTES = 16_384
+_BACKLOG = 1024
+_BACKLOG_WAIT_S = 0.01
+_ACCEPT_RETRY_S = 0.1
+_ACCEPT_RETRY_ERRNOS = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS}
+)
+_LINGER_S = 1.0
+_LINGER_BYTES = 1_048_576
+_FIRST_REQUEST_GRACE_S = 0.5
+
+_STATUS_CODES = {
+    400: "bad_request",
+    408: "request_timeout",
+    413: "body_too_large",
+    431: "headers_too_large",
+    500: "internal_error",
+    501: "not_implemented",
+}
+
+Handler = Callable[[http_message.Request, "Exchange"], Awaitable[None]]
+"""Answers one request through its exchange."""
+
+_Parsed = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+
+ErrorHook = Callable[[BaseException], None]
+"""Is told of an exception that a handler let escape."""
+
+
+def _ignore_error(error: BaseException) -> None:
+    del error
+
+
+async def serve(
+    address: str,
+    handler: Handler,
+    *,
+    limits: http_message.Limits,
+    stopping: trio.Event,
+    on_error: ErrorHook = _ignore_error,
+    task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serves until ``stopping`` is set and all running exchanges ended.
+
+    Args:
+        address: Where to listen; port 0 takes a free port.
+        handler: Answers each request.
+        limits: What one connection may take.
+        stopping: Ends accepting and idle connections once it is set.
+        on_error: Is told what a handler let escape.
+        task_status: Reports the port that the server listens on.
+    """
+    listener = await _listen(address)
+    server = _Server(handler, limits, stopping, on_error)
+    with listener:
+        task_status.started(listener.getsockname()[1])
+        await server.run(listener)
+
+
+class Exchange:
+    """Writes the answer to one request.
+
+    Every method that writes raises ``errors.ConnectionLostError`` when the
+    caller is gone or does not read.
+    """
+
+    def __init__(
+        self, connection: "_Connection", request: http_message.Request
+    ) -> None:
+        self._connection = connection
+        self._has_body = request.method != "HEAD"
+        self._disconnected = trio.Event()
+        self.started = False
+        self.finished = False
+
+    @property
+    def disconnected(self) -> bool:
+        """Whether the caller's connection has ended."""
+        return self._disconnected.is_set()
+
+    async def wait_disconnected(self) -> None:
+        """Returns when the caller's connection ends."""
+        await self._disconnected.wait()
+
+    def mark_disconnected(self) -> None:
+        """Records that the caller's connection has ended."""
+        self._disconnected.set()
+
+    async def respond(
+        self,
+        status: int,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        content_type: str = "application/json",
+    ) -> None:
+        """Sends a whole answer."""
+        all_headers = {
+            "content-type": content_type,
+            "content-length": str(len(body)),
+            **_without_framing(headers),
+        }
+        if status in (204, 304):
+            all_headers = _without_framing(headers)
+            body = b""
+        data = self._head(status, all_headers)
+        if body and self._has_body:
+            data += self._connection.encode(h11.Data(data=body))
+        data += self._connection.encode(h11.EndOfMessage())
+        await self._write(data)
+        self.finished = True
+
+    async def start_stream(
+        self, status: int, headers: dict[str, str] | None = None
+    ) -> None:
+        """Sends the head of an answer whose body follows in pieces."""
+        await self._write(self._head(status, _without_framing(headers)))
+
+    async def send(self, data: bytes) -> None:
+        """Sends a piece of the body."""
+        if data and self._has_body:
+            await self._write(self._connection.encode(h11.Data(data=data)))
+
+    async def finish(self) -> None:
+        """Ends the body."""
+        await self._write(self._connection.encode(h11.EndOfMessage()))
+        self.finished = True
+
+    def _head(self, status: int, headers: dict[str, str]) -> bytes:
+        self.started = True
+        return self._connection.encode_head(status, headers)
+
+    async def _write(self, data: bytes) -> None:
+        if self.disconnected:
+            raise errors.ConnectionLostError("the caller is gone")
+        try:
+            await self._connection.write(data)
+        except errors.ConnectionLostError:
+            self.mark_disconnected()
+            raise
+
+
+class _Server:
+    """Accepts connections and ends them when the server stops."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: http_message.Limits,
+        stopping: trio.Event,
+        on_error: ErrorHook,
+    ) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.stopping = stopping
+        self.on_error = on_error
+        self._capacity = trio.Semaphore(limits.max_connections)
+        self._idle: set[_Connection] = set()
+
+    async def run(self, listener: trio.socket.SocketType) -> None:
+        """Accepts until the server stops, then waits for connections."""
+        async with trio.open_nursery() as connections:
+            async with trio.open_nursery() as accepting:
+                accepting.start_soon(self._accept, listener, connections)
+                await self.stopping.wait()
+                accepting.cancel_scope.cancel()
+            await self._accept_backlog(listener, connections)
+            listener.close()
+            for connection in list(self._idle):
+                connection.end_idle()
+
+    async def receive_idle(self, connection: "_Connection") -> bytes:
+        """Waits for a request's first bytes; returns none when it ends."""
+        self._idle.add(connection)
+        try:
+            with connection.idle_scope:
+                if self.stopping.is_set():
+                    connection.end_idle()
+                return await connection.receive()
+        finally:
+            self._idle.discard(connection)
+        return b""
+
+    async def _accept(
+        self, listener: trio.socket.SocketType, connections: trio.Nursery
+    ) -> None:
+        while True:
+            await self._capacity.acquire()
+            accepted = await _accept_one(listener)
+            connections.start_soon(self._serve_connection, accepted)
+
+    async def _accept_backlog(
+        self, listener: trio.socket.SocketType, connections: trio.Nursery
+    ) -> None:
+        """Takes the connections that callers have already made."""
+        for _ in range(_BACKLOG):
+            with trio.move_on_after(_BACKLOG_WAIT_S) as scope:
+                accepted = await _accept_one(listener)
+                connections.start_soon(self._serve_connection, accepted)
+            if scope.cancelled_caught:
+                return
+
+    async def _serve_connection(self, accepted: trio.socket.SocketType) -> None:
+        stream = trio.SocketStream(accepted)
+        try:
+            await _Connection(stream, self).run()
+        finally:
+            self._capacity.release()
+            await trio.aclose_forcefully(stream)
+
+
+class _Connection:
+    """One connection and the exchanges on it, one after the other."""
+
+    def __init__(self, stream: trio.SocketStream, server: _Server) -> None:
+        self._stream = stream
+        self._server = server
+        self._limits = server.limits
+        self._served = 0
+        self._at_end = False
+        self._http = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self._limits.max_header_bytes,
+        )
+        self.idle_scope = trio.CancelScope()
+
+    async def run(self) -> None:
+        """Serves requests until either side ends the connection."""
+        while await self._serve_one():
+            self._served += 1
+
+    def end_idle(self) -> None:
+        """Ends the wait for a further request.
+
+        A caller that has connected but not sent its first request yet gets a
+        moment to do so, because it cannot know that the server stops.
+        """
+        if self._served:
+            self.idle_scope.cancel()
+        else:
+            self.idle_scope.deadline = min(
+                self.idle_scope.deadline,
+                trio.current_time() + _FIRST_REQUEST_GRACE_S,
+            )
+
+    async def receive(self) -> bytes:
+        """Receives some bytes; none when the connection has ended."""
+        try:
+            data = bytes(await self._stream.receive_some(_RECEIVE_BYTES))
+        except trio.BrokenResourceError:
+            data = b""
+        self._at_end = not data
+        return data
+
+    async def write(self, data: bytes) -> None:
+        """Sends bytes to a caller that keeps reading.
+
+        Raises:
+            errors.ConnectionLostError: The caller is gone or does not read.
+        """
+        timeout_s = self._limits.idle_timeout_ms / 1000.0
+        try:
+            with trio.fail_after(timeout_s):
+                await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.TooSlowError) as error:
+            raise errors.ConnectionLostError("the caller is gone") from error
+
+    def encode(self, event: h11.Event) -> bytes:
+        """Returns the bytes of a part of the answer."""
+        return self._http.send(event) or b""
+
+    def encode_head(self, status: int, headers: dict[str, str]) -> bytes:
+        """Returns the bytes of an answer's head."""
+        if self._server.stopping.is_set():
+            headers = {**headers, "connection": "close"}
+        return self.encode(
+            h11.Response(status_code=status, headers=list(headers.items()))
+        )
+
+    async def _serve_one(self) -> bool:
+        """Serves one request; returns whether another may follow."""
+        try:
+            request = await self._read_request()
+        except errors.BadMessageError as error:
+            await self._refuse(error)
+            return False
+        if request is None:
+            return False
+        exchange = Exchange(self, request)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, exchange)
+            await self._handle(request, exchange)
+            nursery.cancel_scope.cancel()
+        return exchange.finished and self._start_next()
+
+    async def _handle(
+        self, request: http_message.Request, exchange: Exchange
+    ) -> None:
+        try:
+            await self._server.handler(request, exchange)
+            if not exchange.started:
+                raise errors.HttpError("the handler gave no answer")
+        except Exception as error:
+            if exchange.disconnected and _is_only_lost(error):
+                return
+            self._server.on_error(error)
+            await self._answer_crash(exchange)
+
+    async def _answer_crash(self, exchange: Exchange) -> None:
+        if exchange.started:
+            return
+        body = _error_body(500, "the request handler failed", "unknown")
+        try:
+            await exchange.respond(500, body)
+        except (errors.ConnectionLostError, h11.LocalProtocolError):
+            return
+
+    async def _watch(self, exchange: Exchange) -> None:
+        """Notices the caller's end; keeps bytes of requests that follow."""
+        while len(self._http.trailing_data[0]) < self._limits.max_header_bytes:
+            data = await self.receive()
+            if not data:
+                exchange.mark_disconnected()
+                return
+            self._http.receive_data(data)
+
+    def _start_next(self) -> bool:
+        if self._at_end or self._http.states != {
+            h11.CLIENT: h11.DONE,
+            h11.SERVER: h11.DONE,
+        }:
+            return False
+        self._http.start_next_cycle()
+        return True
+
+    async def _read_request(self) -> http_message.Request | None:
+        """Reads a whole request; returns None when the caller sends none."""
+        if not self._http.trailing_data[0]:
+            timeout_s = self._limits.idle_timeout_ms / 1000.0
+            self.idle_scope = trio.CancelScope(
+                deadline=trio.current_time() + timeout_s
+            )
+            data = await self._server.receive_idle(self)
+            if not data:
+                return None
+            self._http.receive_data(data)
+        head = await self._read_head()
+        path, query = http_message.parse_target(head.target)
+        body = await self._read_body(head)
+        return http_message.Request(
+            method=head.method.decode("ascii"),
+            path=path,
+            query=query,
+            headers=http_message.join_headers(list(head.headers)),
+            body=body,
+        )
+
+    async def _read_head(self) -> h11.Request:
+        with trio.move_on_after(self._limits.header_timeout_ms / 1000.0):
+            event = await self._next_event()
+            if not isinstance(event, h11.Request):
+                raise errors.BadMessageError("the request has no head")
+            size = sum(len(n) + len(v) + 4 for n, v in event.headers)
+            if size + len(event.target) > self._limits.max_header_bytes:
+                raise errors.BadMessageError("the head is too large", 431)
+            return event
+        raise errors.BadMessageError("the head did not end in time", 408)
+
+    async def _read_body(self, head: h11.Request) -> bytes:
+        limit_bytes = self._limits.max_body_bytes
+        for name, value in head.headers:
+            if name == b"content-length" and int(value) > limit_bytes:
+                raise _body_too_large(limit_bytes)
+        if self._http.they_are_waiting_for_100_continue:
+            await self._invite_body()
+        body = bytearray()
+        while True:
+            with trio.move_on_after(self._limits.idle_timeout_ms / 1000.0):
+                event = await self._next_event()
+                if not isinstance(event, h11.Data):
+                    return bytes(body)
+                body += event.data
+                if len(body) > limit_bytes:
+                    raise _body_too_large(limit_bytes)
+                continue
+            raise errors.BadMessageError("the body did not end in time", 408)
+
+    async def _invite_body(self) -> None:
+        go_on = h11.InformationalResponse(status_code=100, headers=[])
+        try:
+            await self.write(self.encode(go_on))
+        except errors.ConnectionLostError as error:
+            raise errors.BadMessageError("the caller is gone") from error
+
+    async def _next_event(self) -> _Parsed:
+        try:
+            event = self._http.next_event()
+            while event is h11.NEED_DATA:
+                self._http.receive_data(await self.receive())
+                event = self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise errors.BadMessageError(
+                str(error), error.error_status_hint
+            ) from error
+        return event
+
+    async def _refuse(self, error: errors.BadMessageError) -> None:
+        """Answers a request that cannot be read, then ends the connection."""
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        body = _error_body(error.status, str(error), "no")
+        headers = {
+            "content-type": "application/json",
+            "content-length": str(len(body)),
+            "connection": "close",
+        }
+        try:
+            data = self.encode_head(error.status, headers)
+            data += self.encode(h11.Data(data=body))
+            data += self.encode(h11.EndOfMessage())
+            await self.write(data)
+            await self._linger()
+        except (errors.ConnectionLostError, h11.LocalProtocolError):
+            return
+
+    async def _linger(self) -> None:
+        """Reads on for a moment, so that no reset destroys the answer."""
+        with trio.move_on_after(_LINGER_S):
+            try:
+                await self._stream.send_eof()
+            except trio.BrokenResourceError:
+                return
+            left_bytes = _LINGER_BYTES
+            while left_bytes > 0:
+                data = await self.receive()
+                if not data:
+                    return
+                left_bytes -= len(data)
+
+
+async def _listen(address: str) -> trio.socket.SocketType:
+    host, port = http_message.split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = trio.socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        await listener.bind((host, port))
+        listener.listen(_BACKLOG)
+    except BaseException:
+        listener.close()
+        raise
+    return listener
+
+
+async def _accept_one(
+    listener: trio.socket.SocketType,
+) -> trio.socket.SocketType:
+    while True:
+        try:
+            accepted, _ = await listener.accept()
+        except OSError as error:
+            # The caller gave up before it was accepted, or the process is
+            # short of descriptors for a moment; neither ends the server.
+            if error.errno in _ACCEPT_RETRY_ERRNOS:
+                await trio.sleep(_ACCEPT_RETRY_S)
+            elif error.errno == errno.EBADF:
+                raise
+        else:
+            return accepted
+
+
+def _without_framing(headers: dict[str, str] | None) -> dict[str, str]:
+    """Drops the headers that only this connection may set."""
+    return {
+        name.lower(): value
+        for name, value in (headers or {}).items()
+        if name.lower() not in http_message.HOP_BY_HOP
+    }
+
+
+def _error_body(status: int, message: str, ran: str) -> bytes:
+    code = _STATUS_CODES.get(status, "bad_request")
+    return json.dumps({"code": code, "message": message, "ran": ran}).encode()
+
+
+def _body_too_large(limit_bytes: int) -> errors.BadMessageError:
+    return errors.BadMessageError(
+        f"the body is larger than {limit_bytes} bytes", 413
+    )
+
+
+def _is_only_lost(error: Exception) -> bool:
+    """Returns whether lost connections are all that went wrong."""
+    if isinstance(error, ExceptionGroup):
+        return error.split(errors.ConnectionLostError)[1] is None
+    return isinstance(error, errors.ConnectionLostError)
--- /dev/null
+++ b/quetzalmill/sse.py
@@ -0,0 +1,80 @@
+"""Encodes and parses server-sent events."""
+
+import attrs
+
+from quetzalmill import errors
+
+CONTENT_TYPE = "text/event-stream"
+DONE = "[DONE]"
+"""The data of the event that ends a streamed completion."""
+
+_MAX_EVENT_BYTES = 4_194_304
+
+
+@attrs.frozen(kw_only=True)
+class Event:
+    """One event; ``name`` is empty for an ordinary message."""
+
+    data: str
+    name: str = ""
+
+
+def encode_event(data: str, name: str = "") -> bytes:
+    """Returns the bytes of one event."""
+    lines = [f"event: {name}"] if name else []
+    lines += [f"data: {line}" for line in data.split("\n")]
+    return ("\n".join(lines) + "\n\n").encode()
+
+
+class SseParser:
+    """Turns the pieces of a body into events."""
+
+    def __init__(self, max_event_bytes: int = _MAX_EVENT_BYTES) -> None:
+        self._max_event_bytes = max_event_bytes
+        self._rest = b""
+        self._data: list[str] = []
+        self._data_bytes = 0
+        self._name = ""
+
+    def feed(self, chunk: bytes) -> list[Event]:
+        """Takes a piece of the body; returns the events that it ends.
+
+        Raises:
+            errors.BadMessageError: An event is too large or is not UTF-8.
+        """
+        *lines, self._rest = (self._rest + chunk).split(b"\n")
+        events = []
+        for line in lines:
+            event = self._take_line(line.removesuffix(b"\r"))
+            if event is not None:
+                events.append(event)
+        if self._data_bytes + len(self._rest) > self._max_event_bytes:
+            raise errors.BadMessageError("an event is too large", 502)
+        return events
+
+    def _take_line(self, line: bytes) -> Event | None:
+        if not line:
+            return self._end_event()
+        field, _, raw_value = line.partition(b":")
+        try:
+            value = raw_value.removeprefix(b" ").decode()
+        except UnicodeDecodeError as error:
+            raise errors.BadMessageError("an event is not UTF-8", 502) from (
+                error
+            )
+        match field:
+            case b"data":
+                self._data.append(value)
+                self._data_bytes += len(raw_value)
+            case b"event":
+                self._name = value
+        return None
+
+    def _end_event(self) -> Event | None:
+        event = None
+        if self._data:
+            event = Event(data="\n".join(self._data), name=self._name)
+        self._data = []
+        self._data_bytes = 0
+        self._name = ""
+        return event
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,582 @@
+"""Tests of the HTTP server and client over real sockets."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+import contextlib
+import json
+
+import pytest
+import trio
+import trio.testing
+
+from quetzalmill import errors, http_client, http_message, http_server, sse
+
+_LIMITS = http_message.Limits(
+    max_header_bytes=2048,
+    max_body_bytes=4096,
+    header_timeout_ms=200.0,
+    idle_timeout_ms=400.0,
+)
+_TIMEOUT_MS = 5000.0
+_GET = http_message.Request(method="GET", path="/")
+
+_Script = Callable[[trio.SocketStream], Awaitable[None]]
+
+
+async def _echo(
+    request: http_message.Request, exchange: http_server.Exchange
+) -> None:
+    answer = {
+        "method": request.method,
+        "path": request.path,
+        "query": request.query,
+        "headers": request.headers,
+        "body": request.body.decode(),
+    }
+    await exchange.respond(200, json.dumps(answer).encode())
+
+
+class _Served:
+    """A running server with what its error hook was told."""
+
+    def __init__(self) -> None:
+        self.stopping = trio.Event()
+        self.address = ""
+        self.errors: list[BaseException] = []
+
+    async def connect(self) -> trio.SocketStream:
+        host, port = http_message.split_address(self.address)
+        return await trio.open_tcp_stream(host, port)
+
+    async def exchange_raw(self, data: bytes) -> bytes:
+        """Sends bytes and reads until the server closes."""
+        with trio.fail_after(_TIMEOUT_MS / 1000.0):
+            stream = await self.connect()
+            await stream.send_all(data)
+            return b"".join([piece async for piece in stream])
+
+
+@contextlib.asynccontextmanager
+async def _serving(
+    handler: http_server.Handler,
+) -> AsyncIterator[_Served]:
+    served = _Served()
+    async with trio.open_nursery() as nursery:
+
+        async def run(
+            task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+        ) -> None:
+            await http_server.serve(
+                "127.0.0.1:0",
+                handler,
+                limits=_LIMITS,
+                stopping=served.stopping,
+                on_error=served.errors.append,
+                task_status=task_status,
+            )
+
+        served.address = f"127.0.0.1:{await nursery.start(run)}"
+        with trio.fail_after(2 * _TIMEOUT_MS / 1000.0):
+            yield served
+        served.stopping.set()
+        nursery.cancel_scope.deadline = trio.current_time() + 5.0
+
+
+@contextlib.asynccontextmanager
+async def _scripted(script: _Script) -> AsyncIterator[str]:
+    """Serves a script instead of HTTP; yields the address."""
+    async with trio.open_nursery() as nursery:
+
+        async def run(stream: trio.SocketStream) -> None:
+            async with stream:
+                await script(stream)
+
+        listeners = await nursery.start(trio.serve_tcp, run, 0)
+        port = listeners[0].socket.getsockname()[1]
+        yield f"127.0.0.1:{port}"
+        nursery.cancel_scope.cancel()
+
+
+class TestRequests:
+    """Whole requests and answers."""
+
+    def test_request_arrives_whole(self) -> None:
+        async def main() -> None:
+            request = http_message.Request(
+                method="POST",
+                path="/a%20b",
+                query={"q": "x y"},
+                headers={"x-one": "1", "connection": "upgrade"},
+                body=b"hello",
+            )
+            client = http_client.HttpClient()
+            async with _serving(_echo) as served:
+                response = await client.request(
+                    served.address, request, timeout_ms=_TIMEOUT_MS
+                )
+            echoed = json.loads(response.body)
+            assert response.status == 200
+            assert echoed["path"] == "/a%20b"
+            assert echoed["query"] == {"q": "x y"}
+            assert echoed["headers"]["x-one"] == "1"
+            assert "connection" not in echoed["headers"]
+            assert echoed["body"] == "hello"
+            await client.aclose()
+
+        trio.run(main)
+
+    def test_connections_are_kept_and_reused(self) -> None:
+        peers: set[int] = set()
+
+        async def handler(
+            request: http_message.Request, exchange: http_server.Exchange
+        ) -> None:
+            peers.add(id(exchange._connection))
+            await exchange.respond(200, request.body)
+
+        async def main() -> None:
+            client = http_client.HttpClient()
+            async with _serving(handler) as served:
+                for fresh in (False, False, True):
+                    await client.request(
+                        served.address,
+                        _GET,
+                        timeout_ms=_TIMEOUT_MS,
+                        fresh_connection=fresh,
+                    )
+                assert len(peers) == 2
+                await client.aclose()
+
+        trio.run(main)
+
+    @pytest.mark.parametrize("method", ["GET", "HEAD", "DELETE", "POST"])
+    def test_pipelined_requests_are_answered_in_order(
+        self, method: str
+    ) -> None:
+        async def main() -> None:
+            async with _serving(_echo) as served:
+                answer = await served.exchange_raw(
+                    f"{method} /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                    "GET /2 HTTP/1.1\r\nHost: a\r\n"
+                    "Connection: close\r\n\r\n".encode()
+                )
+            assert answer.count(b"HTTP/1.1 200") == 2
+            assert b'"/2"' in answer
+            assert (b'"/1"' in answer) == (method != "HEAD")
+
+        trio.run(main)
+
+    def test_waiting_client_is_invited_to_send_its_body(self) -> None:
+        async def main() -> None:
+            async with _serving(_echo) as served:
+                stream = await served.connect()
+                await stream.send_all(
+                    b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+                    b"Expect: 100-continue\r\n\r\n"
+                )
+                assert b"100" in await stream.receive_some()
+                await stream.send_all(b"ok")
+                assert b'"ok"' in await stream.receive_some()
+
+        trio.run(main)
+
+
+class TestStreaming:
+    """Answers that are sent in pieces."""
+
+    def test_pieces_arrive_while_the_handler_runs(self) -> None:
+        async def main() -> None:
+            go_on = trio.Event()
+
+            async def handler(
+                request: http_message.Request, exchange: http_server.Exchange
+            ) -> None:
+                del request
+                await exchange.start_stream(
+                    200, {"Content-Type": sse.CONTENT_TYPE}
+                )
+                await exchange.send(sse.encode_event("one\ntwo"))
+                await go_on.wait()
+                await exchange.send(sse.encode_event(sse.DONE, "end"))
+                await exchange.finish()
+
+            client = http_client.HttpClient()
+            parser = sse.SseParser()
+            events: list[sse.Event] = []
+            async with (
+                _serving(handler) as served,
+                client.stream(
+                    served.address, _GET, timeout_ms=_TIMEOUT_MS
+                ) as response,
+            ):
+                assert response.headers["content-type"] == sse.CONTENT_TYPE
+                async for piece in response:
+                    events += parser.feed(piece)
+                    go_on.set()
+            assert events == [
+                sse.Event(data="one\ntwo"),
+                sse.Event(data=sse.DONE, name="end"),
+            ]
+            await client.aclose()
+
+        trio.run(main)
+
+    def test_unfinished_stream_is_a_lost_connection(self) -> None:
+        async def handler(
+            request: http_message.Request, exchange: http_server.Exchange
+        ) -> None:
+            del request
+            await exchange.start_stream(200)
+            await exchange.send(b"half")
+            raise ValueError("broken handler")
+
+        async def main() -> None:
+            client = http_client.HttpClient()
+            async with _serving(handler) as served:
+                with pytest.raises(errors.ConnectionLostError):
+                    await client.request(
+                        served.address, _GET, timeout_ms=_TIMEOUT_MS
+                    )
+                assert [type(e) for e in served.errors] == [ValueError]
+
+        trio.run(main)
+
+
+class TestDisconnects:
+    """Callers that go away."""
+
+    def test_handler_notices_that_its_caller_is_gone(self) -> None:
+        async def main() -> None:
+            lost = trio.Event()
+
+            async def handler(
+                request: http_message.Request, exchange: http_server.Exchange
+            ) -> None:
+                del request
+                await exchange.wait_disconnected()
+                try:
+                    await exchange.respond(200)
+                except errors.ConnectionLostError:
+                    lost.set()
+                    raise
+
+            async with _serving(handler) as served:
+                stream = await served.connect()
+                await stream.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                await stream.aclose()
+                await lost.wait()
+            assert served.errors == []
+
+        trio.run(main)
+
+    def test_caller_that_does_not_read_is_given_up(self) -> None:
+        async def main() -> None:
+            lost = trio.Event()
+
+            async def handler(
+                request: http_message.Request, exchange: http_server.Exchange
+            ) -> None:
+                del request
+                await exchange.start_stream(200)
+                try:
+                    while True:
+                        await exchange.send(bytes(1_000_000))
+                except errors.ConnectionLostError:
+                    lost.set()
+
+            async with _serving(handler) as served:
+                stream = await served.connect()
+                await stream.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                await lost.wait()
+                await stream.aclose()
+
+        trio.run(main)
+
+
+_HEAD = b"POST / HTTP/1.1\r\nHost: a\r\n"
+
+
+class TestBadInput:
+    """Requests that break HTTP or a limit."""
+
+    @pytest.mark.parametrize(
+        ("data", "status"),
+        [
+            (b"nonsense\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\n\r\n", 400),
+            (b"GET /?" + b"a&" * 100 + b" HTTP/1.1\r\nHost: a\r\n\r\n", 400),
+            (_HEAD + b"X: " + b"x" * 3000 + b"\r\n\r\n", 431),
+            (_HEAD + b"X: " + b"x" * 30_000, 431),
+            (_HEAD + b"Content-Length: 5000\r\n\r\n", 413),
+            (_HEAD + b"Content-Length: 5000\r\n\r\n" + bytes(5000), 413),
+            (_HEAD + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+            (_HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+            (
+                _HEAD
+                + b"Transfer-Encoding: chunked\r\n\r\n1388\r\n"
+                + bytes(5000)
+                + b"\r\n0\r\n\r\n",
+                413,
+            ),
+            (_HEAD + b"Content-Len", 408),
+            (_HEAD + b"Content-Length: 10\r\n\r\nhalf", 408),
+        ],
+    )
+    def test_refusal_is_clear_and_ends_the_connection(
+        self, data: bytes, status: int
+    ) -> None:
+        async def main() -> None:
+            async with _serving(_echo) as served:
+                answer = await served.exchange_raw(data)
+            head, _, body = answer.partition(b"\r\n\r\n")
+            assert head.startswith(f"HTTP/1.1 {status}".encode())
+            assert b"connection: close" in head.lower()
+            assert json.loads(body)["ran"] == "no"
+
+        trio.run(main)
+
+    def test_idle_connection_is_closed(self) -> None:
+        async def main() -> None:
+            async with _serving(_echo) as served:
+                assert await served.exchange_raw(b"") == b""
+
+        trio.run(main)
+
+    def test_large_body_is_refused_before_it_is_sent_whole(self) -> None:
+        async def main() -> None:
+            request = http_message.Request(
+                method="POST", path="/", body=bytes(900_000)
+            )
+            client = http_client.HttpClient()
+            async with _serving(_echo) as served:
+                response = await client.request(
+                    served.address, request, timeout_ms=_TIMEOUT_MS
+                )
+            assert response.status == 413
+
+        trio.run(main)
+
+
+class TestHandlerErrors:
+    """Handlers that fail."""
+
+    @pytest.mark.parametrize("answer_with", [None, {"bad": "line\nbreak"}])
+    def test_server_outlives_a_failing_handler(
+        self, answer_with: dict[str, str] | None
+    ) -> None:
+        async def handler(
+            request: http_message.Request, exchange: http_server.Exchange
+        ) -> None:
+            if request.path == "/good":
+                await exchange.respond(204)
+            elif answer_with:
+                await exchange.respond(200, b"", answer_with)
+
+        async def main() -> None:
+            client = http_client.HttpClient()
+            good = http_message.Request(method="GET", path="/good")
+            async with _serving(handler) as served:
+                try:
+                    response = await client.request(
+                        served.address, _GET, timeout_ms=_TIMEOUT_MS
+                    )
+                    assert response.status == 500
+                    assert json.loads(response.body)["ran"] == "unknown"
+                except errors.ConnectionLostError:
+                    assert answer_with
+                response = await client.request(
+                    served.address, good, timeout_ms=_TIMEOUT_MS
+                )
+                assert response.status == 204
+                assert len(served.errors) == 1
+                await client.aclose()
+
+        trio.run(main)
+
+
+class TestStopping:
+    """A graceful shutdown."""
+
+    def test_running_exchange_ends_and_idle_connection_closes(self) -> None:
+        async def main() -> None:
+            running = trio.Event()
+            go_on = trio.Event()
+
+            async def handler(
+                request: http_message.Request, exchange: http_server.Exchange
+            ) -> None:
+                if request.path == "/slow":
+                    running.set()
+                    await go_on.wait()
+                await exchange.respond(200, b"whole")
+
+            client = http_client.HttpClient()
+            slow = http_message.Request(method="GET", path="/slow")
+            answers: list[http_message.Response] = []
+
+            async def call_slow(address: str) -> None:
+                answers.append(
+                    await client.request(address, slow, timeout_ms=_TIMEOUT_MS)
+                )
+
+            async with _serving(handler) as served:
+                idle = await served.connect()
+                await idle.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                assert b"whole" in await idle.receive_some()
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(call_slow, served.address)
+                    await running.wait()
+                    served.stopping.set()
+                    assert await idle.receive_some() == b""
+                    with pytest.raises(OSError):
+                        await served.connect()
+                    go_on.set()
+            assert answers[0].body == b"whole"
+            assert answers[0].headers["connection"] == "close"
+
+        trio.run(main)
+
+    def test_connection_made_before_the_stop_is_served(self) -> None:
+        async def main() -> None:
+            async with _serving(_echo) as served:
+                stream = await served.connect()
+                served.stopping.set()
+                await trio.testing.wait_all_tasks_blocked(0.02)
+                await stream.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                assert b"200" in await stream.receive_some()
+
+        trio.run(main)
+
+
+class TestClientErrors:
+    """What a client's error says about the bytes that it sent."""
+
+    def test_refused_connection_sent_nothing(self) -> None:
+        async def main() -> None:
+            async with _serving(_echo) as served:
+                served.stopping.set()
+            client = http_client.HttpClient()
+            for address in (served.address, "nowhere"):
+                with pytest.raises(errors.ConnectFailedError):
+                    await client.request(address, _GET, timeout_ms=_TIMEOUT_MS)
+
+        trio.run(main)
+
+    @pytest.mark.parametrize(
+        ("answer", "expected"),
+        [
+            (b"", errors.ConnectionLostError),
+            (b"HTTP/1.1 200 OK\r\nConte", errors.ConnectionLostError),
+            (
+                b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+                errors.ConnectionLostError,
+            ),
+            (b"nonsense\r\n\r\n", errors.BadMessageError),
+            (
+                b"HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n" + bytes(200),
+                errors.BadMessageError,
+            ),
+        ],
+    )
+    def test_broken_response(
+        self, answer: bytes, expected: type[Exception]
+    ) -> None:
+        async def script(stream: trio.SocketStream) -> None:
+            await stream.receive_some()
+            await stream.send_all(answer)
+
+        async def main() -> None:
+            client = http_client.HttpClient()
+            async with _scripted(script) as address:
+                with pytest.raises(expected):
+                    await client.request(
+                        address,
+                        _GET,
+                        timeout_ms=_TIMEOUT_MS,
+                        max_body_bytes=100,
+                    )
+
+        trio.run(main)
+
+    @pytest.mark.parametrize(
+        "answer", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"]
+    )
+    def test_late_response(self, answer: bytes) -> None:
+        async def script(stream: trio.SocketStream) -> None:
+            await stream.receive_some()
+            await stream.send_all(answer)
+            await trio.sleep_forever()
+
+        async def main() -> None:
+            client = http_client.HttpClient()
+            async with _scripted(script) as address:
+                with pytest.raises(errors.ResponseTimeoutError):
+                    await client.request(address, _GET, timeout_ms=50.0)
+
+        trio.run(main)
+
+    @pytest.mark.parametrize("idempotent", [True, False])
+    def test_only_idempotent_requests_are_sent_again(
+        self, idempotent: bool
+    ) -> None:
+        received: list[bytes] = []
+
+        async def script(stream: trio.SocketStream) -> None:
+            """Answers the first request, then drops the second one."""
+            received.append(bytes(await stream.receive_some()))
+            await stream.send_all(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+            )
+            received.append(bytes(await stream.receive_some()))
+
+        async def main() -> None:
+            client = http_client.HttpClient()
+            async with _scripted(script) as address:
+                await client.request(address, _GET, timeout_ms=_TIMEOUT_MS)
+                try:
+                    await client.request(
+                        address,
+                        _GET,
+                        timeout_ms=_TIMEOUT_MS,
+                        idempotent=idempotent,
+                    )
+                    assert idempotent
+                except errors.ConnectionLostError:
+                    assert not idempotent
+            assert len(received) == (3 if idempotent else 2)
+
+        trio.run(main)
+
+    def test_invalid_request_is_refused_before_it_is_sent(self) -> None:
+        async def main() -> None:
+            bad = http_message.Request(
+                method="GET", path="/", headers={"x": "line\nbreak"}
+            )
+            client = http_client.HttpClient()
+            async with _serving(_echo) as served:
+                with pytest.raises(errors.BadMessageError):
+                    await client.request(
+                        served.address, bad, timeout_ms=_TIMEOUT_MS
+                    )
+
+        trio.run(main)
+
+
+class TestSseParser:
+    """The parser of server-sent events."""
+
+    def test_events_split_anywhere_are_put_together(self) -> None:
+        data = sse.encode_event("año\nzwei") + b": note\r\ndata:x\r\n\r\n"
+        expected = [sse.Event(data="año\nzwei"), sse.Event(data="x")]
+        for cut in range(len(data)):
+            parser = sse.SseParser()
+            events = parser.feed(data[:cut]) + parser.feed(data[cut:])
+            assert events == expected
+
+    @pytest.mark.parametrize(
+        "data",
+        [b"data: " + b"x" * 200, b"data: 1234567\n" * 20, b"data: \xff\n"],
+    )
+    def test_bad_events_are_refused(self, data: bytes) -> None:
+        parser = sse.SseParser(max_event_bytes=100)
+        with pytest.raises(errors.BadMessageError):
+            parser.feed(data)
