--- a/quetzalmill/http_client.py
+++ b/quetzalmill/http_client.py
@@ -13,7 +13,8 @@
 import h11
 import trio
 
-from quetzalmill import errors, http_message
+from quetzalmill import errors
+from quetzalmill import http_message
 
 _RECEIVE_BYTES = 65_536
 _MAX_HEAD_BYTES = 65_536
--- a/quetzalmill/http_server.py
+++ b/quetzalmill/http_server.py
@@ -13,7 +13,8 @@
 import h11
 import trio
 
-from quetzalmill import errors, http_message
+from quetzalmill import errors
+from quetzalmill import http_message
 
 _RECEIVE_BYTES = 16_384
 _BACKLOG = 1024
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -8,7 +8,11 @@
 import trio
 import trio.testing
 
-from quetzalmill import errors, http_client, http_message, http_server, sse
+from quetzalmill import errors
+from quetzalmill import http_client
+from quetzalmill import http_message
+from quetzalmill import http_server
+from quetzalmill import sse
 
 _LIMITS = http_message.Limits(
     max_header_bytes=2048,
