--- /dev/null
+++ b/quetzalmill/configuration.py
@@ -0,0 +1,264 @@
+"""Folds the log's records into the configuration that decisions read.
+
+Every process folds the same records in the same order and so reaches the same
+state at the same offset. A change names the revision it was based on; one
+based on an older revision is skipped by every process alike, which is how
+races between operators end. The module performs no I/O.
+"""
+
+import collections
+from collections.abc import Iterable
+import enum
+from typing import Any, TypeVar
+
+import attrs
+
+from quetzalmill import codec
+from quetzalmill import errors
+from quetzalmill import objects
+
+_T = TypeVar("_T")
+
+REMEMBERED_RECORDS = 2048
+"""Record ids that are remembered to recognise second copies."""
+
+
+class Verdict(enum.Enum):
+    """What became of a record."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    REJECTED = "rejected"
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """What became of a record, and where.
+
+    Attributes:
+        verdict: Whether the record took effect.
+        revision: Its offset, or on a conflict the newer object's revision.
+        detail: The object in conflict, or what is wrong with the record.
+    """
+
+    verdict: Verdict
+    revision: int
+    detail: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class Snapshot:
+    """The whole configuration at one offset.
+
+    Attributes:
+        offset: The last offset that the snapshot covers.
+        objects: Every object.
+        outcomes: The remembered record ids with their outcomes, oldest first.
+        routing_revision: The last offset that changed endpoints or selectors.
+    """
+
+    offset: int
+    objects: list[objects.StoredObject]
+    outcomes: list[tuple[str, Outcome]]
+    routing_revision: int
+
+
+class Configuration:
+    """The configuration at one offset of the log."""
+
+    def __init__(self) -> None:
+        self.applied_offset = 0
+        self.routing_revision = 0
+        self._objects: dict[str, dict[str, objects.StoredObject]] = {}
+        self._specs: dict[tuple[str, str], Any] = {}
+        self._outcomes: collections.OrderedDict[str, Outcome] = (
+            collections.OrderedDict()
+        )
+
+    def apply(self, offset: int, record: objects.ConfigRecord) -> Outcome:
+        """Folds the record at ``offset``, which must be the next one.
+
+        Returns:
+            The outcome of the record; a second copy gets the first outcome.
+        """
+        if offset <= self.applied_offset:
+            return self._outcomes.get(
+                record.record_id,
+                Outcome(verdict=Verdict.REJECTED, revision=offset),
+            )
+        self.applied_offset = offset
+        known = self._outcomes.get(record.record_id)
+        if known is not None:
+            return known
+        outcome = self._judge(offset, record)
+        if outcome.verdict is Verdict.ACCEPTED:
+            for change in record.changes:
+                self._set(offset, change)
+        self._remember(record.record_id, outcome)
+        return outcome
+
+    def skip(self, offset: int) -> None:
+        """Passes over a record that could not be decoded."""
+        self.applied_offset = max(self.applied_offset, offset)
+
+    def outcome_of(self, record_id: str) -> Outcome | None:
+        """Returns what became of a record, if it is remembered."""
+        return self._outcomes.get(record_id)
+
+    def get(self, kind: str, name: str) -> objects.StoredObject | None:
+        """Returns an object with its revision."""
+        return self._objects.get(kind, {}).get(name)
+
+    def revision(self, kind: str, name: str) -> int:
+        """Returns the object's revision, 0 when it does not exist."""
+        stored = self.get(kind, name)
+        return stored.revision if stored else 0
+
+    def all_of(self, kind: str) -> list[objects.StoredObject]:
+        """Returns every object of a kind, ordered by name."""
+        found = self._objects.get(kind, {})
+        return [found[name] for name in sorted(found)]
+
+    def spec(self, kind: str, name: str, expected: type[_T]) -> _T | None:
+        """Returns an object's typed specification."""
+        value = self._specs.get((kind, name))
+        return value if isinstance(value, expected) else None
+
+    def specs(self, kind: str, expected: type[_T]) -> dict[str, _T]:
+        """Returns the typed specifications of a kind by name."""
+        found: dict[str, _T] = {}
+        for stored in self.all_of(kind):
+            value = self._specs[(kind, stored.name)]
+            if isinstance(value, expected):
+                found[stored.name] = value
+        return found
+
+    def team(self, name: str) -> objects.TeamSpec | None:
+        """Returns a team."""
+        return self.spec(objects.TEAM, name, objects.TeamSpec)
+
+    def key(self, key_id: str) -> objects.KeySpec | None:
+        """Returns a key by its id."""
+        return self.spec(objects.KEY, key_id, objects.KeySpec)
+
+    def model(self, name: str) -> objects.ModelSpec | None:
+        """Returns a model."""
+        return self.spec(objects.MODEL, name, objects.ModelSpec)
+
+    def route(self, name: str) -> objects.RouteSpec | None:
+        """Returns a route."""
+        return self.spec(objects.ROUTE, name, objects.RouteSpec)
+
+    def endpoint(self, name: str) -> objects.EndpointSpec | None:
+        """Returns an endpoint."""
+        return self.spec(objects.ENDPOINT, name, objects.EndpointSpec)
+
+    def process(self, host: str) -> objects.ProcessSpec | None:
+        """Returns the newest process of a host."""
+        return self.spec(objects.PROCESS, host, objects.ProcessSpec)
+
+    def snapshot(self) -> Snapshot:
+        """Returns the whole state for another process or the log."""
+        return Snapshot(
+            offset=self.applied_offset,
+            objects=[
+                stored
+                for kind in sorted(self._objects)
+                for stored in self.all_of(kind)
+            ],
+            outcomes=list(self._outcomes.items()),
+            routing_revision=self.routing_revision,
+        )
+
+    def restore(self, snapshot: Snapshot) -> bool:
+        """Takes over a snapshot that is newer than this state.
+
+        Returns:
+            Whether the snapshot was newer and now is the state.
+        """
+        if snapshot.offset <= self.applied_offset:
+            return False
+        self._objects = {}
+        self._specs = {}
+        for stored in snapshot.objects:
+            self._store(stored)
+        self._outcomes = collections.OrderedDict(snapshot.outcomes)
+        self.applied_offset = snapshot.offset
+        self.routing_revision = snapshot.routing_revision
+        return True
+
+    def _judge(self, offset: int, record: objects.ConfigRecord) -> Outcome:
+        problems = validate_changes(record.changes)
+        if problems:
+            return Outcome(
+                verdict=Verdict.REJECTED,
+                revision=offset,
+                detail="; ".join(problems),
+            )
+        for change in record.changes:
+            current = self.revision(change.kind, change.name)
+            if change.base_revision not in (objects.ANY_REVISION, current):
+                return Outcome(
+                    verdict=Verdict.CONFLICT,
+                    revision=current,
+                    detail=f"{change.kind}/{change.name}",
+                )
+        return Outcome(verdict=Verdict.ACCEPTED, revision=offset)
+
+    def _set(self, offset: int, change: objects.ObjectChange) -> None:
+        if change.kind in (objects.ENDPOINT, objects.MODEL, objects.ROUTE):
+            self.routing_revision = offset
+        if change.spec is None:
+            self._objects.get(change.kind, {}).pop(change.name, None)
+            self._specs.pop((change.kind, change.name), None)
+            return
+        self._store(
+            objects.StoredObject(
+                kind=change.kind,
+                name=change.name,
+                revision=offset,
+                spec=change.spec,
+            )
+        )
+
+    def _store(self, stored: objects.StoredObject) -> None:
+        self._objects.setdefault(stored.kind, {})[stored.name] = stored
+        self._specs[(stored.kind, stored.name)] = codec.from_plain(
+            stored.spec, objects.SPEC_TYPES[stored.kind]
+        )
+
+    def _remember(self, record_id: str, outcome: Outcome) -> None:
+        self._outcomes[record_id] = outcome
+        while len(self._outcomes) > REMEMBERED_RECORDS:
+            self._outcomes.popitem(last=False)
+
+
+def validate_changes(changes: Iterable[objects.ObjectChange]) -> list[str]:
+    """Returns one sentence for each malformed change."""
+    problems: list[str] = []
+    seen: set[tuple[str, str]] = set()
+    for change in changes:
+        problem = _problem_of(change)
+        if problem:
+            problems.append(f"{change.kind}/{change.name}: {problem}")
+        if (change.kind, change.name) in seen:
+            problems.append(f"{change.kind}/{change.name}: it stands twice")
+        seen.add((change.kind, change.name))
+    return problems
+
+
+def _problem_of(change: objects.ObjectChange) -> str | None:
+    spec_type = objects.SPEC_TYPES.get(change.kind)
+    if spec_type is None:
+        kinds = ", ".join(sorted(objects.SPEC_TYPES))
+        return f"the kind is unknown; use one of {kinds}"
+    if change.spec is None:
+        return None
+    unknown = set(change.spec) - {a.name for a in attrs.fields(spec_type)}
+    if unknown:
+        return f"unknown field {sorted(unknown)[0]!r}"
+    try:
+        codec.from_plain(change.spec, spec_type)
+    except errors.CodecError as error:
+        return str(error)
+    return None
--- /dev/null
+++ b/quetzalmill/control.py
@@ -0,0 +1,154 @@
+"""Control calls between the project's own processes.
+
+It wraps grpclib with a MessagePack codec, so that control messages are plain
+attrs classes and need no generated code. Handlers are synchronous: they run
+on the process's one loop and decide on state held in memory. No answer to a
+caller travels over control calls.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
+
+import attrs
+import grpclib.client
+import grpclib.const
+import grpclib.encoding.base
+import grpclib.exceptions
+import grpclib.server
+import trio_asyncio
+
+from quetzalmill import codec
+from quetzalmill import errors
+
+SERVICE = "quetzalmill.Control"
+
+_Reply = TypeVar("_Reply")
+
+
+@attrs.frozen(kw_only=True)
+class Method:
+    """One control call.
+
+    Attributes:
+        name: The method's name on the wire.
+        request_type: The attrs class of the request.
+        reply_type: The attrs class of the reply.
+    """
+
+    name: str
+    request_type: type[Any]
+    reply_type: type[Any]
+
+
+Handler = Callable[[Any], Any]
+
+
+class ControlServer:
+    """Serves control calls with synchronous handlers."""
+
+    def __init__(self, handlers: Mapping[Method, Handler]) -> None:
+        self._handlers = handlers
+        self._server: grpclib.server.Server | None = None
+
+    async def start(self, address: str) -> None:
+        """Listens on ``address``; must run inside a trio-asyncio loop."""
+        host, port = split_address(address)
+        server = grpclib.server.Server([self], codec=_MsgpackCodec())
+        await trio_asyncio.aio_as_trio(server.start)(host, port)
+        self._server = server
+
+    async def stop(self) -> None:
+        """Stops listening and ends open calls."""
+        if self._server is None:
+            return
+        self._server.close()
+        await trio_asyncio.aio_as_trio(self._server.wait_closed)()
+
+    def __mapping__(self) -> dict[str, grpclib.const.Handler]:
+        """Returns the methods in the form that grpclib asks for."""
+        return {
+            f"/{SERVICE}/{method.name}": grpclib.const.Handler(
+                _serve_with(handler),
+                grpclib.const.Cardinality.UNARY_UNARY,
+                method.request_type,
+                method.reply_type,
+            )
+            for method, handler in self._handlers.items()
+        }
+
+
+class ControlClient:
+    """Makes control calls, with one kept connection to each address."""
+
+    def __init__(self) -> None:
+        self._channels: dict[str, grpclib.client.Channel] = {}
+
+    async def call(
+        self, address: str, method: Method, message: Any, *, timeout_ms: float
+    ) -> Any:
+        """Makes one call and returns its reply.
+
+        Raises:
+            errors.ControlError: No reply came within ``timeout_ms``; the call
+                may or may not have taken effect.
+        """
+        unary = grpclib.client.UnaryUnaryMethod[Any, Any](
+            self._channel(address),
+            f"/{SERVICE}/{method.name}",
+            method.request_type,
+            method.reply_type,
+        )
+        try:
+            return await trio_asyncio.aio_as_trio(unary)(
+                message, timeout=timeout_ms / 1000.0
+            )
+        except (
+            TimeoutError,
+            OSError,
+            grpclib.exceptions.GRPCError,
+            grpclib.exceptions.ProtocolError,
+            grpclib.exceptions.StreamTerminatedError,
+            errors.CodecError,
+        ) as error:
+            raise errors.ControlError(
+                f"{method.name} to {address} failed: {error!r}"
+            ) from error
+
+    def close(self) -> None:
+        """Closes every connection."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    def _channel(self, address: str) -> grpclib.client.Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            host, port = split_address(address)
+            channel = grpclib.client.Channel(host, port, codec=_MsgpackCodec())
+            self._channels[address] = channel
+        return channel
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits ``IP:port`` into its two parts."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class _MsgpackCodec(grpclib.encoding.base.CodecBase):
+    __content_subtype__ = "msgpack"
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        return codec.to_msgpack(message)
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        return codec.from_msgpack(data, message_type)
+
+
+def _serve_with(handler: Handler) -> Callable[[Any], Any]:
+    async def serve(stream: grpclib.server.Stream[Any, Any]) -> None:
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(handler(request))
+
+    return serve
--- /dev/null
+++ b/quetzalmill/log_port.py
@@ -0,0 +1,134 @@
+"""The port to the platform's append-only log service.
+
+It speaks the log's HTTP protocol and states each failure as not done or as
+unknown. It neither retries nor interprets records: the callers know which
+record ids to look for after a lost reply.
+"""
+
+from typing import Any, Protocol
+
+import attrs
+
+from quetzalmill import codec
+from quetzalmill import errors
+from quetzalmill import http_client
+from quetzalmill import http_message
+
+MAX_PAGE_BYTES = 64 * 1024 * 1024
+"""The largest page of records that is read at once."""
+
+_STATUS_GONE = 410
+
+
+@attrs.frozen(kw_only=True)
+class LogRecord:
+    """One record of a stream.
+
+    Attributes:
+        offset: Its position; the first record of a stream has offset 1.
+        data: The record as plain data.
+    """
+
+    offset: int
+    data: Any
+
+
+@attrs.frozen(kw_only=True)
+class Page:
+    """Consecutive records of a stream.
+
+    Attributes:
+        records: The records read, oldest first.
+        end: The offset that the stream's next record will have.
+    """
+
+    records: list[LogRecord]
+    end: int
+
+
+class LogPort(Protocol):
+    """What the system needs of the platform's log."""
+
+    async def append(self, stream: str, records: list[Any]) -> int:
+        """Appends records together and returns the first one's offset.
+
+        Raises:
+            errors.NotDoneError: Nothing was appended.
+            errors.OutcomeUnknownError: The records may have been appended.
+        """
+
+    async def read(
+        self, stream: str, from_offset: int, *, limit: int, wait_ms: float
+    ) -> Page:
+        """Reads records, waiting up to ``wait_ms`` for the first one.
+
+        Raises:
+            errors.RetentionError: The records are no longer kept.
+            errors.NotDoneError: The log could not be read.
+        """
+
+
+class HttpLogPort:
+    """Reaches the log service by HTTP."""
+
+    def __init__(
+        self,
+        client: http_client.HttpClient,
+        address: str,
+        *,
+        timeout_ms: float,
+    ) -> None:
+        self._client = client
+        self._address = address
+        self._timeout_ms = timeout_ms
+
+    async def append(self, stream: str, records: list[Any]) -> int:
+        """Appends records together; see ``LogPort.append``."""
+        request = http_message.Request(
+            method="POST",
+            path=f"/streams/{stream}/append",
+            body=codec.to_json({"records": records}),
+        )
+        try:
+            response = await self._client.request(
+                self._address, request, timeout_ms=self._timeout_ms
+            )
+        except errors.ConnectFailedError as error:
+            raise errors.NotDoneError(str(error)) from error
+        except errors.HttpError as error:
+            raise errors.OutcomeUnknownError(str(error)) from error
+        if response.status != 200:
+            raise errors.NotDoneError(f"the log answered {response.status}")
+        return int(
+            codec.from_json(response.body, dict[str, int])["first_offset"]
+        )
+
+    async def read(
+        self, stream: str, from_offset: int, *, limit: int, wait_ms: float
+    ) -> Page:
+        """Reads records; see ``LogPort.read``."""
+        request = http_message.Request(
+            method="GET",
+            path=f"/streams/{stream}/records",
+            query={
+                "from": str(from_offset),
+                "max": str(limit),
+                "wait_ms": str(int(wait_ms)),
+            },
+        )
+        try:
+            response = await self._client.request(
+                self._address,
+                request,
+                timeout_ms=self._timeout_ms + wait_ms,
+                idempotent=True,
+                max_body_bytes=MAX_PAGE_BYTES,
+            )
+        except errors.HttpError as error:
+            raise errors.NotDoneError(str(error)) from error
+        if response.status == _STATUS_GONE:
+            gone = codec.from_json(response.body, dict[str, Any])
+            raise errors.RetentionError(int(gone.get("first_offset", 1)))
+        if response.status != 200:
+            raise errors.NotDoneError(f"the log answered {response.status}")
+        return codec.from_json(response.body, Page)
--- /dev/null
+++ b/quetzalmill/messages.py
@@ -0,0 +1,364 @@
+"""The messages that the project's own processes exchange.
+
+Control messages travel by ``control``; calls and answer frames travel as HTTP
+bodies. The module holds data and the table of control methods only.
+"""
+
+import enum
+from typing import Any
+
+import attrs
+
+from quetzalmill import configuration
+from quetzalmill import control
+from quetzalmill import objects
+
+
+@attrs.frozen(kw_only=True)
+class NumberedRecord:
+    """A configuration record with its offset."""
+
+    offset: int
+    record: objects.ConfigRecord
+
+
+@attrs.frozen(kw_only=True)
+class EndpointLoad:
+    """What a sidecar knows of the work at one of its endpoints.
+
+    Attributes:
+        endpoint: The endpoint's name.
+        running: Requests under way.
+        queued: Requests that wait for a slot.
+        waiting_units: Service units of queued and running work, in tokens.
+        units_per_s: Service units that the endpoint has lately done a second.
+        up: Whether the endpoint answers.
+    """
+
+    endpoint: str
+    running: int
+    queued: int
+    waiting_units: float
+    units_per_s: float
+    up: bool
+
+
+@attrs.frozen(kw_only=True)
+class Heard:
+    """A process as some entry has last heard it.
+
+    Attributes:
+        host: The host's name.
+        spec: The process, including its instance.
+        applied_offset: The configuration offset that it had applied.
+        age_ms: How long ago it was heard.
+    """
+
+    host: str
+    spec: objects.ProcessSpec
+    applied_offset: int
+    age_ms: float
+
+
+@attrs.frozen(kw_only=True)
+class Suspect:
+    """A request that ran while an endpoint ended.
+
+    Attributes:
+        fingerprint: The fingerprint over team and content.
+        team: The team that sent it.
+        crashes: Endpoints that ended while they ran it.
+    """
+
+    fingerprint: str
+    team: str
+    crashes: int
+
+
+@attrs.frozen(kw_only=True)
+class SidecarBeat:
+    """A sidecar's regular message to an entry."""
+
+    host: str
+    spec: objects.ProcessSpec
+    applied_offset: int
+    loads: list[EndpointLoad]
+
+
+@attrs.frozen(kw_only=True)
+class EntryBeat:
+    """An entry's regular message to another entry.
+
+    Attributes:
+        host: The sending entry's host.
+        spec: The sending process.
+        applied_offset: The configuration offset that it has applied.
+        shares_revision: The newest shares record that it has applied.
+        heard: The sidecars that it hears directly.
+        loads: Their endpoints' loads.
+    """
+
+    host: str
+    spec: objects.ProcessSpec
+    applied_offset: int
+    shares_revision: int
+    heard: list[Heard]
+    loads: list[EndpointLoad]
+
+
+@attrs.frozen(kw_only=True)
+class BeatReply:
+    """An entry's answer to a beat.
+
+    Attributes:
+        host: The answering entry's host.
+        spec: The answering process.
+        applied_offset: The configuration offset that it has applied.
+        shares_revision: The newest shares record that it has applied.
+        freshness_ms: How long ago its state was known to be the log's end,
+            None when that was never so.
+        snapshot: The whole state, when single records do not reach back.
+        records: The records that the sender lacks.
+        heard: Processes that the entry knows to be alive.
+        loads: Loads of endpoints.
+        suspects: Requests suspected of ending endpoints.
+    """
+
+    host: str
+    spec: objects.ProcessSpec
+    applied_offset: int
+    shares_revision: int
+    freshness_ms: float | None
+    snapshot: configuration.Snapshot | None
+    records: list[NumberedRecord]
+    heard: list[Heard]
+    loads: list[EndpointLoad]
+    suspects: list[Suspect]
+
+
+@attrs.frozen(kw_only=True)
+class AdmitRequest:
+    """Asks another entry to admit requests of a team from its own bucket."""
+
+    team: str
+    wanted: int
+
+
+@attrs.frozen(kw_only=True)
+class AdmitReply:
+    """The answer to ``AdmitRequest``.
+
+    Attributes:
+        granted: Requests admitted; they count against the answering entry.
+        retry_after_ms: When asking again can help.
+    """
+
+    granted: int
+    retry_after_ms: float
+
+
+@attrs.frozen(kw_only=True)
+class FenceRequest:
+    """Ends an old home's right to run calls of a program at a sidecar.
+
+    Attributes:
+        root: The root program.
+        epoch: The new home's epoch; older ones are refused from now on.
+        program: The program whose call is in doubt.
+        call: The number of that call.
+    """
+
+    root: str
+    epoch: int
+    program: str
+    call: int
+
+
+@attrs.frozen(kw_only=True)
+class FenceReply:
+    """The answer to ``FenceRequest``.
+
+    Attributes:
+        instance: The answering process.
+        seen: Whether the call was started there.
+        complete: Whether the process remembers all that it ever started.
+    """
+
+    instance: str
+    seen: bool
+    complete: bool
+
+
+@attrs.frozen(kw_only=True)
+class LeaseRequest:
+    """Renews or ends a home's leases on engine memory.
+
+    Attributes:
+        renewed: Sessions whose lease is renewed.
+        ended: Sessions whose memory is to be freed now.
+    """
+
+    renewed: list[str]
+    ended: list[str]
+
+
+@attrs.frozen(kw_only=True)
+class SuspectReport:
+    """Tells entries which requests ran while an endpoint ended."""
+
+    suspects: list[Suspect]
+    forward: bool
+
+
+@attrs.frozen(kw_only=True)
+class Acknowledgement:
+    """An empty answer."""
+
+    accepted: bool = True
+
+
+BEAT_SIDECAR = control.Method(
+    name="BeatSidecar", request_type=SidecarBeat, reply_type=BeatReply
+)
+BEAT_ENTRY = control.Method(
+    name="BeatEntry", request_type=EntryBeat, reply_type=BeatReply
+)
+ADMIT = control.Method(
+    name="Admit", request_type=AdmitRequest, reply_type=AdmitReply
+)
+FENCE = control.Method(
+    name="Fence", request_type=FenceRequest, reply_type=FenceReply
+)
+LEASE = control.Method(
+    name="Lease", request_type=LeaseRequest, reply_type=Acknowledgement
+)
+SUSPECTS = control.Method(
+    name="Suspects", request_type=SuspectReport, reply_type=Acknowledgement
+)
+
+
+class CallKind(enum.Enum):
+    """What a call is made to."""
+
+    MODEL = "model"
+    SERVICE = "service"
+
+
+@attrs.frozen(kw_only=True)
+class Call:
+    """One call of a program, as an entry hands it to the program's home.
+
+    Attributes:
+        program: The program; a single request has a program of its own.
+        single: Whether the program consists of this call alone.
+        number: The caller's number of the call, from 1.
+        team: The team whose key came with the request; empty on open routes.
+        key_id: The id of that key; empty on open routes.
+        kind: Whether it goes to a model or a service.
+        target: The model's or route's name.
+        method: The HTTP method towards a service.
+        path: The path and query towards a service.
+        content_type: The content type of ``body``.
+        body: The request body; for a model the usual JSON request.
+        idempotent: Whether the call may be run again.
+        time_left_ms: How long the caller still waits.
+        fingerprint: The fingerprint over team and content.
+        suspect: Whether the request may have ended an endpoint before.
+        applied_offset: The configuration offset that the sender decided by.
+        expected_chain: The chain hash that the caller holds; may be empty.
+    """
+
+    program: str
+    single: bool
+    number: int
+    team: str
+    key_id: str
+    kind: CallKind
+    target: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    idempotent: bool
+    time_left_ms: float
+    fingerprint: str
+    suspect: bool
+    applied_offset: int
+    expected_chain: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class Execution:
+    """One attempt at a call, as a home hands it to an endpoint's sidecar.
+
+    Attributes:
+        call: The call; for a model its body holds the whole prompt.
+        root: The root program, by which epochs are fenced.
+        epoch: The home's epoch.
+        attempt: The number of the attempt, from 1.
+        endpoint: The endpoint that runs it.
+        attained_units: Service units that the program has had so far.
+        weight: The team's weight.
+        prompt_tokens: An estimate of the prompt's length.
+        answer_tokens: The most tokens that the answer may have.
+    """
+
+    call: Call
+    root: str
+    epoch: int
+    attempt: int
+    endpoint: str
+    attained_units: float
+    prompt_tokens: int
+    answer_tokens: int
+
+
+class FrameKind(enum.Enum):
+    """The parts of an answer."""
+
+    HEAD = "head"
+    DATA = "data"
+    END = "end"
+    FAILED = "failed"
+    MOVED = "moved"
+
+
+class Ran(enum.Enum):
+    """Whether a request was run."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen(kw_only=True)
+class Frame:
+    """One part of an answer, marked with what it answers.
+
+    Attributes:
+        program: The program that the frame belongs to.
+        call: The call that it answers.
+        attempt: The attempt that made it; 0 from a home.
+        kind: Which part it is.
+        status: The HTTP status, in head and failed frames.
+        content_type: The content type, in head frames.
+        data: Answer bytes; for a model one chunk of the usual stream.
+        code: A short error code, in failed frames.
+        message: One sentence, in failed frames.
+        ran: Whether the request ran, in failed frames.
+        retry_after_ms: When to come back, in failed frames.
+        details: Further fields of end, failed and moved frames.
+    """
+
+    program: str
+    call: int
+    attempt: int
+    kind: FrameKind
+    status: int = 200
+    content_type: str = ""
+    data: bytes = b""
+    code: str = ""
+    message: str = ""
+    ran: Ran = Ran.NO
+    retry_after_ms: float | None = None
+    details: dict[str, Any] = attrs.field(factory=dict)
--- a/quetzalmill/objects.py
+++ b/quetzalmill/objects.py
@@ -21,6 +21,9 @@
 SHARES = "shares"
 QUARANTINE = "quarantine"
 
+ENTRY = "entry"
+SIDECAR = "sidecar"
+
 ENGINE = "engine"
 SERVICE = "service"
 
@@ -110,10 +113,11 @@
 
 @attrs.frozen(kw_only=True)
 class ProcessSpec:
-    """One process; its revision serves as its incarnation.
+    """The newest process of a host.
 
     Attributes:
         role: ``entry`` or ``sidecar``.
+        instance: Random id of this process; a restart makes a new one.
         http_address: Where it serves HTTP.
         control_address: Where it serves control calls.
         failure_domain: The failure domain of its host.
@@ -121,6 +125,7 @@
     """
 
     role: str
+    instance: str
     http_address: str
     control_address: str
     failure_domain: str
@@ -132,10 +137,13 @@
     """The entries that hold shares of the teams' rates.
 
     Attributes:
-        holders: Host names of the entries and their incarnations.
+        holders: Host names of the entries and the instances meant.
+        previous: The holders before; the author of a record has seen that
+            no entry acts on still older ones.
     """
 
-    holders: dict[str, int]
+    holders: dict[str, str]
+    previous: dict[str, str] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/quetzalmill/placement.py
@@ -0,0 +1,102 @@
+"""Chooses the endpoint for a call.
+
+The choice weighs the estimated wait, the prefill of what is not cached there
+and the distance. Reports of load are stale, so they are corrected by what this
+process has sent since. The module is plain synchronous code.
+"""
+
+from collections.abc import Sequence
+import enum
+import random
+
+import attrs
+
+CLEAR_GAIN = 0.75
+"""A program leaves its cache only for less than this part of its cost."""
+
+
+class Policy(enum.Enum):
+    """How an endpoint is chosen."""
+
+    CACHE_AND_WAIT = "cache_and_wait"
+    LEAST_OUTSTANDING = "least_outstanding"
+    ROUND_ROBIN = "round_robin"
+
+
+@attrs.frozen(kw_only=True)
+class Candidate:
+    """An endpoint that may run a call.
+
+    Attributes:
+        endpoint: Its name.
+        slots: Requests that it runs at once.
+        outstanding: Requests there, as reported and as sent since.
+        waiting_units: Service units there, as reported and as sent since.
+        units_per_s: Service units that it does a second.
+        cached_tokens: Tokens of the program's history cached there.
+        distance_ms: One-way distance from here.
+    """
+
+    endpoint: str
+    slots: int
+    outstanding: int
+    waiting_units: float
+    units_per_s: float
+    cached_tokens: int
+    distance_ms: float
+
+
+class Placement:
+    """Chooses endpoints by one policy."""
+
+    def __init__(self, policy: Policy, chance: random.Random) -> None:
+        self._policy = policy
+        self._chance = chance
+        self._turn = 0
+
+    def choose(
+        self, candidates: Sequence[Candidate], *, prompt_tokens: int
+    ) -> Candidate | None:
+        """Returns the endpoint for a call, None without candidates."""
+        if not candidates:
+            return None
+        match self._policy:
+            case Policy.ROUND_ROBIN:
+                self._turn += 1
+                return candidates[self._turn % len(candidates)]
+            case Policy.LEAST_OUTSTANDING:
+                return min(
+                    candidates,
+                    key=lambda c: (c.outstanding, self._chance.random()),
+                )
+            case Policy.CACHE_AND_WAIT:
+                return self._by_cost(candidates, prompt_tokens)
+
+    def _by_cost(
+        self, candidates: Sequence[Candidate], prompt_tokens: int
+    ) -> Candidate:
+        best = min(
+            candidates,
+            key=lambda c: (cost_ms(c, prompt_tokens), self._chance.random()),
+        )
+        warm = max(candidates, key=lambda c: c.cached_tokens)
+        if warm.cached_tokens == 0 or warm is best:
+            return best
+        gain = cost_ms(best, prompt_tokens)
+        if gain < CLEAR_GAIN * cost_ms(warm, prompt_tokens):
+            return best
+        return warm
+
+
+def cost_ms(candidate: Candidate, prompt_tokens: int) -> float:
+    """Returns the estimated time until the call's first token."""
+    speed = max(candidate.units_per_s, 1.0)
+    excess = max(0, candidate.outstanding + 1 - candidate.slots)
+    wait_units = 0.0
+    if excess:
+        wait_units = (
+            candidate.waiting_units * excess / (excess + candidate.slots)
+        )
+    prefill = max(0, prompt_tokens - candidate.cached_tokens)
+    work_ms = (wait_units + prefill) / speed * 1000.0
+    return work_ms + 2.0 * candidate.distance_ms
--- /dev/null
+++ b/quetzalmill/programs.py
@@ -0,0 +1,358 @@
+"""The program aggregate: the order of calls, the history and the budget.
+
+A family is a root program with its sub-programs; it has one home and one
+epoch. All rules are plain synchronous code. The home process around it queues,
+dispatches and commits; it asks here what a call may do.
+"""
+
+from typing import Any
+
+import attrs
+
+from quetzalmill import turns
+
+MAX_FAMILY_DEPTH = 8
+"""Levels of sub-programs below a root."""
+
+
+@attrs.frozen(kw_only=True)
+class Start:
+    """The call is the next one and may run."""
+
+
+@attrs.frozen(kw_only=True)
+class Replay:
+    """The call has been answered; the same answer is due.
+
+    Attributes:
+        turn: The turn that holds the answer.
+    """
+
+    turn: turns.TurnRecord
+
+
+@attrs.frozen(kw_only=True)
+class Join:
+    """The same call is under way; its answer serves both senders."""
+
+
+@attrs.frozen(kw_only=True)
+class WaitTurn:
+    """An earlier call of the program is under way."""
+
+
+@attrs.frozen(kw_only=True)
+class OrderConflict:
+    """The call is not the one expected.
+
+    Attributes:
+        expected_call: The number of the call that is expected.
+        chain: The chain hash that the home holds.
+        reason: One sentence on what does not fit.
+    """
+
+    expected_call: int
+    chain: str
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class BudgetSpent:
+    """A budget does not cover the call.
+
+    Attributes:
+        program: The program whose budget is spent.
+        limit: Which limit: ``calls``, ``tokens`` or ``time_ms``.
+    """
+
+    program: str
+    limit: str
+
+
+@attrs.frozen(kw_only=True)
+class Ended:
+    """The program has ended."""
+
+
+Admission = (
+    Start | Replay | Join | WaitTurn | OrderConflict | BudgetSpent | Ended
+)
+
+
+@attrs.define(kw_only=True)
+class Spent:
+    """What a program and its sub-programs have used or reserved."""
+
+    calls: int = 0
+    tokens: int = 0
+    time_ms: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class Running:
+    """The call of a program that is under way."""
+
+    call: int
+    digest: str
+    reserved_tokens: int
+    started_ms: float
+
+
+@attrs.define(kw_only=True)
+class Program:
+    """One program with its history.
+
+    Attributes:
+        record: How it was started.
+        started_ms: When it was started, on this home's clock.
+        spent: Its use of its budget, sub-programs included.
+        turns: Its turns in order.
+        running: The call under way.
+        ended: Whether it has ended.
+        attained_units: Service units that it has had at endpoints.
+    """
+
+    record: turns.ProgramRecord
+    started_ms: float
+    spent: Spent = attrs.field(factory=Spent)
+    turns: list[turns.TurnRecord] = attrs.field(factory=list)
+    running: Running | None = None
+    ended: bool = False
+    attained_units: float = 0.0
+
+    @property
+    def next_call(self) -> int:
+        """Returns the number of the call after the last turn."""
+        return len(self.turns) + 1
+
+    @property
+    def chain(self) -> str:
+        """Returns the chain hash over all turns."""
+        return self.turns[-1].chain if self.turns else turns.EMPTY_CHAIN
+
+    def prompt(self, new_messages: list[Any]) -> list[Any]:
+        """Returns the whole history followed by ``new_messages``."""
+        messages: list[Any] = []
+        for turn in self.turns:
+            messages.extend(turn.messages)
+            if turn.answer is not None:
+                messages.append(turn.answer)
+        messages.extend(new_messages)
+        return messages
+
+
+@attrs.define(kw_only=True)
+class Family:
+    """A root program and its sub-programs.
+
+    Attributes:
+        root: The root program's id.
+        epoch: This home's epoch.
+        programs: The programs by id.
+        used_ms: When the family was last used.
+        lost: Whether another process has taken the family over.
+    """
+
+    root: str
+    epoch: int
+    used_ms: float
+    programs: dict[str, Program] = attrs.field(factory=dict)
+    lost: bool = False
+
+    def start(self, record: turns.ProgramRecord, now_ms: float) -> Program:
+        """Adds a program to the family."""
+        program = Program(record=record, started_ms=now_ms)
+        self.programs[record.program] = program
+        self.used_ms = now_ms
+        return program
+
+    def admit(
+        self,
+        program: Program,
+        *,
+        call: int,
+        digest: str,
+        expected_chain: str,
+        reserve_tokens: int,
+        now_ms: float,
+    ) -> Admission:
+        """Says what a call may do, without changing anything."""
+        if program.ended:
+            return Ended()
+        if 1 <= call <= len(program.turns):
+            return _replay(program, call, digest)
+        running = program.running
+        if running is not None:
+            return _beside(program, running, call, digest)
+        if call != program.next_call:
+            return _conflict(program, "the call is out of order")
+        if expected_chain and expected_chain != program.chain:
+            return _conflict(program, "the history is not the one expected")
+        spent = self._spent_limit(program, reserve_tokens, now_ms)
+        return spent or Start()
+
+    def begin(
+        self,
+        program: Program,
+        *,
+        call: int,
+        digest: str,
+        reserve_tokens: int,
+        now_ms: float,
+    ) -> None:
+        """Marks an admitted call as running and reserves its budget."""
+        program.running = Running(
+            call=call,
+            digest=digest,
+            reserved_tokens=reserve_tokens,
+            started_ms=now_ms,
+        )
+        for each in self._with_ancestors(program):
+            each.spent.calls += 1
+            each.spent.tokens += reserve_tokens
+        self.used_ms = now_ms
+
+    def give_back(self, program: Program) -> None:
+        """Ends a running call that did not run; it is not charged."""
+        running = program.running
+        program.running = None
+        if running is None:
+            return
+        for each in self._with_ancestors(program):
+            each.spent.calls -= 1
+            each.spent.tokens -= running.reserved_tokens
+
+    def finish(
+        self, program: Program, turn: turns.TurnRecord, now_ms: float
+    ) -> None:
+        """Adds the turn of the running call and settles its budget."""
+        running = program.running
+        program.running = None
+        program.turns.append(turn)
+        self.used_ms = now_ms
+        for each in self._with_ancestors(program):
+            if running is not None:
+                each.spent.tokens -= running.reserved_tokens
+            else:
+                each.spent.calls += 1
+            each.spent.tokens += turn.tokens
+            each.spent.time_ms += turn.time_ms
+
+    def token_room(self, program: Program) -> int | None:
+        """Returns how many tokens the budgets still cover, None for any."""
+        rooms = [
+            each.record.limits.tokens - each.spent.tokens
+            for each in self._with_ancestors(program)
+            if each.record.limits.tokens is not None
+        ]
+        return max(0, min(rooms)) if rooms else None
+
+    def time_room_ms(self, program: Program, now_ms: float) -> float | None:
+        """Returns the time that budgets and deadlines leave, None for any."""
+        rooms: list[float] = []
+        for each in self._with_ancestors(program):
+            limit_ms = each.record.limits.time_ms
+            if limit_ms is not None:
+                rooms.append(limit_ms - each.spent.time_ms)
+            if each.record.deadline_ms is not None:
+                age_ms = now_ms - each.started_ms
+                rooms.append(each.record.deadline_ms - age_ms)
+        return min(rooms) if rooms else None
+
+    def depth(self, program: Program) -> int:
+        """Returns how many programs stand above ``program``."""
+        return len(self._with_ancestors(program)) - 1
+
+    def _with_ancestors(self, program: Program) -> list[Program]:
+        line = [program]
+        while line[-1].record.parent:
+            parent = self.programs.get(line[-1].record.parent)
+            if parent is None or len(line) > MAX_FAMILY_DEPTH:
+                break
+            line.append(parent)
+        return line
+
+    def _spent_limit(
+        self, program: Program, reserve_tokens: int, now_ms: float
+    ) -> BudgetSpent | None:
+        for each in self._with_ancestors(program):
+            limits = each.record.limits
+            name = each.record.program
+            if limits.calls is not None and each.spent.calls >= limits.calls:
+                return BudgetSpent(program=name, limit="calls")
+            if (
+                limits.tokens is not None
+                and each.spent.tokens + reserve_tokens > limits.tokens
+            ):
+                return BudgetSpent(program=name, limit="tokens")
+            if (
+                limits.time_ms is not None
+                and each.spent.time_ms >= limits.time_ms
+            ):
+                return BudgetSpent(program=name, limit="time_ms")
+        return None
+
+
+def restore_family(
+    root: str, records: list[turns.Record], epoch: int, now_ms: float
+) -> Family:
+    """Builds a family from its records, in log order.
+
+    Records of an epoch that a fence had ended when they were appended are
+    passed over, and so are turns that do not continue the chain.
+    """
+    family = Family(root=root, epoch=epoch, used_ms=now_ms)
+    newest_epoch = 0
+    for record in records:
+        if record.epoch < newest_epoch:
+            continue
+        newest_epoch = record.epoch
+        _restore(family, record, now_ms)
+    return family
+
+
+def _restore(family: Family, record: turns.Record, now_ms: float) -> None:
+    match record:
+        case turns.ProgramRecord():
+            if record.program not in family.programs:
+                family.start(record, now_ms)
+        case turns.TurnRecord():
+            program = family.programs.get(record.program)
+            if program is None or record.call != program.next_call:
+                return
+            if record.previous_chain == program.chain:
+                family.finish(program, record, now_ms)
+        case turns.EndRecord():
+            program = family.programs.get(record.program)
+            if program is not None:
+                program.ended = True
+        case turns.FenceRecord():
+            return
+
+
+def _replay(program: Program, call: int, digest: str) -> Admission:
+    turn = program.turns[call - 1]
+    if turn.digest != digest:
+        return _conflict(program, "the call was answered for another request")
+    return Replay(turn=turn)
+
+
+def _beside(
+    program: Program, running: Running, call: int, digest: str
+) -> Admission:
+    if call == running.call:
+        if digest == running.digest:
+            return Join()
+        return _conflict(program, "the call is under way for another request")
+    if call == running.call + 1:
+        return WaitTurn()
+    return _conflict(program, "the call is out of order")
+
+
+def _conflict(program: Program, reason: str) -> OrderConflict:
+    expected = program.next_call
+    if program.running is not None:
+        expected = program.running.call + 1
+    return OrderConflict(
+        expected_call=expected, chain=program.chain, reason=reason
+    )
--- /dev/null
+++ b/quetzalmill/rate_limit.py
@@ -0,0 +1,109 @@
+"""Token buckets that hold one entry's part of the teams' rates.
+
+Each entry mints ``rate x fraction`` and keeps at most ``burst x fraction`` of
+every team's tokens. The fractions of all entries sum to at most one, so all
+entries together never admit more than rate x window + burst. Tokens are never
+handed to another process; see ``shares`` for who holds which fraction.
+"""
+
+import attrs
+
+_TOLERANCE = 1e-9
+
+
+@attrs.define(kw_only=True)
+class Bucket:
+    """The tokens of one team at this entry.
+
+    Attributes:
+        rate_per_s: The team's whole rate.
+        burst: The team's whole burst.
+        fraction: This entry's part of both, from 0 to 1.
+        tokens: Requests that may be admitted now.
+        filled_ms: When ``tokens`` was last brought up to date.
+    """
+
+    rate_per_s: float
+    burst: float
+    fraction: float
+    tokens: float
+    filled_ms: float
+
+    def take(self, wanted: int, now_ms: float) -> int:
+        """Admits up to ``wanted`` requests and returns how many."""
+        self.fill(now_ms)
+        granted = min(wanted, int(self.tokens + _TOLERANCE))
+        self.tokens = max(0.0, self.tokens - granted)
+        return granted
+
+    def fill(self, now_ms: float) -> None:
+        """Mints the tokens due since the last call."""
+        elapsed_ms = max(0.0, now_ms - self.filled_ms)
+        minted = self.rate_per_s * self.fraction * elapsed_ms / 1000.0
+        capacity = self.burst * self.fraction
+        self.tokens = min(capacity, self.tokens + minted)
+        self.filled_ms = max(self.filled_ms, now_ms)
+
+    def next_token_ms(self, now_ms: float) -> float | None:
+        """Returns how long until one token is due, None for never."""
+        self.fill(now_ms)
+        if self.tokens + _TOLERANCE >= 1.0:
+            return 0.0
+        speed = self.rate_per_s * self.fraction
+        if speed <= 0.0 or self.burst * self.fraction < 1.0:
+            return None
+        return (1.0 - self.tokens) / speed * 1000.0
+
+
+class TeamBuckets:
+    """The buckets of all teams at this entry."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[str, Bucket] = {}
+
+    def configure(
+        self,
+        team: str,
+        *,
+        rate_per_s: float,
+        burst: float,
+        fraction: float,
+        now_ms: float,
+    ) -> Bucket:
+        """Brings a team's bucket to the rate, burst and fraction in force.
+
+        A bucket that is new starts empty, since an earlier holder of the
+        fraction may have admitted a whole burst just before. Tokens minted at
+        the old values stay, up to the new capacity.
+        """
+        bucket = self._buckets.get(team)
+        if bucket is None:
+            bucket = Bucket(
+                rate_per_s=rate_per_s,
+                burst=burst,
+                fraction=fraction,
+                tokens=0.0,
+                filled_ms=now_ms,
+            )
+            self._buckets[team] = bucket
+            return bucket
+        bucket.fill(now_ms)
+        bucket.rate_per_s = rate_per_s
+        bucket.burst = burst
+        bucket.fraction = fraction
+        bucket.tokens = min(bucket.tokens, burst * fraction)
+        return bucket
+
+    def stop_minting(self, now_ms: float) -> None:
+        """Empties every bucket, since a lapsed lease voids its tokens."""
+        for bucket in self._buckets.values():
+            bucket.tokens = 0.0
+            bucket.filled_ms = now_ms
+
+    def forget(self, team: str) -> None:
+        """Drops the bucket of a team that no longer exists."""
+        self._buckets.pop(team, None)
+
+    def levels(self) -> dict[str, float]:
+        """Returns each team's tokens as last brought up to date."""
+        return {team: b.tokens for team, b in self._buckets.items()}
--- /dev/null
+++ b/quetzalmill/turns.py
@@ -0,0 +1,164 @@
+"""The records that a program's home keeps in the log.
+
+Each home process appends to a stream of its own. A program's turns are chained
+by a hash, so a gap or a foreign turn is detected. A fence in the stream ends
+the home's right to a program: what the home appends after it has no effect.
+The module holds data, the chain and the fold; it performs no I/O.
+"""
+
+import hashlib
+from typing import Any
+
+import attrs
+
+from quetzalmill import codec
+from quetzalmill import errors
+
+EMPTY_CHAIN = ""
+"""The chain hash of a program without turns."""
+
+
+@attrs.frozen(kw_only=True)
+class BudgetLimits:
+    """What a program may spend; None sets no limit.
+
+    Attributes:
+        calls: Calls of the program and its sub-programs.
+        tokens: Generated tokens.
+        time_ms: Milliseconds that calls are under way.
+    """
+
+    calls: int | None = None
+    tokens: int | None = None
+    time_ms: float | None = None
+
+
+@attrs.frozen(kw_only=True)
+class ProgramRecord:
+    """A program was started.
+
+    Attributes:
+        program: Its id.
+        root: The root program; the program itself if it has no parent.
+        parent: The parent program; empty for a root.
+        team: The team that it belongs to.
+        limits: Its budget.
+        deadline_ms: Time from its start to its deadline, None for no deadline.
+        epoch: The home's epoch.
+    """
+
+    program: str
+    root: str
+    parent: str
+    team: str
+    limits: BudgetLimits
+    deadline_ms: float | None
+    epoch: int
+
+
+@attrs.frozen(kw_only=True)
+class TurnRecord:
+    """A call of a program ended with an answer.
+
+    Attributes:
+        program: The program.
+        root: Its root program.
+        epoch: The home's epoch.
+        call: The call's number.
+        digest: Digest of the request, to recognise the same call sent again.
+        previous_chain: The chain hash before the turn.
+        chain: The chain hash with the turn.
+        messages: The new messages of a model call.
+        answer: The assistant's message of a model call, None otherwise.
+        status: The HTTP status of the answer.
+        content_type: The answer's content type.
+        body: The answer as the caller got it, without streaming.
+        tokens: Generated tokens that were charged.
+        time_ms: How long the call was under way.
+        ran: Whether the call ran: ``yes`` or ``unknown``.
+        applied_offset: The configuration offset that the home had applied.
+    """
+
+    program: str
+    root: str
+    epoch: int
+    call: int
+    digest: str
+    previous_chain: str
+    chain: str
+    messages: list[Any]
+    answer: dict[str, Any] | None
+    status: int
+    content_type: str
+    body: str
+    tokens: int
+    time_ms: float
+    ran: str
+    applied_offset: int
+
+
+@attrs.frozen(kw_only=True)
+class EndRecord:
+    """A program ended; its id is not used again."""
+
+    program: str
+    root: str
+    epoch: int
+
+
+@attrs.frozen(kw_only=True)
+class FenceRecord:
+    """Another process takes over a root program and all below it.
+
+    Attributes:
+        record_id: Unique, to find the record after a lost reply.
+        root: The root program.
+        epoch: The new home's epoch.
+        host: The new home's host.
+        instance: The new home's instance.
+    """
+
+    record_id: str
+    root: str
+    epoch: int
+    host: str
+    instance: str
+
+
+Record = ProgramRecord | TurnRecord | EndRecord | FenceRecord
+
+_TYPES: dict[str, type[Any]] = {
+    "program": ProgramRecord,
+    "turn": TurnRecord,
+    "end": EndRecord,
+    "fence": FenceRecord,
+}
+_NAMES = {record_type: name for name, record_type in _TYPES.items()}
+
+
+def encode(record: Record) -> dict[str, Any]:
+    """Returns a record in the plain form that the log keeps."""
+    return {"kind": _NAMES[type(record)], "body": codec.to_plain(record)}
+
+
+def decode(data: Any) -> Record:
+    """Reads a record back from its plain form.
+
+    Raises:
+        errors.CodecError: The data is no record of this module.
+    """
+    if not isinstance(data, dict) or data.get("kind") not in _TYPES:
+        raise errors.CodecError("the data is no program record")
+    record: Record = codec.from_plain(data.get("body"), _TYPES[data["kind"]])
+    return record
+
+
+def chain_hash(previous_chain: str, digest: str, body: str) -> str:
+    """Returns the chain hash after a turn."""
+    text = "\0".join((previous_chain, digest, body))
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+def stream_of(host: str, instance: str) -> str:
+    """Returns the name of the stream that a home process appends to."""
+    return f"turns.{host}.{instance}"
