--- a/quetzalmill/errors.py
+++ b/quetzalmill/errors.py
@@ -83,3 +83,19 @@
 
 class ControlError(QuetzalmillError):
     """A control call to another process failed or was not answered."""
+
+
+class OperatorError(QuetzalmillError):
+    """Base of the errors of the operators' interface, as its clients see it."""
+
+
+class OperatorUnavailableError(OperatorError):
+    """No operator address gave an answer that could be used."""
+
+
+class OperatorRefusedError(OperatorError):
+    """The request was understood and refused; the message says why."""
+
+
+class OperatorTimeoutError(OperatorError):
+    """What was waited for did not happen in time."""
--- /dev/null
+++ b/quetzalmill/operator_client.py
@@ -0,0 +1,400 @@
+"""A synchronous client of the operators' HTTP interface.
+
+Entries are tried in turn. Reading may be repeated freely. A publication is
+repeated only under its own record id, which takes effect once however often
+it is sent, so a lost reply is cleared up by asking again.
+"""
+
+from collections.abc import Callable
+import http.client
+import time
+from typing import Any, TypeVar
+import urllib.parse
+
+import attrs
+
+from quetzalmill import clock
+from quetzalmill import codec
+from quetzalmill import errors
+from quetzalmill import objects
+from quetzalmill import settings_rules
+
+PREFIX = "/operator/v1"
+
+_ATTEMPT_TIMEOUT_MS = 10_000.0
+_FIRST_PAUSE_MS = 100.0
+_LONGEST_PAUSE_MS = 2_000.0
+_MAX_ANSWER_BYTES = 64 * 1024 * 1024
+_SHOWN_BYTES = 200
+
+_T = TypeVar("_T")
+
+
+@attrs.frozen
+class Accepted:
+    """The record is in force from this revision on."""
+
+    revision: int
+
+
+@attrs.frozen
+class Conflict:
+    """An object changed after the revision that the record was based on.
+
+    Attributes:
+        revision: The object's present revision.
+        object: The object, such as ``team/field``.
+    """
+
+    revision: int
+    object: str
+
+
+@attrs.frozen
+class Rejected:
+    """The record has mistakes and was not appended."""
+
+    problems: list[str]
+
+
+@attrs.frozen
+class Unavailable:
+    """The record was surely not appended; it may be sent again later.
+
+    Attributes:
+        message: Why.
+        retry_after_ms: When to try again.
+    """
+
+    message: str
+    retry_after_ms: float = 0.0
+
+
+@attrs.frozen
+class Unknown:
+    """The record may or may not have been appended."""
+
+    record_id: str
+
+
+Outcome = Accepted | Conflict | Rejected | Unavailable | Unknown
+
+
+@attrs.frozen(kw_only=True)
+class ObjectList:
+    """Objects of one kind, as one entry has them in force.
+
+    Attributes:
+        revision: The log offset that the entry had applied.
+        objects: The objects.
+    """
+
+    revision: int
+    objects: list["ListedObject"]
+
+    def revision_of(self, name: str) -> int:
+        """Returns an object's revision, 0 when it does not exist."""
+        found = self.find(name)
+        return found.revision if found else 0
+
+    def find(self, name: str) -> "ListedObject | None":
+        """Returns the object with that name, if it exists."""
+        for item in self.objects:
+            if item.name == name:
+                return item
+        return None
+
+
+@attrs.frozen(kw_only=True)
+class ListedObject:
+    """One object in a list."""
+
+    kind: str
+    name: str
+    revision: int
+    spec: dict[str, Any]
+
+
+@attrs.frozen(kw_only=True)
+class HistoryRecord:
+    """A record of the log.
+
+    Attributes:
+        offset: Its place, which is the revision of the objects it changed.
+        record_id: Its id.
+        author: Who appended it.
+        applied: Whether it took effect; one that conflicted did not.
+        changes: What it changes.
+    """
+
+    offset: int
+    record_id: str
+    author: str
+    applied: bool
+    changes: list[objects.ObjectChange]
+
+
+@attrs.frozen(kw_only=True)
+class ProcessState:
+    """What an entry knows of a process.
+
+    Attributes:
+        host: Its host.
+        role: ``entry`` or ``sidecar``.
+        incarnation: Tells apart processes that ran on the host in turn.
+        applied_offset: The log offset that it has in force.
+        heard_ms_ago: Time since its last heartbeat; None when never heard.
+        leaving: Whether it takes no new work.
+        live: Whether it counts as live.
+    """
+
+    host: str
+    role: str
+    incarnation: int
+    applied_offset: int
+    heard_ms_ago: float | None
+    leaving: bool
+    live: bool
+
+
+@attrs.frozen
+class _HistoryList:
+    records: list[HistoryRecord]
+
+
+@attrs.frozen
+class _ProcessList:
+    processes: list[ProcessState]
+
+
+@attrs.frozen
+class _Answer:
+    status: int
+    body: bytes
+
+
+class OperatorClient:
+    """Talks to the first entry that answers."""
+
+    def __init__(
+        self,
+        addresses: list[settings_rules.Address],
+        time_source: clock.Clock | None = None,
+        sleep_s: Callable[[float], None] = time.sleep,
+    ) -> None:
+        """Prepares the client; nothing is sent yet.
+
+        Args:
+            addresses: Operator addresses of entries, at least one.
+            time_source: The clock for timeouts.
+            sleep_s: Waits for that many seconds.
+        """
+        self._addresses = addresses
+        self._clock = time_source or clock.SystemClock()
+        self._sleep_s = sleep_s
+
+    def list_objects(self, kind: str, name: str | None = None) -> ObjectList:
+        """Returns the objects of a kind, or the one with that name.
+
+        Raises:
+            errors.OperatorUnavailableError: No entry answered.
+            errors.OperatorRefusedError: The entry refused the request.
+        """
+        query = {"kind": kind} if name is None else {"kind": kind, "name": name}
+        path = f"{PREFIX}/objects?{urllib.parse.urlencode(query)}"
+        return self._get(path, ObjectList)
+
+    def history(self, limit: int) -> list[HistoryRecord]:
+        """Returns the last records of the log, at most ``limit``.
+
+        Raises:
+            errors.OperatorUnavailableError: No entry answered.
+            errors.OperatorRefusedError: The entry refused the request.
+        """
+        return self._get(
+            f"{PREFIX}/history?limit={limit}", _HistoryList
+        ).records
+
+    def processes(self) -> list[ProcessState]:
+        """Returns every process that an entry knows.
+
+        Raises:
+            errors.OperatorUnavailableError: No entry answered.
+            errors.OperatorRefusedError: The entry refused the request.
+        """
+        return self._get(f"{PREFIX}/processes", _ProcessList).processes
+
+    def state(self) -> dict[str, Any]:
+        """Returns the state dump of the process that answers first.
+
+        Raises:
+            errors.OperatorUnavailableError: No process answered.
+            errors.OperatorRefusedError: The process refused the request.
+        """
+        return self._get("/state", dict[str, Any])
+
+    def publish(
+        self, record: objects.ConfigRecord, timeout_ms: float
+    ) -> Outcome:
+        """Publishes a record and asks again until its outcome is known.
+
+        Args:
+            record: The record; it takes effect at most once.
+            timeout_ms: How long to ask again after lost replies.
+
+        Returns:
+            ``Unknown`` only when the time ran out after a reply was lost, and
+            ``Unavailable`` only when no attempt can have taken effect.
+        """
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        pause_ms = _FIRST_PAUSE_MS
+        body = codec.to_json(record)
+        maybe_appended = False
+        while True:
+            outcome = self._publish_round(record.record_id, body, deadline_ms)
+            match outcome:
+                case Accepted() | Conflict() | Rejected():
+                    return outcome
+                case Unknown():
+                    maybe_appended = True
+                case Unavailable() if not maybe_appended:
+                    return outcome
+            if self._clock.now_ms() + pause_ms >= deadline_ms:
+                return Unknown(record.record_id)
+            self._sleep_s(pause_ms / 1000.0)
+            pause_ms = min(pause_ms * 2, _LONGEST_PAUSE_MS)
+
+    def _publish_round(
+        self, record_id: str, body: bytes, deadline_ms: float
+    ) -> Outcome:
+        """Asks each entry once, until one knows the outcome."""
+        failures: list[str] = []
+        retry_after_ms = 0.0
+        maybe_appended = False
+        for address in self._addresses:
+            left_ms = max(deadline_ms - self._clock.now_ms(), _FIRST_PAUSE_MS)
+            outcome = _publish_once(address, record_id, body, left_ms)
+            match outcome:
+                case Accepted() | Conflict() | Rejected():
+                    return outcome
+                case Unknown():
+                    maybe_appended = True
+                case Unavailable():
+                    failures.append(f"{address}: {outcome.message}")
+                    retry_after_ms = max(retry_after_ms, outcome.retry_after_ms)
+        if maybe_appended:
+            return Unknown(record_id)
+        return Unavailable("; ".join(failures), retry_after_ms)
+
+    def _get(self, path: str, expected: type[_T]) -> _T:
+        failures: list[str] = []
+        for address in self._addresses:
+            try:
+                answer = _exchange(address, "GET", path, None)
+                return _decode(answer, expected)
+            except (errors.HttpError, errors.CodecError) as error:
+                failures.append(f"{address}: {error}")
+        raise errors.OperatorUnavailableError(
+            f"no answer ({'; '.join(failures)}); check the addresses and that "
+            "a process runs there"
+        )
+
+
+def _publish_once(
+    address: settings_rules.Address,
+    record_id: str,
+    body: bytes,
+    timeout_ms: float,
+) -> Outcome:
+    try:
+        answer = _exchange(
+            address, "POST", f"{PREFIX}/publish", body, timeout_ms
+        )
+        return _outcome_of(answer, record_id)
+    except errors.ConnectFailedError as error:
+        return Unavailable(str(error))
+    except (errors.HttpError, errors.CodecError):
+        return Unknown(record_id)
+
+
+def _outcome_of(answer: _Answer, record_id: str) -> Outcome:
+    match answer.status:
+        case 200:
+            return codec.from_json(answer.body, Accepted)
+        case 409:
+            return codec.from_json(answer.body, Conflict)
+        case 422:
+            return codec.from_json(answer.body, Rejected)
+        case 503:
+            return codec.from_json(answer.body, Unavailable)
+        case status if 400 <= status < 500:
+            return Rejected([_refusal(answer)])
+        case _:
+            return Unknown(record_id)
+
+
+def _decode(answer: _Answer, expected: type[_T]) -> _T:
+    if answer.status == 200:
+        return codec.from_json(answer.body, expected)
+    if 400 <= answer.status < 500:
+        raise errors.OperatorRefusedError(_refusal(answer))
+    raise errors.BadMessageError(_refusal(answer), answer.status)
+
+
+def _refusal(answer: _Answer) -> str:
+    """Returns the message in an answer's body, or the start of the body."""
+    text = answer.body[:_SHOWN_BYTES].decode("utf-8", "replace")
+    try:
+        message = codec.from_json(answer.body, dict[str, Any]).get("message")
+    except errors.CodecError:
+        message = None
+    return f"status {answer.status}: {message or text}"
+
+
+def _exchange(
+    address: settings_rules.Address,
+    method: str,
+    path: str,
+    body: bytes | None,
+    timeout_ms: float = _ATTEMPT_TIMEOUT_MS,
+) -> _Answer:
+    """Sends one request on a connection of its own.
+
+    Raises:
+        errors.ConnectFailedError: No byte of the request was sent.
+        errors.ConnectionLostError: The answer did not come whole.
+        errors.ResponseTimeoutError: The answer did not come in time.
+        errors.BadMessageError: The answer is larger than allowed.
+    """
+    timeout_s = min(timeout_ms, _ATTEMPT_TIMEOUT_MS) / 1000.0
+    connection = http.client.HTTPConnection(
+        address.ip, address.port, timeout=timeout_s
+    )
+    try:
+        _connect(connection)
+        headers = {"Content-Type": "application/json"} if body else {}
+        connection.request(method, path, body, headers)
+        response = connection.getresponse()
+        answer = _Answer(response.status, response.read(_MAX_ANSWER_BYTES + 1))
+    except TimeoutError as error:
+        raise errors.ResponseTimeoutError(
+            f"no answer within {timeout_s:g} s"
+        ) from error
+    except (OSError, http.client.HTTPException) as error:
+        raise errors.ConnectionLostError(
+            f"connection lost before the answer: {error!r}"
+        ) from error
+    finally:
+        connection.close()
+    if len(answer.body) > _MAX_ANSWER_BYTES:
+        raise errors.BadMessageError("the answer is too large")
+    return answer
+
+
+def _connect(connection: http.client.HTTPConnection) -> None:
+    try:
+        connection.connect()
+    except OSError as error:
+        raise errors.ConnectFailedError(
+            f"cannot connect: {error.strerror or error}"
+        ) from error
--- a/quetzalmill/settings.py
+++ b/quetzalmill/settings.py
@@ -259,7 +259,9 @@
 ) -> list[str]:
     fields = {field.name: field for field in attrs.fields(target)}
     problems = [
-        _unknown_key(key, list(fields)) for key in values if key not in fields
+        settings_rules.unknown_key_problem(key, list(fields))
+        for key in values
+        if key not in fields
     ]
     for name, field in fields.items():
         if name in values:
@@ -273,12 +275,6 @@
     return problems
 
 
-def _unknown_key(key: str, known: list[str]) -> str:
-    near = settings_rules.suggestion(key, known)
-    mend = f'did you mean "{near}"?' if near else "remove it"
-    return f"{key}: is not a setting; {mend}"
-
-
 def _relation_problems(
     values: dict[str, Any], target: type[AnySettings]
 ) -> list[str]:
--- a/quetzalmill/settings_rules.py
+++ b/quetzalmill/settings_rules.py
@@ -134,6 +134,13 @@
     return near[0] if near else None
 
 
+def unknown_key_problem(key: str, known: list[str]) -> str:
+    """Returns the problem of a key that is none of the known ones."""
+    near = suggestion(key, known)
+    mend = f'did you mean "{near}"?' if near else "remove it"
+    return f"{key}: is not a known field; {mend}"
+
+
 def _is_port(text: str) -> bool:
     if not (text.isascii() and text.isdigit() and len(text) <= 5):
         return False
--- /dev/null
+++ b/tests/test_operator_client.py
@@ -0,0 +1,213 @@
+"""Tests of the operators' client against a small fake interface."""
+
+from collections.abc import Iterator
+import socket
+
+import pytest
+
+from quetzalmill import clock
+from quetzalmill import errors
+from quetzalmill import objects
+from quetzalmill import operator_client
+from quetzalmill import revision_wait
+from quetzalmill import settings_rules
+from tests import fake_operator
+
+TIMEOUT_MS = 5_000.0
+TEAM = {"rate_per_s": 5.0, "burst": 10.0}
+
+
+@pytest.fixture(name="fake")
+def fixture_fake() -> Iterator[fake_operator.FakeOperator]:
+    with fake_operator.serving() as fake:
+        yield fake
+
+
+@pytest.fixture(name="refusing")
+def fixture_refusing() -> Iterator[str]:
+    """An address that refuses connections for as long as the test runs."""
+    with socket.socket() as bound:
+        bound.bind(("127.0.0.1", 0))
+        yield f"127.0.0.1:{bound.getsockname()[1]}"
+
+
+class Waits:
+    """A clock that moves only while its client waits."""
+
+    def __init__(self) -> None:
+        self.clock = clock.ManualClock()
+        self.count = 0
+
+    def sleep_s(self, seconds: float) -> None:
+        self.count += 1
+        self.clock.advance(seconds * 1000.0)
+
+
+def client_of(
+    *addresses: str, waits: Waits | None = None
+) -> operator_client.OperatorClient:
+    waits = waits or Waits()
+    parsed = [settings_rules.parse_address(text) for text in addresses]
+    return operator_client.OperatorClient(
+        [address for address in parsed if address], waits.clock, waits.sleep_s
+    )
+
+
+def record(base_revision: int = 0) -> objects.ConfigRecord:
+    change = objects.ObjectChange(
+        kind=objects.TEAM, name="field", base_revision=base_revision, spec=TEAM
+    )
+    return objects.ConfigRecord(record_id="r1", author="ana", changes=[change])
+
+
+class TestPublish:
+    """Publications and what can go wrong with them."""
+
+    def test_accepted(self, fake: fake_operator.FakeOperator) -> None:
+        outcome = client_of(fake.address).publish(record(), TIMEOUT_MS)
+        assert outcome == operator_client.Accepted(1)
+
+    def test_conflict(self, fake: fake_operator.FakeOperator) -> None:
+        fake.put(objects.TEAM, "field", TEAM)
+        outcome = client_of(fake.address).publish(record(), TIMEOUT_MS)
+        assert outcome == operator_client.Conflict(1, "team/field")
+
+    def test_status_of_its_own_is_a_rejection(
+        self, fake: fake_operator.FakeOperator
+    ) -> None:
+        fake.faults = [fake_operator.Fault.REFUSED]
+        outcome = client_of(fake.address).publish(record(), TIMEOUT_MS)
+        assert outcome == operator_client.Rejected(["status 413: too large"])
+
+    @pytest.mark.parametrize(
+        "fault",
+        [
+            fake_operator.Fault.LOST_REPLY,
+            fake_operator.Fault.LOST_REQUEST,
+            fake_operator.Fault.UNKNOWN,
+            fake_operator.Fault.GARBAGE,
+        ],
+    )
+    def test_lost_outcome_is_asked_for_again(
+        self, fake: fake_operator.FakeOperator, fault: fake_operator.Fault
+    ) -> None:
+        fake.faults = [fault, fake_operator.Fault.UNAVAILABLE]
+        outcome = client_of(fake.address).publish(record(), TIMEOUT_MS)
+        assert outcome == operator_client.Accepted(1)
+        ids = [received["record_id"] for received in fake.received]
+        assert ids == ["r1", "r1", "r1"]
+
+    def test_lost_reply_of_a_conflict_is_a_conflict(
+        self, fake: fake_operator.FakeOperator
+    ) -> None:
+        fake.put(objects.TEAM, "field", TEAM)
+        fake.faults = [fake_operator.Fault.LOST_REPLY]
+        outcome = client_of(fake.address).publish(record(), TIMEOUT_MS)
+        assert outcome == operator_client.Conflict(1, "team/field")
+
+    def test_unavailable_is_said_at_once(
+        self, fake: fake_operator.FakeOperator
+    ) -> None:
+        fake.faults = [fake_operator.Fault.UNAVAILABLE]
+        waits = Waits()
+        client = client_of(fake.address, waits=waits)
+        outcome = client.publish(record(), TIMEOUT_MS)
+        assert isinstance(outcome, operator_client.Unavailable)
+        assert "log is down" in outcome.message
+        assert outcome.retry_after_ms == 1500
+        assert waits.count == 0
+
+    def test_unknown_once_the_time_is_up(
+        self, fake: fake_operator.FakeOperator
+    ) -> None:
+        fake.faults = [fake_operator.Fault.LOST_REPLY]
+        fake.faults += [fake_operator.Fault.UNAVAILABLE] * 100
+        outcome = client_of(fake.address).publish(record(), TIMEOUT_MS)
+        assert outcome == operator_client.Unknown("r1")
+
+    def test_next_entry_is_tried(
+        self, fake: fake_operator.FakeOperator, refusing: str
+    ) -> None:
+        client = client_of(refusing, fake.address)
+        outcome = client.publish(record(), TIMEOUT_MS)
+        assert outcome == operator_client.Accepted(1)
+
+    def test_no_entry_means_not_appended(self, refusing: str) -> None:
+        outcome = client_of(refusing).publish(record(), TIMEOUT_MS)
+        assert isinstance(outcome, operator_client.Unavailable)
+        assert refusing in outcome.message
+
+
+class TestReading:
+    """Reads and their errors."""
+
+    def test_objects(self, fake: fake_operator.FakeOperator) -> None:
+        fake.put(objects.TEAM, "field", TEAM)
+        listed = client_of(fake.address).list_objects(objects.TEAM)
+        assert listed.revision_of("field") == 1
+        assert listed.revision_of("other") == 0
+
+    def test_history(self, fake: fake_operator.FakeOperator) -> None:
+        client = client_of(fake.address)
+        client.publish(record(), TIMEOUT_MS)
+        (found,) = client.history(10)
+        assert (found.offset, found.author, found.applied) == (1, "ana", True)
+
+    def test_next_entry_is_asked(
+        self, fake: fake_operator.FakeOperator, refusing: str
+    ) -> None:
+        state = client_of(refusing, fake.address).state()
+        assert state["role"] == "entry"
+
+    def test_error_names_every_address(self, refusing: str) -> None:
+        with pytest.raises(errors.OperatorUnavailableError, match=refusing):
+            client_of(refusing).processes()
+
+
+def process(host: str, applied_offset: int, live: bool) -> dict[str, object]:
+    return {
+        "host": host,
+        "role": "entry",
+        "incarnation": 1,
+        "applied_offset": applied_offset,
+        "heard_ms_ago": None,
+        "leaving": False,
+        "live": live,
+    }
+
+
+class TestWait:
+    """Waiting for a revision."""
+
+    def wait(self, address: str) -> revision_wait.Progress:
+        waits = Waits()
+        client = client_of(address, waits=waits)
+        return revision_wait.wait(
+            client, waits.clock, 5, TIMEOUT_MS, waits.sleep_s
+        )
+
+    def test_live_processes_alone_count(
+        self, fake: fake_operator.FakeOperator
+    ) -> None:
+        fake.processes = [process("a", 5, True), process("b", 1, False)]
+        assert self.wait(fake.address).reached == 1
+
+    @pytest.mark.parametrize("others", [[], [process("b", 9, True)]])
+    def test_lagging_processes_are_named(
+        self,
+        fake: fake_operator.FakeOperator,
+        others: list[dict[str, object]],
+    ) -> None:
+        fake.processes = [process("a", 4, True), *others]
+        progress = self.wait(fake.address)
+        assert [item.host for item in progress.lagging] == ["a"]
+
+    def test_no_live_process_is_no_success(
+        self, fake: fake_operator.FakeOperator
+    ) -> None:
+        with pytest.raises(errors.OperatorTimeoutError, match="no live"):
+            self.wait(fake.address)
+
+    def test_no_entry_is_unavailable(self, refusing: str) -> None:
+        with pytest.raises(errors.OperatorUnavailableError):
+            self.wait(refusing)
