--- /dev/null
+++ b/quetzalmill/answer.py
@@ -0,0 +1,132 @@
+"""The answer to a call as it grows, which any number of readers follow."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import trio
+
+from quetzalmill import codec
+from quetzalmill import errors
+from quetzalmill import messages
+
+_LAST_KINDS = (
+    messages.FrameKind.END,
+    messages.FrameKind.FAILED,
+    messages.FrameKind.MOVED,
+)
+
+
+class Answer:
+    """Frames in order; the last one ends the answer."""
+
+    def __init__(self) -> None:
+        self._frames: list[messages.Frame] = []
+        self._changed = trio.Event()
+        self.readers = 0
+
+    @property
+    def ended(self) -> bool:
+        """Returns whether the last frame is there."""
+        return bool(self._frames) and is_last(self._frames[-1])
+
+    @property
+    def last(self) -> messages.Frame | None:
+        """Returns the newest frame."""
+        return self._frames[-1] if self._frames else None
+
+    def append(self, frame: messages.Frame) -> None:
+        """Adds a frame; after the last one, further frames are ignored."""
+        if self.ended:
+            return
+        self._frames.append(frame)
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def follow(self) -> AsyncIterator[messages.Frame]:
+        """Yields every frame from the first to the last."""
+        position = 0
+        self.readers += 1
+        try:
+            while True:
+                while position < len(self._frames):
+                    frame = self._frames[position]
+                    position += 1
+                    yield frame
+                    if is_last(frame):
+                        return
+                await self._changed.wait()
+        finally:
+            self.readers -= 1
+
+
+def is_last(frame: messages.Frame) -> bool:
+    """Returns whether a frame ends its answer."""
+    return frame.kind in _LAST_KINDS
+
+
+def failed(
+    call: messages.Call,
+    *,
+    status: int,
+    code: str,
+    message: str,
+    ran: messages.Ran = messages.Ran.NO,
+    retry_after_ms: float | None = None,
+    attempt: int = 0,
+    details: dict[str, Any] | None = None,
+) -> messages.Frame:
+    """Returns the frame that refuses a call or reports its failure."""
+    return messages.Frame(
+        program=call.program,
+        call=call.number,
+        attempt=attempt,
+        kind=messages.FrameKind.FAILED,
+        status=status,
+        code=code,
+        message=message,
+        ran=ran,
+        retry_after_ms=retry_after_ms,
+        details=details or {},
+    )
+
+
+def encode_frame(frame: messages.Frame) -> bytes:
+    """Returns a frame as one line."""
+    return codec.to_json(frame) + b"\n"
+
+
+class FrameReader:
+    """Turns pieces of an HTTP body into the frames of one call.
+
+    Frames that do not match the call are dropped and counted.
+    """
+
+    def __init__(self, program: str, call: int) -> None:
+        self._program = program
+        self._call = call
+        self._rest = b""
+        self.mismatched = 0
+
+    def feed(self, piece: bytes) -> list[messages.Frame]:
+        """Returns the frames that a piece completes.
+
+        Raises:
+            errors.CodecError: A line is no frame.
+        """
+        *lines, self._rest = (self._rest + piece).split(b"\n")
+        frames = [codec.from_json(line, messages.Frame) for line in lines]
+        matching = [frame for frame in frames if self._matches(frame)]
+        self.mismatched += len(frames) - len(matching)
+        return matching
+
+    def require_end(self, last: messages.Frame | None) -> None:
+        """Checks that an answer ended with its last frame.
+
+        Raises:
+            errors.ConnectionLostError: It broke off before.
+        """
+        if last is None or not is_last(last):
+            raise errors.ConnectionLostError("the answer broke off")
+
+    def _matches(self, frame: messages.Frame) -> bool:
+        return frame.program == self._program and frame.call == self._call
--- /dev/null
+++ b/quetzalmill/call_run.py
@@ -0,0 +1,503 @@
+"""Runs one admitted call to its end: attempts, retries, commit.
+
+The home alone retries, and only what may run again: a call that surely did not
+run, or an idempotent one, within a retry budget. The answer streams as it
+comes; its last frame follows the commit.
+"""
+
+from typing import Any
+
+import attrs
+import trio
+
+from quetzalmill import answer as answer_module
+from quetzalmill import clock as clock_module
+from quetzalmill import codec
+from quetzalmill import completion
+from quetzalmill import configuration
+from quetzalmill import doubt
+from quetzalmill import errors
+from quetzalmill import executor_link
+from quetzalmill import messages
+from quetzalmill import programs
+from quetzalmill import retry_budget
+from quetzalmill import routing
+from quetzalmill import turn_log
+from quetzalmill import turns
+
+MAX_ATTEMPTS = 4
+"""Attempts at one call, the first included."""
+
+NO_ENDPOINT_RETRY_MS = 1_000.0
+"""When to come back after no endpoint took the call."""
+
+_ASK_AGAIN_MS = 200.0
+
+_RETRY_CODES = frozenset(
+    {
+        "endpoint_down",
+        "endpoint_elsewhere",
+        "endpoint_failed",
+        "leaving",
+        "queue_full",
+        "sidecar_lost",
+        "sidecar_unreachable",
+    }
+)
+
+
+@attrs.frozen(kw_only=True)
+class Prepared:
+    """A call made ready for endpoints.
+
+    Attributes:
+        call: The call as the entry sent it.
+        digest: Digest of the request.
+        body: The body for the endpoint.
+        new_messages: The new messages of a model call.
+        prompt_tokens: An estimate of the whole prompt.
+        answer_tokens: The most tokens that are reserved for the answer.
+    """
+
+    call: messages.Call
+    digest: str
+    body: bytes
+    new_messages: list[Any]
+    prompt_tokens: int
+    answer_tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class _Succeeded:
+    status: int
+    content_type: str
+    body: str
+    message: dict[str, Any] | None
+    tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class _Failed:
+    frame: messages.Frame
+    tokens: int = 0
+
+
+@attrs.define(kw_only=True, eq=False)
+class Run:
+    """One call under way.
+
+    Attributes:
+        family: The family of its program.
+        program: Its program.
+        prepared: The call made ready.
+        answer: Where its frames go.
+        started_ms: When it was admitted.
+        deadline_ms: When its caller gives up.
+        assembly: What has come of a model's answer.
+    """
+
+    family: programs.Family
+    program: programs.Program
+    prepared: Prepared
+    answer: answer_module.Answer
+    started_ms: float
+    deadline_ms: float
+    assembly: completion.Assembly = attrs.field(factory=completion.Assembly)
+
+
+class CallRunner:
+    """Runs the calls of one home."""
+
+    def __init__(
+        self,
+        *,
+        config: configuration.Configuration,
+        router: routing.Router,
+        link: executor_link.ExecutorLink,
+        writer: turn_log.TurnWriter,
+        retries: retry_budget.RetryBudget,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._config = config
+        self._router = router
+        self._link = link
+        self._writer = writer
+        self._retries = retries
+        self._clock = clock
+        self._caches: dict[str, dict[str, int]] = {}
+
+    def cached(self, program: str) -> dict[str, int]:
+        """Returns the tokens of a program's history at each endpoint."""
+        return self._caches.get(program, {})
+
+    def forget_caches(self, program: str) -> dict[str, int]:
+        """Drops and returns what is known of a program's caches."""
+        return self._caches.pop(program, {})
+
+    def programs_with_caches(self) -> dict[str, dict[str, int]]:
+        """Returns every program that may hold engine memory."""
+        return self._caches
+
+    async def run(self, run: Run) -> None:
+        """Runs a call and appends all frames of its answer."""
+        self._retries.first_attempt()
+        result = await self._attempts(run)
+        match result:
+            case _Succeeded():
+                await self._commit(run, result, messages.Ran.YES)
+            case _Failed(frame=frame):
+                await self._fail(run, result, frame)
+
+    async def _attempts(self, run: Run) -> _Succeeded | _Failed:
+        target: routing.Target | None = None
+        if run.program.record.program in run.family.in_doubt:
+            found = await self._resolve_doubt(run)
+            if isinstance(found, _Failed):
+                return found
+            target = found
+        excluded: set[str] = set()
+        suspect = run.prepared.call.suspect
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            target = target or self._choose(run, excluded)
+            if target is None:
+                return self._nowhere(run)
+            result = await self._attempt(run, target, attempt, suspect)
+            if isinstance(result, _Succeeded):
+                return result
+            if not self._may_retry(run, result, attempt):
+                return result
+            suspect = suspect or result.frame.ran is messages.Ran.UNKNOWN
+            excluded.add(target.endpoint)
+            target = None
+        return self._nowhere(run)
+
+    async def _resolve_doubt(self, run: Run) -> routing.Target | _Failed | None:
+        call = run.prepared.call
+        program = run.program.record.program
+        if call.idempotent:
+            run.family.in_doubt.discard(program)
+            return None
+        finding = await doubt.investigate(
+            run.family,
+            run.program,
+            call,
+            config=self._config,
+            router=self._router,
+            link=self._link,
+        )
+        run.family.in_doubt.discard(program)
+        match finding:
+            case doubt.NotStarted():
+                return None
+            case doubt.StartedAt(target=target):
+                return target
+            case doubt.CannotTell(reason=reason):
+                return _Failed(
+                    frame=self._failure(
+                        run,
+                        code="outcome_unknown",
+                        message=f"an earlier home may have run it: {reason}",
+                        ran=messages.Ran.UNKNOWN,
+                    )
+                )
+
+    def _choose(self, run: Run, excluded: set[str]) -> routing.Target | None:
+        program = run.program.record.program
+        return self._router.choose(
+            run.prepared.call,
+            prompt_tokens=run.prepared.prompt_tokens,
+            cached=self.cached(program),
+            excluded=excluded,
+        )
+
+    async def _attempt(
+        self, run: Run, target: routing.Target, attempt: int, suspect: bool
+    ) -> _Succeeded | _Failed:
+        execution = self._execution(run, target, attempt, suspect)
+        units = run.prepared.prompt_tokens + run.prepared.answer_tokens
+        sent = self._router.sent(target.endpoint, units)
+        if attempt > 1:
+            try:
+                run.assembly.restart()
+            except completion.DivergedError as error:
+                return self._diverged(run, error)
+        try:
+            return await self._exchange(run, target, execution)
+        finally:
+            self._router.ended(sent)
+
+    async def _exchange(
+        self, run: Run, target: routing.Target, execution: messages.Execution
+    ) -> _Succeeded | _Failed:
+        while True:
+            try:
+                return await self._frames(run, target, execution)
+            except errors.ConnectFailedError as error:
+                return self._lost(run, "sidecar_unreachable", error)
+            except errors.HttpError as error:
+                broken = self._lost(
+                    run, "sidecar_lost", error, messages.Ran.UNKNOWN
+                )
+            except (completion.DivergedError, errors.CodecError) as error:
+                return self._diverged(run, error)
+            if run.prepared.call.idempotent:
+                return broken
+            again = await self._ask_again(run, target, execution)
+            if again is None:
+                return broken
+            execution = again
+
+    async def _ask_again(
+        self, run: Run, target: routing.Target, execution: messages.Execution
+    ) -> messages.Execution | None:
+        """Waits a little; the same sidecar has the call's one answer."""
+        await trio.sleep(_ASK_AGAIN_MS / 1000.0)
+        left_ms = run.deadline_ms - self._clock.now_ms()
+        if left_ms <= 0.0:
+            return None
+        request = messages.FenceRequest(
+            root=run.family.root,
+            epoch=run.family.epoch,
+            program=execution.call.program,
+            call=execution.call.number,
+        )
+        try:
+            reply = await self._link.fence(target.host, request)
+        except errors.ControlError:
+            return None
+        if not reply.seen:
+            return None
+        call = attrs.evolve(execution.call, time_left_ms=left_ms)
+        return attrs.evolve(execution, call=call)
+
+    async def _frames(
+        self, run: Run, target: routing.Target, execution: messages.Execution
+    ) -> _Succeeded | _Failed:
+        async with self._link.run(target.host, execution) as frames:
+            async for frame in frames:
+                match frame.kind:
+                    case messages.FrameKind.DATA:
+                        self._pass_on(run, frame)
+                    case messages.FrameKind.END:
+                        return self._success(run, target, frame)
+                    case _:
+                        return _Failed(
+                            frame=attrs.evolve(frame, attempt=0),
+                            tokens=run.assembly.used_tokens(),
+                        )
+        raise errors.ConnectionLostError("the answer broke off")
+
+    def _pass_on(self, run: Run, frame: messages.Frame) -> None:
+        piece = run.assembly.add(frame.data)
+        if piece is not None and run.prepared.call.stream:
+            run.answer.append(attrs.evolve(frame, attempt=0, data=piece))
+
+    def _success(
+        self, run: Run, target: routing.Target, frame: messages.Frame
+    ) -> _Succeeded:
+        call = run.prepared.call
+        if call.kind is messages.CallKind.SERVICE:
+            return _Succeeded(
+                status=frame.status,
+                content_type=frame.content_type,
+                body=frame.data.decode("latin-1"),
+                message=None,
+                tokens=0,
+            )
+        tokens = run.assembly.used_tokens()
+        caches = self._caches.setdefault(call.program, {})
+        caches[target.endpoint] = run.prepared.prompt_tokens + tokens
+        run.program.attained_units += tokens
+        return _Succeeded(
+            status=200,
+            content_type="application/json",
+            body=run.assembly.body(call.program),
+            message=run.assembly.message(),
+            tokens=tokens,
+        )
+
+    def _may_retry(self, run: Run, result: _Failed, attempt: int) -> bool:
+        frame = result.frame
+        if frame.code not in _RETRY_CODES or attempt == MAX_ATTEMPTS:
+            return False
+        if self._clock.now_ms() >= run.deadline_ms:
+            return False
+        surely_not_run = frame.ran is messages.Ran.NO
+        if not surely_not_run and not run.prepared.call.idempotent:
+            return False
+        return self._retries.take()
+
+    async def _commit(
+        self, run: Run, result: _Succeeded, ran: messages.Ran
+    ) -> None:
+        turn = self._turn(run, result, ran)
+        commit = turn_log.Commit.DURABLE
+        if not run.prepared.call.single:
+            commit = await self._writer.commit(turn)
+        if commit is turn_log.Commit.FENCED:
+            run.family.lost = True
+            run.program.running = None
+            run.answer.append(self._moved(run))
+            return
+        run.family.finish(run.program, turn, self._clock.now_ms())
+        durable = commit is turn_log.Commit.DURABLE
+        run.answer.append(
+            last_frame(turn, durable=durable, stream=run.prepared.call.stream)
+        )
+
+    async def _fail(
+        self, run: Run, result: _Failed, frame: messages.Frame
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        if frame.code == "fenced":
+            run.family.lost = True
+            run.program.running = None
+            run.answer.append(self._moved(run))
+        elif frame.ran is messages.Ran.NO:
+            run.family.give_back(run.program)
+            run.answer.append(frame)
+        elif run.prepared.call.idempotent:
+            run.family.fail(run.program, result.tokens, now_ms)
+            run.answer.append(frame)
+        else:
+            await self._commit(
+                run,
+                _Succeeded(
+                    status=frame.status,
+                    content_type="application/json",
+                    body=codec.to_json(
+                        {"code": frame.code, "message": frame.message}
+                    ).decode(),
+                    message=None,
+                    tokens=run.prepared.answer_tokens,
+                ),
+                messages.Ran.UNKNOWN,
+            )
+
+    def _turn(
+        self, run: Run, result: _Succeeded, ran: messages.Ran
+    ) -> turns.TurnRecord:
+        prepared = run.prepared
+        chain = run.program.chain
+        return turns.TurnRecord(
+            program=prepared.call.program,
+            root=run.family.root,
+            epoch=run.family.epoch,
+            call=prepared.call.number,
+            digest=prepared.digest,
+            previous_chain=chain,
+            chain=turns.chain_hash(chain, prepared.digest, result.body),
+            messages=prepared.new_messages,
+            answer=result.message,
+            status=result.status,
+            content_type=result.content_type,
+            body=result.body,
+            tokens=result.tokens,
+            time_ms=self._clock.now_ms() - run.started_ms,
+            ran=ran.value,
+            applied_offset=self._config.applied_offset,
+        )
+
+    def _execution(
+        self, run: Run, target: routing.Target, attempt: int, suspect: bool
+    ) -> messages.Execution:
+        prepared = run.prepared
+        left_ms = max(1.0, run.deadline_ms - self._clock.now_ms())
+        call = attrs.evolve(
+            prepared.call,
+            body=prepared.body,
+            time_left_ms=left_ms,
+            suspect=suspect,
+        )
+        return messages.Execution(
+            call=call,
+            root=run.family.root,
+            epoch=run.family.epoch,
+            attempt=attempt,
+            endpoint=target.endpoint,
+            attained_units=run.program.attained_units,
+            prompt_tokens=prepared.prompt_tokens,
+            answer_tokens=prepared.answer_tokens,
+        )
+
+    def _nowhere(self, run: Run) -> _Failed:
+        frame = self._failure(
+            run,
+            code="no_endpoint",
+            message=f"no endpoint of {run.prepared.call.target} takes work",
+        )
+        return _Failed(
+            frame=attrs.evolve(
+                frame, status=503, retry_after_ms=NO_ENDPOINT_RETRY_MS
+            )
+        )
+
+    def _lost(
+        self,
+        run: Run,
+        code: str,
+        error: Exception,
+        ran: messages.Ran = messages.Ran.NO,
+    ) -> _Failed:
+        frame = self._failure(run, code=code, message=str(error), ran=ran)
+        return _Failed(frame=frame, tokens=run.assembly.used_tokens())
+
+    def _diverged(self, run: Run, error: Exception) -> _Failed:
+        return self._lost(run, "answer_diverged", error, messages.Ran.UNKNOWN)
+
+    def _failure(
+        self,
+        run: Run,
+        *,
+        code: str,
+        message: str,
+        ran: messages.Ran = messages.Ran.NO,
+    ) -> messages.Frame:
+        return answer_module.failed(
+            run.prepared.call,
+            status=503 if ran is messages.Ran.NO else 502,
+            code=code,
+            message=message,
+            ran=ran,
+            retry_after_ms=NO_ENDPOINT_RETRY_MS,
+        )
+
+    def _moved(self, run: Run) -> messages.Frame:
+        call = run.prepared.call
+        return messages.Frame(
+            program=call.program,
+            call=call.number,
+            attempt=0,
+            kind=messages.FrameKind.MOVED,
+        )
+
+
+def last_frame(
+    turn: turns.TurnRecord, *, durable: bool, stream: bool
+) -> messages.Frame:
+    """Returns the frame that ends the answer that a turn holds."""
+    details = {"history": turn.chain, "durable": durable}
+    if turn.ran == messages.Ran.UNKNOWN.value:
+        stored = codec.from_json(turn.body.encode(), dict[str, str])
+        return messages.Frame(
+            program=turn.program,
+            call=turn.call,
+            attempt=0,
+            kind=messages.FrameKind.FAILED,
+            status=turn.status,
+            code=stored["code"],
+            message=stored["message"],
+            ran=messages.Ran.UNKNOWN,
+            details=details,
+        )
+    body = turn.body.encode("latin-1" if turn.answer is None else "utf-8")
+    return messages.Frame(
+        program=turn.program,
+        call=turn.call,
+        attempt=0,
+        kind=messages.FrameKind.END,
+        status=turn.status,
+        content_type=turn.content_type,
+        data=b"" if stream else body,
+        details=details,
+    )
--- /dev/null
+++ b/quetzalmill/completion.py
@@ -0,0 +1,241 @@
+"""Reads and builds the usual chat completion messages.
+
+It checks the request's shape, joins a stream's chunks into one answer and
+continues a broken stream with the answer of another attempt.
+"""
+
+from typing import Any
+
+import attrs
+
+from quetzalmill import codec
+from quetzalmill import errors
+
+DEFAULT_ANSWER_TOKENS = 1024
+"""Tokens reserved for an answer when the request names no maximum."""
+
+_BYTES_PER_TOKEN = 4
+
+
+class InvalidRequestError(errors.QuetzalmillError):
+    """A chat completion request has the wrong shape."""
+
+
+class DivergedError(errors.QuetzalmillError):
+    """Another attempt's answer does not continue what was sent already."""
+
+
+@attrs.frozen(kw_only=True)
+class CompletionRequest:
+    """A checked chat completion request.
+
+    Attributes:
+        model: The model that the caller names.
+        messages: The new messages.
+        stream: Whether the answer is wanted in pieces.
+        max_tokens: The longest answer, None when the caller sets none.
+        fields: The whole request.
+    """
+
+    model: str
+    messages: list[Any]
+    stream: bool
+    max_tokens: int | None
+    fields: dict[str, Any]
+
+
+def parse_request(body: bytes) -> CompletionRequest:
+    """Checks a request.
+
+    Raises:
+        InvalidRequestError: It is no chat completion request.
+    """
+    try:
+        fields = codec.from_json(body, dict[str, Any])
+    except errors.CodecError as error:
+        raise InvalidRequestError(f"the body is no JSON object: {error}") from (
+            error
+        )
+    model = fields.get("model")
+    if not isinstance(model, str) or not model:
+        raise InvalidRequestError("model: a non-empty string is needed")
+    listed = fields.get("messages")
+    if not isinstance(listed, list) or not listed:
+        raise InvalidRequestError("messages: a non-empty list is needed")
+    for index, message in enumerate(listed):
+        if not isinstance(message, dict) or not isinstance(
+            message.get("role"), str
+        ):
+            raise InvalidRequestError(
+                f"messages[{index}]: an object with a role is needed"
+            )
+    return CompletionRequest(
+        model=model,
+        messages=listed,
+        stream=_flag(fields, "stream"),
+        max_tokens=_limit(fields),
+        fields=fields,
+    )
+
+
+def prompt_body(
+    request: CompletionRequest, prompt: list[Any], max_tokens: int
+) -> bytes:
+    """Returns the body for an engine: the whole prompt, streamed."""
+    fields = dict(request.fields)
+    fields["messages"] = prompt
+    fields["stream"] = True
+    fields["max_tokens"] = max_tokens
+    fields["stream_options"] = {"include_usage": True}
+    return codec.to_json(fields)
+
+
+def estimate_tokens(messages: list[Any]) -> int:
+    """Returns a rough count of the tokens of messages."""
+    return len(codec.to_json(messages)) // _BYTES_PER_TOKEN + 1
+
+
+class Assembly:
+    """Joins the chunks of one call's attempts into its answer."""
+
+    def __init__(self) -> None:
+        self.text = ""
+        self.tokens = 0
+        self.usage: dict[str, Any] = {}
+        self._finish_reason: str | None = None
+        self._tool_calls: dict[int, dict[str, Any]] = {}
+        self._head: dict[str, Any] = {}
+        self._to_skip = ""
+
+    def restart(self) -> None:
+        """Expects another attempt to repeat what was passed on so far.
+
+        Raises:
+            DivergedError: Tool calls were passed on, which cannot be matched.
+        """
+        if self._tool_calls:
+            raise DivergedError("tool calls were passed on already")
+        self._to_skip = self.text
+        self.text = ""
+        self.tokens = 0
+
+    def add(self, chunk: bytes) -> bytes | None:
+        """Takes a chunk and returns what is to be passed on, if anything.
+
+        Raises:
+            DivergedError: The chunk differs from what was passed on.
+            errors.CodecError: The chunk is no JSON object.
+        """
+        fields = codec.from_json(chunk, dict[str, Any])
+        self._head = self._head or fields
+        if isinstance(fields.get("usage"), dict):
+            self.usage = fields["usage"]
+        choices = fields.get("choices") or []
+        if not choices:
+            return None
+        choice = choices[0]
+        delta = choice.get("delta") or {}
+        self._finish_reason = choice.get("finish_reason") or self._finish_reason
+        self._add_tool_calls(delta.get("tool_calls") or [])
+        content = delta.get("content") or ""
+        self.text += content
+        self.tokens += 1 if content else 0
+        if not self._to_skip or not content:
+            return None if self._to_skip else chunk
+        return self._skip(fields, content)
+
+    def message(self) -> dict[str, Any]:
+        """Returns the assistant's message."""
+        message: dict[str, Any] = {"role": "assistant", "content": self.text}
+        if self._tool_calls:
+            message["tool_calls"] = [
+                self._tool_calls[index] for index in sorted(self._tool_calls)
+            ]
+        return message
+
+    def used_tokens(self) -> int:
+        """Returns the generated tokens, as reported or as counted."""
+        reported = self.usage.get("completion_tokens")
+        return reported if isinstance(reported, int) else self.tokens
+
+    def body(self, program: str) -> str:
+        """Returns the whole answer in the usual form without streaming."""
+        answer = {
+            "id": self._head.get("id", ""),
+            "object": "chat.completion",
+            "created": self._head.get("created", 0),
+            "model": self._head.get("model", ""),
+            "choices": [
+                {
+                    "index": 0,
+                    "message": self.message(),
+                    "finish_reason": self._finish_reason or "stop",
+                }
+            ],
+            "usage": self.usage,
+        }
+        return codec.to_json(answer).decode()
+
+    def _skip(self, fields: dict[str, Any], content: str) -> bytes | None:
+        expected = self._to_skip
+        if len(content) <= len(expected):
+            if not expected.startswith(content):
+                raise DivergedError("the attempts' answers differ")
+            self._to_skip = expected[len(content) :]
+            return None
+        if not content.startswith(expected):
+            raise DivergedError("the attempts' answers differ")
+        self._to_skip = ""
+        fields["choices"][0]["delta"]["content"] = content[len(expected) :]
+        return codec.to_json(fields)
+
+    def _add_tool_calls(self, deltas: list[dict[str, Any]]) -> None:
+        for delta in deltas:
+            index = int(delta.get("index", 0))
+            known = self._tool_calls.setdefault(
+                index,
+                {
+                    "id": delta.get("id", ""),
+                    "type": "function",
+                    "function": {"name": "", "arguments": ""},
+                },
+            )
+            function = delta.get("function") or {}
+            known["function"]["name"] += function.get("name") or ""
+            known["function"]["arguments"] += function.get("arguments") or ""
+
+
+def replay_chunk(body: str) -> bytes:
+    """Returns a whole answer as the one chunk of a stream."""
+    answer = codec.from_json(body.encode(), dict[str, Any])
+    choice = answer["choices"][0]
+    chunk = {
+        "id": answer.get("id", ""),
+        "object": "chat.completion.chunk",
+        "created": answer.get("created", 0),
+        "model": answer.get("model", ""),
+        "choices": [
+            {
+                "index": 0,
+                "delta": choice["message"],
+                "finish_reason": choice["finish_reason"],
+            }
+        ],
+    }
+    return codec.to_json(chunk)
+
+
+def _flag(fields: dict[str, Any], name: str) -> bool:
+    value = fields.get(name, False)
+    if not isinstance(value, bool):
+        raise InvalidRequestError(f"{name}: true or false is needed")
+    return value
+
+
+def _limit(fields: dict[str, Any]) -> int | None:
+    value = fields.get("max_tokens", fields.get("max_completion_tokens"))
+    if value is None:
+        return None
+    if not isinstance(value, int) or isinstance(value, bool) or value < 1:
+        raise InvalidRequestError("max_tokens: a positive number is needed")
+    return value
--- /dev/null
+++ b/quetzalmill/doubt.py
@@ -0,0 +1,114 @@
+"""Settles whether an earlier home may have started a non-idempotent call.
+
+After a takeover the new home asks every sidecar that could have got the call,
+and fences the old epoch there. Only if all of them have run since before the
+call could be sent, remember everything, and have not seen it, may it run.
+"""
+
+import attrs
+import trio
+
+from quetzalmill import configuration
+from quetzalmill import errors
+from quetzalmill import executor_link
+from quetzalmill import messages
+from quetzalmill import objects
+from quetzalmill import programs
+from quetzalmill import routing
+
+
+@attrs.frozen(kw_only=True)
+class NotStarted:
+    """The call was started nowhere, and the old home cannot start it."""
+
+
+@attrs.frozen(kw_only=True)
+class StartedAt:
+    """The call was started at a sidecar that remembers it.
+
+    Attributes:
+        target: An endpoint of that sidecar.
+    """
+
+    target: routing.Target
+
+
+@attrs.frozen(kw_only=True)
+class CannotTell:
+    """Some sidecar could not rule the call out.
+
+    Attributes:
+        reason: One sentence on which and why.
+    """
+
+    reason: str
+
+
+Finding = NotStarted | StartedAt | CannotTell
+
+
+async def investigate(
+    family: programs.Family,
+    program: programs.Program,
+    call: messages.Call,
+    *,
+    config: configuration.Configuration,
+    router: routing.Router,
+    link: executor_link.ExecutorLink,
+) -> Finding:
+    """Fences the old home at every sidecar of the call's target."""
+    since_offset = program.decided_offset
+    if config.routing_revision > since_offset:
+        return CannotTell(reason="the routing has changed since")
+    request = messages.FenceRequest(
+        root=family.root,
+        epoch=family.epoch,
+        program=call.program,
+        call=call.number,
+    )
+    targets = {
+        spec.host: routing.Target(endpoint=name, host=spec.host)
+        for name, spec in router.matching(call.kind, call.target).items()
+    }
+    findings: list[Finding] = []
+
+    async def ask(target: routing.Target) -> None:
+        findings.append(await _ask(target, request, since_offset, config, link))
+
+    async with trio.open_nursery() as nursery:
+        for target in targets.values():
+            nursery.start_soon(ask, target)
+    return _worst(findings)
+
+
+async def _ask(
+    target: routing.Target,
+    request: messages.FenceRequest,
+    since_offset: int,
+    config: configuration.Configuration,
+    link: executor_link.ExecutorLink,
+) -> Finding:
+    try:
+        reply = await link.fence(target.host, request)
+    except errors.ControlError as error:
+        return CannotTell(reason=str(error))
+    if reply.seen:
+        return StartedAt(target=target)
+    process = config.get(objects.PROCESS, target.host)
+    if process is None or process.spec.get("instance") != reply.instance:
+        return CannotTell(reason=f"the process on {target.host} is not known")
+    if process.revision > since_offset:
+        return CannotTell(reason=f"{target.host} has restarted since")
+    if not reply.complete:
+        return CannotTell(reason=f"{target.host} has forgotten older calls")
+    return NotStarted()
+
+
+def _worst(findings: list[Finding]) -> Finding:
+    for finding in findings:
+        if isinstance(finding, StartedAt):
+            return finding
+    for finding in findings:
+        if isinstance(finding, CannotTell):
+            return finding
+    return NotStarted()
--- /dev/null
+++ b/quetzalmill/endpoint_port.py
@@ -0,0 +1,192 @@
+"""The port to model engines and plain services.
+
+It speaks the endpoints' HTTP protocols and states each failure as not done or
+as unknown. The first byte of a request sent is the point after which a failure
+is unknown. No header or body that it sends holds a caller's key.
+"""
+
+from collections.abc import AsyncIterator
+import contextlib
+from typing import Any
+
+import attrs
+
+from quetzalmill import codec
+from quetzalmill import errors
+from quetzalmill import http_client
+from quetzalmill import http_message
+from quetzalmill import messages
+from quetzalmill import sse
+
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""The largest answer of an endpoint."""
+
+_HOUSEKEEPING_TIMEOUT_MS = 2_000.0
+
+
+@attrs.frozen(kw_only=True)
+class ServiceAnswer:
+    """The whole answer of a plain service."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class EndpointPort:
+    """Reaches the endpoints beside one sidecar."""
+
+    def __init__(self, client: http_client.HttpClient) -> None:
+        self._client = client
+
+    @contextlib.asynccontextmanager
+    async def run_model(
+        self, address: str, execution: messages.Execution, timeout_ms: float
+    ) -> AsyncIterator[AsyncIterator[bytes]]:
+        """Runs a model call and yields the chunks of the usual stream.
+
+        Raises:
+            errors.NotDoneError: The engine was not reached or refused.
+            errors.OutcomeUnknownError: The answer broke off.
+        """
+        call = execution.call
+        request = http_message.Request(
+            method="POST",
+            path="/v1/chat/completions",
+            headers={
+                "content-type": "application/json",
+                "x-request-id": request_id(execution),
+                "x-session": call.program,
+                "x-priority": "0",
+            },
+            body=call.body,
+        )
+        try:
+            async with self._client.stream(
+                address,
+                request,
+                timeout_ms=timeout_ms,
+                idle_timeout_ms=timeout_ms,
+                fresh_connection=not call.idempotent,
+                max_body_bytes=MAX_ANSWER_BYTES,
+            ) as response:
+                if response.status != 200:
+                    raise errors.NotDoneError(
+                        f"the engine answered {response.status}"
+                    )
+                yield _events_of(response)
+        except errors.ConnectFailedError as error:
+            raise errors.NotDoneError(str(error)) from error
+        except errors.HttpError as error:
+            raise errors.OutcomeUnknownError(str(error)) from error
+
+    async def run_service(
+        self, address: str, execution: messages.Execution, timeout_ms: float
+    ) -> ServiceAnswer:
+        """Runs a call of a plain service.
+
+        Raises:
+            errors.NotDoneError: No byte of the request was sent.
+            errors.OutcomeUnknownError: The call may have run.
+        """
+        call = execution.call
+        request = http_message.Request(
+            method=call.method,
+            path=call.path,
+            headers={
+                "content-type": call.content_type,
+                "x-request-id": request_id(execution),
+            },
+            body=call.body,
+        )
+        try:
+            response = await self._client.request(
+                address,
+                request,
+                timeout_ms=timeout_ms,
+                fresh_connection=True,
+                max_body_bytes=MAX_ANSWER_BYTES,
+            )
+        except errors.ConnectFailedError as error:
+            raise errors.NotDoneError(str(error)) from error
+        except errors.HttpError as error:
+            raise errors.OutcomeUnknownError(str(error)) from error
+        return ServiceAnswer(
+            status=response.status,
+            content_type=response.headers.get("content-type", ""),
+            body=response.body,
+        )
+
+    async def cancel(self, address: str, execution: messages.Execution) -> None:
+        """Tells an engine that nobody waits for a request any more."""
+        await self._post(
+            address, "/cancel", {"request_id": request_id(execution)}
+        )
+
+    async def release(self, address: str, session: str) -> None:
+        """Frees the memory that an engine holds for a program."""
+        await self._post(address, "/kv/release", {"session": session})
+
+    async def sessions(self, address: str) -> dict[str, int]:
+        """Returns the programs whose history an engine holds, in tokens."""
+        body = await self._request(address, "GET", "/kv", b"")
+        listed = codec.from_json(body, dict[str, dict[str, int]])
+        return listed.get("sessions", {})
+
+    async def is_up(self, address: str) -> bool:
+        """Returns whether an endpoint accepts a connection."""
+        request = http_message.Request(method="GET", path="/load")
+        try:
+            await self._client.request(
+                address,
+                request,
+                timeout_ms=_HOUSEKEEPING_TIMEOUT_MS,
+                fresh_connection=True,
+            )
+        except errors.ConnectFailedError:
+            return False
+        except errors.HttpError:
+            return True
+        return True
+
+    async def _post(self, address: str, path: str, body: Any) -> None:
+        await self._request(address, "POST", path, codec.to_json(body))
+
+    async def _request(
+        self, address: str, method: str, path: str, body: bytes
+    ) -> bytes:
+        request = http_message.Request(method=method, path=path, body=body)
+        try:
+            response = await self._client.request(
+                address,
+                request,
+                timeout_ms=_HOUSEKEEPING_TIMEOUT_MS,
+                idempotent=True,
+                max_body_bytes=MAX_ANSWER_BYTES,
+            )
+        except errors.HttpError as error:
+            raise errors.NotDoneError(str(error)) from error
+        return response.body
+
+
+def request_id(execution: messages.Execution) -> str:
+    """Returns the id that an endpoint knows an attempt by.
+
+    A call that must not run twice has one id for all attempts.
+    """
+    call = execution.call
+    if not call.idempotent:
+        return f"{call.program}/{call.number}"
+    return f"{call.program}/{call.number}/{execution.epoch}.{execution.attempt}"
+
+
+async def _events_of(
+    response: http_client.StreamedResponse,
+) -> AsyncIterator[bytes]:
+    parser = sse.SseParser()
+    async for piece in response:
+        for event in parser.feed(piece):
+            if event.data == sse.DONE:
+                return
+            yield event.data.encode()
+    raise errors.ConnectionLostError("the engine's stream broke off")
--- /dev/null
+++ b/quetzalmill/endpoint_worker.py
@@ -0,0 +1,361 @@
+"""Runs the work of one endpoint: its queue, its slots, its failures.
+
+All requests to an endpoint pass the sidecar beside it, so running and queued
+work is counted exactly here. The worker asks its ``Rules`` before each start
+whether the request may still run, and tells them what happened.
+"""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+import trio
+
+from quetzalmill import answer
+from quetzalmill import clock as clock_module
+from quetzalmill import completion
+from quetzalmill import endpoint_port
+from quetzalmill import errors
+from quetzalmill import messages
+from quetzalmill import objects
+from quetzalmill import scheduler
+
+PREFILL_UNITS_PER_TOKEN = 0.05
+"""Service units of one prompt token; a generated token takes one unit."""
+
+SERVICE_UNITS = 32.0
+"""Service units of a plain service's call."""
+
+_SPEED_WEIGHT = 0.2
+_MIN_SAMPLES = 5
+_FULL_QUEUE_RETRY_MS = 1_000.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class Job:
+    """One attempt in the hands of a worker.
+
+    Attributes:
+        execution: What is to run.
+        answer: Where its frames go.
+        cost_units: Service units that it is expected to take.
+        deadline_ms: When its caller gives up, on this process's clock.
+        alone: Whether it must run with no other beside it.
+        scope: Cancels it while it runs.
+        started_ms: When it was sent to the endpoint, None before.
+    """
+
+    execution: messages.Execution
+    answer: answer.Answer
+    cost_units: float
+    deadline_ms: float
+    alone: bool
+    scope: trio.CancelScope | None = None
+    started_ms: float | None = None
+
+
+class Rules(Protocol):
+    """What a worker has to ask and to tell around each run."""
+
+    def refusal(self, job: Job) -> messages.Frame | None:
+        """Returns the frame that refuses a job now, None if it may run."""
+
+    def starting(self, job: Job) -> None:
+        """Is told just before the first byte goes to the endpoint."""
+
+    def not_started(self, job: Job) -> None:
+        """Is told that no byte went to the endpoint after all."""
+
+    async def crashed(self, job: Job) -> None:
+        """Is told that the endpoint ended while it ran the job."""
+
+    def ended_well(self, job: Job) -> None:
+        """Is told that the job ended with an answer."""
+
+
+class EndpointWorker:
+    """The queue and the running work of one endpoint."""
+
+    def __init__(
+        self,
+        name: str,
+        spec: objects.EndpointSpec,
+        *,
+        port: endpoint_port.EndpointPort,
+        rules: Rules,
+        queue: scheduler.FairQueue[Job],
+        nursery: trio.Nursery,
+        clock: clock_module.Clock,
+        max_queue: int,
+        failure_ms: float,
+        weight_of: Callable[[str], float],
+    ) -> None:
+        self.name = name
+        self.spec = spec
+        self._port = port
+        self._rules = rules
+        self._queue = queue
+        self._nursery = nursery
+        self._clock = clock
+        self._max_queue = max_queue
+        self._failure_ms = failure_ms
+        self._weight_of = weight_of
+        self._running: list[Job] = []
+        self._down_until_ms = 0.0
+        self._units_per_s = 0.0
+        self._samples = 0
+
+    @property
+    def idle(self) -> bool:
+        """Returns whether nothing runs or waits."""
+        return not self._running and not len(self._queue)
+
+    def load(self) -> messages.EndpointLoad:
+        """Returns the work here for other processes' decisions."""
+        running_units = sum(job.cost_units for job in self._running)
+        return messages.EndpointLoad(
+            endpoint=self.name,
+            running=len(self._running),
+            queued=len(self._queue),
+            waiting_units=running_units + self._queue.waiting_units(),
+            units_per_s=self._units_per_s * self.spec.slots,
+            up=self._clock.now_ms() >= self._down_until_ms,
+        )
+
+    def submit(self, job: Job) -> None:
+        """Queues a job or refuses it at once."""
+        refusal = self._rules.refusal(job) or self._no_room(job)
+        if refusal is not None:
+            job.answer.append(refusal)
+            return
+        call = job.execution.call
+        self._queue.push(
+            scheduler.Waiting(
+                item=job,
+                team=call.team,
+                weight=self._weight_of(call.team),
+                cost_units=job.cost_units,
+                attained_units=job.execution.attained_units,
+                arrived_ms=self._clock.now_ms(),
+                deadline_ms=job.deadline_ms,
+                alone=job.alone,
+            )
+        )
+        self.pump()
+
+    def pump(self) -> None:
+        """Starts as many jobs as the slots allow."""
+        while self._has_slot():
+            waiting = self._queue.pop(self._clock.now_ms())
+            if waiting is None:
+                return
+            if waiting.item.alone and self._running:
+                self._queue.push(waiting)
+                return
+            self._start(waiting.item)
+
+    def recheck(self) -> None:
+        """Refuses queued jobs that may no longer run or came too late."""
+        now_ms = self._clock.now_ms()
+        for waiting in self._queue.all_waiting():
+            job = waiting.item
+            refusal = self._rules.refusal(job)
+            if refusal is None and now_ms >= job.deadline_ms:
+                refusal = _too_late(job)
+            if refusal is not None:
+                self._queue.remove(waiting)
+                job.answer.append(refusal)
+        self.pump()
+
+    def withdraw(self, job: Job) -> bool:
+        """Takes a queued job out; returns whether it was queued."""
+        for waiting in self._queue.all_waiting():
+            if waiting.item is job:
+                self._queue.remove(waiting)
+                return True
+        return False
+
+    def _has_slot(self) -> bool:
+        if any(job.alone for job in self._running):
+            return False
+        return len(self._running) < self.spec.slots
+
+    def _no_room(self, job: Job) -> messages.Frame | None:
+        now_ms = self._clock.now_ms()
+        call = job.execution.call
+        if now_ms < self._down_until_ms:
+            return answer.failed(
+                call,
+                status=503,
+                code="endpoint_down",
+                message=f"endpoint {self.name} does not answer",
+                retry_after_ms=self._down_until_ms - now_ms,
+                attempt=job.execution.attempt,
+            )
+        if len(self._queue) >= self._max_queue:
+            return answer.failed(
+                call,
+                status=503,
+                code="queue_full",
+                message=f"the queue of endpoint {self.name} is full",
+                retry_after_ms=_FULL_QUEUE_RETRY_MS,
+                attempt=job.execution.attempt,
+            )
+        wait_ms = self._expected_ms(job)
+        if wait_ms > job.deadline_ms - now_ms:
+            return answer.failed(
+                call,
+                status=503,
+                code="deadline_out_of_reach",
+                message="the call cannot end before its deadline",
+                retry_after_ms=wait_ms,
+                attempt=job.execution.attempt,
+            )
+        return None
+
+    def _expected_ms(self, job: Job) -> float:
+        if self._samples < _MIN_SAMPLES or self._units_per_s <= 0.0:
+            return 0.0
+        own_ms = job.cost_units / self._units_per_s * 1000.0
+        if len(self._running) < self.spec.slots:
+            return own_ms
+        speed = self._units_per_s * self.spec.slots
+        return self._queue.waiting_units() / speed * 1000.0 + own_ms
+
+    def _start(self, job: Job) -> None:
+        refusal = self._rules.refusal(job)
+        if refusal is None and self._clock.now_ms() >= job.deadline_ms:
+            refusal = _too_late(job)
+        if refusal is not None:
+            job.answer.append(refusal)
+            return
+        self._running.append(job)
+        self._nursery.start_soon(self._run, job)
+
+    async def _run(self, job: Job) -> None:
+        job.started_ms = self._clock.now_ms()
+        left_ms = max(1.0, job.deadline_ms - job.started_ms)
+        self._rules.starting(job)
+        with trio.move_on_after(left_ms / 1000.0) as job.scope:
+            await self._exchange(job, left_ms)
+        if job.scope.cancelled_caught:
+            job.answer.append(_gave_up(job))
+        self._running.remove(job)
+        self.pump()
+
+    async def _exchange(self, job: Job, left_ms: float) -> None:
+        call = job.execution.call
+        try:
+            if call.kind is messages.CallKind.MODEL:
+                await self._exchange_model(job, left_ms)
+            else:
+                await self._exchange_service(job, left_ms)
+        except errors.NotDoneError as error:
+            self._rules.not_started(job)
+            self._down_until_ms = self._clock.now_ms() + self._failure_ms
+            job.answer.append(self._failure(job, messages.Ran.NO, str(error)))
+        except errors.OutcomeUnknownError as error:
+            await self._after_break(job)
+            job.answer.append(
+                self._failure(job, messages.Ran.UNKNOWN, str(error))
+            )
+        else:
+            self._measure(job)
+            self._rules.ended_well(job)
+
+    async def _exchange_model(self, job: Job, left_ms: float) -> None:
+        execution = job.execution
+        async with self._port.run_model(
+            self.spec.address, execution, left_ms
+        ) as chunks:
+            async for chunk in chunks:
+                job.answer.append(
+                    self._frame(job, messages.FrameKind.DATA, data=chunk)
+                )
+        job.answer.append(self._frame(job, messages.FrameKind.END))
+
+    async def _exchange_service(self, job: Job, left_ms: float) -> None:
+        result = await self._port.run_service(
+            self.spec.address, job.execution, left_ms
+        )
+        job.answer.append(
+            messages.Frame(
+                program=job.execution.call.program,
+                call=job.execution.call.number,
+                attempt=job.execution.attempt,
+                kind=messages.FrameKind.END,
+                status=result.status,
+                content_type=result.content_type,
+                data=result.body,
+            )
+        )
+
+    async def _after_break(self, job: Job) -> None:
+        if await self._port.is_up(self.spec.address):
+            return
+        self._down_until_ms = self._clock.now_ms() + self._failure_ms
+        await self._rules.crashed(job)
+
+    def _measure(self, job: Job) -> None:
+        if job.started_ms is None:
+            return
+        took_ms = max(1.0, self._clock.now_ms() - job.started_ms)
+        speed = job.cost_units / took_ms * 1000.0
+        if self._samples == 0:
+            self._units_per_s = speed
+        self._samples += 1
+        self._units_per_s += _SPEED_WEIGHT * (speed - self._units_per_s)
+
+    def _frame(
+        self, job: Job, kind: messages.FrameKind, data: bytes = b""
+    ) -> messages.Frame:
+        return messages.Frame(
+            program=job.execution.call.program,
+            call=job.execution.call.number,
+            attempt=job.execution.attempt,
+            kind=kind,
+            data=data,
+        )
+
+    def _failure(
+        self, job: Job, ran: messages.Ran, reason: str
+    ) -> messages.Frame:
+        return answer.failed(
+            job.execution.call,
+            status=503 if ran is messages.Ran.NO else 502,
+            code="endpoint_failed",
+            message=f"endpoint {self.name}: {reason}",
+            ran=ran,
+            retry_after_ms=self._failure_ms,
+            attempt=job.execution.attempt,
+        )
+
+
+def cost_units(execution: messages.Execution) -> float:
+    """Returns the service units that an execution is expected to take."""
+    if execution.call.kind is messages.CallKind.SERVICE:
+        return SERVICE_UNITS
+    prefill = execution.prompt_tokens * PREFILL_UNITS_PER_TOKEN
+    expected = min(execution.answer_tokens, completion.DEFAULT_ANSWER_TOKENS)
+    return prefill + expected
+
+
+def _too_late(job: Job) -> messages.Frame:
+    return answer.failed(
+        job.execution.call,
+        status=504,
+        code="deadline",
+        message="the deadline passed before the call was started",
+        attempt=job.execution.attempt,
+    )
+
+
+def _gave_up(job: Job) -> messages.Frame:
+    return answer.failed(
+        job.execution.call,
+        status=504,
+        code="deadline",
+        message="the call was cut off at its deadline",
+        ran=messages.Ran.UNKNOWN,
+        attempt=job.execution.attempt,
+    )
--- /dev/null
+++ b/quetzalmill/executor.py
@@ -0,0 +1,302 @@
+"""Runs attempts at the endpoints beside this sidecar, at most once each.
+
+The executor remembers every non-idempotent call that it has started. The same
+call sent again gets the same answer, never a second run. A new home fences the
+epochs of the old one here, and learns whether the old one's call was started.
+"""
+
+import collections
+from collections.abc import Awaitable, Callable
+
+import attrs
+import trio
+
+from quetzalmill import answer
+from quetzalmill import clock as clock_module
+from quetzalmill import configuration
+from quetzalmill import endpoint_port
+from quetzalmill import endpoint_worker
+from quetzalmill import messages
+from quetzalmill import objects
+from quetzalmill import scheduler
+from quetzalmill import suspects
+
+REMEMBERED_STARTS = 200_000
+"""Non-idempotent calls that are remembered as started."""
+
+KEPT_ANSWERS = 2_048
+"""Answers that are kept for the same call sent again."""
+
+REMEMBERED_FENCES = 200_000
+"""Root programs whose fenced epoch is remembered."""
+
+_Key = tuple[str, int, int, int]
+
+
+@attrs.frozen(kw_only=True)
+class Options:
+    """How an executor runs work.
+
+    Attributes:
+        host: This sidecar's host.
+        instance: This process.
+        fair_queue: Whether teams share endpoints fairly, or first come.
+        max_queue: Requests that may wait before one endpoint.
+        failure_ms: How long a failed endpoint gets no request.
+    """
+
+    host: str
+    instance: str
+    fair_queue: bool
+    max_queue: int
+    failure_ms: float
+
+
+class Executor:
+    """The attempts at this sidecar's endpoints."""
+
+    def __init__(
+        self,
+        options: Options,
+        *,
+        config: configuration.Configuration,
+        port: endpoint_port.EndpointPort,
+        known_suspects: suspects.Suspects,
+        report: Callable[[messages.Suspect], Awaitable[None]],
+        nursery: trio.Nursery,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._options = options
+        self._config = config
+        self._port = port
+        self._suspects = known_suspects
+        self._report = report
+        self._nursery = nursery
+        self._clock = clock
+        self._workers: dict[str, endpoint_worker.EndpointWorker] = {}
+        self._jobs: collections.OrderedDict[_Key, endpoint_worker.Job] = (
+            collections.OrderedDict()
+        )
+        self._started: collections.OrderedDict[tuple[str, int], None] = (
+            collections.OrderedDict()
+        )
+        self._fences: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._forgot_starts = False
+        self.leaving = False
+
+    @property
+    def idle(self) -> bool:
+        """Returns whether no endpoint has work."""
+        return all(worker.idle for worker in self._workers.values())
+
+    def loads(self) -> list[messages.EndpointLoad]:
+        """Returns the load of each endpoint."""
+        return [worker.load() for worker in self._workers.values()]
+
+    def configuration_changed(self) -> None:
+        """Brings endpoints and queued work to the newest configuration."""
+        mine = {
+            name: spec
+            for name, spec in self._config.specs(
+                objects.ENDPOINT, objects.EndpointSpec
+            ).items()
+            if spec.host == self._options.host
+        }
+        for name, spec in mine.items():
+            worker = self._workers.get(name)
+            if worker is None:
+                self._workers[name] = self._new_worker(name, spec)
+            else:
+                worker.spec = spec
+        for name in [n for n in self._workers if n not in mine]:
+            if self._workers[name].idle:
+                del self._workers[name]
+        for worker in self._workers.values():
+            worker.recheck()
+
+    def submit(self, execution: messages.Execution) -> answer.Answer:
+        """Starts an attempt, or returns the answer that it already has."""
+        key = _key_of(execution)
+        known = self._jobs.get(key)
+        if known is not None and _did_run(known.answer):
+            return known.answer
+        job = endpoint_worker.Job(
+            execution=execution,
+            answer=answer.Answer(),
+            cost_units=endpoint_worker.cost_units(execution),
+            deadline_ms=self._clock.now_ms() + execution.call.time_left_ms,
+            alone=execution.call.suspect
+            or self._suspects.is_suspect(execution.call.fingerprint),
+        )
+        worker = self._workers.get(execution.endpoint)
+        if worker is None:
+            job.answer.append(self._not_here(job))
+            return job.answer
+        worker.submit(job)
+        if _did_run(job.answer):
+            self._keep(key, job)
+        return job.answer
+
+    def abandon(self, execution: messages.Execution) -> None:
+        """Gives up an idempotent attempt that nobody waits for any more."""
+        job = self._jobs.get(_key_of(execution))
+        worker = self._workers.get(execution.endpoint)
+        if job is None or worker is None or job.answer.readers:
+            return
+        if job.answer.ended or not execution.call.idempotent:
+            return
+        worker.withdraw(job)
+        if job.scope is not None:
+            job.scope.cancel()
+        self._jobs.pop(_key_of(execution), None)
+
+    def fence(self, request: messages.FenceRequest) -> messages.FenceReply:
+        """Refuses older epochs from now on and tells what was started."""
+        self._fences[request.root] = max(
+            self._fences.get(request.root, 0), request.epoch
+        )
+        self._fences.move_to_end(request.root)
+        while len(self._fences) > REMEMBERED_FENCES:
+            self._fences.popitem(last=False)
+        return messages.FenceReply(
+            instance=self._options.instance,
+            seen=(request.program, request.call) in self._started,
+            complete=not self._forgot_starts,
+        )
+
+    # The methods below are the workers' ``Rules``.
+
+    def refusal(self, job: endpoint_worker.Job) -> messages.Frame | None:
+        """Returns why a job may not run now, None if it may."""
+        execution = job.execution
+        call = execution.call
+        if self.leaving:
+            return _refused(job, 503, "leaving", "the endpoint takes no work")
+        if execution.epoch < self._fences.get(execution.root, 0):
+            return _refused(job, 409, "fenced", "a newer home has taken over")
+        if self._suspects.is_quarantined(call.fingerprint):
+            return _refused(
+                job, 422, "quarantined", "the request ended endpoints before"
+            )
+        if (call.program, call.number) in self._started:
+            return _refused(
+                job,
+                502,
+                "already_started",
+                "the call was started before",
+                ran=messages.Ran.UNKNOWN,
+            )
+        return self._not_allowed(job)
+
+    def starting(self, job: endpoint_worker.Job) -> None:
+        """Records a non-idempotent call before its first byte is sent."""
+        call = job.execution.call
+        if call.idempotent:
+            return
+        self._started[(call.program, call.number)] = None
+        while len(self._started) > REMEMBERED_STARTS:
+            self._started.popitem(last=False)
+            self._forgot_starts = True
+
+    def not_started(self, job: endpoint_worker.Job) -> None:
+        """Takes the record back, since no byte was sent."""
+        call = job.execution.call
+        self._started.pop((call.program, call.number), None)
+        self._jobs.pop(_key_of(job.execution), None)
+
+    async def crashed(self, job: endpoint_worker.Job) -> None:
+        """Makes the job's request a suspect and tells the entries."""
+        call = job.execution.call
+        suspect = self._suspects.crashed(call.fingerprint, call.team)
+        await self._report(suspect)
+
+    def ended_well(self, job: endpoint_worker.Job) -> None:
+        """Clears the job's request if it ran alone."""
+        if job.alone:
+            self._suspects.clear(job.execution.call.fingerprint)
+
+    def _not_allowed(self, job: endpoint_worker.Job) -> messages.Frame | None:
+        call = job.execution.call
+        if not call.key_id:
+            return None
+        key = self._config.key(call.key_id)
+        if key is None or key.withdrawn or key.team != call.team:
+            return _refused(job, 401, "key_withdrawn", "the key is withdrawn")
+        if self._config.team(call.team) is None:
+            return _refused(job, 403, "team_unknown", "the team is gone")
+        return None
+
+    def _not_here(self, job: endpoint_worker.Job) -> messages.Frame:
+        return _refused(
+            job,
+            503,
+            "endpoint_elsewhere",
+            f"endpoint {job.execution.endpoint} is not served here",
+        )
+
+    def _keep(self, key: _Key, job: endpoint_worker.Job) -> None:
+        self._jobs[key] = job
+        while len(self._jobs) > KEPT_ANSWERS:
+            oldest = next(iter(self._jobs))
+            if not self._jobs[oldest].answer.ended:
+                return
+            del self._jobs[oldest]
+
+    def _new_worker(
+        self, name: str, spec: objects.EndpointSpec
+    ) -> endpoint_worker.EndpointWorker:
+        queue: scheduler.FairQueue[endpoint_worker.Job] = (
+            scheduler.FairQueue()
+            if self._options.fair_queue
+            else scheduler.FifoQueue()
+        )
+        return endpoint_worker.EndpointWorker(
+            name,
+            spec,
+            port=self._port,
+            rules=self,
+            queue=queue,
+            nursery=self._nursery,
+            clock=self._clock,
+            max_queue=self._options.max_queue,
+            failure_ms=self._options.failure_ms,
+            weight_of=self._weight_of,
+        )
+
+    def _weight_of(self, team: str) -> float:
+        spec = self._config.team(team)
+        return spec.weight if spec else 1.0
+
+
+def _key_of(execution: messages.Execution) -> _Key:
+    call = execution.call
+    if not call.idempotent:
+        return (call.program, call.number, 0, 0)
+    return (call.program, call.number, execution.epoch, execution.attempt)
+
+
+def _did_run(found: answer.Answer) -> bool:
+    last = found.last
+    if last is None or last.kind is not messages.FrameKind.FAILED:
+        return True
+    return last.ran is not messages.Ran.NO
+
+
+def _refused(
+    job: endpoint_worker.Job,
+    status: int,
+    code: str,
+    message: str,
+    ran: messages.Ran = messages.Ran.NO,
+) -> messages.Frame:
+    return answer.failed(
+        job.execution.call,
+        status=status,
+        code=code,
+        message=message,
+        ran=ran,
+        retry_after_ms=1_000.0 if status == 503 else None,
+        attempt=job.execution.attempt,
+    )
--- /dev/null
+++ b/quetzalmill/executor_link.py
@@ -0,0 +1,116 @@
+"""Reaches the executors: this sidecar's own and those of other sidecars."""
+
+from collections.abc import AsyncIterator
+import contextlib
+
+from quetzalmill import answer
+from quetzalmill import codec
+from quetzalmill import control
+from quetzalmill import errors
+from quetzalmill import executor
+from quetzalmill import fleet_view
+from quetzalmill import http_client
+from quetzalmill import http_message
+from quetzalmill import messages
+
+EXECUTIONS_PATH = "/internal/v1/executions"
+
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+"""The largest answer that is read from another sidecar."""
+
+
+class ExecutorLink:
+    """Runs executions at any sidecar."""
+
+    def __init__(
+        self,
+        host: str,
+        *,
+        local: executor.Executor,
+        client: http_client.HttpClient,
+        control_client: control.ControlClient,
+        fleet: fleet_view.FleetView,
+        timeout_ms: float,
+    ) -> None:
+        self._host = host
+        self._local = local
+        self._client = client
+        self._control = control_client
+        self._fleet = fleet
+        self._timeout_ms = timeout_ms
+        self.mismatched_frames = 0
+
+    @contextlib.asynccontextmanager
+    async def run(
+        self, host: str, execution: messages.Execution
+    ) -> AsyncIterator[AsyncIterator[messages.Frame]]:
+        """Runs an execution at a sidecar and yields its frames.
+
+        Raises:
+            errors.ConnectFailedError: The execution was not handed over.
+            errors.HttpError: The answer broke off; it may have run.
+        """
+        if host == self._host:
+            found = self._local.submit(execution)
+            try:
+                yield found.follow()
+            finally:
+                self._local.abandon(execution)
+            return
+        process = self._fleet.process(host)
+        if process is None:
+            raise errors.ConnectFailedError(f"host {host} is unknown")
+        request = http_message.Request(
+            method="POST",
+            path=EXECUTIONS_PATH,
+            body=codec.to_msgpack(execution),
+        )
+        async with self._client.stream(
+            process.http_address,
+            request,
+            timeout_ms=self._timeout_ms,
+            idle_timeout_ms=execution.call.time_left_ms,
+            idempotent=True,
+            max_body_bytes=MAX_ANSWER_BYTES,
+        ) as response:
+            if response.status != 200:
+                raise errors.BadMessageError(
+                    f"host {host} answered {response.status}", 502
+                )
+            yield self._frames(response, execution)
+
+    async def fence(
+        self, host: str, request: messages.FenceRequest
+    ) -> messages.FenceReply:
+        """Fences an old home's epoch at a sidecar.
+
+        Raises:
+            errors.ControlError: The sidecar did not answer.
+        """
+        if host == self._host:
+            return self._local.fence(request)
+        process = self._fleet.process(host)
+        if process is None:
+            raise errors.ControlError(f"host {host} is unknown")
+        reply: messages.FenceReply = await self._control.call(
+            process.control_address,
+            messages.FENCE,
+            request,
+            timeout_ms=self._timeout_ms,
+        )
+        return reply
+
+    async def _frames(
+        self,
+        response: http_client.StreamedResponse,
+        execution: messages.Execution,
+    ) -> AsyncIterator[messages.Frame]:
+        call = execution.call
+        reader = answer.FrameReader(call.program, call.number)
+        last: messages.Frame | None = None
+        async for piece in response:
+            for frame in reader.feed(piece):
+                last = frame
+                yield frame
+        self.mismatched_frames += reader.mismatched
+        reader.require_end(last)
--- /dev/null
+++ b/quetzalmill/fleet_view.py
@@ -0,0 +1,150 @@
+"""What this process knows of the other processes and their endpoints.
+
+Evidence that a process leaves counts at once and sticks for that instance; a
+late report that it lives overrides none of it. Silence only stops new work.
+The module is plain synchronous code.
+"""
+
+import attrs
+
+from quetzalmill import configuration
+from quetzalmill import messages
+from quetzalmill import objects
+
+
+@attrs.frozen(kw_only=True)
+class HeardProcess:
+    """A process as last heard, directly or through an entry.
+
+    Attributes:
+        spec: The process.
+        applied_offset: The configuration offset that it had applied.
+        at_ms: When it was heard, on this process's clock.
+    """
+
+    spec: objects.ProcessSpec
+    applied_offset: int
+    at_ms: float
+
+
+class FleetView:
+    """Processes and loads, as heard and as published."""
+
+    def __init__(
+        self, config: configuration.Configuration, *, timeout_ms: float
+    ) -> None:
+        self._config = config
+        self._timeout_ms = timeout_ms
+        self._heard: dict[str, HeardProcess] = {}
+        self._loads: dict[str, tuple[messages.EndpointLoad, float]] = {}
+        self._leaving: set[tuple[str, str]] = set()
+        self._published: dict[str, str] = {}
+        self._replaced: set[tuple[str, str]] = set()
+
+    def configuration_changed(self) -> None:
+        """Notes which instances the newest configuration has replaced."""
+        for host, spec in self._config.specs(
+            objects.PROCESS, objects.ProcessSpec
+        ).items():
+            before = self._published.get(host)
+            if before is not None and before != spec.instance:
+                self._replaced.add((host, before))
+            self._published[host] = spec.instance
+            if spec.leaving:
+                self._leaving.add((host, spec.instance))
+
+    def note(
+        self,
+        host: str,
+        spec: objects.ProcessSpec,
+        *,
+        applied_offset: int,
+        at_ms: float,
+    ) -> None:
+        """Notes that a process was alive at ``at_ms``."""
+        if spec.leaving:
+            self._leaving.add((host, spec.instance))
+        known = self._heard.get(host)
+        if known is not None and known.at_ms > at_ms:
+            return
+        if (host, spec.instance) in self._replaced:
+            return
+        self._heard[host] = HeardProcess(
+            spec=spec, applied_offset=applied_offset, at_ms=at_ms
+        )
+
+    def note_leaving(self, host: str, instance: str) -> None:
+        """Notes that a process takes no new work; it sticks."""
+        self._leaving.add((host, instance))
+
+    def note_loads(
+        self, loads: list[messages.EndpointLoad], at_ms: float
+    ) -> None:
+        """Notes reports of endpoints' loads."""
+        for load in loads:
+            self._loads[load.endpoint] = (load, at_ms)
+
+    def load(self, endpoint: str) -> tuple[messages.EndpointLoad, float] | None:
+        """Returns an endpoint's last report and when it was noted."""
+        return self._loads.get(endpoint)
+
+    def loads(self) -> list[messages.EndpointLoad]:
+        """Returns every known report."""
+        return [load for load, _ in self._loads.values()]
+
+    def process(self, host: str) -> objects.ProcessSpec | None:
+        """Returns the newest process known on a host."""
+        heard = self._heard.get(host)
+        if heard is None or (host, heard.spec.instance) in self._replaced:
+            return self._config.process(host)
+        return heard.spec
+
+    def is_alive(self, host: str, now_ms: float) -> bool:
+        """Returns whether the host's newest process was heard lately."""
+        heard = self._heard.get(host)
+        if heard is None or now_ms - heard.at_ms > self._timeout_ms:
+            return False
+        return (host, heard.spec.instance) not in self._replaced
+
+    def is_leaving(self, host: str) -> bool:
+        """Returns whether the host's newest process takes no new work."""
+        process = self.process(host)
+        if process is None:
+            return False
+        return (host, process.instance) in self._leaving
+
+    def takes_work(self, host: str, now_ms: float) -> bool:
+        """Returns whether new work may go to a host."""
+        return self.is_alive(host, now_ms) and not self.is_leaving(host)
+
+    def is_gone(self, host: str, instance: str, now_ms: float) -> bool:
+        """Returns whether an instance was replaced or is silent."""
+        process = self.process(host)
+        if process is None or process.instance != instance:
+            return True
+        return not self.is_alive(host, now_ms)
+
+    def heard(self, role: str, now_ms: float) -> list[messages.Heard]:
+        """Returns the live processes of a role for other processes."""
+        return [
+            messages.Heard(
+                host=host,
+                spec=heard.spec,
+                applied_offset=heard.applied_offset,
+                age_ms=now_ms - heard.at_ms,
+            )
+            for host, heard in sorted(self._heard.items())
+            if heard.spec.role == role and self.is_alive(host, now_ms)
+        ]
+
+    def last_heard(self, host: str) -> HeardProcess | None:
+        """Returns a process as last heard."""
+        return self._heard.get(host)
+
+    def working_hosts(self, role: str, now_ms: float) -> list[str]:
+        """Returns the hosts of a role that take new work."""
+        return [
+            heard.host
+            for heard in self.heard(role, now_ms)
+            if self.takes_work(heard.host, now_ms)
+        ]
--- a/quetzalmill/messages.py
+++ b/quetzalmill/messages.py
@@ -260,6 +260,7 @@
         path: The path and query towards a service.
         content_type: The content type of ``body``.
         body: The request body; for a model the usual JSON request.
+        stream: Whether the caller wants a model's answer in pieces.
         idempotent: Whether the call may be run again.
         time_left_ms: How long the caller still waits.
         fingerprint: The fingerprint over team and content.
@@ -279,6 +280,7 @@
     path: str
     content_type: str
     body: bytes
+    stream: bool
     idempotent: bool
     time_left_ms: float
     fingerprint: str
@@ -298,7 +300,6 @@
         attempt: The number of the attempt, from 1.
         endpoint: The endpoint that runs it.
         attained_units: Service units that the program has had so far.
-        weight: The team's weight.
         prompt_tokens: An estimate of the prompt's length.
         answer_tokens: The most tokens that the answer may have.
     """
@@ -313,6 +314,57 @@
     answer_tokens: int
 
 
+@attrs.frozen(kw_only=True)
+class ProgramStart:
+    """Asks a home to start a program.
+
+    Attributes:
+        program: The new program's id; empty for a sub-program, whose id the
+            home chooses.
+        parent: The parent program; empty for a root.
+        team: The team that it belongs to.
+        calls: The budget's calls, None for no limit.
+        tokens: The budget's tokens, None for no limit.
+        time_ms: The budget's time under way, None for no limit.
+        deadline_ms: Time until the program's deadline, None for none.
+        applied_offset: The configuration offset that the sender decided by.
+    """
+
+    program: str
+    parent: str
+    team: str
+    calls: int | None
+    tokens: int | None
+    time_ms: float | None
+    deadline_ms: float | None
+    applied_offset: int
+
+
+@attrs.frozen(kw_only=True)
+class ProgramView:
+    """What callers are told of a program.
+
+    Attributes:
+        program: Its id.
+        parent: Its parent; empty for a root.
+        team: Its team.
+        next_call: The number of the call that is expected.
+        history: The chain hash over its turns.
+        durable: Whether the log has all of its turns.
+        ended: Whether it has ended.
+        spent: Calls, tokens and milliseconds used or reserved.
+    """
+
+    program: str
+    parent: str
+    team: str
+    next_call: int
+    history: str
+    durable: bool
+    ended: bool
+    spent: dict[str, float]
+
+
 class FrameKind(enum.Enum):
     """The parts of an answer."""
 
--- a/quetzalmill/programs.py
+++ b/quetzalmill/programs.py
@@ -125,6 +125,13 @@
         """Returns the number of the call after the last turn."""
         return len(self.turns) + 1
 
+    @property
+    def decided_offset(self) -> int:
+        """Returns the configuration offset of the newest record."""
+        if self.turns:
+            return self.turns[-1].applied_offset
+        return self.record.applied_offset
+
     @property
     def chain(self) -> str:
         """Returns the chain hash over all turns."""
@@ -151,6 +158,7 @@
         programs: The programs by id.
         used_ms: When the family was last used.
         lost: Whether another process has taken the family over.
+        in_doubt: Programs whose next call an earlier home may have started.
     """
 
     root: str
@@ -158,6 +166,7 @@
     used_ms: float
     programs: dict[str, Program] = attrs.field(factory=dict)
     lost: bool = False
+    in_doubt: set[str] = attrs.field(factory=set)
 
     def start(self, record: turns.ProgramRecord, now_ms: float) -> Program:
         """Adds a program to the family."""
@@ -222,6 +231,21 @@
             each.spent.calls -= 1
             each.spent.tokens -= running.reserved_tokens
 
+    def fail(self, program: Program, tokens: int, now_ms: float) -> None:
+        """Ends a running call without a turn; what it may have used counts."""
+        running = program.running
+        program.running = None
+        if running is None:
+            return
+        for each in self._with_ancestors(program):
+            each.spent.tokens += tokens - running.reserved_tokens
+            each.spent.time_ms += now_ms - running.started_ms
+
+    def charge_in_doubt(self, program: Program, tokens: int) -> None:
+        """Charges what an earlier home may have generated for a call."""
+        for each in self._with_ancestors(program):
+            each.spent.tokens += tokens
+
     def finish(
         self, program: Program, turn: turns.TurnRecord, now_ms: float
     ) -> None:
--- /dev/null
+++ b/quetzalmill/takeover.py
@@ -0,0 +1,121 @@
+"""Takes a root program over from a home that is gone.
+
+A takeover appends a fence to the stream of the home that is gone. The first
+fence of an epoch in the stream's order wins; everyone reads the same order. The
+new home then reads the program's records up to its own fence, so it has every
+turn that the old home could ever report as durable.
+"""
+
+from collections.abc import Callable
+import secrets
+
+import attrs
+
+from quetzalmill import codec
+from quetzalmill import errors
+from quetzalmill import log_port
+from quetzalmill import program_id
+from quetzalmill import turn_log
+from quetzalmill import turns
+
+MAX_HOMES = 64
+"""Homes that one root program is followed through."""
+
+
+@attrs.frozen(kw_only=True)
+class Taken:
+    """The program is this process's now.
+
+    Attributes:
+        records: Its records from all homes, in order.
+        epoch: The epoch of this home.
+    """
+
+    records: list[turns.Record]
+    epoch: int
+
+
+@attrs.frozen(kw_only=True)
+class HeldBy:
+    """Another process that is alive holds the program."""
+
+    home: program_id.Home
+
+
+Takeover = Taken | HeldBy
+
+
+async def take_over(
+    port: log_port.LogPort,
+    root: str,
+    first_home: program_id.Home,
+    own: program_id.Home,
+    is_gone: Callable[[program_id.Home], bool],
+) -> Takeover:
+    """Takes a root program over, or finds who holds it.
+
+    Args:
+        port: The log.
+        root: The root program.
+        first_home: The home that the program's id names.
+        own: This process.
+        is_gone: Whether a home answers no more, as far as is known here.
+
+    Raises:
+        errors.NotDoneError: The log could not be used; nothing changed.
+        errors.OutcomeUnknownError: The fence may have been appended; asking
+            again settles it.
+    """
+    records: list[turns.Record] = []
+    home = first_home
+    epoch = 1
+    for _ in range(MAX_HOMES):
+        stream = turns.stream_of(home.host, home.instance)
+        found = await turn_log.read_root(port, stream, root)
+        fence = _first_fence(found.records, epoch)
+        if fence is None:
+            if home == own:
+                return Taken(records=records + found.records, epoch=epoch)
+            if not is_gone(home):
+                return HeldBy(home=home)
+            await _append_fence(port, stream, root, epoch + 1, own)
+            continue
+        records.extend(_before(found.records, fence))
+        home = program_id.Home(host=fence.host, instance=fence.instance)
+        epoch = fence.epoch
+    raise errors.NotDoneError(f"program {root} has had too many homes")
+
+
+def _first_fence(
+    records: list[turns.Record], epoch: int
+) -> turns.FenceRecord | None:
+    for record in records:
+        if isinstance(record, turns.FenceRecord) and record.epoch > epoch:
+            return record
+    return None
+
+
+def _before(
+    records: list[turns.Record], fence: turns.FenceRecord
+) -> list[turns.Record]:
+    return records[: records.index(fence)]
+
+
+async def _append_fence(
+    port: log_port.LogPort,
+    stream: str,
+    root: str,
+    epoch: int,
+    own: program_id.Home,
+) -> None:
+    fence = turns.FenceRecord(
+        record_id=secrets.token_hex(8),
+        root=root,
+        epoch=epoch,
+        host=own.host,
+        instance=own.instance,
+    )
+    batch = turn_log.Batch(
+        batch_id=secrets.token_hex(8), records=[turns.encode(fence)]
+    )
+    await port.append(stream, [codec.to_plain(batch)])
--- a/quetzalmill/turns.py
+++ b/quetzalmill/turns.py
@@ -45,6 +45,7 @@
         limits: Its budget.
         deadline_ms: Time from its start to its deadline, None for no deadline.
         epoch: The home's epoch.
+        applied_offset: The configuration offset that the home had applied.
     """
 
     program: str
@@ -54,6 +55,7 @@
     limits: BudgetLimits
     deadline_ms: float | None
     epoch: int
+    applied_offset: int
 
 
 @attrs.frozen(kw_only=True)
