--- a/quetzalmill/http_server.py
+++ b/quetzalmill/http_server.py
@@ -143,6 +143,14 @@
         await self._write(self._connection.encode(h11.EndOfMessage()))
         self.finished = True
 
+    def abort(self) -> None:
+        """Ends the connection without an answer, or amid one.
+
+        The connection closes when the handler returns.
+        """
+        self.started = True
+        self.finished = False
+
     def _head(self, status: int, headers: dict[str, str]) -> bytes:
         self.started = True
         return self._connection.encode_head(status, headers)
--- /dev/null
+++ b/quetzalmill_emulator/kv_cache.py
@@ -0,0 +1,172 @@
+"""The engine emulator's cache of prompt prefixes, one for each session."""
+
+from collections.abc import Callable
+import hashlib
+import json
+
+import attrs
+
+from quetzalmill_emulator import answers
+
+OnEvent = Callable[[str, str, int], None]
+"""Is told of an event's name, the session and its tokens."""
+
+
+@attrs.frozen
+class Block:
+    """One message whose tokens are in the cache.
+
+    Attributes:
+        digest: Names the message and all before it.
+        tokens: The message's tokens.
+    """
+
+    digest: str
+    tokens: int
+
+
+def blocks_of(messages: list[answers.Message]) -> list[Block]:
+    """Returns the blocks of a prompt."""
+    blocks: list[Block] = []
+    digest = ""
+    for message in messages:
+        role = message.get("role", "")
+        text = json.dumps([digest, role, answers.message_text(message)])
+        digest = hashlib.sha256(text.encode()).hexdigest()[:16]
+        blocks.append(Block(digest, answers.message_tokens(message)))
+    return blocks
+
+
+def tokens_of(blocks: list[Block]) -> int:
+    """Returns the tokens of all blocks together."""
+    return sum(block.tokens for block in blocks)
+
+
+@attrs.define
+class _Session:
+    blocks: list[Block]
+    users: int = 0
+
+    def tokens(self) -> int:
+        return tokens_of(self.blocks)
+
+
+class KvCache:
+    """Holds sessions' prefixes and the memory reserved by running requests.
+
+    Args:
+        memory_tokens: The tokens that fit.
+        on_event: Is told of each change.
+    """
+
+    def __init__(self, memory_tokens: int, on_event: OnEvent) -> None:
+        self._memory_tokens = memory_tokens
+        self._on_event = on_event
+        # Kept in the order of last use, the oldest first.
+        self._sessions: dict[str, _Session] = {}
+        self._reserved_tokens = 0
+
+    def sessions(self) -> dict[str, int]:
+        """Returns the tokens that each session holds."""
+        return {name: s.tokens() for name, s in self._sessions.items()}
+
+    def cached_tokens(self) -> int:
+        """Returns the tokens that all sessions hold."""
+        return sum(s.tokens() for s in self._sessions.values())
+
+    def acquire(
+        self, session: str, blocks: list[Block], answer_tokens: int
+    ) -> int | None:
+        """Reserves memory for a request and takes its session into use.
+
+        Returns:
+            The prompt's cached tokens, or None when memory is short.
+        """
+        held = self._sessions.get(session) if session else None
+        matched = _common_prefix(held.blocks, blocks) if held else []
+        cached = tokens_of(matched)
+        needed = tokens_of(blocks) + answer_tokens - cached
+        if held is not None:
+            held.blocks = matched
+            held.users += 1
+        if not self._make_room(needed):
+            if held is not None:
+                held.users -= 1
+            return None
+        if session and held is None:
+            held = self._sessions[session] = _Session([], users=1)
+        if held is not None:
+            self._touch(session)
+        self._reserved_tokens += needed
+        return cached
+
+    def finish(
+        self, session: str, blocks: list[Block], reserved_tokens: int
+    ) -> None:
+        """Gives a reservation back and keeps the session's new prefix."""
+        self._reserved_tokens -= reserved_tokens
+        held = self._sessions.get(session)
+        if held is None:
+            return
+        held.users -= 1
+        if len(blocks) >= len(held.blocks):
+            held.blocks = blocks
+        if not held.blocks and not held.users:
+            del self._sessions[session]
+            return
+        self._touch(session)
+        self._on_event("stored", session, held.tokens())
+
+    def release(self, session: str) -> bool | None:
+        """Frees a session; None when it is in use, False when unknown."""
+        held = self._sessions.get(session)
+        if held is None:
+            return False
+        if held.users:
+            return None
+        del self._sessions[session]
+        self._on_event("released", session, held.tokens())
+        return True
+
+    def export(self, session: str) -> list[Block] | None:
+        """Returns a session's blocks, or None when it is unknown."""
+        held = self._sessions.get(session)
+        return None if held is None else list(held.blocks)
+
+    def put(self, session: str, blocks: list[Block]) -> bool:
+        """Stores the blocks of a session that another engine exported."""
+        held = self._sessions.get(session)
+        if held is not None and held.users:
+            return False
+        if held is not None:
+            del self._sessions[session]
+        if not self._make_room(tokens_of(blocks)):
+            return False
+        self._sessions[session] = _Session(blocks)
+        self._on_event("stored", session, tokens_of(blocks))
+        return True
+
+    def _touch(self, session: str) -> None:
+        self._sessions[session] = self._sessions.pop(session)
+
+    def _make_room(self, tokens: int) -> bool:
+        """Evicts idle sessions, the oldest first, until ``tokens`` fit."""
+        idle = [n for n, s in self._sessions.items() if not s.users]
+        while self._free_tokens() < tokens and idle:
+            session = idle.pop(0)
+            held = self._sessions.pop(session)
+            self._on_event("evicted", session, held.tokens())
+        return self._free_tokens() >= tokens
+
+    def _free_tokens(self) -> int:
+        used = self.cached_tokens() + self._reserved_tokens
+        return self._memory_tokens - used
+
+
+def _common_prefix(left: list[Block], right: list[Block]) -> list[Block]:
+    length = 0
+    for one, other in zip(left, right, strict=False):
+        if one != other:
+            break
+        length += 1
+    return left[:length]
