--- /dev/null
+++ b/quetzalmill/announcement.py
@@ -0,0 +1,63 @@
+"""Appends configuration records so that each takes effect at most once.
+
+The log may lose the reply to an append that took effect. Every record has an
+id of its own; after a lost reply the stream is read forward for it before the
+record is appended again, and the fold ignores a second copy.
+"""
+
+import secrets
+from typing import Any
+
+from quetzalmill import codec
+from quetzalmill import errors
+from quetzalmill import log_port
+from quetzalmill import objects
+
+CONFIG_STREAM = "config"
+"""The stream that holds the configuration records."""
+
+SNAPSHOT_STREAM = "config-snapshots"
+"""The stream that holds snapshots of the configuration."""
+
+
+def new_record(
+    author: str, changes: list[objects.ObjectChange]
+) -> objects.ConfigRecord:
+    """Returns a record with an id of its own."""
+    return objects.ConfigRecord(
+        record_id=secrets.token_hex(12), author=author, changes=changes
+    )
+
+
+def process_change(
+    host: str, spec: objects.ProcessSpec
+) -> objects.ObjectChange:
+    """Returns the change by which a process announces itself."""
+    return objects.ObjectChange(
+        kind=objects.PROCESS,
+        name=host,
+        base_revision=objects.ANY_REVISION,
+        spec=codec.to_plain(spec),
+    )
+
+
+async def append_record(
+    port: log_port.LogPort, record: objects.ConfigRecord
+) -> None:
+    """Appends a configuration record once.
+
+    Raises:
+        errors.NotDoneError: It was not appended.
+        errors.OutcomeUnknownError: It may have been; appending the same
+            record again is harmless.
+    """
+    data: Any = codec.to_plain(record)
+    await port.append(CONFIG_STREAM, [data])
+
+
+def decode_record(data: Any) -> objects.ConfigRecord | None:
+    """Reads a record back, None when it is malformed."""
+    try:
+        return codec.from_plain(data, objects.ConfigRecord)
+    except errors.CodecError:
+        return None
--- /dev/null
+++ b/quetzalmill/daemon.py
@@ -0,0 +1,106 @@
+"""What entries and sidecars share: identity, announcement and signals."""
+
+from collections.abc import Awaitable, Callable
+import secrets
+import signal
+
+import attrs
+import trio
+import trio_asyncio
+
+from quetzalmill import announcement
+from quetzalmill import config_store
+from quetzalmill import errors
+from quetzalmill import log_port
+from quetzalmill import logs
+from quetzalmill import objects
+
+ANNOUNCE_RETRY_MS = 2_000.0
+"""How long an announcement may take before it is appended again."""
+
+_log = logs.get("daemon")
+
+
+@attrs.define(kw_only=True)
+class Identity:
+    """This process towards others.
+
+    Attributes:
+        host: The host's name.
+        spec: What it announces; ``leaving`` is set when it shuts down.
+    """
+
+    host: str
+    spec: objects.ProcessSpec
+
+    def leave(self) -> None:
+        """Marks the process as leaving."""
+        self.spec = attrs.evolve(self.spec, leaving=True)
+
+
+def new_instance() -> str:
+    """Returns a random id for a process that starts."""
+    return secrets.token_hex(6)
+
+
+async def announce(
+    identity: Identity,
+    store: config_store.ConfigStore,
+    port: log_port.LogPort,
+    replaced: trio.Event,
+) -> None:
+    """Keeps this process announced, and notices when another replaces it."""
+    record = announcement.new_record(
+        identity.host,
+        [announcement.process_change(identity.host, identity.spec)],
+    )
+    announced = False
+    while True:
+        published = store.config.process(identity.host)
+        if published and published.instance == identity.spec.instance:
+            announced = True
+        elif announced:
+            _log.error("process_replaced", host=identity.host)
+            replaced.set()
+            return
+        else:
+            await _try_append(port, record)
+        await trio.sleep(ANNOUNCE_RETRY_MS / 1000.0)
+
+
+async def announce_leaving(
+    identity: Identity, port: log_port.LogPort, timeout_ms: float
+) -> None:
+    """Tells everyone through the log that this process takes no new work."""
+    record = announcement.new_record(
+        identity.host,
+        [announcement.process_change(identity.host, identity.spec)],
+    )
+    with trio.move_on_after(timeout_ms / 1000.0):
+        await _try_append(port, record)
+
+
+async def wait_for_signal() -> None:
+    """Returns when the process is asked to end."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for _ in received:
+            return
+
+
+def run(main: Callable[[], Awaitable[int]]) -> int:
+    """Runs a daemon's main function on one loop and returns its exit code."""
+
+    async def with_control_loop() -> int:
+        async with trio_asyncio.open_loop():
+            return await main()
+
+    return trio.run(with_control_loop)
+
+
+async def _try_append(
+    port: log_port.LogPort, record: objects.ConfigRecord
+) -> None:
+    try:
+        await announcement.append_record(port, record)
+    except errors.PortError as error:
+        _log.warning("announcement_delayed", reason=str(error))
--- a/quetzalmill/executor.py
+++ b/quetzalmill/executor.py
@@ -63,6 +63,7 @@
         port: endpoint_port.EndpointPort,
         known_suspects: suspects.Suspects,
         report: Callable[[messages.Suspect], Awaitable[None]],
+        on_start: Callable[[str], None],
         nursery: trio.Nursery,
         clock: clock_module.Clock,
     ) -> None:
@@ -71,6 +72,7 @@
         self._port = port
         self._suspects = known_suspects
         self._report = report
+        self._on_start = on_start
         self._nursery = nursery
         self._clock = clock
         self._workers: dict[str, endpoint_worker.EndpointWorker] = {}
@@ -113,6 +115,10 @@
         for name in [n for n in self._workers if n not in mine]:
             if self._workers[name].idle:
                 del self._workers[name]
+        self.recheck()
+
+    def recheck(self) -> None:
+        """Refuses queued work that may no longer run."""
         for worker in self._workers.values():
             worker.recheck()
 
@@ -193,6 +199,8 @@
     def starting(self, job: endpoint_worker.Job) -> None:
         """Records a non-idempotent call before its first byte is sent."""
         call = job.execution.call
+        if call.kind is messages.CallKind.MODEL:
+            self._on_start(call.program)
         if call.idempotent:
             return
         self._started[(call.program, call.number)] = None
--- a/quetzalmill/executor_link.py
+++ b/quetzalmill/executor_link.py
@@ -74,8 +74,8 @@
             max_body_bytes=MAX_ANSWER_BYTES,
         ) as response:
             if response.status != 200:
-                raise errors.BadMessageError(
-                    f"host {host} answered {response.status}", 502
+                raise errors.ConnectFailedError(
+                    f"host {host} refused with status {response.status}"
                 )
             yield self._frames(response, execution)
 
--- a/quetzalmill/fleet_view.py
+++ b/quetzalmill/fleet_view.py
@@ -137,6 +137,10 @@
             if heard.spec.role == role and self.is_alive(host, now_ms)
         ]
 
+    def replaced(self) -> frozenset[str]:
+        """Returns ``host instance`` of processes that surely run no more."""
+        return frozenset(f"{host} {inst}" for host, inst in self._replaced)
+
     def last_heard(self, host: str) -> HeardProcess | None:
         """Returns a process as last heard."""
         return self._heard.get(host)
--- /dev/null
+++ b/quetzalmill/home.py
@@ -0,0 +1,549 @@
+"""The home of programs: admits their calls in order and keeps their history.
+
+Each program has one home process at a time. The home answers the same call
+sent again from its history, takes programs over whose home is gone, and ends
+programs that are finished or idle.
+"""
+
+from collections.abc import AsyncIterator, Callable
+import contextlib
+import hashlib
+import secrets
+from typing import Any
+
+import attrs
+import trio
+
+from quetzalmill import answer as answer_module
+from quetzalmill import call_run
+from quetzalmill import clock as clock_module
+from quetzalmill import completion
+from quetzalmill import configuration
+from quetzalmill import errors
+from quetzalmill import log_port
+from quetzalmill import messages
+from quetzalmill import program_id
+from quetzalmill import programs
+from quetzalmill import takeover
+from quetzalmill import turn_log
+from quetzalmill import turns
+
+BUFFER_FULL_RETRY_MS = 5_000.0
+"""When to come back while the buffer of turns is full."""
+
+LOG_DOWN_RETRY_MS = 2_000.0
+"""When to come back after a takeover failed for want of the log."""
+
+_SERVICE_TOKENS = 0
+
+
+class UnknownProgramError(errors.QuetzalmillError):
+    """The program is not known, or its records have been lost."""
+
+
+class MovedError(errors.QuetzalmillError):
+    """Another process is the program's home.
+
+    Attributes:
+        home: That process, None when it is not known here.
+    """
+
+    def __init__(self, home: program_id.Home | None) -> None:
+        super().__init__("the program has another home")
+        self.home = home
+
+
+class RefusedError(errors.QuetzalmillError):
+    """A request is refused and was not run.
+
+    Attributes:
+        status: The HTTP status.
+        code: A short error code.
+        retry_after_ms: When to come back, None if that does not help.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        code: str,
+        message: str,
+        retry_after_ms: float | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.retry_after_ms = retry_after_ms
+
+
+@attrs.define(kw_only=True)
+class Options:
+    """How a home treats programs.
+
+    Attributes:
+        own: This process.
+        idle_ms: Idle time after which a program's memory is dropped.
+    """
+
+    own: program_id.Home
+    idle_ms: float
+
+
+class Home:
+    """The programs of one process."""
+
+    def __init__(
+        self,
+        options: Options,
+        *,
+        config: configuration.Configuration,
+        runner: call_run.CallRunner,
+        writer: turn_log.TurnWriter,
+        port: log_port.LogPort,
+        is_gone: Callable[[str, str], bool],
+        nursery: trio.Nursery,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._options = options
+        self._config = config
+        self._runner = runner
+        self._writer = writer
+        self._port = port
+        self._is_gone = is_gone
+        self._nursery = nursery
+        self._clock = clock
+        self._families: dict[str, programs.Family] = {}
+        self._moved: dict[str, program_id.Home] = {}
+        self._runs: dict[tuple[str, int], call_run.Run] = {}
+        self._takeovers: dict[str, trio.Lock] = {}
+        self._run_ended = trio.Event()
+        self.leaving = False
+
+    @property
+    def running(self) -> int:
+        """Returns the calls under way."""
+        return len(self._runs)
+
+    @property
+    def families(self) -> dict[str, programs.Family]:
+        """Returns the families by root program."""
+        return self._families
+
+    def fenced(self, record: turns.FenceRecord) -> None:
+        """Gives a family up that another process has taken over."""
+        family = self._families.pop(record.root, None)
+        if family is not None and family.epoch < record.epoch:
+            family.lost = True
+        self._moved[record.root] = program_id.Home(
+            host=record.host, instance=record.instance
+        )
+
+    async def start(
+        self, start: messages.ProgramStart, *, take_over: bool
+    ) -> messages.ProgramView:
+        """Starts a program or sub-program.
+
+        Raises:
+            RefusedError: It was not started.
+            UnknownProgramError: The parent is not known.
+            MovedError: The parent has another home.
+        """
+        self._require_room()
+        if self.leaving and not start.parent:
+            raise MovedError(None)
+        if start.parent:
+            family, parent = await self.find(start.parent, take_over=take_over)
+            self._require_team(parent, start.team)
+            root = family.root
+            program = program_id.new_child(secrets.token_hex(8), root)
+        else:
+            program = root = start.program
+            family = programs.Family(
+                root=root, epoch=1, used_ms=self._clock.now_ms()
+            )
+        record = turns.ProgramRecord(
+            program=program,
+            root=root,
+            parent=start.parent,
+            team=start.team,
+            limits=turns.BudgetLimits(
+                calls=start.calls, tokens=start.tokens, time_ms=start.time_ms
+            ),
+            deadline_ms=start.deadline_ms,
+            epoch=family.epoch,
+            applied_offset=self._config.applied_offset,
+        )
+        commit = await self._writer.commit(record)
+        if commit is turn_log.Commit.FENCED:
+            raise MovedError(self._moved.get(root))
+        self._families[root] = family
+        started = family.start(record, self._clock.now_ms())
+        if family.depth(started) > programs.MAX_FAMILY_DEPTH:
+            raise RefusedError(422, "too_deep", "too many levels of programs")
+        return self.view(started)
+
+    async def find(
+        self, program: str, *, take_over: bool
+    ) -> tuple[programs.Family, programs.Program]:
+        """Returns a program of this home, taking it over if asked to.
+
+        Raises:
+            UnknownProgramError: The program is not known.
+            MovedError: Another process is its home.
+            RefusedError: It could not be taken over now.
+        """
+        root = program_id.root_of(program)
+        family = self._families.get(root)
+        if family is None or family.lost:
+            family = await self._recover(root, program, take_over)
+        if self.leaving and not _is_busy(family):
+            family.lost = True
+            raise MovedError(None)
+        found = family.programs.get(program)
+        if found is None:
+            raise UnknownProgramError(f"program {program} is not known")
+        family.used_ms = self._clock.now_ms()
+        return family, found
+
+    async def end(self, program: str, team: str, *, take_over: bool) -> None:
+        """Ends a program and its sub-programs; ending twice is the same."""
+        family, found = await self.find(program, take_over=take_over)
+        self._require_team(found, team)
+        for each in _with_descendants(family, found):
+            if each.ended:
+                continue
+            each.ended = True
+            await self._writer.commit(
+                turns.EndRecord(
+                    program=each.record.program,
+                    root=family.root,
+                    epoch=family.epoch,
+                )
+            )
+
+    def view(self, program: programs.Program) -> messages.ProgramView:
+        """Returns what callers are told of a program."""
+        record = program.record
+        return messages.ProgramView(
+            program=record.program,
+            parent=record.parent,
+            team=record.team,
+            next_call=program.next_call,
+            history=program.chain,
+            durable=not self._writer.has_pending(record.root),
+            ended=program.ended,
+            spent={
+                "calls": program.spent.calls,
+                "tokens": program.spent.tokens,
+                "time_ms": program.spent.time_ms,
+            },
+        )
+
+    @contextlib.asynccontextmanager
+    async def call(
+        self, call: messages.Call, *, take_over: bool
+    ) -> AsyncIterator[AsyncIterator[messages.Frame]]:
+        """Admits a call and yields the frames of its answer.
+
+        Raises:
+            UnknownProgramError: The program is not known.
+            MovedError: Another process is its home.
+            RefusedError: The call is refused and was not run.
+        """
+        if call.single:
+            family, program = self._single(call)
+        else:
+            family, program = await self.find(call.program, take_over=take_over)
+            self._require_team(program, call.team)
+        frames = await self._admit(family, program, call)
+        yield frames
+
+    def drop_idle(self) -> list[str]:
+        """Drops families unused for long; returns programs that are over."""
+        now_ms = self._clock.now_ms()
+        dropped: list[str] = []
+        for root, family in list(self._families.items()):
+            over = all(p.ended for p in family.programs.values())
+            idle = now_ms - family.used_ms > self._options.idle_ms
+            if _is_busy(family) or not (over or idle):
+                continue
+            if self._writer.has_pending(root):
+                continue
+            if idle:
+                del self._families[root]
+            dropped.extend(family.programs)
+        return dropped
+
+    async def drained(self) -> None:
+        """Returns once no call is under way and no record waits."""
+        while self._runs:
+            await self._run_ended.wait()
+        await self._writer.flushed()
+
+    async def _admit(
+        self,
+        family: programs.Family,
+        program: programs.Program,
+        call: messages.Call,
+    ) -> AsyncIterator[messages.Frame]:
+        prepared = self._prepare(family, program, call)
+        deadline_ms = self._clock.now_ms() + call.time_left_ms
+        while True:
+            admission = family.admit(
+                program,
+                call=call.number,
+                digest=prepared.digest,
+                expected_chain=call.expected_chain,
+                reserve_tokens=prepared.answer_tokens,
+                now_ms=self._clock.now_ms(),
+            )
+            match admission:
+                case programs.Start():
+                    return self._start_run(
+                        family, program, prepared, deadline_ms
+                    )
+                case programs.Join():
+                    run = self._runs[(call.program, call.number)]
+                    return run.answer.follow()
+                case programs.Replay(turn=turn):
+                    return self._replay(turn, call.stream)
+                case programs.WaitTurn():
+                    await self._wait_for_run(deadline_ms)
+                    prepared = self._prepare(family, program, call)
+                case _:
+                    raise _refusal(admission)
+
+    def _start_run(
+        self,
+        family: programs.Family,
+        program: programs.Program,
+        prepared: call_run.Prepared,
+        deadline_ms: float,
+    ) -> AsyncIterator[messages.Frame]:
+        self._require_room()
+        now_ms = self._clock.now_ms()
+        room_ms = family.time_room_ms(program, now_ms)
+        if room_ms is not None:
+            deadline_ms = min(deadline_ms, now_ms + room_ms)
+        if deadline_ms <= now_ms:
+            raise RefusedError(504, "deadline", "the deadline has passed")
+        if program.record.program in family.in_doubt:
+            family.charge_in_doubt(program, prepared.answer_tokens)
+        call = prepared.call
+        family.begin(
+            program,
+            call=call.number,
+            digest=prepared.digest,
+            reserve_tokens=prepared.answer_tokens,
+            now_ms=now_ms,
+        )
+        run = call_run.Run(
+            family=family,
+            program=program,
+            prepared=prepared,
+            answer=answer_module.Answer(),
+            started_ms=now_ms,
+            deadline_ms=deadline_ms,
+        )
+        self._runs[(call.program, call.number)] = run
+        self._nursery.start_soon(self._run, run)
+        return run.answer.follow()
+
+    async def _run(self, run: call_run.Run) -> None:
+        call = run.prepared.call
+        try:
+            await self._runner.run(run)
+        finally:
+            self._runs.pop((call.program, call.number), None)
+            self._run_ended.set()
+            self._run_ended = trio.Event()
+
+    async def _wait_for_run(self, deadline_ms: float) -> None:
+        left_ms = deadline_ms - self._clock.now_ms()
+        with trio.move_on_after(max(0.0, left_ms) / 1000.0):
+            await self._run_ended.wait()
+            return
+        raise RefusedError(
+            504, "deadline", "the call before did not end in time"
+        )
+
+    async def _replay(
+        self, turn: turns.TurnRecord, stream: bool
+    ) -> AsyncIterator[messages.Frame]:
+        if stream and turn.answer is not None:
+            yield messages.Frame(
+                program=turn.program,
+                call=turn.call,
+                attempt=0,
+                kind=messages.FrameKind.DATA,
+                data=completion.replay_chunk(turn.body),
+            )
+        durable = not self._writer.has_pending(turn.root)
+        yield call_run.last_frame(turn, durable=durable, stream=stream)
+
+    def _prepare(
+        self,
+        family: programs.Family,
+        program: programs.Program,
+        call: messages.Call,
+    ) -> call_run.Prepared:
+        digest = _digest_of(call)
+        if call.kind is messages.CallKind.SERVICE:
+            return call_run.Prepared(
+                call=call,
+                digest=digest,
+                body=call.body,
+                new_messages=[],
+                prompt_tokens=0,
+                answer_tokens=_SERVICE_TOKENS,
+            )
+        request = completion.parse_request(call.body)
+        room = family.token_room(program)
+        wanted = request.max_tokens
+        if wanted is None:
+            wanted = completion.DEFAULT_ANSWER_TOKENS
+            if room is not None:
+                wanted = max(1, min(wanted, room))
+        prompt = program.prompt(request.messages)
+        return call_run.Prepared(
+            call=call,
+            digest=digest,
+            body=completion.prompt_body(request, prompt, wanted),
+            new_messages=request.messages,
+            prompt_tokens=completion.estimate_tokens(prompt),
+            answer_tokens=wanted,
+        )
+
+    def _single(
+        self, call: messages.Call
+    ) -> tuple[programs.Family, programs.Program]:
+        family = programs.Family(
+            root=call.program, epoch=1, used_ms=self._clock.now_ms()
+        )
+        record = turns.ProgramRecord(
+            program=call.program,
+            root=call.program,
+            parent="",
+            team=call.team,
+            limits=turns.BudgetLimits(),
+            deadline_ms=None,
+            epoch=1,
+            applied_offset=self._config.applied_offset,
+        )
+        return family, family.start(record, self._clock.now_ms())
+
+    async def _recover(
+        self, root: str, program: str, take_over: bool
+    ) -> programs.Family:
+        first_home = program_id.first_home(program)
+        if first_home is None:
+            raise UnknownProgramError(f"{program!r} is no program's id")
+        moved_to = self._moved.get(root)
+        if moved_to is not None and not take_over:
+            raise MovedError(moved_to)
+        if first_home != self._options.own and not take_over:
+            raise MovedError(None)
+        lock = self._takeovers.setdefault(root, trio.Lock())
+        async with lock:
+            family = self._families.get(root)
+            if family is not None and not family.lost:
+                return family
+            return await self._take_over(root, first_home)
+
+    async def _take_over(
+        self, root: str, first_home: program_id.Home
+    ) -> programs.Family:
+        try:
+            result = await takeover.take_over(
+                self._port,
+                root,
+                first_home,
+                self._options.own,
+                lambda home: self._is_gone(home.host, home.instance),
+            )
+        except errors.PortError as error:
+            raise RefusedError(
+                503,
+                "log_unavailable",
+                "the program's records cannot be read now",
+                LOG_DOWN_RETRY_MS,
+            ) from error
+        finally:
+            self._takeovers.pop(root, None)
+        match result:
+            case takeover.HeldBy(home=home):
+                raise MovedError(home)
+            case takeover.Taken(records=records, epoch=epoch):
+                return self._adopt(root, records, epoch)
+
+    def _adopt(
+        self, root: str, records: list[turns.Record], epoch: int
+    ) -> programs.Family:
+        family = programs.restore_family(
+            root, records, epoch, self._clock.now_ms()
+        )
+        if not family.programs:
+            raise UnknownProgramError(f"program {root} is not known")
+        family.in_doubt = {
+            name for name, p in family.programs.items() if not p.ended
+        }
+        self._families[root] = family
+        self._moved.pop(root, None)
+        return family
+
+    def _require_room(self) -> None:
+        if self._writer.is_full:
+            raise RefusedError(
+                503,
+                "history_buffer_full",
+                "the log is down and the buffer of turns is full",
+                BUFFER_FULL_RETRY_MS,
+            )
+
+    def _require_team(self, program: programs.Program, team: str) -> None:
+        if program.record.team != team:
+            raise RefusedError(
+                403, "other_team", "the program is of another team"
+            )
+
+
+def _is_busy(family: programs.Family) -> bool:
+    return any(program.running for program in family.programs.values())
+
+
+def _with_descendants(
+    family: programs.Family, program: programs.Program
+) -> list[programs.Program]:
+    found = [program]
+    for each in found:
+        found.extend(
+            other
+            for other in family.programs.values()
+            if other.record.parent == each.record.program
+        )
+    return found
+
+
+def _digest_of(call: messages.Call) -> str:
+    parts: list[Any] = [call.kind.value, call.target, call.method, call.path]
+    text = "\0".join(parts).encode() + b"\0" + call.body
+    return hashlib.sha256(text).hexdigest()[:32]
+
+
+def _refusal(admission: programs.Admission) -> RefusedError:
+    match admission:
+        case programs.OrderConflict(
+            expected_call=expected, chain=chain, reason=reason
+        ):
+            return RefusedError(
+                409,
+                "order_conflict",
+                f"{reason}; call {expected} is expected, history {chain!r}",
+            )
+        case programs.BudgetSpent(program=program, limit=limit):
+            return RefusedError(
+                402,
+                "budget_spent",
+                f"the budget of program {program} is spent: {limit}",
+            )
+        case _:
+            return RefusedError(404, "program_ended", "the program has ended")
--- a/quetzalmill/shares.py
+++ b/quetzalmill/shares.py
@@ -169,9 +169,12 @@
     team's burst also bounds the number of its holders.
     """
     count = max(1, min(HOLDERS_PER_TEAM, len(holders), int(burst)))
-    ranked = sorted(holders, key=lambda host: _rank(team, host), reverse=True)
+    ranked = sorted(holders, key=lambda host: rank(team, host), reverse=True)
     return ranked[:count]
 
 
-def _rank(team: str, host: str) -> bytes:
-    return hashlib.blake2b(f"{team}\0{host}".encode(), digest_size=8).digest()
+def rank(key: str, candidate: str) -> bytes:
+    """Returns the rendezvous rank of a candidate for a key."""
+    return hashlib.blake2b(
+        f"{key}\0{candidate}".encode(), digest_size=8
+    ).digest()
--- /dev/null
+++ b/quetzalmill/sidecar.py
@@ -0,0 +1,386 @@
+"""The sidecar process: one beside the endpoints of a host.
+
+It wires the home of programs, the executor before the endpoints and the
+control traffic together, and runs them on one loop. Decisions live in the
+modules it wires.
+"""
+
+import random
+from typing import Any
+
+import trio
+
+from quetzalmill import call_run
+from quetzalmill import clock as clock_module
+from quetzalmill import config_store
+from quetzalmill import control
+from quetzalmill import daemon
+from quetzalmill import endpoint_port
+from quetzalmill import executor as executor_module
+from quetzalmill import executor_link
+from quetzalmill import fleet_view
+from quetzalmill import home as home_module
+from quetzalmill import http_client
+from quetzalmill import http_message
+from quetzalmill import http_server
+from quetzalmill import log_port
+from quetzalmill import logs
+from quetzalmill import memory_keeper
+from quetzalmill import messages
+from quetzalmill import objects
+from quetzalmill import placement
+from quetzalmill import program_id
+from quetzalmill import retry_budget
+from quetzalmill import routing
+from quetzalmill import settings as settings_module
+from quetzalmill import sidecar_api
+from quetzalmill import sidecar_beats
+from quetzalmill import suspects as suspects_module
+from quetzalmill import turn_log
+from quetzalmill import turns
+
+LOG_TIMEOUT_MS = 2_000.0
+"""How long an answer of the log service may take."""
+
+COMMIT_PATIENCE_MS = 1_500.0
+"""How long an answer waits for its turn to be in the log."""
+
+_HOUSEKEEPING_MS = 100.0
+
+_log = logs.get("sidecar")
+
+
+def run(settings: settings_module.SidecarSettings) -> int:
+    """Runs a sidecar until it is asked to end; returns its exit code."""
+    logs.configure(settings.log_level)
+    return daemon.run(lambda: _main(settings))
+
+
+async def _main(settings: settings_module.SidecarSettings) -> int:
+    async with trio.open_nursery() as nursery:
+        sidecar = Sidecar(settings, nursery)
+        await sidecar.start()
+        await sidecar.until_ended()
+        nursery.cancel_scope.cancel()
+    return 0
+
+
+class Sidecar:
+    """The parts of one sidecar process."""
+
+    def __init__(
+        self, settings: settings_module.SidecarSettings, nursery: trio.Nursery
+    ) -> None:
+        self._settings = settings
+        self._nursery = nursery
+        self._clock = clock_module.SystemClock()
+        self._identity = _identity_of(settings)
+        self._store = config_store.ConfigStore()
+        self._fleet = fleet_view.FleetView(
+            self._store.config, timeout_ms=settings.peer_timeout_ms
+        )
+        self._suspects = suspects_module.Suspects()
+        self._client = http_client.HttpClient()
+        self._control = control.ControlClient()
+        self._log_port = log_port.HttpLogPort(
+            self._client, settings.log_address, timeout_ms=LOG_TIMEOUT_MS
+        )
+        self._endpoint_port = endpoint_port.EndpointPort(self._client)
+        self._executor = self._new_executor()
+        self._link = self._new_link()
+        self._writer = self._new_writer()
+        self._runner = self._new_runner()
+        self._home = self._new_home()
+        self._beats = self._new_beats()
+        self._memory = self._new_memory()
+        self._api = sidecar_api.SidecarApi(
+            home=self._home,
+            executor=self._executor,
+            catch_up=self._beats.catch_up,
+            dump=self._dump,
+            is_ready=self._is_ready,
+        )
+        self._stopping = trio.Event()
+        self._replaced = trio.Event()
+        self._served = trio.Event()
+
+    async def start(self) -> None:
+        """Starts listening and every regular task."""
+        settings = self._settings
+        self._store.on_change(self._fleet.configuration_changed)
+        self._store.on_change(self._executor.configuration_changed)
+        server = control.ControlServer(
+            {
+                messages.FENCE: self._executor.fence,
+                messages.LEASE: self._grant_leases,
+            }
+        )
+        await server.start(settings.control_address)
+        await self._nursery.start(self._serve)
+        for task in (
+            self._beats.run,
+            self._writer.run,
+            self._memory.renew_forever,
+            self._memory.free_forever,
+            self._housekeeping,
+        ):
+            self._nursery.start_soon(task)
+        self._nursery.start_soon(
+            daemon.announce,
+            self._identity,
+            self._store,
+            self._log_port,
+            self._replaced,
+        )
+        _log.info("sidecar_started", host=settings.host)
+
+    async def until_ended(self) -> None:
+        """Serves until a signal or a newer process ends this one."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_when_replaced, nursery.cancel_scope)
+            await daemon.wait_for_signal()
+            nursery.cancel_scope.cancel()
+        if not self._replaced.is_set():
+            await self._drain()
+        _log.info("sidecar_ended", host=self._settings.host)
+
+    async def _cancel_when_replaced(self, scope: trio.CancelScope) -> None:
+        await self._replaced.wait()
+        scope.cancel()
+
+    async def _drain(self) -> None:
+        self._identity.leave()
+        self._home.leaving = True
+        timeout_ms = self._settings.drain_timeout_ms
+        with trio.move_on_after(timeout_ms / 1000.0):
+            await self._beats.beat_all()
+            await daemon.announce_leaving(
+                self._identity, self._log_port, LOG_TIMEOUT_MS
+            )
+            await trio.sleep(2 * self._settings.beat_ms / 1000.0)
+            await self._home.drained()
+            self._executor.leaving = True
+            while not self._executor.idle:
+                await trio.sleep(_HOUSEKEEPING_MS / 1000.0)
+            self._stopping.set()
+            await self._served.wait()
+
+    async def _serve(
+        self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        settings = self._settings
+        await http_server.serve(
+            settings.http_address,
+            self._api.handle,
+            limits=http_message.Limits(
+                max_header_bytes=settings.max_header_bytes,
+                max_body_bytes=16 * settings.max_body_bytes,
+            ),
+            stopping=self._stopping,
+            on_error=_report_error,
+            task_status=task_status,
+        )
+        self._served.set()
+
+    async def _housekeeping(self) -> None:
+        while True:
+            await trio.sleep(_HOUSEKEEPING_MS / 1000.0)
+            self._executor.recheck()
+
+    def _grant_leases(
+        self, request: messages.LeaseRequest
+    ) -> messages.Acknowledgement:
+        self._memory.grant(request)
+        return messages.Acknowledgement()
+
+    def _fenced(self, record: turns.FenceRecord) -> None:
+        _log.info("program_taken_over", program=record.root, by=record.host)
+        self._home.fenced(record)
+
+    def _is_gone(self, host: str, instance: str) -> bool:
+        return self._fleet.is_leaving(host) or self._fleet.is_gone(
+            host, instance, self._clock.now_ms()
+        )
+
+    def _is_ready(self) -> bool:
+        return self._beats.heard_any and not self._identity.spec.leaving
+
+    def _dump(self) -> dict[str, Any]:
+        config = self._store.config
+        return {
+            "host": self._identity.host,
+            "role": objects.SIDECAR,
+            "instance": self._identity.spec.instance,
+            "leaving": self._identity.spec.leaving,
+            "applied_offset": config.applied_offset,
+            "ready": self._is_ready(),
+            "programs": sum(
+                len(family.programs) for family in self._home.families.values()
+            ),
+            "calls_running": self._home.running,
+            "log_is_down": self._writer.log_is_down,
+            "buffered_bytes": self._writer.buffered_bytes,
+            "appends": self._writer.appends,
+            "loads": [
+                {
+                    "endpoint": load.endpoint,
+                    "running": load.running,
+                    "queued": load.queued,
+                    "up": load.up,
+                }
+                for load in self._executor.loads()
+            ],
+            "heard": [
+                each.host
+                for role in (objects.ENTRY, objects.SIDECAR)
+                for each in self._fleet.heard(role, self._clock.now_ms())
+            ],
+            "keys": {
+                stored.name: stored.spec.get("withdrawn", False)
+                for stored in config.all_of(objects.KEY)
+            },
+            "suspects": {
+                each.fingerprint: each.crashes
+                for each in self._suspects.all_known()
+            },
+            "mismatched_frames": self._link.mismatched_frames,
+        }
+
+    def _new_executor(self) -> executor_module.Executor:
+        settings = self._settings
+        return executor_module.Executor(
+            executor_module.Options(
+                host=settings.host,
+                instance=self._identity.spec.instance,
+                fair_queue=settings.queue_policy == settings_module.FAIR,
+                max_queue=settings.max_queue,
+                failure_ms=settings.endpoint_failure_ms,
+            ),
+            config=self._store.config,
+            port=self._endpoint_port,
+            known_suspects=self._suspects,
+            report=self._report_suspect,
+            on_start=self._lease_on_start,
+            nursery=self._nursery,
+            clock=self._clock,
+        )
+
+    def _lease_on_start(self, program: str) -> None:
+        self._memory.started(program)
+
+    async def _report_suspect(self, suspect: messages.Suspect) -> None:
+        _log.warning(
+            "endpoint_crash_suspect",
+            fingerprint=suspect.fingerprint,
+            team=suspect.team,
+            crashes=suspect.crashes,
+        )
+        await self._beats.report(suspect)
+
+    def _new_link(self) -> executor_link.ExecutorLink:
+        return executor_link.ExecutorLink(
+            self._settings.host,
+            local=self._executor,
+            client=self._client,
+            control_client=self._control,
+            fleet=self._fleet,
+            timeout_ms=self._settings.peer_timeout_ms,
+        )
+
+    def _new_writer(self) -> turn_log.TurnWriter:
+        settings = self._settings
+        return turn_log.TurnWriter(
+            self._log_port,
+            turns.stream_of(settings.host, self._identity.spec.instance),
+            interval_ms=settings.commit_interval_ms,
+            patience_ms=COMMIT_PATIENCE_MS,
+            buffer_bytes=settings.commit_buffer_bytes,
+            on_fence=self._fenced,
+        )
+
+    def _new_runner(self) -> call_run.CallRunner:
+        settings = self._settings
+        return call_run.CallRunner(
+            config=self._store.config,
+            router=routing.Router(
+                settings.host,
+                settings.failure_domain,
+                config=self._store.config,
+                fleet=self._fleet,
+                chooser=placement.Placement(
+                    placement.Policy(settings.placement_policy),
+                    random.Random(),
+                ),
+                clock=self._clock,
+            ),
+            link=self._link,
+            writer=self._writer,
+            retries=retry_budget.RetryBudget(settings.retry_share),
+            clock=self._clock,
+        )
+
+    def _new_home(self) -> home_module.Home:
+        settings = self._settings
+        return home_module.Home(
+            home_module.Options(
+                own=program_id.Home(
+                    host=settings.host, instance=self._identity.spec.instance
+                ),
+                idle_ms=settings.program_idle_ms,
+            ),
+            config=self._store.config,
+            runner=self._runner,
+            writer=self._writer,
+            port=self._log_port,
+            is_gone=self._is_gone,
+            nursery=self._nursery,
+            clock=self._clock,
+        )
+
+    def _new_beats(self) -> sidecar_beats.SidecarBeats:
+        settings = self._settings
+        return sidecar_beats.SidecarBeats(
+            self._identity,
+            seeds=settings.entries,
+            beat_ms=settings.beat_ms,
+            timeout_ms=settings.peer_timeout_ms,
+            store=self._store,
+            fleet=self._fleet,
+            executor=self._executor,
+            suspects=self._suspects,
+            client=self._control,
+            clock=self._clock,
+        )
+
+    def _new_memory(self) -> memory_keeper.MemoryKeeper:
+        settings = self._settings
+        return memory_keeper.MemoryKeeper(
+            settings.host,
+            lease_ms=settings.lease_ms,
+            check_ms=settings.memory_check_ms,
+            timeout_ms=settings.peer_timeout_ms,
+            config=self._store.config,
+            fleet=self._fleet,
+            home=self._home,
+            runner=self._runner,
+            port=self._endpoint_port,
+            client=self._control,
+            clock=self._clock,
+        )
+
+
+def _identity_of(settings: settings_module.SidecarSettings) -> daemon.Identity:
+    return daemon.Identity(
+        host=settings.host,
+        spec=objects.ProcessSpec(
+            role=objects.SIDECAR,
+            instance=daemon.new_instance(),
+            http_address=settings.http_address,
+            control_address=settings.control_address,
+            failure_domain=settings.failure_domain,
+        ),
+    )
+
+
+def _report_error(error: BaseException) -> None:
+    _log.error("handler_failed", reason=repr(error))
--- /dev/null
+++ b/quetzalmill/sidecar_api.py
@@ -0,0 +1,195 @@
+"""The HTTP interface of a sidecar towards entries and other sidecars.
+
+It decodes requests, hands them to the home or the executor, and writes their
+frames. Callers never reach it.
+"""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import attrs
+
+from quetzalmill import answer
+from quetzalmill import codec
+from quetzalmill import completion
+from quetzalmill import errors
+from quetzalmill import executor as executor_module
+from quetzalmill import executor_link
+from quetzalmill import home as home_module
+from quetzalmill import http_message
+from quetzalmill import http_server
+from quetzalmill import messages
+
+CALLS_PATH = "/internal/v1/calls"
+PROGRAMS_PATH = "/internal/v1/programs"
+TAKE_OVER = "take_over"
+"""Query field that asks the sidecar to take a program over."""
+
+_BEHIND_RETRY_MS = 1_000.0
+
+_FRAMES_TYPE = "application/x-ndjson"
+
+
+@attrs.frozen(kw_only=True)
+class Problem:
+    """The body of a refusal between processes.
+
+    Attributes:
+        code: A short error code; ``moved`` when another process is the home.
+        message: One sentence.
+        retry_after_ms: When to come back, None if that does not help.
+        host: The program's home, when another process is.
+        instance: That process.
+    """
+
+    code: str
+    message: str
+    retry_after_ms: float | None = None
+    host: str = ""
+    instance: str = ""
+
+
+class SidecarApi:
+    """Answers the requests of entries and other sidecars."""
+
+    def __init__(
+        self,
+        *,
+        home: home_module.Home,
+        executor: executor_module.Executor,
+        catch_up: Callable[[int], Awaitable[bool]],
+        dump: Callable[[], dict[str, Any]],
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._home = home
+        self._executor = executor
+        self._catch_up = catch_up
+        self._dump = dump
+        self._is_ready = is_ready
+
+    async def handle(
+        self, request: http_message.Request, exchange: http_server.Exchange
+    ) -> None:
+        """Answers one request."""
+        match (request.method, request.path):
+            case ("GET", "/state"):
+                await exchange.respond(200, codec.to_json(self._dump()))
+            case ("GET", "/health"):
+                await exchange.respond(200, b"{}")
+            case ("GET", "/ready"):
+                status = 200 if self._is_ready() else 503
+                await exchange.respond(status, b"{}")
+            case ("POST", executor_link.EXECUTIONS_PATH):
+                await self._guarded(self._execute, request, exchange)
+            case ("POST", _) if request.path == CALLS_PATH:
+                await self._guarded(self._call, request, exchange)
+            case _ if request.path.startswith(PROGRAMS_PATH):
+                await self._guarded(self._program, request, exchange)
+            case _:
+                await _refuse(exchange, 404, "not_found", "no such path")
+
+    async def _execute(
+        self, request: http_message.Request, exchange: http_server.Exchange
+    ) -> None:
+        execution = codec.from_msgpack(request.body, messages.Execution)
+        await self._require(execution.call.applied_offset)
+        found = self._executor.submit(execution)
+        await exchange.start_stream(200, {"content-type": _FRAMES_TYPE})
+        try:
+            await _write(exchange, found.follow())
+        finally:
+            self._executor.abandon(execution)
+
+    async def _call(
+        self, request: http_message.Request, exchange: http_server.Exchange
+    ) -> None:
+        call = codec.from_msgpack(request.body, messages.Call)
+        await self._require(call.applied_offset)
+        async with self._home.call(
+            call, take_over=_takes_over(request)
+        ) as frames:
+            await exchange.start_stream(200, {"content-type": _FRAMES_TYPE})
+            await _write(exchange, frames)
+
+    async def _program(
+        self, request: http_message.Request, exchange: http_server.Exchange
+    ) -> None:
+        program = request.path.removeprefix(PROGRAMS_PATH).lstrip("/")
+        take_over = _takes_over(request)
+        match request.method:
+            case "POST":
+                start = codec.from_msgpack(request.body, messages.ProgramStart)
+                await self._require(start.applied_offset)
+                view = await self._home.start(start, take_over=take_over)
+                await exchange.respond(201, codec.to_json(view))
+            case "DELETE":
+                await self._home.end(
+                    program, request.query.get("team", ""), take_over=take_over
+                )
+                await exchange.respond(200, b"{}")
+            case _:
+                _, found = await self._home.find(program, take_over=take_over)
+                view = self._home.view(found)
+                await exchange.respond(200, codec.to_json(view))
+
+    async def _require(self, offset: int) -> None:
+        if not await self._catch_up(offset):
+            raise home_module.RefusedError(
+                503,
+                "configuration_behind",
+                f"the configuration at offset {offset} is not here yet",
+                _BEHIND_RETRY_MS,
+            )
+
+    async def _guarded(
+        self,
+        handler: http_server.Handler,
+        request: http_message.Request,
+        exchange: http_server.Exchange,
+    ) -> None:
+        try:
+            await handler(request, exchange)
+        except errors.CodecError as error:
+            await _refuse(exchange, 400, "bad_message", str(error))
+        except completion.InvalidRequestError as error:
+            await _refuse(exchange, 422, "invalid_request", str(error))
+        except home_module.UnknownProgramError as error:
+            await _refuse(exchange, 404, "program_unknown", str(error))
+        except home_module.MovedError as error:
+            await exchange.respond(410, codec.to_json(_moved(error)))
+        except home_module.RefusedError as error:
+            problem = Problem(
+                code=error.code,
+                message=str(error),
+                retry_after_ms=error.retry_after_ms,
+            )
+            await exchange.respond(error.status, codec.to_json(problem))
+
+
+async def _write(
+    exchange: http_server.Exchange, frames: AsyncIterator[messages.Frame]
+) -> None:
+    async for frame in frames:
+        await exchange.send(answer.encode_frame(frame))
+    await exchange.finish()
+
+
+async def _refuse(
+    exchange: http_server.Exchange, status: int, code: str, message: str
+) -> None:
+    problem = Problem(code=code, message=message)
+    await exchange.respond(status, codec.to_json(problem))
+
+
+def _takes_over(request: http_message.Request) -> bool:
+    return request.query.get(TAKE_OVER) == "1"
+
+
+def _moved(error: home_module.MovedError) -> Problem:
+    home = error.home
+    return Problem(
+        code="moved",
+        message=str(error),
+        host=home.host if home else "",
+        instance=home.instance if home else "",
+    )
--- /dev/null
+++ b/quetzalmill/sidecar_beats.py
@@ -0,0 +1,175 @@
+"""The sidecar's heartbeats to entries, which bring it the configuration.
+
+A sidecar talks to two entries, in different failure domains where it can. It
+never reads the configuration stream itself.
+"""
+
+import trio
+
+from quetzalmill import clock as clock_module
+from quetzalmill import config_store
+from quetzalmill import control
+from quetzalmill import daemon
+from quetzalmill import errors
+from quetzalmill import executor as executor_module
+from quetzalmill import fleet_view
+from quetzalmill import logs
+from quetzalmill import messages
+from quetzalmill import objects
+from quetzalmill import shares
+from quetzalmill import suspects as suspects_module
+
+ENTRIES_PER_SIDECAR = 2
+"""Entries that a sidecar talks to at a time."""
+
+_AVOID_MS = 3_000.0
+
+_log = logs.get("sidecar_beats")
+
+
+class SidecarBeats:
+    """The control traffic of one sidecar with its entries."""
+
+    def __init__(
+        self,
+        identity: daemon.Identity,
+        *,
+        seeds: list[str],
+        beat_ms: float,
+        timeout_ms: float,
+        store: config_store.ConfigStore,
+        fleet: fleet_view.FleetView,
+        executor: executor_module.Executor,
+        suspects: suspects_module.Suspects,
+        client: control.ControlClient,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._identity = identity
+        self._seeds = seeds
+        self._beat_ms = beat_ms
+        self._timeout_ms = timeout_ms
+        self._store = store
+        self._fleet = fleet
+        self._executor = executor
+        self._suspects = suspects
+        self._client = client
+        self._clock = clock
+        self._avoid_until_ms: dict[str, float] = {}
+        self._answered = trio.Event()
+        self.heard_any = False
+
+    async def run(self) -> None:
+        """Beats to the chosen entries until cancelled."""
+        while True:
+            await self.beat_all()
+            await trio.sleep(self._beat_ms / 1000.0)
+
+    async def beat_all(self) -> None:
+        """Sends one beat to each chosen entry."""
+        async with trio.open_nursery() as nursery:
+            for address in self._addresses():
+                nursery.start_soon(self._beat, address)
+
+    async def catch_up(self, offset: int) -> bool:
+        """Fetches the configuration up to ``offset``; False if it cannot."""
+        config = self._store.config
+        if config.applied_offset >= offset:
+            return True
+        with trio.move_on_after(self._timeout_ms / 1000.0):
+            while config.applied_offset < offset:
+                await self.beat_all()
+                if config.applied_offset < offset:
+                    await trio.sleep(self._beat_ms / 10_000.0)
+        return config.applied_offset >= offset
+
+    async def report(self, suspect: messages.Suspect) -> None:
+        """Tells every known entry of a suspect, before its caller hears."""
+        report = messages.SuspectReport(suspects=[suspect], forward=True)
+        async with trio.open_nursery() as nursery:
+            for address in self._addresses():
+                nursery.start_soon(self._send_report, address, report)
+
+    async def _send_report(
+        self, address: str, report: messages.SuspectReport
+    ) -> None:
+        try:
+            await self._client.call(
+                address, messages.SUSPECTS, report, timeout_ms=self._timeout_ms
+            )
+        except errors.ControlError as error:
+            _log.warning("suspect_report_failed", reason=str(error))
+
+    async def _beat(self, address: str) -> None:
+        asked_ms = self._clock.now_ms()
+        beat = messages.SidecarBeat(
+            host=self._identity.host,
+            spec=self._identity.spec,
+            applied_offset=self._store.config.applied_offset,
+            loads=self._executor.loads(),
+        )
+        try:
+            reply = await self._client.call(
+                address,
+                messages.BEAT_SIDECAR,
+                beat,
+                timeout_ms=self._timeout_ms,
+            )
+        except errors.ControlError as error:
+            _log.debug("beat_failed", entry=address, reason=str(error))
+            now_ms = self._clock.now_ms()
+            self._avoid_until_ms[address] = now_ms + _AVOID_MS
+            return
+        self._take(reply, asked_ms)
+
+    def _take(self, reply: messages.BeatReply, asked_ms: float) -> None:
+        self.heard_any = True
+        self._store.catch_up(reply.snapshot, reply.records)
+        self._fleet.note(
+            reply.host,
+            reply.spec,
+            applied_offset=reply.applied_offset,
+            at_ms=asked_ms,
+        )
+        for heard in reply.heard:
+            self._fleet.note(
+                heard.host,
+                heard.spec,
+                applied_offset=heard.applied_offset,
+                at_ms=asked_ms - heard.age_ms,
+            )
+        self._fleet.note_loads(reply.loads, asked_ms)
+        self._fleet.note_loads(self._executor.loads(), self._clock.now_ms())
+        for suspect in reply.suspects:
+            self._suspects.note(suspect)
+
+    def _addresses(self) -> list[str]:
+        now_ms = self._clock.now_ms()
+        known = {
+            spec.control_address: spec.failure_domain
+            for host, spec in self._store.config.specs(
+                objects.PROCESS, objects.ProcessSpec
+            ).items()
+            if spec.role == objects.ENTRY and not self._fleet.is_leaving(host)
+        }
+        addresses = sorted(
+            dict.fromkeys([*known, *self._seeds]),
+            key=lambda address: (
+                self._avoid_until_ms.get(address, 0.0) > now_ms,
+                address not in known,
+                shares.rank(self._identity.host, address),
+            ),
+        )
+        return _spread(addresses, known)
+
+
+def _spread(addresses: list[str], domains: dict[str, str]) -> list[str]:
+    """Returns the first addresses, the second from another domain if any."""
+    if len(addresses) <= ENTRIES_PER_SIDECAR:
+        return addresses
+    first = addresses[0]
+    others = [
+        address
+        for address in addresses[1:]
+        if domains.get(address) != domains.get(first)
+    ]
+    return [first, (others or addresses[1:])[0]]
--- a/quetzalmill/turn_log.py
+++ b/quetzalmill/turn_log.py
@@ -14,7 +14,6 @@
 import attrs
 import trio
 
-from quetzalmill import clock as clock_module
 from quetzalmill import codec
 from quetzalmill import errors
 from quetzalmill import log_port
@@ -66,7 +65,6 @@
         port: log_port.LogPort,
         stream: str,
         *,
-        clock: clock_module.Clock,
         interval_ms: float,
         patience_ms: float,
         buffer_bytes: int,
@@ -74,7 +72,6 @@
     ) -> None:
         self._port = port
         self._stream = stream
-        self._clock = clock
         self._interval_ms = interval_ms
         self._patience_ms = patience_ms
         self._buffer_bytes = buffer_bytes
