--- /dev/null
+++ b/quetzalmill/callers_api.py
@@ -0,0 +1,421 @@
+"""The HTTP interface towards callers.
+
+It authenticates, admits against the team's rate, hands requests on to homes
+and writes answers in the usual form. A caller's key goes no further than here.
+"""
+
+from collections.abc import Callable
+import secrets
+from typing import Any
+
+import attrs
+
+from quetzalmill import admission as admission_module
+from quetzalmill import caller_requests
+from quetzalmill import codec
+from quetzalmill import configuration
+from quetzalmill import errors
+from quetzalmill import forwarding
+from quetzalmill import http_message
+from quetzalmill import http_server
+from quetzalmill import keys
+from quetzalmill import logs
+from quetzalmill import messages
+from quetzalmill import objects
+from quetzalmill import problems
+from quetzalmill import selectors
+from quetzalmill import sse
+from quetzalmill import suspects as suspects_module
+
+COMPLETIONS_PATH = "/v1/chat/completions"
+PROGRAMS_PATH = "/v1/programs"
+SERVICES_PATH = "/v1/services/"
+
+STALE_RETRY_MS = 1_000.0
+"""When to come back while the configuration may be out of date."""
+
+QUICK_REQUEST_MS = 10_000.0
+"""How long a request about a program may take."""
+
+_BEARER = "bearer "
+
+_log = logs.get("callers_api")
+
+
+@attrs.frozen(kw_only=True)
+class Caller:
+    """Who sent a request.
+
+    Attributes:
+        team: The team; empty on open routes without a key.
+        key_id: The key's id; empty without a key.
+    """
+
+    team: str
+    key_id: str
+
+
+NOBODY = Caller(team="", key_id="")
+
+
+class CallersApi:
+    """Answers callers' requests."""
+
+    def __init__(
+        self,
+        *,
+        config: configuration.Configuration,
+        admission: admission_module.Admission,
+        forwarder: forwarding.Forwarder,
+        suspects: suspects_module.Suspects,
+        is_trusted: Callable[[], bool],
+        is_ready: Callable[[], bool],
+        call_timeout_ms: float,
+    ) -> None:
+        self._config = config
+        self._admission = admission
+        self._forwarder = forwarder
+        self._suspects = suspects
+        self._is_trusted = is_trusted
+        self._is_ready = is_ready
+        self._call_timeout_ms = call_timeout_ms
+        self.running = 0
+
+    async def handle(
+        self, request: http_message.Request, exchange: http_server.Exchange
+    ) -> None:
+        """Answers one request."""
+        self.running += 1
+        try:
+            await self._route(request, exchange)
+        except problems.CallerError as error:
+            _log.info(
+                "request_failed",
+                path=request.path,
+                status=error.status,
+                code=error.code,
+                ran=error.ran.value,
+                program=request.headers.get(caller_requests.PROGRAM_HEADER),
+            )
+            await exchange.respond(
+                error.status,
+                problems.body_of(error),
+                problems.headers_of(error),
+            )
+        finally:
+            self.running -= 1
+
+    async def _route(
+        self, request: http_message.Request, exchange: http_server.Exchange
+    ) -> None:
+        path = request.path
+        match (request.method, path):
+            case ("GET", "/health"):
+                await exchange.respond(200, b"{}")
+            case ("GET", "/ready"):
+                await exchange.respond(200 if self._is_ready() else 503, b"{}")
+            case ("POST", _) if path == COMPLETIONS_PATH:
+                await self._complete(request, exchange)
+            case ("POST", _) if path == PROGRAMS_PATH:
+                await self._start_program(request, exchange)
+            case ("GET" | "DELETE", _) if path.startswith(PROGRAMS_PATH + "/"):
+                await self._program(request, exchange)
+            case (_, _) if path.startswith(SERVICES_PATH):
+                await self._service(request, exchange)
+            case _:
+                raise problems.CallerError(
+                    404, "not_found", f"there is no {request.method} {path}"
+                )
+
+    async def _start_program(
+        self, request: http_message.Request, exchange: http_server.Exchange
+    ) -> None:
+        caller = self._authenticate(request)
+        wanted = caller_requests.read_new_program(request.body)
+        view = await self._forwarder.start_program(
+            messages.ProgramStart(
+                program="",
+                parent=wanted.parent,
+                team=caller.team,
+                calls=wanted.calls,
+                tokens=wanted.tokens,
+                time_ms=wanted.time_ms,
+                deadline_ms=wanted.deadline_ms,
+                applied_offset=self._config.applied_offset,
+            ),
+            QUICK_REQUEST_MS,
+        )
+        await exchange.respond(201, codec.to_json(view))
+
+    async def _program(
+        self, request: http_message.Request, exchange: http_server.Exchange
+    ) -> None:
+        caller = self._authenticate(request)
+        program = request.path.removeprefix(PROGRAMS_PATH + "/")
+        response = await self._forwarder.ask(
+            request.method, program, {"team": caller.team}, QUICK_REQUEST_MS
+        )
+        await exchange.respond(200, response.body)
+
+    async def _complete(
+        self, request: http_message.Request, exchange: http_server.Exchange
+    ) -> None:
+        caller = self._authenticate(request)
+        wanted = caller_requests.read_completion(request.body)
+        model = self._config.model(wanted.model)
+        if model is None:
+            raise problems.CallerError(
+                404, "model_unknown", f"there is no model {wanted.model!r}"
+            )
+        self._require_allowed(caller, model.labels, f"model {wanted.model}")
+        call = self._call_of(
+            request,
+            caller,
+            messages.CallKind.MODEL,
+            wanted.model,
+            stream=wanted.stream,
+            idempotent=True,
+        )
+        await self._admit(caller)
+        if wanted.stream:
+            await self._stream(call, caller, exchange)
+        else:
+            await self._whole(call, caller, exchange)
+
+    async def _service(
+        self, request: http_message.Request, exchange: http_server.Exchange
+    ) -> None:
+        route_name, _, path = request.path.removeprefix(
+            SERVICES_PATH
+        ).partition("/")
+        route = self._config.route(route_name)
+        if route is None:
+            self._authenticate(request)
+            raise problems.CallerError(
+                404, "route_unknown", f"there is no route {route_name!r}"
+            )
+        caller = self._caller_of_route(request, route)
+        if caller is not NOBODY:
+            self._require_allowed(caller, route.labels, f"route {route_name}")
+        call = self._call_of(
+            attrs.evolve(request, path="/" + path),
+            caller,
+            messages.CallKind.SERVICE,
+            route_name,
+            stream=False,
+            idempotent=request.method in ("GET", "HEAD"),
+        )
+        if caller is not NOBODY:
+            await self._admit(caller)
+        await self._whole(call, caller, exchange)
+
+    async def _whole(
+        self,
+        call: messages.Call,
+        caller: Caller,
+        exchange: http_server.Exchange,
+    ) -> None:
+        last = await self._forwarder.call(call, None, self._check_of(caller))
+        await exchange.respond(
+            last.status,
+            last.data,
+            _answer_headers(call, last),
+            content_type=last.content_type or "application/json",
+        )
+
+    async def _stream(
+        self,
+        call: messages.Call,
+        caller: Caller,
+        exchange: http_server.Exchange,
+    ) -> None:
+        started = False
+
+        async def start() -> None:
+            nonlocal started
+            if not started:
+                started = True
+                await exchange.start_stream(
+                    200,
+                    {
+                        "content-type": sse.CONTENT_TYPE,
+                        "cache-control": "no-cache",
+                        caller_requests.PROGRAM_HEADER: call.program,
+                        caller_requests.CALL_HEADER: str(call.number),
+                    },
+                )
+
+        async def take(piece: bytes) -> None:
+            await start()
+            await exchange.send(sse.encode_event(piece.decode()))
+
+        try:
+            last = await self._forwarder.call(
+                call, take, self._check_of(caller)
+            )
+        except problems.CallerError as error:
+            if not started:
+                raise
+            await exchange.send(
+                sse.encode_event(problems.body_of(error).decode())
+            )
+        else:
+            await start()
+            await exchange.send(sse.encode_event(_last_chunk(call, last)))
+            await exchange.send(sse.encode_event(sse.DONE))
+        await exchange.finish()
+
+    def _call_of(
+        self,
+        request: http_message.Request,
+        caller: Caller,
+        kind: messages.CallKind,
+        target: str,
+        *,
+        stream: bool,
+        idempotent: bool,
+    ) -> messages.Call:
+        headers = caller_requests.read_call_headers(
+            request, self._call_timeout_ms
+        )
+        content = request.target().encode() + b"\0" + request.body
+        fingerprint = suspects_module.fingerprint(caller.team, target, content)
+        if self._suspects.is_quarantined(fingerprint):
+            raise problems.CallerError(
+                422, "quarantined", "the request ended endpoints before"
+            )
+        if headers.idempotent is not None:
+            idempotent = headers.idempotent
+        return messages.Call(
+            program=headers.program or f"{secrets.token_hex(10)}.0.single",
+            single=not headers.program,
+            number=headers.number,
+            team=caller.team,
+            key_id=caller.key_id,
+            kind=kind,
+            target=target,
+            method=request.method,
+            path=request.target(),
+            content_type=request.headers.get("content-type", ""),
+            body=request.body,
+            stream=stream,
+            idempotent=idempotent,
+            time_left_ms=headers.time_left_ms,
+            fingerprint=fingerprint,
+            suspect=self._suspects.is_suspect(fingerprint),
+            applied_offset=self._config.applied_offset,
+            expected_chain=headers.expected_chain,
+        )
+
+    def _authenticate(self, request: http_message.Request) -> Caller:
+        self._require_trust()
+        text = request.headers.get("authorization", "")
+        if not text.lower().startswith(_BEARER):
+            raise _key_unknown("a key is needed: Authorization: Bearer <key>")
+        key = text[len(_BEARER) :].strip()
+        key_id = keys.key_id_of(key)
+        spec = self._config.key(key_id) if key_id else None
+        if spec is None or key_id is None or spec.withdrawn:
+            raise _key_unknown("the key is unknown or withdrawn")
+        if not keys.matches(key, spec.secret_sha256):
+            raise _key_unknown("the key is unknown or withdrawn")
+        return Caller(team=spec.team, key_id=key_id)
+
+    def _caller_of_route(
+        self, request: http_message.Request, route: objects.RouteSpec
+    ) -> Caller:
+        if route.open and "authorization" not in request.headers:
+            self._require_trust()
+            return NOBODY
+        return self._authenticate(request)
+
+    def _require_trust(self) -> None:
+        if not self._is_trusted():
+            raise problems.CallerError(
+                503,
+                "configuration_stale",
+                "this entry is cut off and may have an old configuration",
+                retry_after_ms=STALE_RETRY_MS,
+            )
+
+    def _check_of(self, caller: Caller) -> Callable[[], bool]:
+        if caller is NOBODY:
+            return lambda: True
+
+        def still_allowed() -> bool:
+            spec = self._config.key(caller.key_id)
+            return spec is not None and not spec.withdrawn
+
+        return still_allowed
+
+    def _require_allowed(
+        self, caller: Caller, labels: dict[str, str], what: str
+    ) -> None:
+        team = self._config.team(caller.team)
+        if team is None:
+            raise problems.CallerError(
+                403, "team_unknown", f"there is no team {caller.team!r}"
+            )
+        try:
+            allowed = selectors.parse(team.selector).matches(labels)
+        except errors.SelectorError:
+            allowed = False
+        if not allowed:
+            raise problems.CallerError(
+                403,
+                "not_allowed",
+                f"{what} is not open to team {caller.team}",
+            )
+
+    async def _admit(self, caller: Caller) -> None:
+        match await self._admission.admit(caller.team):
+            case admission_module.Admitted():
+                return
+            case admission_module.OverRate(retry_after_ms=retry_after_ms):
+                raise problems.CallerError(
+                    429,
+                    "over_rate",
+                    f"team {caller.team} has used up its rate",
+                    retry_after_ms=retry_after_ms,
+                )
+            case admission_module.NoHolder():
+                raise problems.CallerError(
+                    503,
+                    "rate_unknown",
+                    "no entry that holds the team's rate can be reached",
+                    retry_after_ms=admission_module.UNKNOWN_RETRY_MS,
+                )
+
+
+def _answer_headers(
+    call: messages.Call, last: messages.Frame
+) -> dict[str, str]:
+    headers = {
+        caller_requests.PROGRAM_HEADER: call.program,
+        caller_requests.CALL_HEADER: str(call.number),
+    }
+    if not call.single:
+        headers[caller_requests.HISTORY_HEADER] = str(
+            last.details.get("history", "")
+        )
+        durable = bool(last.details.get("durable"))
+        headers["quetzalmill-durable"] = str(durable).lower()
+    return headers
+
+
+def _last_chunk(call: messages.Call, last: messages.Frame) -> str:
+    details: dict[str, Any] = {
+        "program": call.program,
+        "call": call.number,
+        **last.details,
+    }
+    chunk = {
+        "object": "chat.completion.chunk",
+        "choices": [],
+        "quetzalmill": details,
+    }
+    return codec.to_json(chunk).decode()
+
+
+def _key_unknown(message: str) -> problems.CallerError:
+    return problems.CallerError(401, "key_unknown", message)
--- /dev/null
+++ b/quetzalmill/forwarding.py
@@ -0,0 +1,294 @@
+"""Carries one caller's request to its program's home and back.
+
+It repeats what may be repeated while homes move or go, until the caller's
+time is over, and passes pieces of an answer on exactly once.
+"""
+
+from collections.abc import Awaitable, Callable
+
+import attrs
+import trio
+
+from quetzalmill import clock as clock_module
+from quetzalmill import codec
+from quetzalmill import completion
+from quetzalmill import errors
+from quetzalmill import home_link as home_link_module
+from quetzalmill import http_message
+from quetzalmill import messages
+from quetzalmill import problems
+from quetzalmill import sidecar_api
+
+RETRY_MS = 100.0
+"""Pause before a request is sent to a home again."""
+
+UNREACHABLE_RETRY_MS = 1_000.0
+"""When to come back while no home can be reached."""
+
+PieceSink = Callable[[bytes], Awaitable[None]]
+"""Takes the pieces of a model's answer, in order."""
+
+
+class Forwarder:
+    """Sends requests to homes."""
+
+    def __init__(
+        self, link: home_link_module.HomeLink, clock: clock_module.Clock
+    ) -> None:
+        self._link = link
+        self._clock = clock
+
+    async def start_program(
+        self, start: messages.ProgramStart, time_left_ms: float
+    ) -> messages.ProgramView:
+        """Starts a program at a new home, or a sub-program at its parent's.
+
+        Raises:
+            problems.CallerError: It was not started.
+        """
+        deadline_ms = self._clock.now_ms() + time_left_ms
+        while True:
+            target = (
+                self._link.home_of(start.parent)
+                if start.parent
+                else self._link.new_home()
+            )
+            if target is None:
+                raise _no_home()
+            if not start.parent:
+                start = attrs.evolve(
+                    start, program=self._link.new_program(target)
+                )
+            response = await self._ask(
+                target, "POST", "", codec.to_msgpack(start), {}
+            )
+            if response is not None and response.status == 201:
+                return codec.from_json(response.body, messages.ProgramView)
+            self._react(start.parent, target, response)
+            await self._pause(deadline_ms)
+
+    async def ask(
+        self,
+        method: str,
+        program: str,
+        query: dict[str, str],
+        time_left_ms: float,
+    ) -> http_message.Response:
+        """Sends a request about a program and returns a good response.
+
+        Raises:
+            problems.CallerError: It was refused or no home answered in time.
+        """
+        deadline_ms = self._clock.now_ms() + time_left_ms
+        while True:
+            target = self._link.home_of(program)
+            if target is None:
+                raise _no_home()
+            response = await self._ask(
+                target, method, f"/{program}", b"", query
+            )
+            if response is not None and response.status == 200:
+                self._link.note_home(program, target.home)
+                return response
+            self._react(program, target, response)
+            await self._pause(deadline_ms)
+
+    async def call(
+        self,
+        call: messages.Call,
+        sink: PieceSink | None,
+        may_go_on: Callable[[], bool],
+    ) -> messages.Frame:
+        """Runs a call at its home and returns the answer's last frame.
+
+        Args:
+            call: The call.
+            sink: Takes a model's answer in pieces; None for a whole one.
+            may_go_on: Whether the caller's key still works.
+
+        Raises:
+            problems.CallerError: The call was refused or failed.
+        """
+        deadline_ms = self._clock.now_ms() + call.time_left_ms
+        relay = _Relay(sink)
+        target = (
+            self._link.new_home()
+            if call.single
+            else self._link.home_of(call.program)
+        )
+        while True:
+            if target is None:
+                raise _no_home()
+            left_ms = max(1.0, deadline_ms - self._clock.now_ms())
+            last = await self._attempt(
+                target,
+                attrs.evolve(call, time_left_ms=left_ms),
+                relay,
+                may_go_on,
+            )
+            if last is not None:
+                return last
+            await self._pause(deadline_ms, relay.started)
+            relay.restart()
+            target = (
+                self._link.new_home()
+                if call.single
+                else self._link.home_of(call.program)
+            )
+
+    async def _attempt(
+        self,
+        target: home_link_module.Target,
+        call: messages.Call,
+        relay: "_Relay",
+        may_go_on: Callable[[], bool],
+    ) -> messages.Frame | None:
+        """Returns the last frame, None if the call is to be sent again."""
+        try:
+            async with self._link.call(target, call, may_go_on) as found:
+                if isinstance(found, http_message.Response):
+                    program = "" if call.single else call.program
+                    self._react(program, target, found)
+                    return None
+                if not call.single:
+                    self._link.note_home(call.program, target.home)
+                async for frame in found:
+                    match frame.kind:
+                        case messages.FrameKind.DATA:
+                            await relay.take(frame.data)
+                        case messages.FrameKind.MOVED:
+                            return None
+                        case messages.FrameKind.FAILED:
+                            raise problems.from_frame(frame)
+                        case _:
+                            return frame
+        except errors.ConnectFailedError:
+            return None
+        except home_link_module.NoLongerAllowedError as error:
+            raise problems.CallerError(
+                401,
+                "key_withdrawn",
+                str(error),
+                ran=messages.Ran.UNKNOWN,
+            ) from error
+        except (
+            errors.HttpError,
+            errors.CodecError,
+            home_link_module.HomeGoneError,
+        ) as error:
+            if call.single and not call.idempotent:
+                raise _unknown(str(error)) from error
+        return None
+
+    async def _ask(
+        self,
+        target: home_link_module.Target,
+        method: str,
+        path: str,
+        body: bytes,
+        query: dict[str, str],
+    ) -> http_message.Response | None:
+        try:
+            return await self._link.request(
+                target, method, sidecar_api.PROGRAMS_PATH + path, body, query
+            )
+        except errors.HttpError:
+            return None
+
+    def _react(
+        self,
+        program: str,
+        target: home_link_module.Target,
+        response: http_message.Response | None,
+    ) -> None:
+        """Follows a program that moved; raises on any other refusal."""
+        if response is None:
+            return
+        if not home_link_module.is_moved(response):
+            raise _refused(response)
+        home = home_link_module.moved_to(response)
+        if home is None and program:
+            successor = self._link.successor(program, target.home)
+            home = successor.home if successor else None
+            if home is not None:
+                self._link.ask_to_take_over(program, home)
+        elif home is not None and program:
+            self._link.note_home(program, home)
+
+    async def _pause(self, deadline_ms: float, started: bool = False) -> None:
+        if self._clock.now_ms() + RETRY_MS >= deadline_ms:
+            raise problems.CallerError(
+                504,
+                "deadline",
+                "the program's home did not answer in time",
+                ran=messages.Ran.UNKNOWN,
+                retry_after_ms=UNREACHABLE_RETRY_MS,
+            )
+        await trio.sleep(RETRY_MS / 1000.0)
+
+
+class _Relay:
+    """Passes pieces on once, however often the call is sent again."""
+
+    def __init__(self, sink: PieceSink | None) -> None:
+        self._sink = sink
+        self._passed: list[bytes] = []
+        self._merge: completion.Assembly | None = None
+
+    @property
+    def started(self) -> bool:
+        return bool(self._passed)
+
+    def restart(self) -> None:
+        if not self._passed:
+            return
+        merge = completion.Assembly()
+        try:
+            for piece in self._passed:
+                merge.add(piece)
+            merge.restart()
+        except completion.DivergedError as error:
+            raise _unknown(str(error)) from error
+        self._merge = merge
+
+    async def take(self, piece: bytes) -> None:
+        if self._sink is None:
+            return
+        passed: bytes | None = piece
+        if self._merge is not None:
+            try:
+                passed = self._merge.add(piece)
+            except completion.DivergedError as error:
+                raise _unknown(str(error)) from error
+        if passed is not None:
+            self._passed.append(passed)
+            await self._sink(passed)
+
+
+def _no_home() -> problems.CallerError:
+    return problems.CallerError(
+        503,
+        "no_home",
+        "no sidecar takes the program",
+        retry_after_ms=UNREACHABLE_RETRY_MS,
+    )
+
+
+def _unknown(message: str) -> problems.CallerError:
+    return problems.CallerError(
+        502, "answer_lost", message, ran=messages.Ran.UNKNOWN
+    )
+
+
+def _refused(response: http_message.Response) -> problems.CallerError:
+    try:
+        problem = codec.from_json(response.body, sidecar_api.Problem)
+    except errors.CodecError:
+        return _unknown(f"the home answered {response.status}")
+    return problems.CallerError(
+        response.status,
+        problem.code,
+        problem.message,
+        retry_after_ms=problem.retry_after_ms,
+        details=problem.details,
+    )
--- a/quetzalmill/home.py
+++ b/quetzalmill/home.py
@@ -60,6 +60,7 @@
         status: The HTTP status.
         code: A short error code.
         retry_after_ms: When to come back, None if that does not help.
+        details: Further fields for the caller.
     """
 
     def __init__(
@@ -68,11 +69,13 @@
         code: str,
         message: str,
         retry_after_ms: float | None = None,
+        details: dict[str, Any] | None = None,
     ) -> None:
         super().__init__(message)
         self.status = status
         self.code = code
         self.retry_after_ms = retry_after_ms
+        self.details = details or {}
 
 
 @attrs.define(kw_only=True)
@@ -250,6 +253,8 @@
             RefusedError: The call is refused and was not run.
         """
         if call.single:
+            if self.leaving:
+                raise MovedError(None)
             family, program = self._single(call)
         else:
             family, program = await self.find(call.program, take_over=take_over)
@@ -537,7 +542,8 @@
             return RefusedError(
                 409,
                 "order_conflict",
-                f"{reason}; call {expected} is expected, history {chain!r}",
+                f"{reason}; call {expected} is expected",
+                details={"expected_call": expected, "history": chain},
             )
         case programs.BudgetSpent(program=program, limit=limit):
             return RefusedError(
--- /dev/null
+++ b/quetzalmill/share_keeper.py
@@ -0,0 +1,150 @@
+"""Keeps the shares of the teams' rates with entries that are alive.
+
+When the entries that are alive differ from the holders, an entry appends a
+record that names the new ones. Races end by the record's base revision, and
+``shares`` decides when the new holders may mint.
+"""
+
+import trio
+
+from quetzalmill import announcement
+from quetzalmill import clock as clock_module
+from quetzalmill import codec
+from quetzalmill import config_store
+from quetzalmill import daemon
+from quetzalmill import errors
+from quetzalmill import fleet_view
+from quetzalmill import freshness as freshness_module
+from quetzalmill import log_port
+from quetzalmill import logs
+from quetzalmill import objects
+from quetzalmill import shares
+
+SHARES_NAME = "all"
+"""The name of the one shares object."""
+
+_log = logs.get("share_keeper")
+
+
+class ShareKeeper:
+    """Watches one entry's view of the holders."""
+
+    def __init__(
+        self,
+        identity: daemon.Identity,
+        *,
+        store: config_store.ConfigStore,
+        port: log_port.LogPort,
+        fleet: fleet_view.FleetView,
+        ledger: shares.ShareHolder,
+        freshness: freshness_module.Freshness,
+        lease_ms: float,
+        beat_ms: float,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._identity = identity
+        self._store = store
+        self._port = port
+        self._fleet = fleet
+        self._ledger = ledger
+        self._freshness = freshness
+        self._lease_ms = lease_ms
+        self._beat_ms = beat_ms
+        self._clock = clock
+        self._differs_since_ms: float | None = None
+
+    def configuration_changed(self) -> None:
+        """Notes the holders that the newest configuration names."""
+        config = self._store.config
+        spec = config.spec(objects.SHARES, SHARES_NAME, objects.SharesSpec)
+        if spec is None:
+            return
+        self._ledger.record_applied(
+            shares.HolderSet(
+                revision=config.revision(objects.SHARES, SHARES_NAME),
+                holders=spec.holders,
+            ),
+            spec.previous,
+        )
+
+    async def run(self) -> None:
+        """Settles and proposes holders until cancelled."""
+        while True:
+            now_ms = self._clock.now_ms()
+            self._ledger.settle(now_ms, self._fleet.replaced())
+            if self._is_due(now_ms):
+                await self._propose()
+            await trio.sleep(self._beat_ms / 1000.0)
+
+    def _is_due(self, now_ms: float) -> bool:
+        holders = self._ledger.newest.holders
+        if self._wanted(now_ms) == holders or not self._may_propose(now_ms):
+            self._differs_since_ms = None
+            return False
+        if self._differs_since_ms is None:
+            self._differs_since_ms = now_ms
+        patience_ms = self._lease_ms * self._place_in_line(now_ms)
+        return now_ms - self._differs_since_ms >= patience_ms
+
+    def _may_propose(self, now_ms: float) -> bool:
+        age_ms = self._freshness.age_ms(now_ms)
+        if age_ms is None or age_ms > self._lease_ms:
+            return False
+        return self._ledger.is_settled and self._hears_majority(now_ms)
+
+    def _hears_majority(self, now_ms: float) -> bool:
+        holders = self._ledger.newest.holders
+        own = (self._identity.host, self._identity.spec.instance)
+        gone = self._fleet.replaced()
+        known = [
+            host
+            for host, instance in holders.items()
+            if (host, instance) == own
+            or f"{host} {instance}" in gone
+            or self._fleet.is_alive(host, now_ms)
+        ]
+        return not holders or 2 * len(known) > len(holders)
+
+    def _wanted(self, now_ms: float) -> dict[str, str]:
+        wanted = {
+            heard.host: heard.spec.instance
+            for heard in self._fleet.heard(objects.ENTRY, now_ms)
+            if self._fleet.takes_work(heard.host, now_ms)
+            and self._is_published(heard.host, heard.spec.instance)
+        }
+        own = self._identity
+        if not own.spec.leaving and self._is_published(
+            own.host, own.spec.instance
+        ):
+            wanted[own.host] = own.spec.instance
+        return wanted
+
+    def _is_published(self, host: str, instance: str) -> bool:
+        published = self._store.config.process(host)
+        return published is not None and published.instance == instance
+
+    def _place_in_line(self, now_ms: float) -> int:
+        """Returns how many others propose before this entry does."""
+        hosts = sorted(self._wanted(now_ms))
+        own = self._identity.host
+        return hosts.index(own) if own in hosts else len(hosts)
+
+    async def _propose(self) -> None:
+        now_ms = self._clock.now_ms()
+        spec = objects.SharesSpec(
+            holders=self._wanted(now_ms),
+            previous=self._ledger.newest.holders,
+        )
+        change = objects.ObjectChange(
+            kind=objects.SHARES,
+            name=SHARES_NAME,
+            base_revision=self._ledger.newest.revision,
+            spec=codec.to_plain(spec),
+        )
+        record = announcement.new_record(self._identity.host, [change])
+        try:
+            await announcement.append_record(self._port, record)
+        except errors.PortError as error:
+            _log.warning("shares_not_appended", reason=str(error))
+            return
+        _log.info("shares_proposed", holders=sorted(spec.holders))
--- a/quetzalmill/sidecar_api.py
+++ b/quetzalmill/sidecar_api.py
@@ -40,6 +40,7 @@
         retry_after_ms: When to come back, None if that does not help.
         host: The program's home, when another process is.
         instance: That process.
+        details: Further fields for the caller.
     """
 
     code: str
@@ -47,6 +48,7 @@
     retry_after_ms: float | None = None
     host: str = ""
     instance: str = ""
+    details: dict[str, Any] = attrs.field(factory=dict)
 
 
 class SidecarApi:
@@ -162,6 +164,7 @@
                 code=error.code,
                 message=str(error),
                 retry_after_ms=error.retry_after_ms,
+                details=error.details,
             )
             await exchange.respond(error.status, codec.to_json(problem))
 
