Run the whole path: start buckets of new teams full, split internal paths

Cause: the first run of the path was refused with 429, since a bucket that was made at the first request started empty. A bucket now exists from the record that publishes its team, and starts full when the same settled holders hold the shares since before that record, so nobody can have admitted it before. Also: the entry no longer loads the home's modules for two constants.

--- a/quetzalmill/admission.py
+++ b/quetzalmill/admission.py
@@ -86,6 +86,17 @@
         self._empty_until_ms: dict[tuple[str, str], float] = {}
         self.asked = 0
 
+    def configuration_changed(self) -> None:
+        """Makes the buckets of new teams and drops those of deleted ones."""
+        teams = self._config.specs(objects.TEAM, objects.TeamSpec)
+        self._buckets.keep_only(set(teams))
+        for team, spec in teams.items():
+            if team not in self._buckets:
+                revision = self._config.revision(objects.TEAM, team)
+                self._bucket(
+                    team, spec, starts_full=self._ledger.held_since(revision)
+                )
+
     async def admit(self, team: str) -> Verdict:
         """Admits one request of a team, or says when to come back."""
         spec = self._config.team(team)
@@ -121,29 +132,28 @@
 
     def _take(self, team: str, spec: objects.TeamSpec, wanted: int) -> int:
         now_ms = self._clock.now_ms()
-        bucket = self._buckets.configure(
-            team,
-            rate_per_s=spec.rate_per_s,
-            burst=spec.burst,
-            fraction=self._ledger.fraction(team, spec.burst),
-            now_ms=now_ms,
-        )
+        bucket = self._bucket(team, spec)
         if not self._ledger.may_mint(now_ms):
             self._buckets.stop_minting(now_ms)
             return 0
         return bucket.take(wanted, now_ms)
 
     def _next_ms(self, team: str, spec: objects.TeamSpec) -> float:
-        now_ms = self._clock.now_ms()
-        bucket = self._buckets.configure(
+        bucket = self._bucket(team, spec)
+        next_ms = bucket.next_token_ms(self._clock.now_ms())
+        return UNKNOWN_RETRY_MS if next_ms is None else next_ms
+
+    def _bucket(
+        self, team: str, spec: objects.TeamSpec, *, starts_full: bool = False
+    ) -> rate_limit.Bucket:
+        return self._buckets.configure(
             team,
             rate_per_s=spec.rate_per_s,
             burst=spec.burst,
             fraction=self._ledger.fraction(team, spec.burst),
-            now_ms=now_ms,
+            now_ms=self._clock.now_ms(),
+            starts_full=starts_full,
         )
-        next_ms = bucket.next_token_ms(now_ms)
-        return UNKNOWN_RETRY_MS if next_ms is None else next_ms
 
     async def _borrow(self, team: str, spec: objects.TeamSpec) -> None:
         try:
--- a/quetzalmill/entry.py
+++ b/quetzalmill/entry.py
@@ -111,6 +111,7 @@
         settings = self._settings
         self._store.on_change(self._fleet.configuration_changed)
         self._store.on_change(self._keeper.configuration_changed)
+        self._store.on_change(self._admission.configuration_changed)
         server = control.ControlServer(
             {
                 messages.BEAT_SIDECAR: self._beats.on_sidecar_beat,
--- a/quetzalmill/executor_link.py
+++ b/quetzalmill/executor_link.py
@@ -11,13 +11,9 @@
 from quetzalmill import fleet_view
 from quetzalmill import http_client
 from quetzalmill import http_message
+from quetzalmill import internal_api
 from quetzalmill import messages
 
-EXECUTIONS_PATH = "/internal/v1/executions"
-
-MAX_ANSWER_BYTES = 32 * 1024 * 1024
-"""The largest answer that is read from another sidecar."""
-
 
 class ExecutorLink:
     """Runs executions at any sidecar."""
@@ -62,7 +58,7 @@
             raise errors.ConnectFailedError(f"host {host} is unknown")
         request = http_message.Request(
             method="POST",
-            path=EXECUTIONS_PATH,
+            path=internal_api.EXECUTIONS_PATH,
             body=codec.to_msgpack(execution),
         )
         async with self._client.stream(
@@ -71,7 +67,7 @@
             timeout_ms=self._timeout_ms,
             idle_timeout_ms=execution.call.time_left_ms,
             idempotent=True,
-            max_body_bytes=MAX_ANSWER_BYTES,
+            max_body_bytes=internal_api.MAX_ANSWER_BYTES,
         ) as response:
             if response.status != 200:
                 raise errors.ConnectFailedError(
--- a/quetzalmill/forwarding.py
+++ b/quetzalmill/forwarding.py
@@ -15,9 +15,9 @@
 from quetzalmill import errors
 from quetzalmill import home_link as home_link_module
 from quetzalmill import http_message
+from quetzalmill import internal_api
 from quetzalmill import messages
 from quetzalmill import problems
-from quetzalmill import sidecar_api
 
 RETRY_MS = 100.0
 """Pause before a request is sent to a home again."""
@@ -190,7 +190,7 @@
     ) -> http_message.Response | None:
         try:
             return await self._link.request(
-                target, method, sidecar_api.PROGRAMS_PATH + path, body, query
+                target, method, internal_api.PROGRAMS_PATH + path, body, query
             )
         except errors.HttpError:
             return None
@@ -282,7 +282,7 @@
 
 def _refused(response: http_message.Response) -> problems.CallerError:
     try:
-        problem = codec.from_json(response.body, sidecar_api.Problem)
+        problem = codec.from_json(response.body, internal_api.Problem)
     except errors.CodecError:
         return _unknown(f"the home answered {response.status}")
     return problems.CallerError(
--- a/quetzalmill/home_link.py
+++ b/quetzalmill/home_link.py
@@ -23,18 +23,15 @@
 from quetzalmill import fleet_view
 from quetzalmill import http_client
 from quetzalmill import http_message
+from quetzalmill import internal_api
 from quetzalmill import messages
 from quetzalmill import objects
 from quetzalmill import program_id
 from quetzalmill import shares
-from quetzalmill import sidecar_api
 
 REMEMBERED_MOVES = 100_000
 """Programs whose newer home an entry remembers."""
 
-MAX_ANSWER_BYTES = 32 * 1024 * 1024
-"""The largest answer that is read from a home."""
-
 _WATCH_MS = 100.0
 _STATUS_MOVED = 410
 
@@ -207,7 +204,7 @@
         """
         request = http_message.Request(
             method="POST",
-            path=sidecar_api.CALLS_PATH,
+            path=internal_api.CALLS_PATH,
             query=_query(target),
             body=codec.to_msgpack(call),
         )
@@ -251,7 +248,7 @@
             idle_timeout_ms=patience_ms,
             fresh_connection=call.single and not call.idempotent,
             idempotent=not call.single or call.idempotent,
-            max_body_bytes=MAX_ANSWER_BYTES,
+            max_body_bytes=internal_api.MAX_ANSWER_BYTES,
         ) as response:
             if response.status == 200:
                 yield self._frames(response, call)
@@ -314,7 +311,7 @@
 
 def moved_to(response: http_message.Response) -> program_id.Home | None:
     """Returns the home that a refusal names, None when it names none."""
-    problem = codec.from_json(response.body, sidecar_api.Problem)
+    problem = codec.from_json(response.body, internal_api.Problem)
     if not problem.host:
         return None
     return program_id.Home(host=problem.host, instance=problem.instance)
@@ -326,4 +323,4 @@
 
 
 def _query(target: Target) -> dict[str, str]:
-    return {sidecar_api.TAKE_OVER: "1"} if target.take_over else {}
+    return {internal_api.TAKE_OVER: "1"} if target.take_over else {}
--- a/quetzalmill/programs.py
+++ b/quetzalmill/programs.py
@@ -106,7 +106,7 @@
         record: How it was started.
         started_ms: When it was started, on this home's clock.
         spent: Its use of its budget, sub-programs included.
-        turns: Its turns in order.
+        history: Its turns in order.
         running: The call under way.
         ended: Whether it has ended.
         attained_units: Service units that it has had at endpoints.
@@ -115,7 +115,7 @@
     record: turns.ProgramRecord
     started_ms: float
     spent: Spent = attrs.field(factory=Spent)
-    turns: list[turns.TurnRecord] = attrs.field(factory=list)
+    history: list[turns.TurnRecord] = attrs.field(factory=list)
     running: Running | None = None
     ended: bool = False
     attained_units: float = 0.0
@@ -123,24 +123,24 @@
     @property
     def next_call(self) -> int:
         """Returns the number of the call after the last turn."""
-        return len(self.turns) + 1
+        return len(self.history) + 1
 
     @property
     def decided_offset(self) -> int:
         """Returns the configuration offset of the newest record."""
-        if self.turns:
-            return self.turns[-1].applied_offset
+        if self.history:
+            return self.history[-1].applied_offset
         return self.record.applied_offset
 
     @property
     def chain(self) -> str:
         """Returns the chain hash over all turns."""
-        return self.turns[-1].chain if self.turns else turns.EMPTY_CHAIN
+        return self.history[-1].chain if self.history else turns.EMPTY_CHAIN
 
     def prompt(self, new_messages: list[Any]) -> list[Any]:
         """Returns the whole history followed by ``new_messages``."""
         messages: list[Any] = []
-        for turn in self.turns:
+        for turn in self.history:
             messages.extend(turn.messages)
             if turn.answer is not None:
                 messages.append(turn.answer)
@@ -188,7 +188,7 @@
         """Says what a call may do, without changing anything."""
         if program.ended:
             return Ended()
-        if 1 <= call <= len(program.turns):
+        if 1 <= call <= len(program.history):
             return _replay(program, call, digest)
         running = program.running
         if running is not None:
@@ -252,7 +252,7 @@
         """Adds the turn of the running call and settles its budget."""
         running = program.running
         program.running = None
-        program.turns.append(turn)
+        program.history.append(turn)
         self.used_ms = now_ms
         for each in self._with_ancestors(program):
             if running is not None:
@@ -355,7 +355,7 @@
 
 
 def _replay(program: Program, call: int, digest: str) -> Admission:
-    turn = program.turns[call - 1]
+    turn = program.history[call - 1]
     if turn.digest != digest:
         return _conflict(program, "the call was answered for another request")
     return Replay(turn=turn)
--- a/quetzalmill/rate_limit.py
+++ b/quetzalmill/rate_limit.py
@@ -69,11 +69,13 @@
         burst: float,
         fraction: float,
         now_ms: float,
+        starts_full: bool = False,
     ) -> Bucket:
         """Brings a team's bucket to the rate, burst and fraction in force.
 
         A bucket that is new starts empty, since an earlier holder of the
-        fraction may have admitted a whole burst just before. Tokens minted at
+        fraction may have admitted a whole burst just before; it may start
+        full only for a team that nobody has admitted yet. Tokens minted at
         the old values stay, up to the new capacity.
         """
         bucket = self._buckets.get(team)
@@ -82,7 +84,7 @@
                 rate_per_s=rate_per_s,
                 burst=burst,
                 fraction=fraction,
-                tokens=0.0,
+                tokens=burst * fraction if starts_full else 0.0,
                 filled_ms=now_ms,
             )
             self._buckets[team] = bucket
@@ -100,9 +102,13 @@
             bucket.tokens = 0.0
             bucket.filled_ms = now_ms
 
-    def forget(self, team: str) -> None:
-        """Drops the bucket of a team that no longer exists."""
-        self._buckets.pop(team, None)
+    def keep_only(self, teams: set[str]) -> None:
+        """Drops the buckets of teams that no longer exist."""
+        for team in set(self._buckets) - teams:
+            del self._buckets[team]
+
+    def __contains__(self, team: str) -> bool:
+        return team in self._buckets
 
     def levels(self) -> dict[str, float]:
         """Returns each team's tokens as last brought up to date."""
--- a/quetzalmill/shares.py
+++ b/quetzalmill/shares.py
@@ -132,6 +132,16 @@
             return fraction
         return min(fraction, self._fraction_in(self._pending, team, burst))
 
+    def held_since(self, revision: int) -> bool:
+        """Returns whether the holders are the same since before a revision.
+
+        A team published at ``revision`` was then admitted by none but these
+        holders, this entry among them.
+        """
+        if self._pending is not None or self._settled.revision > revision:
+            return False
+        return self._settled.holders.get(self._host) == self._instance
+
     def holders_of(self, team: str, burst: float) -> list[str]:
         """Returns the hosts that hold a team's shares by the newest record."""
         return chosen_holders(self.newest.holders, team, burst)
--- a/quetzalmill/sidecar_api.py
+++ b/quetzalmill/sidecar_api.py
@@ -7,50 +7,22 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
-import attrs
-
 from quetzalmill import answer
 from quetzalmill import codec
 from quetzalmill import completion
 from quetzalmill import errors
 from quetzalmill import executor as executor_module
-from quetzalmill import executor_link
 from quetzalmill import home as home_module
 from quetzalmill import http_message
 from quetzalmill import http_server
+from quetzalmill import internal_api
 from quetzalmill import messages
 
-CALLS_PATH = "/internal/v1/calls"
-PROGRAMS_PATH = "/internal/v1/programs"
-TAKE_OVER = "take_over"
-"""Query field that asks the sidecar to take a program over."""
-
 _BEHIND_RETRY_MS = 1_000.0
 
 _FRAMES_TYPE = "application/x-ndjson"
 
 
-@attrs.frozen(kw_only=True)
-class Problem:
-    """The body of a refusal between processes.
-
-    Attributes:
-        code: A short error code; ``moved`` when another process is the home.
-        message: One sentence.
-        retry_after_ms: When to come back, None if that does not help.
-        host: The program's home, when another process is.
-        instance: That process.
-        details: Further fields for the caller.
-    """
-
-    code: str
-    message: str
-    retry_after_ms: float | None = None
-    host: str = ""
-    instance: str = ""
-    details: dict[str, Any] = attrs.field(factory=dict)
-
-
 class SidecarApi:
     """Answers the requests of entries and other sidecars."""
 
@@ -81,11 +53,11 @@
             case ("GET", "/ready"):
                 status = 200 if self._is_ready() else 503
                 await exchange.respond(status, b"{}")
-            case ("POST", executor_link.EXECUTIONS_PATH):
+            case ("POST", internal_api.EXECUTIONS_PATH):
                 await self._guarded(self._execute, request, exchange)
-            case ("POST", _) if request.path == CALLS_PATH:
+            case ("POST", _) if request.path == internal_api.CALLS_PATH:
                 await self._guarded(self._call, request, exchange)
-            case _ if request.path.startswith(PROGRAMS_PATH):
+            case _ if request.path.startswith(internal_api.PROGRAMS_PATH):
                 await self._guarded(self._program, request, exchange)
             case _:
                 await _refuse(exchange, 404, "not_found", "no such path")
@@ -116,7 +88,9 @@
     async def _program(
         self, request: http_message.Request, exchange: http_server.Exchange
     ) -> None:
-        program = request.path.removeprefix(PROGRAMS_PATH).lstrip("/")
+        program = request.path.removeprefix(internal_api.PROGRAMS_PATH).lstrip(
+            "/"
+        )
         take_over = _takes_over(request)
         match request.method:
             case "POST":
@@ -160,7 +134,7 @@
         except home_module.MovedError as error:
             await exchange.respond(410, codec.to_json(_moved(error)))
         except home_module.RefusedError as error:
-            problem = Problem(
+            problem = internal_api.Problem(
                 code=error.code,
                 message=str(error),
                 retry_after_ms=error.retry_after_ms,
@@ -180,17 +154,17 @@
 async def _refuse(
     exchange: http_server.Exchange, status: int, code: str, message: str
 ) -> None:
-    problem = Problem(code=code, message=message)
+    problem = internal_api.Problem(code=code, message=message)
     await exchange.respond(status, codec.to_json(problem))
 
 
 def _takes_over(request: http_message.Request) -> bool:
-    return request.query.get(TAKE_OVER) == "1"
+    return request.query.get(internal_api.TAKE_OVER) == "1"
 
 
-def _moved(error: home_module.MovedError) -> Problem:
+def _moved(error: home_module.MovedError) -> internal_api.Problem:
     home = error.home
-    return Problem(
+    return internal_api.Problem(
         code="moved",
         message=str(error),
         host=home.host if home else "",
