--- /dev/null
+++ b/quetzalmill/commands_keys.py
@@ -0,0 +1,139 @@
+"""Commands that issue, withdraw and list callers' keys."""
+
+from typing import Annotated
+
+import attrs
+import typer
+
+from quetzalmill import commands_objects
+from quetzalmill import commands_publish
+from quetzalmill import commands_report
+from quetzalmill import fleet_file
+from quetzalmill import keys
+from quetzalmill import objects
+from quetzalmill import operator_client
+from quetzalmill import options
+
+app = typer.Typer(no_args_is_help=True, help="Keys that callers present.")
+
+
+@attrs.frozen(kw_only=True)
+class _IssueReport:
+    """What ``key issue --json`` prints for an issued key."""
+
+    key_id: str
+    key: str
+    team: str
+    revision: int
+    record_id: str
+
+
+@app.command()
+def issue(
+    team: Annotated[str, typer.Argument(metavar="TEAM", help="Its team.")],
+    operators: options.Operator,
+    author: options.Author,
+    timeout_s: options.TimeoutS = options.DEFAULT_TIMEOUT_S,
+    as_json: options.Json = False,
+) -> None:
+    """Issue a key to a team and show it, this once."""
+    client = commands_publish.connect(operators)
+    commands_publish.require(client, objects.TEAM, team)
+    issued = keys.issue()
+    publication = commands_publish.Publication(
+        client=client,
+        author=author,
+        record_id=f"key-{issued.key_id}",
+        timeout_s=timeout_s,
+    )
+    spec = {"team": team, "secret_sha256": issued.secret_sha256}
+    item = fleet_file.FileObject(
+        kind=objects.KEY, name=issued.key_id, spec=spec
+    )
+    outcome = commands_publish.publish(publication, [item])
+    match outcome:
+        case operator_client.Accepted(revision):
+            _print_issued(issued, team, revision, publication, as_json)
+        case operator_client.Unknown():
+            typer.echo(
+                f"the key is not shown; once `key list` shows {issued.key_id}, "
+                "withdraw it",
+                err=True,
+            )
+            commands_report.print_outcome(
+                outcome, publication.record_id, as_json
+            )
+        case _:
+            commands_report.print_outcome(
+                outcome, publication.record_id, as_json
+            )
+
+
+@app.command()
+def withdraw(
+    key_id: Annotated[
+        str,
+        typer.Argument(metavar="KEY_ID", help="Key id, or the leaked key."),
+    ],
+    operators: options.Operator,
+    author: options.Author,
+    record_id: options.RecordId,
+    timeout_s: options.TimeoutS = options.DEFAULT_TIMEOUT_S,
+    as_json: options.Json = False,
+) -> None:
+    """Withdraw a key; it stops working within seconds."""
+    client = commands_publish.connect(operators)
+    name = keys.key_id_of(key_id) or key_id
+    present = commands_publish.require(client, objects.KEY, name)
+    change = objects.ObjectChange(
+        kind=objects.KEY,
+        name=name,
+        base_revision=present.revision,
+        spec=present.spec | {"withdrawn": True},
+    )
+    publication = commands_publish.Publication(
+        client=client, author=author, record_id=record_id, timeout_s=timeout_s
+    )
+    outcome = commands_publish.publish_changes(publication, [change])
+    commands_report.print_outcome(outcome, record_id, as_json)
+
+
+@app.command("list")
+def list_keys(
+    operators: options.Operator,
+    team: Annotated[
+        str | None, typer.Option("--team", help="Only keys of this team.")
+    ] = None,
+    as_json: options.Json = False,
+) -> None:
+    """List key ids with their teams; the keys themselves are kept nowhere."""
+    listed = commands_publish.connect(operators).list_objects(objects.KEY)
+    found = [
+        item
+        for item in listed.objects
+        if team is None or item.spec.get("team") == team
+    ]
+    commands_objects.print_objects(found, as_json)
+
+
+def _print_issued(
+    issued: keys.IssuedKey,
+    team: str,
+    revision: int,
+    publication: commands_publish.Publication,
+    as_json: bool,
+) -> None:
+    if as_json:
+        commands_report.print_json(
+            _IssueReport(
+                key_id=issued.key_id,
+                key=issued.key,
+                team=team,
+                revision=revision,
+                record_id=publication.record_id,
+            )
+        )
+        return
+    typer.echo(f"accepted at revision {revision}")
+    typer.echo(f"key id {issued.key_id} for team {team}; shown only now:")
+    typer.echo(issued.key)
--- /dev/null
+++ b/quetzalmill/commands_objects.py
@@ -0,0 +1,268 @@
+"""Commands that list, set and delete teams, endpoints, models and routes."""
+
+from typing import Annotated, Any
+
+import typer
+
+from quetzalmill import commands_publish
+from quetzalmill import commands_report
+from quetzalmill import objects
+from quetzalmill import operator_client
+from quetzalmill import options
+
+team_app = typer.Typer(no_args_is_help=True, help="Teams: rates and rights.")
+endpoint_app = typer.Typer(no_args_is_help=True, help="Back ends.")
+model_app = typer.Typer(no_args_is_help=True, help="Models callers name.")
+route_app = typer.Typer(no_args_is_help=True, help="Services callers name.")
+
+
+@team_app.command("set")
+def set_team(
+    name: options.Name,
+    operators: options.Operator,
+    author: options.Author,
+    record_id: options.RecordId,
+    rate_per_s: Annotated[
+        float | None,
+        typer.Option("--rate-per-s", help="Requests a second, fleet-wide."),
+    ] = None,
+    burst: Annotated[
+        float | None, typer.Option("--burst", help="Requests at once.")
+    ] = None,
+    weight: Annotated[
+        float | None,
+        typer.Option("--weight", help="Part of contended endpoints."),
+    ] = None,
+    selector: options.Selector = None,
+    base: options.Base = None,
+    timeout_s: options.TimeoutS = options.DEFAULT_TIMEOUT_S,
+    as_json: options.Json = False,
+) -> None:
+    """Create a team or change the fields that are given."""
+    fields = {
+        "rate_per_s": rate_per_s,
+        "burst": burst,
+        "weight": weight,
+        "selector": selector,
+    }
+    publication = _publication(operators, author, record_id, timeout_s, base)
+    _set(publication, objects.TEAM, name, fields, as_json)
+
+
+@endpoint_app.command("set")
+def set_endpoint(
+    name: options.Name,
+    operators: options.Operator,
+    author: options.Author,
+    record_id: options.RecordId,
+    host: Annotated[
+        str | None, typer.Option("--host", help="Host of its sidecar.")
+    ] = None,
+    address: Annotated[
+        str | None, typer.Option("--address", help="Its IP:port.")
+    ] = None,
+    kind: Annotated[
+        str | None, typer.Option("--kind", help="engine or service.")
+    ] = None,
+    slots: Annotated[
+        int | None, typer.Option("--slots", help="Requests at once.")
+    ] = None,
+    memory_tokens: Annotated[
+        int | None,
+        typer.Option("--memory-tokens", help="Cached history it can hold."),
+    ] = None,
+    checks_fencing: Annotated[
+        bool | None,
+        typer.Option(
+            "--checks-fencing/--ignores-fencing",
+            help="Whether it refuses orders with an old fencing number.",
+        ),
+    ] = None,
+    label: options.Label = None,
+    remove_label: options.RemoveLabel = None,
+    base: options.Base = None,
+    timeout_s: options.TimeoutS = options.DEFAULT_TIMEOUT_S,
+    as_json: options.Json = False,
+) -> None:
+    """Create an endpoint or change the fields that are given."""
+    fields = {
+        "host": host,
+        "address": address,
+        "kind": kind,
+        "slots": slots,
+        "memory_tokens": memory_tokens,
+        "checks_fencing": checks_fencing,
+    }
+    publication = _publication(operators, author, record_id, timeout_s, base)
+    labels = _label_change(label, remove_label)
+    _set(publication, objects.ENDPOINT, name, fields, as_json, labels)
+
+
+@model_app.command("set")
+def set_model(
+    name: options.Name,
+    operators: options.Operator,
+    author: options.Author,
+    record_id: options.RecordId,
+    selector: options.Selector = None,
+    label: options.Label = None,
+    remove_label: options.RemoveLabel = None,
+    base: options.Base = None,
+    timeout_s: options.TimeoutS = options.DEFAULT_TIMEOUT_S,
+    as_json: options.Json = False,
+) -> None:
+    """Create a model or change the fields that are given."""
+    publication = _publication(operators, author, record_id, timeout_s, base)
+    labels = _label_change(label, remove_label)
+    fields = {"selector": selector}
+    _set(publication, objects.MODEL, name, fields, as_json, labels)
+
+
+@route_app.command("set")
+def set_route(
+    name: options.Name,
+    operators: options.Operator,
+    author: options.Author,
+    record_id: options.RecordId,
+    selector: options.Selector = None,
+    is_open: Annotated[
+        bool | None,
+        typer.Option(
+            "--open/--keyed", help="Whether requests without key are served."
+        ),
+    ] = None,
+    label: options.Label = None,
+    remove_label: options.RemoveLabel = None,
+    base: options.Base = None,
+    timeout_s: options.TimeoutS = options.DEFAULT_TIMEOUT_S,
+    as_json: options.Json = False,
+) -> None:
+    """Create a route or change the fields that are given."""
+    publication = _publication(operators, author, record_id, timeout_s, base)
+    labels = _label_change(label, remove_label)
+    fields = {"selector": selector, "open": is_open}
+    _set(publication, objects.ROUTE, name, fields, as_json, labels)
+
+
+def _add_list_and_delete(app: typer.Typer, kind: str) -> None:
+    """Adds the two commands that are the same for every kind."""
+
+    @app.command("list", help=f"List every {kind} in force.")
+    def list_objects(
+        operators: options.Operator, as_json: options.Json = False
+    ) -> None:
+        listed = commands_publish.connect(operators).list_objects(kind)
+        print_objects(listed.objects, as_json)
+
+    @app.command("delete", help=f"Delete a {kind}.")
+    def delete_object(
+        name: options.Name,
+        operators: options.Operator,
+        author: options.Author,
+        record_id: options.RecordId,
+        base: options.Base = None,
+        timeout_s: options.TimeoutS = options.DEFAULT_TIMEOUT_S,
+        as_json: options.Json = False,
+    ) -> None:
+        publication = _publication(
+            operators, author, record_id, timeout_s, base
+        )
+        outcome = commands_publish.delete(publication, kind, name)
+        commands_report.print_outcome(outcome, record_id, as_json)
+
+
+_add_list_and_delete(team_app, objects.TEAM)
+_add_list_and_delete(endpoint_app, objects.ENDPOINT)
+_add_list_and_delete(model_app, objects.MODEL)
+_add_list_and_delete(route_app, objects.ROUTE)
+
+
+def print_objects(
+    listed: list[operator_client.ListedObject], as_json: bool
+) -> None:
+    """Prints objects as JSON or as a table of their fields."""
+    if as_json:
+        commands_report.print_json(listed)
+        return
+    fields = list(dict.fromkeys(name for item in listed for name in item.spec))
+    commands_report.print_table(
+        ["NAME", "REVISION", *(field.upper() for field in fields)],
+        [
+            [item.name, str(item.revision)]
+            + [_cell(item.spec.get(field)) for field in fields]
+            for item in listed
+        ],
+    )
+
+
+def _cell(value: Any) -> str:
+    match value:
+        case None:
+            return ""
+        case bool():
+            return "yes" if value else "no"
+        case dict():
+            return ",".join(f"{key}={text}" for key, text in value.items())
+        case float():
+            return f"{value:g}"
+        case _:
+            return str(value)
+
+
+def _label_change(
+    added: list[str] | None, removed: list[str] | None
+) -> commands_publish.LabelChange | None:
+    """Returns the change of labels that the options ask for, if any.
+
+    Raises:
+        typer.BadParameter: A text is not ``key=value``.
+    """
+    if not added and not removed:
+        return None
+    new_labels = dict(_label_pair(text) for text in added or [])
+    gone = set(removed or [])
+
+    def change(present: dict[str, str]) -> dict[str, str]:
+        kept = {key: text for key, text in present.items() if key not in gone}
+        return kept | new_labels
+
+    return change
+
+
+def _label_pair(text: str) -> tuple[str, str]:
+    key, separator, value = text.partition("=")
+    if not separator:
+        raise typer.BadParameter(
+            f"{text!r} is no label; write key=value", param_hint="--label"
+        )
+    return key, value
+
+
+def _publication(
+    operators: list[str],
+    author: str,
+    record_id: str,
+    timeout_s: float,
+    base: int | None,
+) -> commands_publish.Publication:
+    return commands_publish.Publication(
+        client=commands_publish.connect(operators),
+        author=author,
+        record_id=record_id,
+        timeout_s=timeout_s,
+        base=base,
+    )
+
+
+def _set(
+    publication: commands_publish.Publication,
+    kind: str,
+    name: str,
+    fields: dict[str, Any],
+    as_json: bool,
+    label_change: commands_publish.LabelChange | None = None,
+) -> None:
+    outcome = commands_publish.update(
+        publication, kind, name, fields, label_change
+    )
+    commands_report.print_outcome(outcome, publication.record_id, as_json)
--- /dev/null
+++ b/quetzalmill/commands_report.py
@@ -0,0 +1,158 @@
+"""What the operators' commands print, and the exit codes they end with.
+
+Results go to standard output, errors to standard error.
+"""
+
+from collections.abc import Sequence
+import enum
+import sys
+from typing import Any
+
+import attrs
+import typer
+
+from quetzalmill import codec
+from quetzalmill import errors
+from quetzalmill import operator_client
+
+
+class ExitCode(enum.IntEnum):
+    """How a command ended; scripts may rely on these numbers."""
+
+    OK = 0
+    REJECTED = 1
+    USAGE = 2
+    CONFLICT = 3
+    UNAVAILABLE = 4
+    UNKNOWN = 5
+    TIMEOUT = 6
+
+
+@attrs.frozen(kw_only=True)
+class _OutcomeReport:
+    outcome: str
+    record_id: str
+    revision: int | None = None
+    object: str | None = None
+    problems: list[str] | None = None
+    message: str | None = None
+
+
+def print_json(value: Any) -> None:
+    """Prints one JSON value on one line."""
+    typer.echo(codec.to_json(value).decode())
+
+
+def print_table(header: Sequence[str], rows: Sequence[Sequence[str]]) -> None:
+    """Prints rows in columns, wide enough for their longest cell."""
+    lines = [header, *rows]
+    widths = [
+        max(len(cell) for cell in column) for column in zip(*lines, strict=True)
+    ]
+    for line in lines:
+        cells = (
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        )
+        typer.echo("  ".join(cells).rstrip())
+
+
+def print_outcome(
+    outcome: operator_client.Outcome, record_id: str, as_json: bool
+) -> None:
+    """Prints how a publication ended.
+
+    Raises:
+        typer.Exit: The publication was not accepted.
+    """
+    if as_json:
+        print_json(_outcome_report(outcome, record_id))
+    else:
+        accepted = isinstance(outcome, operator_client.Accepted)
+        typer.echo(_outcome_text(outcome), err=not accepted)
+    code = _exit_code_of(outcome)
+    if code != ExitCode.OK:
+        raise typer.Exit(code)
+
+
+def exit_with_error(error: errors.QuetzalmillError) -> None:
+    """Prints an error and ends the process with its exit code."""
+    match error:
+        case errors.SettingsError(problems=problems):
+            lines = problems
+            code = ExitCode.USAGE
+        case errors.OperatorRefusedError():
+            lines = [f"rejected because {error}"]
+            code = ExitCode.REJECTED
+        case errors.OperatorTimeoutError():
+            lines = [f"timeout: {error}"]
+            code = ExitCode.TIMEOUT
+        case _:
+            lines = [f"unavailable: {error}"]
+            code = ExitCode.UNAVAILABLE
+    for line in lines:
+        typer.echo(line, err=True)
+    sys.exit(code)
+
+
+def _outcome_text(outcome: operator_client.Outcome) -> str:
+    match outcome:
+        case operator_client.Accepted(revision):
+            return f"accepted at revision {revision}"
+        case operator_client.Rejected(problems):
+            return "rejected because " + "; ".join(problems)
+        case operator_client.Conflict(revision, name):
+            return (
+                f"conflict with revision {revision} of {name}; read it again "
+                "and repeat the change"
+            )
+        case operator_client.Unavailable(message, retry_after_ms):
+            return (
+                f"unavailable, nothing was changed: {message}; try again in "
+                f"{retry_after_ms / 1000:g} s"
+            )
+        case operator_client.Unknown(record_id):
+            return (
+                "outcome unknown: the reply was lost and the log cannot be "
+                f"read; repeat the command with --record-id {record_id}"
+            )
+
+
+def _outcome_report(
+    outcome: operator_client.Outcome, record_id: str
+) -> _OutcomeReport:
+    match outcome:
+        case operator_client.Accepted(revision):
+            return _OutcomeReport(
+                outcome="accepted", record_id=record_id, revision=revision
+            )
+        case operator_client.Rejected(problems):
+            return _OutcomeReport(
+                outcome="rejected", record_id=record_id, problems=problems
+            )
+        case operator_client.Conflict(revision, name):
+            return _OutcomeReport(
+                outcome="conflict",
+                record_id=record_id,
+                revision=revision,
+                object=name,
+            )
+        case operator_client.Unavailable(message):
+            return _OutcomeReport(
+                outcome="unavailable", record_id=record_id, message=message
+            )
+        case operator_client.Unknown():
+            return _OutcomeReport(outcome="unknown", record_id=record_id)
+
+
+def _exit_code_of(outcome: operator_client.Outcome) -> ExitCode:
+    match outcome:
+        case operator_client.Accepted():
+            return ExitCode.OK
+        case operator_client.Rejected():
+            return ExitCode.REJECTED
+        case operator_client.Conflict():
+            return ExitCode.CONFLICT
+        case operator_client.Unavailable():
+            return ExitCode.UNAVAILABLE
+        case operator_client.Unknown():
+            return ExitCode.UNKNOWN
