Run the operators' commands and test each with its errors

Cause: the commands had landed without being run.

Daemons start without typer, click and rich in memory: main looks at the role before it imports the commands.

Ruled out: a conflict made up by the client for an object deleted since; the change names the revision seen, so the fold itself finds it.

Conclusion: each command has a test of its success and of its errors through the whole program against a fake of the operators' interface.

--- a/quetzalmill/commands_config.py
+++ b/quetzalmill/commands_config.py
@@ -66,25 +66,26 @@
     path: options.FleetFile,
     operators: options.Operator,
     author: options.Author,
-    record_id: options.RecordId,
+    record_id: options.RecordId = None,
     base: options.Base = None,
     timeout_s: options.TimeoutS = options.DEFAULT_TIMEOUT_S,
     as_json: options.Json = False,
 ) -> None:
-    """Publish the objects of a file together, or none of them.
+    """Publish the objects of FILE together, or none of them.
 
     Objects that the file does not name stay as they are.
     """
     found = fleet_file.load(path)
-    publication = commands_publish.Publication(
-        client=commands_publish.connect(operators),
+    publication = commands_publish.prepare(
+        operators,
         author=author,
         record_id=record_id,
         timeout_s=timeout_s,
         base=base,
+        as_json=as_json,
     )
     outcome = commands_publish.publish(publication, found)
-    commands_report.print_outcome(outcome, record_id, as_json)
+    commands_publish.report(publication, outcome)
 
 
 @app.command()
@@ -104,6 +105,21 @@
     )
 
 
+@app.command()
+def processes(
+    operators: options.Operator, as_json: options.Json = False
+) -> None:
+    """Print every known process and the revision that it has in force."""
+    found = commands_publish.connect(operators).processes()
+    if as_json:
+        commands_report.print_json(found)
+        return
+    commands_report.print_table(
+        ["HOST", "ROLE", "INSTANCE", "REVISION", "LIVE", "LEAVING", "HEARD"],
+        [_process_row(process) for process in found],
+    )
+
+
 @app.command()
 def wait(
     revision: Annotated[
@@ -113,7 +129,7 @@
     timeout_s: options.TimeoutS = options.DEFAULT_TIMEOUT_S,
     as_json: options.Json = False,
 ) -> None:
-    """Wait until every live process has a revision in force."""
+    """Wait until every live process has REVISION in force."""
     client = commands_publish.connect(operators)
     progress = revision_wait.wait(
         client, clock.SystemClock(), revision, timeout_s * 1000.0
@@ -134,6 +150,19 @@
         )
 
 
+def _process_row(process: operator_client.ProcessState) -> list[str]:
+    heard_ms = process.heard_ms_ago
+    return [
+        process.host,
+        process.role,
+        process.instance,
+        str(process.applied_offset),
+        "yes" if process.live else "no",
+        "yes" if process.leaving else "no",
+        "never" if heard_ms is None else f"{heard_ms:.0f} ms ago",
+    ]
+
+
 def _history_row(record: operator_client.HistoryRecord) -> list[str]:
     names = [
         f"{'-' if change.spec is None else ''}{change.kind}/{change.name}"
--- a/quetzalmill/commands_keys.py
+++ b/quetzalmill/commands_keys.py
@@ -36,7 +36,7 @@
     timeout_s: options.TimeoutS = options.DEFAULT_TIMEOUT_S,
     as_json: options.Json = False,
 ) -> None:
-    """Issue a key to a team and show it, this once."""
+    """Issue a key to TEAM and show it, this once."""
     client = commands_publish.connect(operators)
     commands_publish.require(client, objects.TEAM, team)
     issued = keys.issue()
@@ -45,6 +45,7 @@
         author=author,
         record_id=f"key-{issued.key_id}",
         timeout_s=timeout_s,
+        as_json=as_json,
     )
     spec = {"team": team, "secret_sha256": issued.secret_sha256}
     item = fleet_file.FileObject(
@@ -53,20 +54,16 @@
     outcome = commands_publish.publish(publication, [item])
     match outcome:
         case operator_client.Accepted(revision):
-            _print_issued(issued, team, revision, publication, as_json)
+            _print_issued(issued, team, revision, publication)
         case operator_client.Unknown():
             typer.echo(
                 f"the key is not shown; once `key list` shows {issued.key_id}, "
                 "withdraw it",
                 err=True,
             )
-            commands_report.print_outcome(
-                outcome, publication.record_id, as_json
-            )
+            commands_publish.report(publication, outcome)
         case _:
-            commands_report.print_outcome(
-                outcome, publication.record_id, as_json
-            )
+            commands_publish.report(publication, outcome)
 
 
 @app.command()
@@ -77,25 +74,31 @@
     ],
     operators: options.Operator,
     author: options.Author,
-    record_id: options.RecordId,
+    record_id: options.RecordId = None,
     timeout_s: options.TimeoutS = options.DEFAULT_TIMEOUT_S,
     as_json: options.Json = False,
 ) -> None:
-    """Withdraw a key; it stops working within seconds."""
-    client = commands_publish.connect(operators)
+    """Withdraw the key KEY_ID; it stops working within seconds.
+
+    KEY_ID may also be the whole key, such as one that has leaked.
+    """
+    publication = commands_publish.prepare(
+        operators,
+        author=author,
+        record_id=record_id,
+        timeout_s=timeout_s,
+        as_json=as_json,
+    )
     name = keys.key_id_of(key_id) or key_id
-    present = commands_publish.require(client, objects.KEY, name)
+    present = commands_publish.require(publication.client, objects.KEY, name)
     change = objects.ObjectChange(
         kind=objects.KEY,
         name=name,
         base_revision=present.revision,
         spec=present.spec | {"withdrawn": True},
     )
-    publication = commands_publish.Publication(
-        client=client, author=author, record_id=record_id, timeout_s=timeout_s
-    )
     outcome = commands_publish.publish_changes(publication, [change])
-    commands_report.print_outcome(outcome, record_id, as_json)
+    commands_publish.report(publication, outcome)
 
 
 @app.command("list")
@@ -121,9 +124,8 @@
     team: str,
     revision: int,
     publication: commands_publish.Publication,
-    as_json: bool,
 ) -> None:
-    if as_json:
+    if publication.as_json:
         commands_report.print_json(
             _IssueReport(
                 key_id=issued.key_id,
--- a/quetzalmill/commands_objects.py
+++ b/quetzalmill/commands_objects.py
@@ -21,7 +21,7 @@
     name: options.Name,
     operators: options.Operator,
     author: options.Author,
-    record_id: options.RecordId,
+    record_id: options.RecordId = None,
     rate_per_s: Annotated[
         float | None,
         typer.Option("--rate-per-s", help="Requests a second, fleet-wide."),
@@ -45,8 +45,15 @@
         "weight": weight,
         "selector": selector,
     }
-    publication = _publication(operators, author, record_id, timeout_s, base)
-    _set(publication, objects.TEAM, name, fields, as_json)
+    publication = commands_publish.prepare(
+        operators,
+        author=author,
+        record_id=record_id,
+        timeout_s=timeout_s,
+        base=base,
+        as_json=as_json,
+    )
+    _set(publication, objects.TEAM, name, fields)
 
 
 @endpoint_app.command("set")
@@ -54,7 +61,7 @@
     name: options.Name,
     operators: options.Operator,
     author: options.Author,
-    record_id: options.RecordId,
+    record_id: options.RecordId = None,
     host: Annotated[
         str | None, typer.Option("--host", help="Host of its sidecar.")
     ] = None,
@@ -93,9 +100,16 @@
         "memory_tokens": memory_tokens,
         "checks_fencing": checks_fencing,
     }
-    publication = _publication(operators, author, record_id, timeout_s, base)
+    publication = commands_publish.prepare(
+        operators,
+        author=author,
+        record_id=record_id,
+        timeout_s=timeout_s,
+        base=base,
+        as_json=as_json,
+    )
     labels = _label_change(label, remove_label)
-    _set(publication, objects.ENDPOINT, name, fields, as_json, labels)
+    _set(publication, objects.ENDPOINT, name, fields, labels)
 
 
 @model_app.command("set")
@@ -103,7 +117,7 @@
     name: options.Name,
     operators: options.Operator,
     author: options.Author,
-    record_id: options.RecordId,
+    record_id: options.RecordId = None,
     selector: options.Selector = None,
     label: options.Label = None,
     remove_label: options.RemoveLabel = None,
@@ -112,10 +126,17 @@
     as_json: options.Json = False,
 ) -> None:
     """Create a model or change the fields that are given."""
-    publication = _publication(operators, author, record_id, timeout_s, base)
+    publication = commands_publish.prepare(
+        operators,
+        author=author,
+        record_id=record_id,
+        timeout_s=timeout_s,
+        base=base,
+        as_json=as_json,
+    )
     labels = _label_change(label, remove_label)
     fields = {"selector": selector}
-    _set(publication, objects.MODEL, name, fields, as_json, labels)
+    _set(publication, objects.MODEL, name, fields, labels)
 
 
 @route_app.command("set")
@@ -123,7 +144,7 @@
     name: options.Name,
     operators: options.Operator,
     author: options.Author,
-    record_id: options.RecordId,
+    record_id: options.RecordId = None,
     selector: options.Selector = None,
     is_open: Annotated[
         bool | None,
@@ -138,10 +159,17 @@
     as_json: options.Json = False,
 ) -> None:
     """Create a route or change the fields that are given."""
-    publication = _publication(operators, author, record_id, timeout_s, base)
+    publication = commands_publish.prepare(
+        operators,
+        author=author,
+        record_id=record_id,
+        timeout_s=timeout_s,
+        base=base,
+        as_json=as_json,
+    )
     labels = _label_change(label, remove_label)
     fields = {"selector": selector, "open": is_open}
-    _set(publication, objects.ROUTE, name, fields, as_json, labels)
+    _set(publication, objects.ROUTE, name, fields, labels)
 
 
 def _add_list_and_delete(app: typer.Typer, kind: str) -> None:
@@ -159,16 +187,21 @@
         name: options.Name,
         operators: options.Operator,
         author: options.Author,
-        record_id: options.RecordId,
+        record_id: options.RecordId = None,
         base: options.Base = None,
         timeout_s: options.TimeoutS = options.DEFAULT_TIMEOUT_S,
         as_json: options.Json = False,
     ) -> None:
-        publication = _publication(
-            operators, author, record_id, timeout_s, base
+        publication = commands_publish.prepare(
+            operators,
+            author=author,
+            record_id=record_id,
+            timeout_s=timeout_s,
+            base=base,
+            as_json=as_json,
         )
         outcome = commands_publish.delete(publication, kind, name)
-        commands_report.print_outcome(outcome, record_id, as_json)
+        commands_publish.report(publication, outcome)
 
 
 _add_list_and_delete(team_app, objects.TEAM)
@@ -238,31 +271,14 @@
     return key, value
 
 
-def _publication(
-    operators: list[str],
-    author: str,
-    record_id: str,
-    timeout_s: float,
-    base: int | None,
-) -> commands_publish.Publication:
-    return commands_publish.Publication(
-        client=commands_publish.connect(operators),
-        author=author,
-        record_id=record_id,
-        timeout_s=timeout_s,
-        base=base,
-    )
-
-
 def _set(
     publication: commands_publish.Publication,
     kind: str,
     name: str,
     fields: dict[str, Any],
-    as_json: bool,
     label_change: commands_publish.LabelChange | None = None,
 ) -> None:
     outcome = commands_publish.update(
         publication, kind, name, fields, label_change
     )
-    commands_report.print_outcome(outcome, publication.record_id, as_json)
+    commands_publish.report(publication, outcome)
--- a/quetzalmill/commands_process.py
+++ b/quetzalmill/commands_process.py
@@ -1,15 +1,13 @@
 """Commands that run processes, check their settings and look inside them."""
 
-from collections.abc import Iterator
-import contextlib
-import importlib
 import json
-import sys
-from typing import Annotated, Any
+from typing import Annotated
 
 import attrs
 import typer
 
+from quetzalmill import commands_daemon
+from quetzalmill import commands_exit
 from quetzalmill import commands_publish
 from quetzalmill import commands_report
 from quetzalmill import errors
@@ -30,15 +28,13 @@
 
 
 def entry(path: options.SettingsFile) -> None:
-    """Run an entry until SIGTERM."""
-    loaded = settings.load_entry(path)
-    raise typer.Exit(_run_daemon("quetzalmill.entry", loaded))
+    """Run an entry with SETTINGS until SIGTERM."""
+    raise typer.Exit(commands_daemon.run(settings.ENTRY, path))
 
 
 def sidecar(path: options.SettingsFile) -> None:
-    """Run a sidecar until SIGTERM."""
-    loaded = settings.load_sidecar(path)
-    raise typer.Exit(_run_daemon("quetzalmill.sidecar", loaded))
+    """Run a sidecar with SETTINGS until SIGTERM."""
+    raise typer.Exit(commands_daemon.run(settings.SIDECAR, path))
 
 
 def check(
@@ -62,7 +58,7 @@
         if not report.problems:
             typer.echo(f"{len(paths)} files are right")
     if report.problems:
-        raise typer.Exit(commands_report.ExitCode.USAGE)
+        raise typer.Exit(commands_exit.ExitCode.USAGE)
 
 
 def drain(
@@ -71,24 +67,32 @@
     ],
     operators: options.Operator,
     author: options.Author,
-    record_id: options.RecordId,
+    record_id: options.RecordId = None,
     timeout_s: options.TimeoutS = options.DEFAULT_TIMEOUT_S,
     as_json: options.Json = False,
 ) -> None:
-    """Let a process take no new work and hand its programs over."""
-    client = commands_publish.connect(operators)
-    present = commands_publish.require(client, objects.PROCESS, host)
+    """Let the process on HOST take no new work.
+
+    It runs on until it is stopped; what it runs is finished.
+    """
+    publication = commands_publish.prepare(
+        operators,
+        author=author,
+        record_id=record_id,
+        timeout_s=timeout_s,
+        as_json=as_json,
+    )
+    present = commands_publish.require(
+        publication.client, objects.PROCESS, host
+    )
     change = objects.ObjectChange(
         kind=objects.PROCESS,
         name=host,
         base_revision=present.revision,
         spec=present.spec | {"leaving": True},
     )
-    publication = commands_publish.Publication(
-        client=client, author=author, record_id=record_id, timeout_s=timeout_s
-    )
     outcome = commands_publish.publish_changes(publication, [change])
-    commands_report.print_outcome(outcome, record_id, as_json)
+    commands_publish.report(publication, outcome)
 
 
 def state(
@@ -100,37 +104,12 @@
         ),
     ],
 ) -> None:
-    """Print the state of a process as JSON."""
+    """Print the state of the process at ADDRESS as JSON."""
     parsed = commands_publish.parse_address(address, "ADDRESS")
     dump = operator_client.OperatorClient([parsed]).state()
     typer.echo(json.dumps(dump, indent=2))
 
 
-def _run_daemon(module: str, loaded: settings.AnySettings) -> int:
-    with _without_rich():
-        daemon: Any = importlib.import_module(module)
-    status = daemon.run(loaded)
-    return int(status)
-
-
-@contextlib.contextmanager
-def _without_rich() -> Iterator[None]:
-    """Keeps ``rich`` out of a daemon.
-
-    ``structlog`` imports it wherever it is installed, for a renderer that is
-    not used here, and it would cost each daemon several megabytes.
-    """
-    missing = object()
-    before: Any = sys.modules.get("rich", missing)
-    sys.modules["rich"] = None  # type: ignore[assignment]
-    try:
-        yield
-    finally:
-        del sys.modules["rich"]
-        if before is not missing:
-            sys.modules["rich"] = before
-
-
 def _check_files(paths: list[str]) -> _CheckReport:
     problems: list[str] = []
     processes: dict[str, settings.AnySettings] = {}
--- a/quetzalmill/commands_publish.py
+++ b/quetzalmill/commands_publish.py
@@ -2,10 +2,13 @@
 
 from collections.abc import Callable, Iterable
 from typing import Any
+import uuid
 
 import attrs
 import typer
 
+from quetzalmill import commands_base
+from quetzalmill import commands_report
 from quetzalmill import errors
 from quetzalmill import fleet_file
 from quetzalmill import object_rules
@@ -22,31 +25,74 @@
         client: Where it publishes.
         author: Who is named in the history.
         record_id: The record's id.
+        repeats: Whether a record with that id may have been sent before.
         timeout_s: How long to ask for a lost outcome.
         base: The revision that the operator had seen, if given.
+        as_json: Whether the outcome is printed as JSON.
     """
 
     client: operator_client.OperatorClient
     author: str
     record_id: str
+    repeats: bool = False
     timeout_s: float
     base: int | None = None
+    as_json: bool = False
 
 
+_LISTS = {
+    objects.TEAM: "team list",
+    objects.KEY: "key list",
+    objects.ENDPOINT: "endpoint list",
+    objects.MODEL: "model list",
+    objects.ROUTE: "route list",
+    objects.PROCESS: "config processes",
+}
+"""The command that lists the objects of a kind."""
+
 LabelChange = Callable[[dict[str, str]], dict[str, str]]
 """Makes an object's new labels from its present ones."""
 
 
+def prepare(
+    operators: list[str],
+    *,
+    author: str,
+    record_id: str | None,
+    timeout_s: float,
+    base: int | None = None,
+    as_json: bool = False,
+) -> Publication:
+    """Returns a publication as the options of a command describe it.
+
+    Raises:
+        typer.BadParameter: An operator address is not ``IP:port``.
+    """
+    return Publication(
+        client=connect(operators),
+        author=author,
+        record_id=record_id or uuid.uuid4().hex,
+        repeats=record_id is not None,
+        timeout_s=timeout_s,
+        base=base,
+        as_json=as_json,
+    )
+
+
 def connect(operators: list[str]) -> operator_client.OperatorClient:
     """Returns a client of the entries that ``--operator`` names.
 
     Raises:
-        typer.BadParameter: A text is not ``IP:port``.
+        typer.BadParameter: A text is not ``IP:port``, or there is none.
     """
-    texts = [text for item in operators for text in item.split(",") if text]
-    return operator_client.OperatorClient(
-        [parse_address(text.strip(), "--operator") for text in texts]
-    )
+    texts = [text.strip() for item in operators for text in item.split(",")]
+    addresses = [parse_address(text, "--operator") for text in texts if text]
+    if not addresses:
+        raise typer.BadParameter(
+            "names no address; write one such as 127.0.0.1:7101",
+            param_hint="--operator",
+        )
+    return operator_client.OperatorClient(addresses)
 
 
 def parse_address(text: str, option: str) -> settings_rules.Address:
@@ -80,16 +126,20 @@
     ]
     if problems:
         return operator_client.Rejected(problems)
+    client = publication.client
     present = {
-        kind: publication.client.list_objects(kind)
+        kind: client.list_objects(kind)
         for kind in dict.fromkeys(item.kind for item in wanted)
     }
+    base = commands_base.BaseRevisions(client, publication.base)
     changes = [
         objects.ObjectChange(
             kind=item.kind,
             name=item.name,
-            base_revision=_base_revision(
-                present[item.kind].revision_of(item.name), publication.base
+            base_revision=base.of(
+                item.kind,
+                item.name,
+                present[item.kind].revision_of(item.name),
             ),
             spec=item.spec,
         )
@@ -125,15 +175,8 @@
     problems = object_rules.problems_of(kind, name, spec)
     if problems:
         return operator_client.Rejected(problems)
-    base = _base_revision(present.revision if present else 0, publication.base)
-    return publish_changes(
-        publication,
-        [
-            objects.ObjectChange(
-                kind=kind, name=name, base_revision=base, spec=spec
-            )
-        ],
-    )
+    revision = present.revision if present else 0
+    return _publish_one(publication, kind, name, revision, spec)
 
 
 def delete(
@@ -142,18 +185,14 @@
     """Publishes an object's deletion.
 
     Raises:
-        errors.OperatorError: The present object cannot be read.
+        errors.OperatorError: The object does not exist or cannot be read.
     """
-    present = require(publication.client, kind, name)
-    base = _base_revision(present.revision, publication.base)
-    return publish_changes(
-        publication,
-        [
-            objects.ObjectChange(
-                kind=kind, name=name, base_revision=base, spec=None
-            )
-        ],
-    )
+    if not publication.repeats:
+        present = require(publication.client, kind, name)
+        return _publish_one(publication, kind, name, present.revision, None)
+    # The deletion may be in force already, and then its outcome is asked for.
+    revision = publication.client.list_objects(kind, name).revision_of(name)
+    return _publish_one(publication, kind, name, revision, None)
 
 
 def require(
@@ -171,7 +210,7 @@
         near = settings_rules.suggestion(
             name, [item.name for item in listed.objects]
         )
-        mend = f"did you mean {near}?" if near else f"see `{kind} list`"
+        mend = f"did you mean {near}?" if near else f"see `{_LISTS[kind]}`"
         raise errors.OperatorRefusedError(
             f"{kind}/{name} does not exist; {mend}"
         )
@@ -190,10 +229,29 @@
     return publication.client.publish(record, publication.timeout_s * 1000.0)
 
 
-def _base_revision(present: int, seen: int | None) -> int:
-    """Returns the revision to name as the base of a change.
+def report(publication: Publication, outcome: operator_client.Outcome) -> None:
+    """Prints how a publication ended.
 
-    An object that is newer than the operator has seen is given the revision
-    seen, so that the fold finds the conflict for every reader alike.
+    Raises:
+        typer.Exit: The publication was not accepted.
     """
-    return present if seen is None else min(present, seen)
+    commands_report.print_outcome(
+        outcome, publication.record_id, publication.as_json
+    )
+
+
+def _publish_one(
+    publication: Publication,
+    kind: str,
+    name: str,
+    revision: int,
+    spec: dict[str, Any] | None,
+) -> operator_client.Outcome:
+    base = commands_base.BaseRevisions(publication.client, publication.base)
+    change = objects.ObjectChange(
+        kind=kind,
+        name=name,
+        base_revision=base.of(kind, name, revision),
+        spec=spec,
+    )
+    return publish_changes(publication, [change])
--- a/quetzalmill/commands_report.py
+++ b/quetzalmill/commands_report.py
@@ -1,10 +1,9 @@
-"""What the operators' commands print, and the exit codes they end with.
+"""What the operators' commands print and how they end.
 
 Results go to standard output, errors to standard error.
 """
 
 from collections.abc import Sequence
-import enum
 import sys
 from typing import Any
 
@@ -12,22 +11,11 @@
 import typer
 
 from quetzalmill import codec
+from quetzalmill import commands_exit
 from quetzalmill import errors
 from quetzalmill import operator_client
 
 
-class ExitCode(enum.IntEnum):
-    """How a command ended; scripts may rely on these numbers."""
-
-    OK = 0
-    REJECTED = 1
-    USAGE = 2
-    CONFLICT = 3
-    UNAVAILABLE = 4
-    UNKNOWN = 5
-    TIMEOUT = 6
-
-
 @attrs.frozen(kw_only=True)
 class _OutcomeReport:
     outcome: str
@@ -70,7 +58,7 @@
         accepted = isinstance(outcome, operator_client.Accepted)
         typer.echo(_outcome_text(outcome), err=not accepted)
     code = _exit_code_of(outcome)
-    if code != ExitCode.OK:
+    if code != commands_exit.ExitCode.OK:
         raise typer.Exit(code)
 
 
@@ -79,16 +67,16 @@
     match error:
         case errors.SettingsError(problems=problems):
             lines = problems
-            code = ExitCode.USAGE
+            code = commands_exit.ExitCode.USAGE
         case errors.OperatorRefusedError():
             lines = [f"rejected because {error}"]
-            code = ExitCode.REJECTED
+            code = commands_exit.ExitCode.REJECTED
         case errors.OperatorTimeoutError():
             lines = [f"timeout: {error}"]
-            code = ExitCode.TIMEOUT
+            code = commands_exit.ExitCode.TIMEOUT
         case _:
             lines = [f"unavailable: {error}"]
-            code = ExitCode.UNAVAILABLE
+            code = commands_exit.ExitCode.UNAVAILABLE
     for line in lines:
         typer.echo(line, err=True)
     sys.exit(code)
@@ -101,15 +89,16 @@
         case operator_client.Rejected(problems):
             return "rejected because " + "; ".join(problems)
         case operator_client.Conflict(revision, name):
+            gone = "" if revision else ", which no longer exists"
             return (
-                f"conflict with revision {revision} of {name}; read it again "
-                "and repeat the change"
+                f"conflict with revision {revision} of {name}{gone}; read it "
+                "again and repeat the change"
             )
         case operator_client.Unavailable(message, retry_after_ms):
+            when = f"in {retry_after_ms / 1000:g} s" if retry_after_ms else ""
             return (
-                f"unavailable, nothing was changed: {message}; try again in "
-                f"{retry_after_ms / 1000:g} s"
-            )
+                f"unavailable, nothing was changed: {message}; try again {when}"
+            ).rstrip()
         case operator_client.Unknown(record_id):
             return (
                 "outcome unknown: the reply was lost and the log cannot be "
@@ -144,15 +133,15 @@
             return _OutcomeReport(outcome="unknown", record_id=record_id)
 
 
-def _exit_code_of(outcome: operator_client.Outcome) -> ExitCode:
+def _exit_code_of(outcome: operator_client.Outcome) -> commands_exit.ExitCode:
     match outcome:
         case operator_client.Accepted():
-            return ExitCode.OK
+            return commands_exit.ExitCode.OK
         case operator_client.Rejected():
-            return ExitCode.REJECTED
+            return commands_exit.ExitCode.REJECTED
         case operator_client.Conflict():
-            return ExitCode.CONFLICT
+            return commands_exit.ExitCode.CONFLICT
         case operator_client.Unavailable():
-            return ExitCode.UNAVAILABLE
+            return commands_exit.ExitCode.UNAVAILABLE
         case operator_client.Unknown():
-            return ExitCode.UNKNOWN
+            return commands_exit.ExitCode.UNKNOWN
--- a/quetzalmill/main.py
+++ b/quetzalmill/main.py
@@ -1,34 +1,8 @@
-"""The ``quetzalmill`` program: puts its commands together."""
-
-import typer
-
-from quetzalmill import commands_config
-from quetzalmill import commands_keys
-from quetzalmill import commands_objects
-from quetzalmill import commands_process
-from quetzalmill import commands_report
-from quetzalmill import errors
-
-app = typer.Typer(
-    add_completion=False,
-    no_args_is_help=True,
-    rich_markup_mode=None,
-    pretty_exceptions_enable=False,
-    help="Runs and operates a fleet that agent programs share.",
-    epilog="Exit codes: 0 done, 1 rejected, 2 usage or settings, 3 conflict, "
-    "4 unavailable, 5 outcome unknown, 6 timeout.",
-)
-app.command()(commands_process.entry)
-app.command()(commands_process.sidecar)
-app.command()(commands_process.check)
-app.command()(commands_process.drain)
-app.command()(commands_process.state)
-app.add_typer(commands_config.app, name="config")
-app.add_typer(commands_objects.team_app, name="team")
-app.add_typer(commands_keys.app, name="key")
-app.add_typer(commands_objects.endpoint_app, name="endpoint")
-app.add_typer(commands_objects.model_app, name="model")
-app.add_typer(commands_objects.route_app, name="route")
+"""The ``quetzalmill`` program: starts a daemon or an operator's command."""
+
+import sys
+
+from quetzalmill import commands_daemon
 
 
 def run(arguments: list[str] | None = None) -> None:
@@ -38,7 +12,17 @@
         arguments: The command line without the program's name; that of the
             process when it is None.
     """
-    try:
-        app(arguments, prog_name="quetzalmill")
-    except errors.QuetzalmillError as error:
-        commands_report.exit_with_error(error)
+    words = sys.argv[1:] if arguments is None else arguments
+    if _starts_daemon(words):
+        sys.exit(commands_daemon.run(words[0], words[1]))
+    # Daemons would carry the parser of commands for as long as they run.
+    from quetzalmill import commands_app
+
+    commands_app.run(words)
+
+
+def _starts_daemon(words: list[str]) -> bool:
+    """Returns whether the words are a role and its settings file alone."""
+    if len(words) != 2 or words[0] not in commands_daemon.ROLES:
+        return False
+    return not words[1].startswith("-")
--- a/quetzalmill/operator_client.py
+++ b/quetzalmill/operator_client.py
@@ -122,16 +122,16 @@
     Attributes:
         offset: Its place, which is the revision of the objects it changed.
         record_id: Its id.
-        author: Who appended it.
         applied: Whether it took effect; one that conflicted did not.
+        author: Who appended it, empty when the record cannot be read.
         changes: What it changes.
     """
 
     offset: int
     record_id: str
-    author: str
     applied: bool
-    changes: list[objects.ObjectChange]
+    author: str = ""
+    changes: list[objects.ObjectChange] = attrs.field(factory=list)
 
 
 @attrs.frozen(kw_only=True)
@@ -141,7 +141,7 @@
     Attributes:
         host: Its host.
         role: ``entry`` or ``sidecar``.
-        incarnation: Tells apart processes that ran on the host in turn.
+        instance: Tells apart processes that ran on the host in turn.
         applied_offset: The log offset that it has in force.
         heard_ms_ago: Time since its last heartbeat; None when never heard.
         leaving: Whether it takes no new work.
@@ -150,7 +150,7 @@
 
     host: str
     role: str
-    incarnation: int
+    instance: str
     applied_offset: int
     heard_ms_ago: float | None
     leaving: bool
--- a/quetzalmill/options.py
+++ b/quetzalmill/options.py
@@ -2,7 +2,6 @@
 
 import getpass
 from typing import Annotated
-import uuid
 
 import typer
 
@@ -17,10 +16,6 @@
         return "unknown"
 
 
-def _record_id() -> str:
-    return uuid.uuid4().hex
-
-
 Operator = Annotated[
     list[str],
     typer.Option(
@@ -42,11 +37,10 @@
     ),
 ]
 RecordId = Annotated[
-    str,
+    str | None,
     typer.Option(
         "--record-id",
-        help="Id of the change; repeat it after an unknown outcome.",
-        default_factory=_record_id,
+        help="Id that an unknown outcome named, to repeat that change.",
         show_default="a new one",
     ),
 ]
--- a/tests/fake_operator.py
+++ b/tests/fake_operator.py
@@ -22,6 +22,8 @@
     UNAVAILABLE = "the record has no effect, and the answer says so"
     UNKNOWN = "the answer says that the outcome is unknown"
     REFUSED = "the answer has a status of its own"
+    RACED = "another operator's change of the object takes effect before"
+    REJECTED = "the record has mistakes, and the answer lists them"
     GARBAGE = "the answer is no JSON"
 
 
@@ -93,6 +95,12 @@
                 return 503, body | {"outcome": "unavailable"}
             case Fault.UNKNOWN:
                 return 504, {"outcome": "unknown", "record_id": "r"}
+            case Fault.RACED:
+                for change in record["changes"]:
+                    self.put(change["kind"], change["name"], change["spec"])
+                return self._apply(record)
+            case Fault.REJECTED:
+                return 422, {"outcome": "rejected", "problems": ["no team x"]}
             case Fault.REFUSED:
                 return 413, {"message": "too large"}
             case _:
