--- a/quetzalmill/commands_process.py
+++ b/quetzalmill/commands_process.py
@@ -56,7 +56,7 @@
         for hint in report.hints:
             typer.echo(f"hint: {hint}", err=True)
         if not report.problems:
-            typer.echo(f"{len(paths)} files are right")
+            typer.echo(f"right: {', '.join(paths)}")
     if report.problems:
         raise typer.Exit(commands_exit.ExitCode.USAGE)
 
--- a/quetzalmill/settings_fleet.py
+++ b/quetzalmill/settings_fleet.py
@@ -82,11 +82,12 @@
                 field = "peers"
             case settings.SidecarSettings(entries=named):
                 field = "entries"
-        hints += [
-            f"{path}: {field}: no checked entry has control_address {text!r}"
-            for text in named
-            if text not in known
-        ]
+        unknown = [text for text in named if text not in known]
+        if unknown:
+            hints.append(
+                f"{path}: {field}: no checked entry has the control_address "
+                + ", ".join(unknown)
+            )
     return hints
 
 
@@ -102,10 +103,16 @@
     }
     if not known:
         return []
-    return [
-        f"{path}: endpoint/{item.name}: host: no checked sidecar has host "
-        f"{item.spec['host']!r}"
-        for path, found in fleets.items()
-        for item in found
-        if item.kind == objects.ENDPOINT and item.spec["host"] not in known
-    ]
+    hints: list[str] = []
+    for path, found in fleets.items():
+        unknown = [
+            f"endpoint/{item.name} ({item.spec['host']})"
+            for item in found
+            if item.kind == objects.ENDPOINT and item.spec["host"] not in known
+        ]
+        if unknown:
+            hints.append(
+                f"{path}: host: no checked sidecar has the host of "
+                + ", ".join(unknown)
+            )
+    return hints
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -207,7 +207,8 @@
         fleet.write_text(FLEET)
         entry.write_text(SETTINGS)
         result = cli.run("check", str(fleet), str(entry))
-        assert (result.code, result.out) == (Exit.OK, "2 files are right\n")
+        assert result.code == Exit.OK
+        assert result.out == f"right: {fleet}, {entry}\n"
 
     def test_mistakes_of_all_files_come_at_once(
         self, cli: Cli, tmp_path: Path
