--- a/tests/test_withdrawal.py
+++ b/tests/test_withdrawal.py
@@ -121,12 +121,15 @@
         key_id, key = system.issue("keepers")
         system.proxy.set_faults("log", cut_requests=True, cut_replies=True)
         try:
-            system.withdraw(key_id, "keepers")
+            revision = system.withdraw(key_id, "keepers")
+            entry = system.running.entries[2]
             harness.eventually(
-                lambda: system.ask(key, 2).status == 401,
+                lambda: entry.state()["applied_offset"] >= revision,
                 BOUND_S,
-                "the entry without the log refuses the key",
+                "the entry without the log has the withdrawal",
             )
+            assert entry.state()["keys"][key_id] is True
+            assert system.ask(key, 2).status == 401
         finally:
             system.proxy.heal("log")
 
@@ -157,12 +160,14 @@
             )
             system.withdraw(key_id, "keepers")
             reply = queued.result(BOUND_S)
+            harness.eventually(
+                lambda: _queued(system) == 0, BOUND_S, "the queue is empty"
+            )
+            assert _received(system) == before
         assert (reply.status, reply.body["ran"]) in (
             (401, "no"),
             (401, "unknown"),
         )
-        assert _queued(system) == 0
-        assert _received(system) == before
 
 
 class TestNoKeyLeaks:
