Prove that an entry cut off from everything decides nothing

With the log down and both peers killed the entry refuses with configuration_stale, not run, and decides again once the log answers.

--- a/tests/test_withdrawal.py
+++ b/tests/test_withdrawal.py
@@ -314,6 +314,34 @@
     return int(loads[0]["queued"])
 
 
+class TestEntryCutOff:
+    """An entry that may have an old configuration decides nothing."""
+
+    def test_lone_entry_refuses_until_the_log_is_back(
+        self, system: System
+    ) -> None:
+        _, key = system.issue("keepers")
+        log = system.running.log_address
+        harness.call(log, "POST", "/faults", {"down": True})
+        for entry in system.running.entries[:2]:
+            entry.process.kill()
+        harness.eventually(
+            lambda: _code(system.ask(key, 2)) == "configuration_stale",
+            BOUND_S,
+            "the entry refuses",
+        )
+        harness.call(log, "POST", "/faults", {})
+        harness.eventually(
+            lambda: _code(system.ask(key, 2)) != "configuration_stale",
+            BOUND_S,
+            "the entry decides again",
+        )
+
+
+def _code(reply: harness.Reply) -> str:
+    return str(reply.body.get("code", ""))
+
+
 def _long_stream(system: System, key: str, text: str = "long") -> Any:
     body = {
         "model": "planner",
