Say truthfully whether a refused call may have run

Cause: every refusal of a home or of an entry that finds no home said ran "no", also when an earlier request for the same call had run: after the home died with the log down the same call sent again got log_unavailable, ran "no", while the service had counted one run.

Now the home rules a call out only when it holds the program, is in no doubt about an earlier home, and has neither answered nor started the call; all other refusals of a program's call say "unknown". The entry keeps "unknown" for a single call once an attempt broke off.

Ruled out: remembering calls at entries, since the caller comes back through another one.

--- a/quetzalmill/forwarding.py
+++ b/quetzalmill/forwarding.py
@@ -110,7 +110,8 @@
             problems.CallerError: The call was refused or failed.
         """
         deadline_ms = self._clock.now_ms() + call.time_left_ms
-        relay = _Relay(sink)
+        # An earlier request for the same call of a program may have run it.
+        relay = _Relay(sink, may_have_run=not call.single)
         target = (
             self._link.new_home()
             if call.single
@@ -118,17 +119,23 @@
         )
         while True:
             if target is None:
-                raise _no_home()
+                raise _no_home(relay.ran)
             left_ms = max(1.0, deadline_ms - self._clock.now_ms())
-            last = await self._attempt(
-                target,
-                attrs.evolve(call, time_left_ms=left_ms),
-                relay,
-                may_go_on,
-            )
+            try:
+                last = await self._attempt(
+                    target,
+                    attrs.evolve(call, time_left_ms=left_ms),
+                    relay,
+                    may_go_on,
+                )
+            except problems.CallerError as error:
+                # Only a program's home knows of earlier attempts.
+                if call.single and relay.may_have_run:
+                    error.ran = messages.Ran.UNKNOWN
+                raise
             if last is not None:
                 return last
-            await self._pause(deadline_ms, relay.started)
+            await self._pause(deadline_ms, relay.ran)
             relay.restart()
             target = (
                 self._link.new_home()
@@ -178,6 +185,7 @@
         ) as error:
             if call.single and not call.idempotent:
                 raise _unknown(str(error)) from error
+            relay.may_have_run = True
         return None
 
     async def _ask(
@@ -215,13 +223,17 @@
         elif home is not None and program:
             self._link.note_home(program, home)
 
-    async def _pause(self, deadline_ms: float, started: bool = False) -> None:
+    async def _pause(
+        self,
+        deadline_ms: float,
+        ran: messages.Ran = messages.Ran.UNKNOWN,
+    ) -> None:
         if self._clock.now_ms() + RETRY_MS >= deadline_ms:
             raise problems.CallerError(
                 504,
                 "deadline",
                 "the program's home did not answer in time",
-                ran=messages.Ran.UNKNOWN,
+                ran=ran,
                 retry_after_ms=UNREACHABLE_RETRY_MS,
             )
         await trio.sleep(RETRY_MS / 1000.0)
@@ -230,14 +242,17 @@
 class _Relay:
     """Passes pieces on once, however often the call is sent again."""
 
-    def __init__(self, sink: PieceSink | None) -> None:
+    def __init__(self, sink: PieceSink | None, *, may_have_run: bool) -> None:
         self._sink = sink
+        self.may_have_run = may_have_run
         self._passed: list[bytes] = []
         self._merge: completion.Assembly | None = None
 
     @property
-    def started(self) -> bool:
-        return bool(self._passed)
+    def ran(self) -> messages.Ran:
+        if self.may_have_run:
+            return messages.Ran.UNKNOWN
+        return messages.Ran.NO
 
     def restart(self) -> None:
         if not self._passed:
@@ -265,11 +280,14 @@
             await self._sink(passed)
 
 
-def _no_home() -> problems.CallerError:
+def _no_home(
+    ran: messages.Ran = messages.Ran.NO,
+) -> problems.CallerError:
     return problems.CallerError(
         503,
         "no_home",
         "no sidecar takes the program",
+        ran=ran,
         retry_after_ms=UNREACHABLE_RETRY_MS,
     )
 
@@ -289,6 +307,7 @@
         response.status,
         problem.code,
         problem.message,
+        ran=problem.ran,
         retry_after_ms=problem.retry_after_ms,
         details=problem.details,
     )
--- a/quetzalmill/home.py
+++ b/quetzalmill/home.py
@@ -38,7 +38,13 @@
 
 
 class UnknownProgramError(errors.QuetzalmillError):
-    """The program is not known, or its records have been lost."""
+    """The program is not known, or its records have been lost.
+
+    Attributes:
+        ran: Whether the refused call may have run.
+    """
+
+    ran = messages.Ran.NO
 
 
 class MovedError(errors.QuetzalmillError):
@@ -54,15 +60,18 @@
 
 
 class RefusedError(errors.QuetzalmillError):
-    """A request is refused and was not run.
+    """A request is refused and is not run.
 
     Attributes:
+        ran: Whether an earlier request for the same call may have run it.
         status: The HTTP status.
         code: A short error code.
         retry_after_ms: When to come back, None if that does not help.
         details: Further fields for the caller.
     """
 
+    ran = messages.Ran.NO
+
     def __init__(
         self,
         status: int,
@@ -262,6 +271,21 @@
         frames = await self._admit(family, program, call)
         yield frames
 
+    def ran_of(self, call: messages.Call) -> messages.Ran:
+        """Returns whether a refused call may have run when sent before.
+
+        Only the program's home can rule that out, and only for a call that
+        neither it nor an earlier home can have started.
+        """
+        if call.single or program_id.first_home(call.program) is None:
+            return messages.Ran.NO
+        family = self._families.get(program_id.root_of(call.program))
+        if family is None or family.lost:
+            return messages.Ran.UNKNOWN
+        if family.may_have_run(call.program, call.number, _digest_of(call)):
+            return messages.Ran.UNKNOWN
+        return messages.Ran.NO
+
     def drop_idle(self) -> list[str]:
         """Drops families unused for long; returns programs that are over."""
         now_ms = self._clock.now_ms()
--- a/quetzalmill/internal_api.py
+++ b/quetzalmill/internal_api.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from quetzalmill import messages
+
 CALLS_PATH = "/internal/v1/calls"
 """Where a home takes calls of its programs."""
 
@@ -31,6 +33,7 @@
         host: The program's home, when another process is.
         instance: That process.
         details: Further fields for the caller.
+        ran: Whether the call may have run, by this or an earlier request.
     """
 
     code: str
@@ -39,3 +42,4 @@
     host: str = ""
     instance: str = ""
     details: dict[str, Any] = attrs.field(factory=dict)
+    ran: messages.Ran = messages.Ran.NO
--- a/quetzalmill/programs.py
+++ b/quetzalmill/programs.py
@@ -200,6 +200,20 @@
         spent = self._spent_limit(program, reserve_tokens, now_ms)
         return spent or Start()
 
+    def may_have_run(self, name: str, call: int, digest: str) -> bool:
+        """Returns whether a call may have been started before."""
+        program = self.programs.get(name)
+        if program is None:
+            return self.epoch > 1
+        if name in self.in_doubt:
+            return True
+        if 1 <= call <= len(program.history):
+            return program.history[call - 1].digest == digest
+        running = program.running
+        if running is None or running.call != call:
+            return False
+        return running.digest == digest
+
     def begin(
         self,
         program: Program,
--- a/quetzalmill/sidecar_api.py
+++ b/quetzalmill/sidecar_api.py
@@ -78,12 +78,19 @@
         self, request: http_message.Request, exchange: http_server.Exchange
     ) -> None:
         call = codec.from_msgpack(request.body, messages.Call)
-        await self._require(call.applied_offset)
-        async with self._home.call(
-            call, take_over=_takes_over(request)
-        ) as frames:
-            await exchange.start_stream(200, {"content-type": _FRAMES_TYPE})
-            await _write(exchange, frames)
+        try:
+            await self._require(call.applied_offset)
+            async with self._home.call(
+                call, take_over=_takes_over(request)
+            ) as frames:
+                await exchange.start_stream(200, {"content-type": _FRAMES_TYPE})
+                await _write(exchange, frames)
+        except (
+            home_module.RefusedError,
+            home_module.UnknownProgramError,
+        ) as error:
+            error.ran = self._home.ran_of(call)
+            raise
 
     async def _program(
         self, request: http_message.Request, exchange: http_server.Exchange
@@ -130,7 +137,9 @@
         except completion.InvalidRequestError as error:
             await _refuse(exchange, 422, "invalid_request", str(error))
         except home_module.UnknownProgramError as error:
-            await _refuse(exchange, 404, "program_unknown", str(error))
+            await _refuse(
+                exchange, 404, "program_unknown", str(error), error.ran
+            )
         except home_module.MovedError as error:
             await exchange.respond(410, codec.to_json(_moved(error)))
         except home_module.RefusedError as error:
@@ -139,6 +148,7 @@
                 message=str(error),
                 retry_after_ms=error.retry_after_ms,
                 details=error.details,
+                ran=error.ran,
             )
             await exchange.respond(error.status, codec.to_json(problem))
 
@@ -152,9 +162,13 @@
 
 
 async def _refuse(
-    exchange: http_server.Exchange, status: int, code: str, message: str
+    exchange: http_server.Exchange,
+    status: int,
+    code: str,
+    message: str,
+    ran: messages.Ran = messages.Ran.NO,
 ) -> None:
-    problem = internal_api.Problem(code=code, message=message)
+    problem = internal_api.Problem(code=code, message=message, ran=ran)
     await exchange.respond(status, codec.to_json(problem))
 
 
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,380 @@
+"""A non-idempotent call runs at most once, and no refusal lies about it.
+
+Every case brings about faults while one call has been answered, two run and
+one waits in the queue. Then the same calls are sent again through another
+entry. The services count their runs; every answer is checked against them.
+"""
+
+from collections.abc import Callable, Iterator
+import contextlib
+import http.client
+import json
+import select
+import time
+from typing import Any
+
+import attrs
+import pytest
+
+from quetzalmill import program_id
+from tests import deployment
+from tests import harness
+
+TEAM = "events"
+CALL_MS = 8_000
+SETTLE_S = 20.0
+FROZEN_S = 2.0
+
+KILL = "kill"
+FREEZE = "freeze"
+CLOSE = "close"
+
+
+@attrs.frozen
+class Case:
+    """Faults brought about together.
+
+    Attributes:
+        faults: An action and what it strikes, one after the other.
+        log_down: Whether the log is down from the first call on.
+        exact: Whether every call must get its whole answer in the end.
+    """
+
+    faults: tuple[tuple[str, str], ...]
+    log_down: bool = False
+    exact: bool = True
+
+    def __str__(self) -> str:
+        text = "+".join(f"{action}-{what}" for action, what in self.faults)
+        return text + ("-log-down" if self.log_down else "")
+
+
+CASES = (
+    Case(((CLOSE, "caller"),)),
+    Case(((KILL, "entry"),)),
+    Case(((FREEZE, "entry"),)),
+    Case(((KILL, "home"),)),
+    Case(((FREEZE, "home"),)),
+    Case(((KILL, "sidecar"),), exact=False),
+    Case(((FREEZE, "sidecar"),)),
+    Case(((KILL, "service"),), exact=False),
+    Case(((FREEZE, "service"),)),
+    Case(((KILL, "home"),), log_down=True),
+    Case(((FREEZE, "home"),), log_down=True),
+    Case(((KILL, "entry"),), log_down=True),
+    Case(((KILL, "sidecar"),), log_down=True, exact=False),
+    Case(((KILL, "entry"), (KILL, "home"))),
+    Case(((KILL, "home"), (KILL, "sidecar")), exact=False),
+    Case(((FREEZE, "home"), (FREEZE, "sidecar")), exact=False),
+    Case(((KILL, "home"), (KILL, "service")), exact=False),
+)
+
+
+@pytest.fixture(scope="module")
+def system() -> Iterator["System"]:
+    with deployment.running(entries=3) as running:
+        yield System(running)
+
+
+class TestFaults:
+    """One call in each state, faults, the same calls again."""
+
+    @pytest.mark.parametrize("case", CASES, ids=str)
+    def test_runs_once_and_refusals_are_true(
+        self, system: "System", case: Case
+    ) -> None:
+        calls, busy = system.stage(case.log_down)
+        for fault in case.faults:
+            system.strike(*fault, calls, busy)
+        again = [system.send(call, entry=1) for call in calls]
+        system.release_services()
+        wait_readable(again, FROZEN_S)
+        system.mend()
+        for call, sent in zip(calls, again, strict=True):
+            system.check(call, read(sent))
+        system.set_log(down=False)
+        for call in calls:
+            final = system.settle(call, entry=1)
+            repeated = system.settle(call, entry=2)
+            assert repeated == final, call
+            if case.exact:
+                assert final.ran == "yes", (call, final)
+                assert final.body["run"] == 1
+
+
+@attrs.frozen
+class Call:
+    """A booking as its caller numbers it."""
+
+    program: str
+    number: int
+    reference: str
+
+
+@attrs.frozen
+class Outcome:
+    """What a caller was told.
+
+    Attributes:
+        ran: ``yes`` for a whole answer, else what the error says; ``lost``
+            without an answer.
+        body: The answer's body.
+        recorded: Whether it is a turn of the program now.
+    """
+
+    ran: str
+    body: Any = None
+    recorded: bool = False
+
+
+LOST = Outcome("lost")
+
+
+class System:
+    """A deployment with two booking services and what they have run."""
+
+    def __init__(self, running: deployment.Deployment) -> None:
+        self.running = running
+        self.services = [running.fleet.emulator("service") for _ in range(2)]
+        self._ended_runs: dict[str, int] = {}
+        self._frozen_runs: dict[str, dict[str, int]] = {}
+        self._serial = 0
+        self._open: list[http.client.HTTPConnection] = []
+        self._undo: list[Callable[[], None]] = []
+        engine = running.fleet.emulator("engine")
+        for _ in range(4):
+            running.start_sidecar(endpoint_failure_ms=200)
+        running.publish_ok(
+            *(endpoint(f"engine-{i}", i, engine.address) for i in range(2)),
+            *(
+                endpoint(f"booking-{i}", i + 2, service.address, "service")
+                for i, service in enumerate(self.services)
+            ),
+            deployment.change("model", "planner", {"selector": ""}),
+            deployment.change("route", "booking", {"selector": ""}),
+        )
+        running.wait_minting()
+        self._key = running.add_team(TEAM)
+
+    def stage(self, log_down: bool) -> tuple[list[Call], int]:
+        """Brings one call to each state; returns them and a busy service."""
+        self.mend()
+        self.set_log(down=False)
+        self.wait_healthy()
+        calls = [self.new_call() for _ in range(4)]
+        self.set_log(down=log_down)
+        answered, *others = calls
+        assert read(self.send(answered)).ran == "yes"
+        self._set_services(hang=True)
+        self._open = []
+        for number, call in enumerate(others, start=1):
+            self._open.append(self.send(call))
+            self._wait_busy(number)
+        queued = [n["queued"] for n in self._loads()]
+        return calls, queued.index(max(queued))
+
+    def strike(
+        self, action: str, what: str, calls: list[Call], busy: int
+    ) -> None:
+        """Brings a fault about."""
+        if what == "caller":
+            for connection in self._open:
+                connection.close()
+            return
+        if what == "service":
+            self._strike_service(action, busy)
+            return
+        node = {
+            "entry": self.running.entries[0],
+            "home": self._home(calls[0]),
+            "sidecar": self.running.sidecars[busy + 2],
+        }[what]
+        if action == KILL:
+            node.process.kill()
+            self._undo.append(lambda: self.running.restart(node))
+        else:
+            node.process.freeze()
+            self._undo.append(node.process.wake)
+
+    def mend(self) -> None:
+        """Wakes and replaces what was struck; lets the services answer."""
+        while self._undo:
+            self._undo.pop()()
+        self.release_services()
+
+    def send(self, call: Call, entry: int = 0) -> http.client.HTTPConnection:
+        """Sends a call without waiting for its answer."""
+        node = self.running.entries[entry]
+        host, _, port = node.http.rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=15)
+        connection.request(
+            "POST",
+            "/v1/services/booking/bookings",
+            json.dumps({"reference": call.reference}),
+            deployment.bearer(
+                self._key,
+                Quetzalmill_Program=call.program,
+                Quetzalmill_Call=str(call.number),
+                Quetzalmill_Idempotent="false",
+                Quetzalmill_Deadline_Ms=str(CALL_MS),
+            ),
+        )
+        return connection
+
+    def check(self, call: Call, outcome: Outcome) -> None:
+        """Checks an answer against what the services have run."""
+        runs = self.runs(call)
+        assert runs <= 1, (call, outcome)
+        if outcome.ran == "yes":
+            assert runs == 1, (call, outcome)
+        if outcome.ran == "no":
+            assert runs == 0, (call, outcome)
+
+    def settle(self, call: Call, entry: int) -> Outcome:
+        """Sends a call again until its answer is recorded."""
+
+        def recorded() -> Outcome | None:
+            outcome = read(self.send(call, entry))
+            self.check(call, outcome)
+            return outcome if outcome.recorded else None
+
+        return harness.eventually(recorded, SETTLE_S, f"{call} is settled")
+
+    def new_call(self, number: int = 1) -> Call:
+        """Returns the first call of a new program."""
+        self._serial += 1
+        reply = harness.call(
+            self.running.entries[0].http,
+            "POST",
+            "/v1/programs",
+            {},
+            deployment.bearer(self._key),
+        )
+        assert reply.status == 201, reply
+        return Call(reply.body["program"], number, f"stage-{self._serial}")
+
+    def runs(self, call: Call) -> int:
+        """Returns how often a call has run."""
+        total = self._ended_runs.get(call.reference, 0)
+        for service in self.services:
+            counts = self._frozen_runs.get(service.address)
+            if counts is None:
+                counts = _references(service.address)
+            total += counts.get(call.reference, 0)
+        return total
+
+    def set_log(self, down: bool) -> None:
+        """Takes the log down or heals it."""
+        harness.call(
+            self.running.log_address, "POST", "/faults", {"down": down}
+        )
+
+    def release_services(self) -> None:
+        """Lets the services answer."""
+        self._set_services(hang=False)
+
+    def wait_healthy(self) -> None:
+        """Waits until every process hears every sidecar of its own."""
+        nodes = self.running.entries + self.running.sidecars
+        instances = {n.host: n.state()["instance"] for n in nodes}
+
+        def healthy() -> bool:
+            states = [n.state() for n in nodes]
+            return all(
+                set(instances) - {"entry-0", "entry-1", "entry-2"}
+                <= {*s["heard"], s["host"]}
+                and not s.get("log_is_down")
+                and s.get("trusted", True)
+                for s in states
+            ) and all(load["up"] for load in self._loads())
+
+        harness.eventually(healthy, SETTLE_S, "everything is healthy")
+        self.running.wait_revision(
+            max(n.state()["applied_offset"] for n in nodes)
+        )
+
+    def _home(self, call: Call) -> deployment.Node:
+        home = program_id.first_home(call.program)
+        assert home is not None
+        return next(n for n in self.running.sidecars if n.host == home.host)
+
+    def _loads(self) -> list[dict[str, Any]]:
+        nodes = self.running.sidecars[2:]
+        return [load for node in nodes for load in node.state()["loads"]]
+
+    def _wait_busy(self, count: int) -> None:
+        def busy() -> bool:
+            loads = self._loads()
+            return bool(count == sum(n["running"] + n["queued"] for n in loads))
+
+        harness.eventually(busy, what=f"{count} calls are at the services")
+
+    def _strike_service(self, action: str, index: int) -> None:
+        service = self.services[index]
+        counts = _references(service.address)
+        if action == FREEZE:
+            self._frozen_runs[service.address] = counts
+            service.freeze()
+            self._undo.append(lambda: self._wake_service(index))
+            return
+        service.kill()
+        for reference, count in counts.items():
+            known = self._ended_runs.get(reference, 0)
+            self._ended_runs[reference] = known + count
+        self._frozen_runs[service.address] = {}
+        self._undo.append(lambda: self._restart_service(index))
+
+    def _wake_service(self, index: int) -> None:
+        service = self.services[index]
+        service.wake()
+        del self._frozen_runs[service.address]
+
+    def _restart_service(self, index: int) -> None:
+        address = self.services[index].address
+        self.services[index] = self.running.fleet.emulator(
+            "service", address=address
+        )
+        del self._frozen_runs[address]
+
+    def _set_services(self, **faults: Any) -> None:
+        for service in self.services:
+            if service.address not in self._frozen_runs:
+                harness.call(service.address, "POST", "/debug/faults", faults)
+
+
+def endpoint(
+    name: str, host: int, address: str, kind: str = "engine"
+) -> dict[str, Any]:
+    """Returns the change that publishes an endpoint with one slot."""
+    spec = {"host": f"side-{host}", "address": address, "kind": kind}
+    return deployment.change("endpoint", name, {**spec, "slots": 1})
+
+
+def read(connection: http.client.HTTPConnection) -> Outcome:
+    """Reads the answer to a call that was sent."""
+    try:
+        with contextlib.closing(connection):
+            response = connection.getresponse()
+            body = json.loads(response.read())
+    except (OSError, http.client.HTTPException):
+        return LOST
+    if response.status == 200:
+        return Outcome("yes", body, recorded=True)
+    recorded = "history" in body["details"]
+    return Outcome(body["ran"], body, recorded=recorded)
+
+
+def wait_readable(
+    connections: list[http.client.HTTPConnection], timeout_s: float
+) -> None:
+    """Waits until every answer has begun, or the time is over."""
+    sockets = [c.sock for c in connections]
+    deadline_s = time.monotonic() + timeout_s
+    for each in sockets:
+        select.select([each], [], [], max(0, deadline_s - time.monotonic()))
+
+
+def _references(address: str) -> dict[str, int]:
+    reply = harness.call(address, "GET", "/debug/runs")
+    counts: dict[str, int] = reply.body["references"]
+    return counts
