--- a/quetzalmill_load/cluster.py
+++ b/quetzalmill_load/cluster.py
@@ -61,7 +61,7 @@
     engines: int = 4
     services: int = 2
     slots: int = 4
-    memory_tokens: int = 40_000
+    memory_tokens: int = 60_000
     prefill_tokens_per_s: float = 8_000.0
     chunk_tokens: int = 8
     beat_ms: int = 200
--- a/quetzalmill_load/workload.py
+++ b/quetzalmill_load/workload.py
@@ -218,13 +218,13 @@
 def _steps(kind: str, chance: random.Random) -> tuple[Step, ...]:
     match kind:
         case "coordinator":
-            return _session(chance, chance.randint(5, 9), 1_800, 0.5)
+            return _session(chance, chance.randint(5, 9), 3_000, 0.5)
         case "planner":
-            return _session(chance, chance.randint(4, 7), 1_400, 0.3)
+            return _session(chance, chance.randint(4, 7), 2_400, 0.3)
         case "crew":
-            return _session(chance, 3, 800, 0.6)
+            return _session(chance, 3, 1_500, 0.6)
         case "quote":
-            return _session(chance, chance.randint(2, 3), 500, 0.0)
+            return _session(chance, chance.randint(2, 3), 1_000, 0.0)
         case _:
             return tuple(
                 ModelCall(chance.randint(60, 160), chance.randint(10, 24))
@@ -243,7 +243,7 @@
         if turn == 0:
             new_tokens = int(first_tokens * chance.uniform(0.7, 1.3))
         steps.append(ModelCall(new_tokens, chance.randint(20, 60)))
-        steps.append(Pause(chance.uniform(50.0, 400.0)))
+        steps.append(Pause(chance.uniform(20.0, 150.0)))
         if turn == 1 and chance.random() < sub_agents:
             steps.append(_sub_agent(chance))
         if turn == booked_after:
