--- a/quetzalmill_load/cluster.py
+++ b/quetzalmill_load/cluster.py
@@ -53,6 +53,7 @@
         slots: Requests that an engine runs at once.
         memory_tokens: Tokens that an engine's cache holds.
         prefill_tokens_per_s: An engine's prefill rate.
+        decode_ms: The time of an engine's decoding step.
         chunk_tokens: Tokens in one piece of a streamed answer.
         beat_ms: Time between two heartbeats.
     """
@@ -63,6 +64,7 @@
     slots: int = 4
     memory_tokens: int = 60_000
     prefill_tokens_per_s: float = 8_000.0
+    decode_ms: float = 4.0
     chunk_tokens: int = 8
     beat_ms: int = 200
 
@@ -264,6 +266,7 @@
             f"--slots={self.size.slots}",
             f"--memory-tokens={self.size.memory_tokens}",
             f"--prefill-tokens-per-s={self.size.prefill_tokens_per_s}",
+            f"--decode-ms={self.size.decode_ms}",
             f"--chunk-tokens={self.size.chunk_tokens}",
         )
         self.engines.append(address)
--- a/quetzalmill_load/main.py
+++ b/quetzalmill_load/main.py
@@ -10,9 +10,11 @@
 
 from quetzalmill import codec
 from quetzalmill_load import cluster
+from quetzalmill_load import path_cost as path_cost_module
 from quetzalmill_load import processes
 from quetzalmill_load import report
 from quetzalmill_load import runs
+from quetzalmill_load import slopes as slopes_module
 from quetzalmill_load import workload
 
 MAX_DURATION_S = 120.0
@@ -112,6 +114,36 @@
         report.plot(reports, str(output.with_suffix(".png")))
 
 
+@_commands.command()
+def slopes(
+    output: Annotated[
+        pathlib.Path | None, typer.Option(help="File for the JSON.")
+    ] = None,
+) -> None:
+    """Measures the slopes that docs/CAPACITY.md is worked out from."""
+    print(f"commit={_commit()}", flush=True)
+    structures = slopes_module.measure_structures()
+    print(slopes_module.table(structures), flush=True)
+    found = slopes_module.measure_processes()
+    print(slopes_module.table(found))
+    if output is not None:
+        output.write_bytes(codec.to_json([*structures, *found]))
+
+
+@_commands.command()
+def path_cost(
+    output: Annotated[
+        pathlib.Path | None, typer.Option(help="File for the JSON.")
+    ] = None,
+) -> None:
+    """Measures what entry and sidecar add to a streamed call."""
+    print(f"commit={_commit()}", flush=True)
+    found = path_cost_module.measure()
+    print(path_cost_module.table(found))
+    if output is not None:
+        output.write_bytes(codec.to_json(found))
+
+
 def _parse(text: str) -> cluster.Policies:
     parts = text.split("+")
     if len(parts) != 3:
--- a/quetzalmill_load/workload.py
+++ b/quetzalmill_load/workload.py
@@ -21,16 +21,16 @@
 FLOOD_FACTOR = 4.0
 """How many times its rate the flooding team sends."""
 
-RATE_HEADROOM = 1.6
+RATE_HEADROOM = 2.0
 """A team's rate, in parts of the calls that it is expected to make."""
 
 FLOODED_HEADROOM = 1.0
 """The same for the flooding team, whose excess is to be refused."""
 
-BURST_S = 6.0
+BURST_S = 10.0
 """A team's burst, in seconds of its rate."""
 
-MIN_BURST = 10.0
+MIN_BURST = 20.0
 """The smallest burst, in requests."""
 
 
