Write the operators', settings and metrics pages

Cause: operators need the commands, exit codes and runbooks in one place. Tests compare the pages with the code: every command, exit code, setting with its default, and metric.

Trying the log-down runbook by hand showed that a command repeated under its record id said "nothing was changed" when no entry answered, although the first attempt may have been appended; it now says unknown.

--- a/quetzalmill/commands_publish.py
+++ b/quetzalmill/commands_publish.py
@@ -226,7 +226,11 @@
         author=publication.author,
         changes=changes,
     )
-    return publication.client.publish(record, publication.timeout_s * 1000.0)
+    return publication.client.publish(
+        record,
+        publication.timeout_s * 1000.0,
+        sent_before=publication.repeats,
+    )
 
 
 def report(publication: Publication, outcome: operator_client.Outcome) -> None:
--- a/quetzalmill/operator_client.py
+++ b/quetzalmill/operator_client.py
@@ -234,13 +234,18 @@
         return self._get("/state", dict[str, Any])
 
     def publish(
-        self, record: objects.ConfigRecord, timeout_ms: float
+        self,
+        record: objects.ConfigRecord,
+        timeout_ms: float,
+        *,
+        sent_before: bool = False,
     ) -> Outcome:
         """Publishes a record and asks again until its outcome is known.
 
         Args:
             record: The record; it takes effect at most once.
             timeout_ms: How long to ask again after lost replies.
+            sent_before: Whether the record may have been sent before.
 
         Returns:
             ``Unknown`` only when the time ran out after a reply was lost, and
@@ -249,7 +254,7 @@
         deadline_ms = self._clock.now_ms() + timeout_ms
         pause_ms = _FIRST_PAUSE_MS
         body = codec.to_json(record)
-        maybe_appended = False
+        maybe_appended = sent_before
         while True:
             outcome = self._publish_round(record.record_id, body, deadline_ms)
             match outcome:
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -3,14 +3,18 @@
 from collections.abc import Iterator
 import json
 from pathlib import Path
+import re
 import socket
 import subprocess
 import sys
 from typing import Any
 
 import attrs
+import click
 import pytest
+import typer.main
 
+from quetzalmill import commands_app
 from quetzalmill import commands_base
 from quetzalmill import commands_daemon
 from quetzalmill import commands_exit
@@ -130,6 +134,21 @@
         assert "absent.toml: cannot be read" in ended.stderr
 
 
+class TestPage:
+    """The operators' page."""
+
+    def test_every_command_is_on_the_page(self) -> None:
+        group = typer.main.get_command(commands_app.app)
+        assert isinstance(group, click.Group)
+        found = [" ".join(path) for path in command_paths(group)]
+        assert len(found) > len(group.commands)
+        assert [name for name in found if not on_page(name)] == []
+
+    def test_every_exit_code_is_on_the_page(self) -> None:
+        codes = re.findall(r"^\| (\d) \|", page_text(), re.MULTILINE)
+        assert [int(code) for code in codes] == list(Exit)
+
+
 class TestDaemons:
     """The commands ``entry`` and ``sidecar``."""
 
@@ -722,3 +741,22 @@
     text = SETTINGS.replace('"entry"', '"sidecar"')
     text = text.replace('operator_address = "127.0.0.1:7101"\n', "")
     return text + 'entries = ["127.0.0.1:7302"]\n'
+
+
+def command_paths(group: click.Group) -> Iterator[list[str]]:
+    """Yields the words of each command."""
+    for name, command in group.commands.items():
+        if isinstance(command, click.Group):
+            yield from ([name, *rest] for rest in command_paths(command))
+        else:
+            yield [name]
+
+
+def page_text() -> str:
+    """Returns the operators' page."""
+    return (harness.REPOSITORY / "docs" / "operators.md").read_text()
+
+
+def on_page(name: str) -> bool:
+    """Returns whether a command stands on the operators' page as code."""
+    return re.search(rf"(`|quetzalmill ){name}\b", page_text()) is not None
--- a/tests/test_operator_client.py
+++ b/tests/test_operator_client.py
@@ -125,6 +125,14 @@
         outcome = client_of(fake.address).publish(record(), TIMEOUT_MS)
         assert outcome == operator_client.Unknown("r1")
 
+    def test_unavailable_says_nothing_of_a_record_sent_before(
+        self, refusing: str
+    ) -> None:
+        outcome = client_of(refusing).publish(
+            record(), TIMEOUT_MS, sent_before=True
+        )
+        assert outcome == operator_client.Unknown("r1")
+
     def test_next_entry_is_tried(
         self, fake: fake_operator.FakeOperator, refusing: str
     ) -> None:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,8 +1,10 @@
 """Tests of settings files, log lines and metrics."""
 
+import json
 from pathlib import Path
 import socket
 
+import attrs
 import pytest
 
 from quetzalmill import errors
@@ -10,6 +12,7 @@
 from quetzalmill import metrics
 from quetzalmill import settings
 from quetzalmill import settings_rules
+from tests import harness
 
 ENTRY_TEXT = """
 role = "entry"
@@ -236,3 +239,56 @@
     def test_names_differ(self) -> None:
         names = {metric.name for metric in metrics.METRICS}
         assert len(names) == len(metrics.METRICS)
+
+
+class TestPages:
+    """The pages that list settings and metrics."""
+
+    @pytest.mark.parametrize(
+        ("heading", "role"),
+        [
+            ("## Entry", settings.EntrySettings),
+            ("## Sidecar", settings.SidecarSettings),
+        ],
+    )
+    def test_settings_page_lists_fields_and_defaults(
+        self, heading: str, role: type[settings.AnySettings]
+    ) -> None:
+        rows = rows_of("settings.md", heading)
+        assert [(row[0], row[2]) for row in rows] == [
+            (f"`{field.name}`", default_text(field.default))
+            for field in attrs.fields(role)
+        ]
+
+    def test_metrics_page_lists_metrics(self) -> None:
+        assert rows_of("metrics.md", "# Metrics") == [
+            [
+                f"`{metric.name}`",
+                metric.kind.value,
+                metric.unit,
+                metric.part,
+                metric.meaning,
+            ]
+            for metric in metrics.METRICS
+        ]
+
+
+def rows_of(page: str, heading: str) -> list[list[str]]:
+    """Returns the cells of the first table after a heading."""
+    text = (harness.REPOSITORY / "docs" / page).read_text()
+    table = text.partition(heading)[2].partition("|---")[2].partition("\n\n")[0]
+    return [
+        [cell.strip() for cell in line.strip("|").split("|")]
+        for line in table.splitlines()[1:]
+    ]
+
+
+def default_text(default: object) -> str:
+    """Returns a default as the page writes it."""
+    if default is attrs.NOTHING:
+        return "required"
+    if default is None:
+        return "none"
+    if isinstance(default, attrs.Factory):  # type: ignore[arg-type]
+        return "`[]`"
+    return f"`{json.dumps(default)}`"
