Keep order, history and budget while homes go, freeze and come back

Cause: tests that kill and freeze a program's home found that - frames between processes had no place in their answer, so an answer with a frame lost to another one passed as whole; - an attempt that ended before what its predecessor had passed on was taken as the whole answer; - a lost reply to the fence ended a takeover, with "not run" to a caller who had seen part of the answer; - a program dropped as idle by its second home could not be found again; - a home woken after a takeover answered from its old history (409) until its next append; - a late fence of an old epoch dropped a family that had come back; - after a second copy of a batch the writer passed over a fence between both; - a call of an idempotent model that failed part way was charged in memory only, an earlier home's call was charged after the limit was checked, and concurrent sub-programs each got the whole time that was left; - a caller's id of a process that never existed made a stream in the log.

Change: frames carry their position; continued answers must be repeated whole; a takeover reads again after a lost reply and fences only what is recorded; a home reads its stream for fences after a silence and before it refuses a call; charges are records; time counts once for calls beside each other, and turns carry the totals; a release record says that nothing is under way.

Ruled out: the engine emulator (its answers name the prompt's digest, and the digests were those of the histories seen); the harness (same verdicts alone).

--- a/quetzalmill/answer.py
+++ b/quetzalmill/answer.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
+import attrs
 import trio
 
 from quetzalmill import codec
@@ -38,7 +39,8 @@
         """Adds a frame; after the last one, further frames are ignored."""
         if self.ended:
             return
-        self._frames.append(frame)
+        position = len(self._frames)
+        self._frames.append(attrs.evolve(frame, position=position))
         self._changed.set()
         self._changed = trio.Event()
 
@@ -98,12 +100,24 @@
 class FrameReader:
     """Turns pieces of an HTTP body into the frames of one call.
 
-    Frames that do not match the call are dropped and counted.
+    Frames that do not match the call, and second copies, are dropped and
+    counted. A missing frame breaks the answer off.
     """
 
-    def __init__(self, program: str, call: int) -> None:
+    def __init__(
+        self, program: str, call: int, attempt: int | None = None
+    ) -> None:
+        """Expects the frames of one call.
+
+        Args:
+            program: The program.
+            call: The number of the call.
+            attempt: The attempt; None for whichever made the answer.
+        """
         self._program = program
         self._call = call
+        self._attempt = attempt
+        self._next_position = 0
         self._rest = b""
         self.mismatched = 0
 
@@ -112,10 +126,11 @@
 
         Raises:
             errors.CodecError: A line is no frame.
+            errors.ConnectionLostError: A frame before it is missing.
         """
         *lines, self._rest = (self._rest + piece).split(b"\n")
         frames = [codec.from_json(line, messages.Frame) for line in lines]
-        matching = [frame for frame in frames if self._matches(frame)]
+        matching = [frame for frame in frames if self._take(frame)]
         self.mismatched += len(frames) - len(matching)
         return matching
 
@@ -128,5 +143,14 @@
         if last is None or not is_last(last):
             raise errors.ConnectionLostError("the answer broke off")
 
-    def _matches(self, frame: messages.Frame) -> bool:
-        return frame.program == self._program and frame.call == self._call
+    def _take(self, frame: messages.Frame) -> bool:
+        if frame.program != self._program or frame.call != self._call:
+            return False
+        if self._attempt is not None and frame.attempt != self._attempt:
+            return False
+        if frame.position > self._next_position:
+            raise errors.ConnectionLostError("frames of the answer are missing")
+        if frame.position < self._next_position:
+            return False
+        self._next_position += 1
+        return True
--- a/quetzalmill/call_run.py
+++ b/quetzalmill/call_run.py
@@ -33,6 +33,9 @@
 
 _ASK_AGAIN_MS = 200.0
 
+_ELSEWHERE_CODES = frozenset({"endpoint_elsewhere", "leaving"})
+"""Refusals that cost an endpoint nothing, so no retry is spent on them."""
+
 _RETRY_CODES = frozenset(
     {
         "endpoint_down",
@@ -74,6 +77,8 @@
     body: str
     message: dict[str, Any] | None
     tokens: int
+    endpoint: str = ""
+    cached_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -134,6 +139,12 @@
         """Drops and returns what is known of a program's caches."""
         return self._caches.pop(program, {})
 
+    def note_cache(self, turn: turns.TurnRecord) -> None:
+        """Notes where the history up to a turn is cached."""
+        if turn.endpoint:
+            caches = self._caches.setdefault(turn.program, {})
+            caches[turn.endpoint] = turn.cached_tokens
+
     def programs_with_caches(self) -> dict[str, dict[str, int]]:
         """Returns every program that may hold engine memory."""
         return self._caches
@@ -246,6 +257,10 @@
             if again is None:
                 return broken
             execution = again
+            try:
+                run.assembly.restart()
+            except completion.DivergedError as error:
+                return self._diverged(run, error)
 
     async def _ask_again(
         self, run: Run, target: routing.Target, execution: messages.Execution
@@ -304,9 +319,8 @@
                 message=None,
                 tokens=0,
             )
+        run.assembly.require_whole()
         tokens = run.assembly.used_tokens()
-        caches = self._caches.setdefault(call.program, {})
-        caches[target.endpoint] = run.prepared.prompt_tokens + tokens
         run.program.attained_units += tokens
         return _Succeeded(
             status=200,
@@ -314,6 +328,8 @@
             body=run.assembly.body(call.program),
             message=run.assembly.message(),
             tokens=tokens,
+            endpoint=target.endpoint,
+            cached_tokens=run.prepared.prompt_tokens + tokens,
         )
 
     def _may_retry(self, run: Run, result: _Failed, attempt: int) -> bool:
@@ -325,6 +341,8 @@
         surely_not_run = frame.ran is messages.Ran.NO
         if not surely_not_run and not run.prepared.call.idempotent:
             return False
+        if frame.code in _ELSEWHERE_CODES:
+            return True
         return self._retries.take()
 
     async def _commit(
@@ -340,6 +358,7 @@
             run.answer.append(self._moved(run))
             return
         run.family.finish(run.program, turn, self._clock.now_ms())
+        self.note_cache(turn)
         durable = commit is turn_log.Commit.DURABLE
         run.answer.append(
             last_frame(turn, durable=durable, stream=run.prepared.call.stream)
@@ -354,10 +373,13 @@
             run.program.running = None
             run.answer.append(self._moved(run))
         elif frame.ran is messages.Ran.NO:
-            run.family.give_back(run.program)
+            run.family.give_back(run.program, now_ms)
             run.answer.append(frame)
         elif run.prepared.call.idempotent:
             run.family.fail(run.program, result.tokens, now_ms)
+            run.program.recorded_epoch = run.family.epoch
+            if not run.prepared.call.single:
+                await self._writer.commit(self._charge(run, result.tokens))
             run.answer.append(frame)
         else:
             await self._commit(
@@ -396,6 +418,23 @@
             time_ms=self._clock.now_ms() - run.started_ms,
             ran=ran.value,
             applied_offset=self._config.applied_offset,
+            time_totals_ms=run.family.time_totals_ms(
+                run.program, self._clock.now_ms()
+            ),
+            endpoint=result.endpoint,
+            cached_tokens=result.cached_tokens,
+        )
+
+    def _charge(self, run: Run, tokens: int) -> turns.ChargeRecord:
+        return turns.ChargeRecord(
+            program=run.program.record.program,
+            root=run.family.root,
+            epoch=run.family.epoch,
+            calls=1,
+            tokens=tokens,
+            time_totals_ms=run.family.time_totals_ms(
+                run.program, self._clock.now_ms()
+            ),
         )
 
     def _execution(
--- a/quetzalmill/completion.py
+++ b/quetzalmill/completion.py
@@ -106,6 +106,7 @@
         self._tool_calls: dict[int, dict[str, Any]] = {}
         self._head: dict[str, Any] = {}
         self._to_skip = ""
+        self._finish_passed = False
 
     def restart(self) -> None:
         """Expects another attempt to repeat what was passed on so far.
@@ -115,17 +116,34 @@
         """
         if self._tool_calls:
             raise DivergedError("tool calls were passed on already")
+        self._finish_passed = self._finish_reason is not None
+        self._finish_reason = None
         self._to_skip = self.text
         self.text = ""
         self.tokens = 0
 
+    def require_whole(self) -> None:
+        """Checks, at the end of an attempt, that it repeated everything.
+
+        Raises:
+            DivergedError: It ended before what was passed on earlier.
+        """
+        if self._to_skip:
+            raise DivergedError("the attempt's answer is shorter")
+
     def add(self, chunk: bytes) -> bytes | None:
         """Takes a chunk and returns what is to be passed on, if anything.
 
         Raises:
             DivergedError: The chunk differs from what was passed on.
-            errors.CodecError: The chunk is no JSON object.
+            errors.CodecError: The chunk has not the usual form.
         """
+        try:
+            return self._add(chunk)
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            raise errors.CodecError(f"malformed chunk: {error!r}") from error
+
+    def _add(self, chunk: bytes) -> bytes | None:
         fields = codec.from_json(chunk, dict[str, Any])
         self._head = self._head or fields
         if isinstance(fields.get("usage"), dict):
@@ -140,9 +158,11 @@
         content = delta.get("content") or ""
         self.text += content
         self.tokens += 1 if content else 0
-        if not self._to_skip or not content:
-            return None if self._to_skip else chunk
-        return self._skip(fields, content)
+        if self._to_skip and content:
+            return self._skip(fields, content)
+        if self._to_skip or (self._finish_passed and not content):
+            return None
+        return chunk
 
     def message(self) -> dict[str, Any]:
         """Returns the assistant's message."""
@@ -182,7 +202,12 @@
             if not expected.startswith(content):
                 raise DivergedError("the attempts' answers differ")
             self._to_skip = expected[len(content) :]
-            return None
+            if self._to_skip or self._finish_passed:
+                return None
+            if self._finish_reason is None:
+                return None
+            fields["choices"][0]["delta"] = {}
+            return codec.to_json(fields)
         if not content.startswith(expected):
             raise DivergedError("the attempts' answers differ")
         self._to_skip = ""
--- a/quetzalmill/executor_link.py
+++ b/quetzalmill/executor_link.py
@@ -102,11 +102,15 @@
         execution: messages.Execution,
     ) -> AsyncIterator[messages.Frame]:
         call = execution.call
-        reader = answer.FrameReader(call.program, call.number)
+        # A call that runs at most once has one answer for all attempts.
+        attempt = execution.attempt if call.idempotent else None
+        reader = answer.FrameReader(call.program, call.number, attempt)
         last: messages.Frame | None = None
-        async for piece in response:
-            for frame in reader.feed(piece):
-                last = frame
-                yield frame
-        self.mismatched_frames += reader.mismatched
+        try:
+            async for piece in response:
+                for frame in reader.feed(piece):
+                    last = frame
+                    yield frame
+        finally:
+            self.mismatched_frames += reader.mismatched
         reader.require_end(last)
--- a/quetzalmill/forwarding.py
+++ b/quetzalmill/forwarding.py
@@ -134,7 +134,7 @@
                     error.ran = messages.Ran.UNKNOWN
                 raise
             if last is not None:
-                return last
+                return relay.checked(last)
             await self._pause(deadline_ms, relay.ran)
             relay.restart()
             target = (
@@ -164,9 +164,10 @@
                         case messages.FrameKind.DATA:
                             await relay.take(frame.data)
                         case messages.FrameKind.MOVED:
+                            relay.broke_off = True
                             return None
                         case messages.FrameKind.FAILED:
-                            raise problems.from_frame(frame)
+                            raise _failed(frame, call, relay)
                         case _:
                             return frame
         except errors.ConnectFailedError:
@@ -186,6 +187,7 @@
             if call.single and not call.idempotent:
                 raise _unknown(str(error)) from error
             relay.may_have_run = True
+            relay.broke_off = True
         return None
 
     async def _ask(
@@ -245,6 +247,7 @@
     def __init__(self, sink: PieceSink | None, *, may_have_run: bool) -> None:
         self._sink = sink
         self.may_have_run = may_have_run
+        self.broke_off = False
         self._passed: list[bytes] = []
         self._merge: completion.Assembly | None = None
 
@@ -254,6 +257,15 @@
             return messages.Ran.UNKNOWN
         return messages.Ran.NO
 
+    def checked(self, last: messages.Frame) -> messages.Frame:
+        """Returns the last frame if all that was passed on is repeated."""
+        if self._merge is not None:
+            try:
+                self._merge.require_whole()
+            except completion.DivergedError as error:
+                raise _unknown(str(error)) from error
+        return last
+
     def restart(self) -> None:
         if not self._passed:
             return
@@ -280,6 +292,20 @@
             await self._sink(passed)
 
 
+def _failed(
+    frame: messages.Frame, call: messages.Call, relay: _Relay
+) -> problems.CallerError:
+    """Returns the error of a frame, told apart from what broke off before.
+
+    A home asks where a non-idempotent call was started. An idempotent one may
+    have run at the home before.
+    """
+    error = problems.from_frame(frame)
+    if relay.broke_off and call.idempotent and error.ran is messages.Ran.NO:
+        error.ran = messages.Ran.UNKNOWN
+    return error
+
+
 def _no_home(
     ran: messages.Ran = messages.Ran.NO,
 ) -> problems.CallerError:
--- a/quetzalmill/home.py
+++ b/quetzalmill/home.py
@@ -31,9 +31,15 @@
 BUFFER_FULL_RETRY_MS = 5_000.0
 """When to come back while the buffer of turns is full."""
 
+RELEASE_PATIENCE_MS = 1_000.0
+"""How long a family that is given up waits for its records to be kept."""
+
 LOG_DOWN_RETRY_MS = 2_000.0
 """When to come back after a takeover failed for want of the log."""
 
+REMEMBERED_MOVES = 100_000
+"""Root programs whose newer home a process remembers."""
+
 _SERVICE_TOKENS = 0
 
 
@@ -112,6 +118,7 @@
         writer: turn_log.TurnWriter,
         port: log_port.LogPort,
         is_gone: Callable[[str, str], bool],
+        was_silent: Callable[[], bool],
         nursery: trio.Nursery,
         clock: clock_module.Clock,
     ) -> None:
@@ -121,12 +128,15 @@
         self._writer = writer
         self._port = port
         self._is_gone = is_gone
+        self._was_silent = was_silent
         self._nursery = nursery
         self._clock = clock
         self._families: dict[str, programs.Family] = {}
         self._moved: dict[str, program_id.Home] = {}
         self._runs: dict[tuple[str, int], call_run.Run] = {}
         self._takeovers: dict[str, trio.Lock] = {}
+        self._singles_over: list[str] = []
+        self._is_unverified = False
         self._run_ended = trio.Event()
         self.leaving = False
 
@@ -142,12 +152,23 @@
 
     def fenced(self, record: turns.FenceRecord) -> None:
         """Gives a family up that another process has taken over."""
-        family = self._families.pop(record.root, None)
-        if family is not None and family.epoch < record.epoch:
-            family.lost = True
+        family = self._families.get(record.root)
+        if family is not None:
+            if family.epoch >= record.epoch:
+                return
+            self._give_up(family)
         self._moved[record.root] = program_id.Home(
             host=record.host, instance=record.instance
         )
+        if len(self._moved) > REMEMBERED_MOVES:
+            del self._moved[next(iter(self._moved))]
+
+    async def hand_over(self) -> None:
+        """Gives up every family without a call under way; see ``leaving``."""
+        async with trio.open_nursery() as nursery:
+            for family in list(self._families.values()):
+                if not (family.is_busy or family.lost):
+                    nursery.start_soon(self._release, family)
 
     async def start(
         self, start: messages.ProgramStart, *, take_over: bool
@@ -165,6 +186,7 @@
         if start.parent:
             family, parent = await self.find(start.parent, take_over=take_over)
             self._require_team(parent, start.team)
+            _require_place(family, parent)
             root = family.root
             program = program_id.new_child(secrets.token_hex(8), root)
         else:
@@ -187,11 +209,9 @@
         commit = await self._writer.commit(record)
         if commit is turn_log.Commit.FENCED:
             raise MovedError(self._moved.get(root))
-        self._families[root] = family
-        started = family.start(record, self._clock.now_ms())
-        if family.depth(started) > programs.MAX_FAMILY_DEPTH:
-            raise RefusedError(422, "too_deep", "too many levels of programs")
-        return self.view(started)
+        if not start.parent:
+            self._families[root] = family
+        return self.view(family.start(record, self._clock.now_ms()))
 
     async def find(
         self, program: str, *, take_over: bool
@@ -204,12 +224,14 @@
             RefusedError: It could not be taken over now.
         """
         root = program_id.root_of(program)
+        await self._verify()
         family = self._families.get(root)
-        if family is None or family.lost:
+        if family is not None and family.lost:
+            self._give_up(family)
+            family = None
+        if family is None:
             family = await self._recover(root, program, take_over)
-        if self.leaving and not _is_busy(family):
-            family.lost = True
-            raise MovedError(None)
+        await self._leave_if_due(family)
         found = family.programs.get(program)
         if found is None:
             raise UnknownProgramError(f"program {program} is not known")
@@ -224,13 +246,15 @@
             if each.ended:
                 continue
             each.ended = True
-            await self._writer.commit(
+            commit = await self._writer.commit(
                 turns.EndRecord(
                     program=each.record.program,
                     root=family.root,
                     epoch=family.epoch,
                 )
             )
+            if commit is turn_log.Commit.FENCED:
+                raise MovedError(self._moved.get(family.root))
 
     def view(self, program: programs.Program) -> messages.ProgramView:
         """Returns what callers are told of a program."""
@@ -289,11 +313,14 @@
     def drop_idle(self) -> list[str]:
         """Drops families unused for long; returns programs that are over."""
         now_ms = self._clock.now_ms()
-        dropped: list[str] = []
+        dropped = self._singles_over
+        self._singles_over = []
         for root, family in list(self._families.items()):
-            over = all(p.ended for p in family.programs.values())
+            ended = {n for n, p in family.programs.items() if p.ended}
+            dropped.extend(n for n in ended if not family.programs[n].running)
+            over = len(ended) == len(family.programs)
             idle = now_ms - family.used_ms > self._options.idle_ms
-            if _is_busy(family) or not (over or idle):
+            if family.is_busy or not (over or idle):
                 continue
             if self._writer.has_pending(root):
                 continue
@@ -303,9 +330,13 @@
         return dropped
 
     async def drained(self) -> None:
-        """Returns once no call is under way and no record waits."""
-        while self._runs:
-            await self._run_ended.wait()
+        """Returns once no call is under way and all programs are given up."""
+        while True:
+            ended = self._run_ended
+            await self.hand_over()
+            if not self._runs:
+                break
+            await ended.wait()
         await self._writer.flushed()
 
     async def _admit(
@@ -337,8 +368,12 @@
                     return self._replay(turn, call.stream)
                 case programs.WaitTurn():
                     await self._wait_for_run(deadline_ms)
+                    await self._leave_if_due(family)
                     prepared = self._prepare(family, program, call)
                 case _:
+                    await self._verify_now()
+                    if family.lost:
+                        raise MovedError(self._moved.get(family.root))
                     raise _refusal(admission)
 
     def _start_run(
@@ -356,7 +391,7 @@
         if deadline_ms <= now_ms:
             raise RefusedError(504, "deadline", "the deadline has passed")
         if program.record.program in family.in_doubt:
-            family.charge_in_doubt(program, prepared.answer_tokens)
+            self._charge_doubt(family, program, prepared.answer_tokens)
         call = prepared.call
         family.begin(
             program,
@@ -377,12 +412,31 @@
         self._nursery.start_soon(self._run, run)
         return run.answer.follow()
 
+    def _charge_doubt(
+        self, family: programs.Family, program: programs.Program, tokens: int
+    ) -> None:
+        """Charges what an earlier home may have generated for the call."""
+        if not tokens:
+            return
+        family.charge(program, calls=0, tokens=tokens)
+        charge = turns.ChargeRecord(
+            program=program.record.program,
+            root=family.root,
+            epoch=family.epoch,
+            calls=0,
+            tokens=tokens,
+            time_totals_ms=[],
+        )
+        self._nursery.start_soon(self._writer.commit, charge)
+
     async def _run(self, run: call_run.Run) -> None:
         call = run.prepared.call
         try:
             await self._runner.run(run)
         finally:
             self._runs.pop((call.program, call.number), None)
+            if call.single:
+                self._singles_over.append(call.program)
             self._run_ended.set()
             self._run_ended = trio.Event()
 
@@ -395,19 +449,25 @@
             504, "deadline", "the call before did not end in time"
         )
 
-    async def _replay(
+    def _replay(
         self, turn: turns.TurnRecord, stream: bool
     ) -> AsyncIterator[messages.Frame]:
+        replayed = answer_module.Answer()
         if stream and turn.answer is not None:
-            yield messages.Frame(
-                program=turn.program,
-                call=turn.call,
-                attempt=0,
-                kind=messages.FrameKind.DATA,
-                data=completion.replay_chunk(turn.body),
+            replayed.append(
+                messages.Frame(
+                    program=turn.program,
+                    call=turn.call,
+                    attempt=0,
+                    kind=messages.FrameKind.DATA,
+                    data=completion.replay_chunk(turn.body),
+                )
             )
         durable = not self._writer.has_pending(turn.root)
-        yield call_run.last_frame(turn, durable=durable, stream=stream)
+        replayed.append(
+            call_run.last_frame(turn, durable=durable, stream=stream)
+        )
+        return replayed.follow()
 
     def _prepare(
         self,
@@ -467,19 +527,17 @@
         if first_home is None:
             raise UnknownProgramError(f"{program!r} is no program's id")
         moved_to = self._moved.get(root)
-        if moved_to is not None and not take_over:
+        if self.leaving or (moved_to is not None and not take_over):
             raise MovedError(moved_to)
-        if first_home != self._options.own and not take_over:
-            raise MovedError(None)
         lock = self._takeovers.setdefault(root, trio.Lock())
         async with lock:
             family = self._families.get(root)
             if family is not None and not family.lost:
                 return family
-            return await self._take_over(root, first_home)
+            return await self._take_over(root, first_home, take_over)
 
     async def _take_over(
-        self, root: str, first_home: program_id.Home
+        self, root: str, first_home: program_id.Home, may_fence: bool
     ) -> programs.Family:
         try:
             result = await takeover.take_over(
@@ -488,6 +546,7 @@
                 first_home,
                 self._options.own,
                 lambda home: self._is_gone(home.host, home.instance),
+                may_fence=may_fence,
             )
         except errors.PortError as error:
             raise RefusedError(
@@ -501,6 +560,8 @@
         match result:
             case takeover.HeldBy(home=home):
                 raise MovedError(home)
+            case takeover.NotRecorded():
+                raise UnknownProgramError(f"program {root} is not known")
             case takeover.Taken(records=records, epoch=epoch):
                 return self._adopt(root, records, epoch)
 
@@ -512,13 +573,62 @@
         )
         if not family.programs:
             raise UnknownProgramError(f"program {root} is not known")
-        family.in_doubt = {
-            name for name, p in family.programs.items() if not p.ended
-        }
+        family.doubt_all_but(self._quiet_epoch(family))
+        held = self._families.get(root)
+        if held is not None and not held.lost:
+            return held
         self._families[root] = family
         self._moved.pop(root, None)
+        for program in family.programs.values():
+            for turn in program.history:
+                self._runner.note_cache(turn)
         return family
 
+    def _quiet_epoch(self, family: programs.Family) -> int:
+        """Returns the epoch that surely has no call under way, 0 for none."""
+        if any(run.family.root == family.root for run in self._runs.values()):
+            return 0
+        # A release says nothing of a home that came after it.
+        if family.released_epoch == family.epoch - 1:
+            return family.released_epoch
+        return family.epoch
+
+    async def _release(self, family: programs.Family) -> None:
+        """Gives a family up for another home, once the log has all of it."""
+        with trio.move_on_after(RELEASE_PATIENCE_MS / 1000.0):
+            await self._writer.flushed_of(family.root)
+        if family.is_busy or family.lost:
+            return
+        if self._writer.has_pending(family.root) or self._writer.log_is_down:
+            return
+        self._give_up(family)
+        await self._writer.commit(
+            turns.ReleaseRecord(root=family.root, epoch=family.epoch)
+        )
+
+    def _give_up(self, family: programs.Family) -> None:
+        family.lost = True
+        self._families.pop(family.root, None)
+        for program in family.programs:
+            self._runner.forget_caches(program)
+
+    async def _leave_if_due(self, family: programs.Family) -> None:
+        """Keeps a call from a family that is given up or about to be."""
+        if self.leaving and not (family.is_busy or family.lost):
+            await self._release(family)
+        if family.lost:
+            raise MovedError(self._moved.get(family.root))
+
+    async def _verify(self) -> None:
+        """Looks for fences after a time in which others may have set them."""
+        self._is_unverified |= self._was_silent()
+        if self._is_unverified:
+            await self._verify_now()
+
+    async def _verify_now(self) -> None:
+        if await self._writer.read_fences():
+            self._is_unverified = False
+
     def _require_room(self) -> None:
         if self._writer.is_full:
             raise RefusedError(
@@ -535,8 +645,11 @@
             )
 
 
-def _is_busy(family: programs.Family) -> bool:
-    return any(program.running for program in family.programs.values())
+def _require_place(family: programs.Family, parent: programs.Program) -> None:
+    if parent.ended:
+        raise _refusal(programs.Ended())
+    if family.depth(parent) >= programs.MAX_FAMILY_DEPTH:
+        raise RefusedError(422, "too_deep", "too many levels of programs")
 
 
 def _with_descendants(
--- a/quetzalmill/home_link.py
+++ b/quetzalmill/home_link.py
@@ -127,7 +127,9 @@
             home.host, home.instance, now_ms
         ):
             return Target(
-                home=home, address=process.http_address, take_over=False
+                home=home,
+                address=process.http_address,
+                take_over=root in self._given_up,
             )
         return self.successor(program, home)
 
@@ -264,11 +266,13 @@
     ) -> AsyncIterator[messages.Frame]:
         reader = answer.FrameReader(call.program, call.number)
         last: messages.Frame | None = None
-        async for piece in response:
-            for frame in reader.feed(piece):
-                last = frame
-                yield frame
-        self.mismatched_frames += reader.mismatched
+        try:
+            async for piece in response:
+                for frame in reader.feed(piece):
+                    last = frame
+                    yield frame
+        finally:
+            self.mismatched_frames += reader.mismatched
         reader.require_end(last)
 
     def _possible_homes(self) -> list[str]:
--- a/quetzalmill/messages.py
+++ b/quetzalmill/messages.py
@@ -400,6 +400,7 @@
         ran: Whether the request ran, in failed frames.
         retry_after_ms: When to come back, in failed frames.
         details: Further fields of end, failed and moved frames.
+        position: Its place in the answer, from 0.
     """
 
     program: str
@@ -414,3 +415,4 @@
     ran: Ran = Ran.NO
     retry_after_ms: float | None = None
     details: dict[str, Any] = attrs.field(factory=dict)
+    position: int = 0
--- a/quetzalmill/programs.py
+++ b/quetzalmill/programs.py
@@ -81,11 +81,41 @@
 
 @attrs.define(kw_only=True)
 class Spent:
-    """What a program and its sub-programs have used or reserved."""
+    """What a program and its sub-programs have used or reserved.
+
+    Attributes:
+        calls: Calls.
+        tokens: Generated tokens.
+        time_ms: Time during which at least one call was under way, without
+            the time since ``busy_since_ms``.
+        busy: Calls under way.
+        busy_since_ms: Since when calls have been under way without a pause.
+    """
 
     calls: int = 0
     tokens: int = 0
     time_ms: float = 0.0
+    busy: int = 0
+    busy_since_ms: float = 0.0
+
+    def begin(self, tokens: int, now_ms: float) -> None:
+        """Counts a call that starts and reserves its tokens."""
+        self.calls += 1
+        self.tokens += tokens
+        if self.busy == 0:
+            self.busy_since_ms = now_ms
+        self.busy += 1
+
+    def end(self, now_ms: float) -> None:
+        """Counts a call that ends."""
+        self.busy -= 1
+        if self.busy == 0:
+            self.time_ms += now_ms - self.busy_since_ms
+
+    def used_ms(self, now_ms: float) -> float:
+        """Returns the time used up to now."""
+        since_ms = now_ms - self.busy_since_ms if self.busy else 0.0
+        return self.time_ms + since_ms
 
 
 @attrs.define(kw_only=True)
@@ -110,6 +140,7 @@
         running: The call under way.
         ended: Whether it has ended.
         attained_units: Service units that it has had at endpoints.
+        recorded_epoch: The epoch of its newest record.
     """
 
     record: turns.ProgramRecord
@@ -119,6 +150,7 @@
     running: Running | None = None
     ended: bool = False
     attained_units: float = 0.0
+    recorded_epoch: int = 0
 
     @property
     def next_call(self) -> int:
@@ -158,6 +190,8 @@
         programs: The programs by id.
         used_ms: When the family was last used.
         lost: Whether another process has taken the family over.
+        released_epoch: The epoch of the last home if that home gave the family
+            up with no call under way, 0 otherwise.
         in_doubt: Programs whose next call an earlier home may have started.
     """
 
@@ -166,11 +200,14 @@
     used_ms: float
     programs: dict[str, Program] = attrs.field(factory=dict)
     lost: bool = False
+    released_epoch: int = 0
     in_doubt: set[str] = attrs.field(factory=set)
 
     def start(self, record: turns.ProgramRecord, now_ms: float) -> Program:
         """Adds a program to the family."""
-        program = Program(record=record, started_ms=now_ms)
+        program = Program(
+            record=record, started_ms=now_ms, recorded_epoch=record.epoch
+        )
         self.programs[record.program] = program
         self.used_ms = now_ms
         return program
@@ -197,6 +234,9 @@
             return _conflict(program, "the call is out of order")
         if expected_chain and expected_chain != program.chain:
             return _conflict(program, "the history is not the one expected")
+        if program.record.program in self.in_doubt:
+            # An earlier home may have generated as much for the same call.
+            reserve_tokens *= 2
         spent = self._spent_limit(program, reserve_tokens, now_ms)
         return spent or Start()
 
@@ -231,11 +271,10 @@
             started_ms=now_ms,
         )
         for each in self._with_ancestors(program):
-            each.spent.calls += 1
-            each.spent.tokens += reserve_tokens
+            each.spent.begin(reserve_tokens, now_ms)
         self.used_ms = now_ms
 
-    def give_back(self, program: Program) -> None:
+    def give_back(self, program: Program, now_ms: float) -> None:
         """Ends a running call that did not run; it is not charged."""
         running = program.running
         program.running = None
@@ -244,6 +283,7 @@
         for each in self._with_ancestors(program):
             each.spent.calls -= 1
             each.spent.tokens -= running.reserved_tokens
+            each.spent.end(now_ms)
 
     def fail(self, program: Program, tokens: int, now_ms: float) -> None:
         """Ends a running call without a turn; what it may have used counts."""
@@ -253,13 +293,28 @@
             return
         for each in self._with_ancestors(program):
             each.spent.tokens += tokens - running.reserved_tokens
-            each.spent.time_ms += now_ms - running.started_ms
+            each.spent.end(now_ms)
 
-    def charge_in_doubt(self, program: Program, tokens: int) -> None:
-        """Charges what an earlier home may have generated for a call."""
+    def charge(self, program: Program, *, calls: int, tokens: int) -> None:
+        """Charges what was used without a turn."""
+        program.recorded_epoch = self.epoch
         for each in self._with_ancestors(program):
+            each.spent.calls += calls
             each.spent.tokens += tokens
 
+    def time_totals_ms(self, program: Program, now_ms: float) -> list[float]:
+        """Returns the time used by a program and by each one above it."""
+        return [
+            each.spent.used_ms(now_ms) for each in self._with_ancestors(program)
+        ]
+
+    def restore_time(self, program: Program, totals_ms: list[float]) -> None:
+        """Takes over times that a record holds; they only grow."""
+        for each, total_ms in zip(
+            self._with_ancestors(program), totals_ms, strict=False
+        ):
+            each.spent.time_ms = max(each.spent.time_ms, total_ms)
+
     def finish(
         self, program: Program, turn: turns.TurnRecord, now_ms: float
     ) -> None:
@@ -267,14 +322,17 @@
         running = program.running
         program.running = None
         program.history.append(turn)
+        program.recorded_epoch = turn.epoch
         self.used_ms = now_ms
         for each in self._with_ancestors(program):
             if running is not None:
                 each.spent.tokens -= running.reserved_tokens
+                each.spent.end(now_ms)
             else:
                 each.spent.calls += 1
             each.spent.tokens += turn.tokens
-            each.spent.time_ms += turn.time_ms
+        if running is None:
+            self.restore_time(program, turn.time_totals_ms)
 
     def token_room(self, program: Program) -> int | None:
         """Returns how many tokens the budgets still cover, None for any."""
@@ -291,7 +349,7 @@
         for each in self._with_ancestors(program):
             limit_ms = each.record.limits.time_ms
             if limit_ms is not None:
-                rooms.append(limit_ms - each.spent.time_ms)
+                rooms.append(limit_ms - each.spent.used_ms(now_ms))
             if each.record.deadline_ms is not None:
                 age_ms = now_ms - each.started_ms
                 rooms.append(each.record.deadline_ms - age_ms)
@@ -301,6 +359,24 @@
         """Returns how many programs stand above ``program``."""
         return len(self._with_ancestors(program)) - 1
 
+    def doubt_all_but(self, quiet_epoch: int) -> None:
+        """Puts programs in doubt that an earlier home may have calls of.
+
+        Args:
+            quiet_epoch: An epoch whose home surely has no call under way. It
+                had settled every program that it wrote a record of.
+        """
+        self.in_doubt = {
+            name
+            for name, program in self.programs.items()
+            if not program.ended and program.recorded_epoch != quiet_epoch
+        }
+
+    @property
+    def is_busy(self) -> bool:
+        """Returns whether a call of any program is under way."""
+        return any(program.running for program in self.programs.values())
+
     def _with_ancestors(self, program: Program) -> list[Program]:
         line = [program]
         while line[-1].record.parent:
@@ -325,7 +401,7 @@
                 return BudgetSpent(program=name, limit="tokens")
             if (
                 limits.time_ms is not None
-                and each.spent.time_ms >= limits.time_ms
+                and each.spent.used_ms(now_ms) >= limits.time_ms
             ):
                 return BudgetSpent(program=name, limit="time_ms")
         return None
@@ -342,10 +418,17 @@
     family = Family(root=root, epoch=epoch, used_ms=now_ms)
     newest_epoch = 0
     for record in records:
+        if isinstance(record, turns.FenceRecord):
+            continue
         if record.epoch < newest_epoch:
             continue
         newest_epoch = record.epoch
+        family.released_epoch = 0
         _restore(family, record, now_ms)
+    if root not in family.programs:
+        # Without the root's record its budget is unknown, and so nothing of
+        # the family may go on.
+        family.programs.clear()
     return family
 
 
@@ -360,6 +443,14 @@
                 return
             if record.previous_chain == program.chain:
                 family.finish(program, record, now_ms)
+        case turns.ChargeRecord():
+            program = family.programs.get(record.program)
+            if program is not None:
+                family.charge(program, calls=record.calls, tokens=record.tokens)
+                family.restore_time(program, record.time_totals_ms)
+                program.recorded_epoch = record.epoch
+        case turns.ReleaseRecord():
+            family.released_epoch = record.epoch
         case turns.EndRecord():
             program = family.programs.get(record.program)
             if program is not None:
--- a/quetzalmill/sidecar.py
+++ b/quetzalmill/sidecar.py
@@ -333,6 +333,7 @@
             writer=self._writer,
             port=self._log_port,
             is_gone=self._is_gone,
+            was_silent=lambda: self._beats.was_silent(),
             nursery=self._nursery,
             clock=self._clock,
         )
--- a/quetzalmill/sidecar_beats.py
+++ b/quetzalmill/sidecar_beats.py
@@ -55,7 +55,8 @@
         self._client = client
         self._clock = clock
         self._avoid_until_ms: dict[str, float] = {}
-        self._answered = trio.Event()
+        self._answered_ms: float | None = None
+        self._was_silent = False
         self.heard_any = False
 
     async def run(self) -> None:
@@ -70,6 +71,16 @@
             for address in self._addresses():
                 nursery.start_soon(self._beat, address)
 
+    def was_silent(self) -> bool:
+        """Returns whether others may have thought this process gone.
+
+        That is so when no entry answered for the timeout, now or at some time
+        since this was last asked, as after a pause of the process.
+        """
+        silent = self._was_silent or self._is_silent(self._clock.now_ms())
+        self._was_silent = False
+        return silent
+
     async def catch_up(self, offset: int) -> bool:
         """Fetches the configuration up to ``offset``; False if it cannot."""
         config = self._store.config
@@ -123,6 +134,8 @@
 
     def _take(self, reply: messages.BeatReply, asked_ms: float) -> None:
         self.heard_any = True
+        self._was_silent |= self._is_silent(self._clock.now_ms())
+        self._answered_ms = max(asked_ms, self._answered_ms or 0.0)
         self._store.catch_up(reply.snapshot, reply.records)
         self._fleet.note(
             reply.host,
@@ -142,6 +155,11 @@
         for suspect in reply.suspects:
             self._suspects.note(suspect)
 
+    def _is_silent(self, now_ms: float) -> bool:
+        if self._answered_ms is None:
+            return False
+        return now_ms - self._answered_ms > self._timeout_ms
+
     def _addresses(self) -> list[str]:
         now_ms = self._clock.now_ms()
         known = {
--- a/quetzalmill/takeover.py
+++ b/quetzalmill/takeover.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+import contextlib
 import secrets
 
 import attrs
@@ -42,7 +43,12 @@
     home: program_id.Home
 
 
-Takeover = Taken | HeldBy
+@attrs.frozen(kw_only=True)
+class NotRecorded:
+    """The log holds nothing about the program."""
+
+
+Takeover = Taken | HeldBy | NotRecorded
 
 
 async def take_over(
@@ -51,6 +57,8 @@
     first_home: program_id.Home,
     own: program_id.Home,
     is_gone: Callable[[program_id.Home], bool],
+    *,
+    may_fence: bool,
 ) -> Takeover:
     """Takes a root program over, or finds who holds it.
 
@@ -60,11 +68,11 @@
         first_home: The home that the program's id names.
         own: This process.
         is_gone: Whether a home answers no more, as far as is known here.
+        may_fence: Whether the program may be taken over; otherwise it is only
+            found.
 
     Raises:
-        errors.NotDoneError: The log could not be used; nothing changed.
-        errors.OutcomeUnknownError: The fence may have been appended; asking
-            again settles it.
+        errors.NotDoneError: The log could not be used; asking again is safe.
     """
     records: list[turns.Record] = []
     home = first_home
@@ -76,9 +84,15 @@
         if fence is None:
             if home == own:
                 return Taken(records=records + found.records, epoch=epoch)
-            if not is_gone(home):
+            given_up = _is_released(found.records) or is_gone(home)
+            if not (may_fence and given_up):
                 return HeldBy(home=home)
-            await _append_fence(port, stream, root, epoch + 1, own)
+            if not records and not found.records:
+                # An id that names a process which never existed must not
+                # make a stream.
+                return NotRecorded()
+            with contextlib.suppress(errors.OutcomeUnknownError):
+                await _append_fence(port, stream, root, epoch + 1, own)
             continue
         records.extend(_before(found.records, fence))
         home = program_id.Home(host=fence.host, instance=fence.instance)
@@ -95,6 +109,10 @@
     return None
 
 
+def _is_released(records: list[turns.Record]) -> bool:
+    return bool(records) and isinstance(records[-1], turns.ReleaseRecord)
+
+
 def _before(
     records: list[turns.Record], fence: turns.FenceRecord
 ) -> list[turns.Record]:
--- a/quetzalmill/turn_log.py
+++ b/quetzalmill/turn_log.py
@@ -26,6 +26,7 @@
 """Records that are put into one append."""
 
 _RETRY_MS = 200.0
+_NO_BATCH = ""
 
 
 class Commit(enum.Enum):
@@ -129,6 +130,25 @@
         while self._pending:
             await self._pending[-1].settled.wait()
 
+    async def flushed_of(self, root: str) -> None:
+        """Returns once no record of a root program waits."""
+        while True:
+            waiting = [p for p in self._pending if p.record.root == root]
+            if not waiting:
+                return
+            await waiting[-1].settled.wait()
+
+    async def read_fences(self) -> bool:
+        """Reads what others appended; returns whether the log answered."""
+        try:
+            await self._read_on(_NO_BATCH)
+        except errors.RetentionError as error:
+            self._next_offset = max(self._next_offset, error.first_offset)
+            return False
+        except errors.PortError:
+            return False
+        return True
+
     def _next_batch(self) -> list[_Pending]:
         batch: list[_Pending] = []
         size_bytes = 0
@@ -147,11 +167,14 @@
         offset = await self._append_surely(encoded)
         self.log_is_down = False
         self.appends += 1
+        # Never set back, and never past records that were not read: a fence
+        # may stand among them.
         self._next_offset = max(self._next_offset, offset + 1)
         for pending in batch:
             self._settle(pending)
 
     async def _append_surely(self, batch: Batch) -> int:
+        """Appends a batch and returns the offset of its first copy."""
         maybe_appended = False
         while True:
             try:
@@ -162,9 +185,11 @@
                 offset = await self._port.append(
                     self._stream, [codec.to_plain(batch)]
                 )
-                if offset > self._next_offset:
-                    await self._read_on(batch.batch_id)
-                return offset
+                maybe_appended = True
+                if offset <= self._next_offset:
+                    return offset
+                found = await self._read_on(batch.batch_id)
+                return offset if found is None else found
             except errors.OutcomeUnknownError:
                 maybe_appended = True
             except errors.RetentionError as error:
--- a/quetzalmill/turns.py
+++ b/quetzalmill/turns.py
@@ -79,6 +79,10 @@
         time_ms: How long the call was under way.
         ran: Whether the call ran: ``yes`` or ``unknown``.
         applied_offset: The configuration offset that the home had applied.
+        time_totals_ms: The time that calls were under way so far, of the
+            program first and then of each program above it.
+        endpoint: The engine that ran a model call; empty for a service.
+        cached_tokens: Tokens of the history that the engine may now cache.
     """
 
     program: str
@@ -97,6 +101,38 @@
     time_ms: float
     ran: str
     applied_offset: int
+    time_totals_ms: list[float] = attrs.field(factory=list)
+    endpoint: str = ""
+    cached_tokens: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class ChargeRecord:
+    """A program used a part of its budget without a turn.
+
+    Attributes:
+        program: The program.
+        root: Its root program.
+        epoch: The home's epoch.
+        calls: Calls that are charged.
+        tokens: Generated tokens that are charged.
+        time_totals_ms: As in ``TurnRecord``.
+    """
+
+    program: str
+    root: str
+    epoch: int
+    calls: int
+    tokens: int
+    time_totals_ms: list[float]
+
+
+@attrs.frozen(kw_only=True)
+class ReleaseRecord:
+    """A home gives a root program up and has no call of it under way."""
+
+    root: str
+    epoch: int
 
 
 @attrs.frozen(kw_only=True)
@@ -127,11 +163,20 @@
     instance: str
 
 
-Record = ProgramRecord | TurnRecord | EndRecord | FenceRecord
+Record = (
+    ProgramRecord
+    | TurnRecord
+    | ChargeRecord
+    | ReleaseRecord
+    | EndRecord
+    | FenceRecord
+)
 
 _TYPES: dict[str, type[Any]] = {
     "program": ProgramRecord,
     "turn": TurnRecord,
+    "charge": ChargeRecord,
+    "release": ReleaseRecord,
     "end": EndRecord,
     "fence": FenceRecord,
 }
--- /dev/null
+++ b/tests/talk.py
@@ -0,0 +1,167 @@
+"""A caller's program, with the history that the caller has seen."""
+
+import json
+import threading
+from typing import Any
+
+import attrs
+
+from quetzalmill import program_id
+from quetzalmill_emulator import answers
+from tests import deployment
+from tests import harness
+
+PATIENCE_S = 15.0
+"""How long a call may take while homes go and come."""
+
+
+@attrs.frozen
+class Answer:
+    """What a caller got: the text, the last chunk's details and the error."""
+
+    text: str
+    details: dict[str, Any]
+    error: dict[str, Any]
+    done: bool
+
+
+class Talk:
+    """One program whose every answer is checked against its whole history.
+
+    The engine emulator's answer names a digest of the whole prompt, so an
+    answer shows whether the history behind it is the one that was seen.
+    """
+
+    def __init__(
+        self,
+        system: deployment.Deployment,
+        *,
+        entry: int = 0,
+        team: str = "keepers",
+        **fields: Any,
+    ) -> None:
+        self._system = system
+        self._key = system.keys[team]
+        self.entry = entry
+        self.messages: list[dict[str, Any]] = []
+        self.calls = 0
+        reply = self.request("POST", "/v1/programs", fields)
+        assert reply.status == 201, reply
+        self.program = str(reply.body["program"])
+
+    @property
+    def home(self) -> str:
+        """Returns the host that the program's id names."""
+        home = program_id.first_home(self.program)
+        assert home is not None
+        return home.host
+
+    def request(
+        self, method: str, path: str, body: Any = None, **headers: str
+    ) -> harness.Reply:
+        """Sends one request with the key."""
+        return harness.call(
+            self._system.entries[self.entry].http,
+            method,
+            path,
+            body,
+            deployment.bearer(self._key, **headers),
+        )
+
+    def view(self) -> dict[str, Any]:
+        """Returns what the system says of the program."""
+        reply = self.request("GET", f"/v1/programs/{self.program}")
+        assert reply.status == 200, reply
+        view: dict[str, Any] = reply.body
+        return view
+
+    def ask(self, text: str, tokens: int = 24) -> Answer:
+        """Makes the next call and checks its answer; returns the answer."""
+        found = self.send(self.calls + 1, text, tokens)
+        self.take(text, found, tokens)
+        return found
+
+    def take(self, text: str, found: Answer, tokens: int = 24) -> None:
+        """Checks the answer to the next call and adds both to the history."""
+        prompt = [*self.messages, _user(text)]
+        assert found.done, found
+        assert found.text == answers.answer_text(prompt, tokens), found
+        self.messages = [
+            *prompt,
+            {"role": "assistant", "content": found.text},
+        ]
+        self.calls += 1
+
+    def send(
+        self,
+        call: int,
+        text: str,
+        tokens: int = 24,
+        seen: threading.Event | None = None,
+    ) -> Answer:
+        """Sends a streamed call; ``seen`` is set at the answer's start."""
+        body = {
+            "model": "planner",
+            "stream": True,
+            "max_tokens": tokens,
+            "answer_tokens": tokens,
+            "messages": [_user(text)],
+        }
+        headers = deployment.bearer(
+            self._key,
+            Quetzalmill_Program=self.program,
+            Quetzalmill_Call=str(call),
+        )
+        address = self._system.entries[self.entry].http
+        with harness.stream(
+            address, "POST", "/v1/chat/completions", body, headers, PATIENCE_S
+        ) as stream:
+            if stream.status != 200:
+                return Answer("", {}, stream.body(), False)
+            return _read(stream, seen)
+
+
+class Background:
+    """A call that is under way while the test does something else."""
+
+    def __init__(self, talk: Talk, text: str, tokens: int) -> None:
+        self._started = threading.Event()
+        self._found: Answer | None = None
+        self._thread = threading.Thread(
+            target=self._run, args=(talk, text, tokens), daemon=True
+        )
+        self._thread.start()
+
+    def wait_started(self) -> None:
+        """Waits for the first piece of the answer."""
+        assert self._started.wait(PATIENCE_S), "no piece of the answer came"
+
+    def result(self) -> Answer:
+        """Waits for the whole answer."""
+        self._thread.join(2 * PATIENCE_S)
+        assert self._found is not None, "the call did not end"
+        return self._found
+
+    def _run(self, talk: Talk, text: str, tokens: int) -> None:
+        self._found = talk.send(talk.calls + 1, text, tokens, self._started)
+
+
+def _read(stream: harness.EventStream, seen: threading.Event | None) -> Answer:
+    text = ""
+    details: dict[str, Any] = {}
+    for event in stream.events():
+        if event.data == "[DONE]":
+            return Answer(text, details, {}, True)
+        chunk = json.loads(event.data)
+        if "code" in chunk:
+            return Answer(text, details, chunk, False)
+        details = chunk.get("quetzalmill", details)
+        for choice in chunk.get("choices", []):
+            text += choice["delta"].get("content") or ""
+        if text and seen is not None:
+            seen.set()
+    return Answer(text, details, {}, False)
+
+
+def _user(text: str) -> dict[str, Any]:
+    return {"role": "user", "content": text}
