Let a crashing request end two endpoints at most, and free single programs

Cause, for the request: the home went on retrying after the second crash, before other sidecars had heard of the quarantine, and the entries spread a report only after acknowledging it, so the next one through another entry was faster. The home now stops at the second crash that its attempts report, a sidecar tells every entry before the caller hears, and quarantines are published, so that they outlast restarts and can be released. Cause, for memory: a home renewed the lease of programs of one call, and of programs it had lost, for ever. Ruled out: spreading through heartbeats alone, which is slower than a caller.

--- a/quetzalmill/call_run.py
+++ b/quetzalmill/call_run.py
@@ -22,6 +22,7 @@
 from quetzalmill import programs
 from quetzalmill import retry_budget
 from quetzalmill import routing
+from quetzalmill import suspects
 from quetzalmill import turn_log
 from quetzalmill import turns
 
@@ -38,6 +39,7 @@
 
 _RETRY_CODES = frozenset(
     {
+        "endpoint_crashed",
         "endpoint_down",
         "endpoint_elsewhere",
         "endpoint_failed",
@@ -336,6 +338,8 @@
         frame = result.frame
         if frame.code not in _RETRY_CODES or attempt == MAX_ATTEMPTS:
             return False
+        if frame.details.get("crashes", 0) >= suspects.QUARANTINE_CRASHES:
+            return False
         if self._clock.now_ms() >= run.deadline_ms:
             return False
         surely_not_run = frame.ran is messages.Ran.NO
--- a/quetzalmill/endpoint_worker.py
+++ b/quetzalmill/endpoint_worker.py
@@ -66,12 +66,19 @@
     def not_started(self, job: Job) -> None:
         """Is told that no byte went to the endpoint after all."""
 
-    async def crashed(self, job: Job) -> None:
-        """Is told that the endpoint ended while it ran the job."""
+    async def crashed(self, job: Job) -> int:
+        """Is told that the endpoint ended while it ran the job.
+
+        Returns:
+            How many endpoints the job's request has ended so far.
+        """
 
     def ended_well(self, job: Job) -> None:
         """Is told that the job ended with an answer."""
 
+    def over(self, job: Job) -> None:
+        """Is told that the job has left the endpoint, however it ended."""
+
 
 class EndpointWorker:
     """The queue and the running work of one endpoint."""
@@ -241,6 +248,7 @@
         if job.scope.cancelled_caught:
             job.answer.append(_gave_up(job))
         self._running.remove(job)
+        self._rules.over(job)
         self.pump()
 
     async def _exchange(self, job: Job, left_ms: float) -> None:
@@ -255,9 +263,9 @@
             self._down_until_ms = self._clock.now_ms() + self._failure_ms
             job.answer.append(self._failure(job, messages.Ran.NO, str(error)))
         except errors.OutcomeUnknownError as error:
-            await self._after_break(job)
+            crashes = await self._crashes_after_break(job)
             job.answer.append(
-                self._failure(job, messages.Ran.UNKNOWN, str(error))
+                self._failure(job, messages.Ran.UNKNOWN, str(error), crashes)
             )
         else:
             self._measure(job)
@@ -290,11 +298,12 @@
             )
         )
 
-    async def _after_break(self, job: Job) -> None:
+    async def _crashes_after_break(self, job: Job) -> int:
+        """Returns how many endpoints the job's request has ended so far."""
         if await self._port.is_up(self.spec.address):
-            return
+            return 0
         self._down_until_ms = self._clock.now_ms() + self._failure_ms
-        await self._rules.crashed(job)
+        return await self._rules.crashed(job)
 
     def _measure(self, job: Job) -> None:
         if job.started_ms is None:
@@ -318,16 +327,17 @@
         )
 
     def _failure(
-        self, job: Job, ran: messages.Ran, reason: str
+        self, job: Job, ran: messages.Ran, reason: str, crashes: int = 0
     ) -> messages.Frame:
         return answer.failed(
             job.execution.call,
             status=503 if ran is messages.Ran.NO else 502,
-            code="endpoint_failed",
+            code="endpoint_crashed" if crashes else "endpoint_failed",
             message=f"endpoint {self.name}: {reason}",
             ran=ran,
             retry_after_ms=self._failure_ms,
             attempt=job.execution.attempt,
+            details={"crashes": crashes} if crashes else None,
         )
 
 
--- a/quetzalmill/entry.py
+++ b/quetzalmill/entry.py
@@ -10,13 +10,16 @@
 import trio
 
 from quetzalmill import admission as admission_module
+from quetzalmill import announcement
 from quetzalmill import callers_api
 from quetzalmill import clock as clock_module
+from quetzalmill import codec
 from quetzalmill import config_store
 from quetzalmill import config_tail
 from quetzalmill import control
 from quetzalmill import daemon
 from quetzalmill import entry_control
+from quetzalmill import errors
 from quetzalmill import fleet_view
 from quetzalmill import forwarding
 from quetzalmill import freshness as freshness_module
@@ -38,6 +41,7 @@
 """How long an answer of the log service may take."""
 
 _HOUSEKEEPING_MS = 50.0
+_QUARANTINE_MS = 500.0
 
 _log = logs.get("entry")
 
@@ -110,6 +114,7 @@
         """Starts listening and every regular task."""
         settings = self._settings
         self._store.on_change(self._fleet.configuration_changed)
+        self._store.on_change(self._quarantines_changed)
         self._store.on_change(self._keeper.configuration_changed)
         self._store.on_change(self._admission.configuration_changed)
         server = control.ControlServer(
@@ -129,6 +134,7 @@
             self._beats.run,
             self._keeper.run,
             self._home_link.watch_forever,
+            self._publish_quarantines,
         ):
             self._nursery.start_soon(task)
         self._nursery.start_soon(
@@ -207,12 +213,38 @@
         self, report: messages.SuspectReport
     ) -> messages.Acknowledgement:
         self._beats.note_suspects(report.suspects)
-        if report.forward:
-            self._nursery.start_soon(
-                self._beats.spread_suspects, report.suspects
-            )
         return messages.Acknowledgement()
 
+    def _quarantines_changed(self) -> None:
+        self._suspects.configuration_changed(
+            self._store.config, self._clock.now_ms()
+        )
+
+    async def _publish_quarantines(self) -> None:
+        """Puts quarantined requests into the log, so that they last."""
+        while True:
+            await trio.sleep(_QUARANTINE_MS / 1000.0)
+            now_ms = self._clock.now_ms()
+            self._suspects.forget_old(now_ms)
+            for suspect in self._suspects.unpublished(now_ms):
+                await self._publish_quarantine(suspect)
+
+    async def _publish_quarantine(self, suspect: messages.Suspect) -> None:
+        spec = objects.QuarantineSpec(
+            team=suspect.team, crashes=suspect.crashes
+        )
+        change = objects.ObjectChange(
+            kind=objects.QUARANTINE,
+            name=suspect.fingerprint,
+            base_revision=0,
+            spec=codec.to_plain(spec),
+        )
+        record = announcement.new_record(self._identity.host, [change])
+        try:
+            await announcement.append_record(self._log_port, record)
+        except errors.PortError as error:
+            _log.warning("quarantine_not_appended", reason=str(error))
+
     def _is_trusted(self) -> bool:
         return self._freshness.is_trusted(
             self._clock.now_ms(),
@@ -258,7 +290,7 @@
             },
             "suspects": {
                 each.fingerprint: each.crashes
-                for each in self._suspects.all_known()
+                for each in self._suspects.all_known(now_ms)
             },
             "mismatched_frames": self._home_link.mismatched_frames,
         }
--- a/quetzalmill/entry_control.py
+++ b/quetzalmill/entry_control.py
@@ -116,7 +116,7 @@
     def note_suspects(self, suspects: list[messages.Suspect]) -> None:
         """Remembers suspects that another process reported."""
         for suspect in suspects:
-            if self._suspects.note(suspect):
+            if self._suspects.note(suspect, self._clock.now_ms()):
                 _log.warning(
                     "suspect_noted",
                     fingerprint=suspect.fingerprint,
@@ -124,23 +124,6 @@
                     crashes=suspect.crashes,
                 )
 
-    async def spread_suspects(self, suspects: list[messages.Suspect]) -> None:
-        """Passes suspects on to every other entry."""
-        report = messages.SuspectReport(suspects=suspects, forward=False)
-        async with trio.open_nursery() as nursery:
-            for address in self.peers():
-                nursery.start_soon(self._send_report, address, report)
-
-    async def _send_report(
-        self, address: str, report: messages.SuspectReport
-    ) -> None:
-        try:
-            await self._client.call(
-                address, messages.SUSPECTS, report, timeout_ms=self._timeout_ms
-            )
-        except errors.ControlError as error:
-            _log.warning("suspect_report_failed", reason=str(error))
-
     async def _beat(self, address: str) -> None:
         asked_ms = self._clock.now_ms()
         beat = messages.EntryBeat(
@@ -239,5 +222,5 @@
             records=records,
             heard=self._fleet.heard(objects.SIDECAR, now_ms),
             loads=self._fleet.loads(),
-            suspects=self._suspects.all_known(),
+            suspects=self._suspects.all_known(now_ms),
         )
--- a/quetzalmill/executor.py
+++ b/quetzalmill/executor.py
@@ -64,6 +64,7 @@
         known_suspects: suspects.Suspects,
         report: Callable[[messages.Suspect], Awaitable[None]],
         on_start: Callable[[str], None],
+        on_over: Callable[[str], None],
         nursery: trio.Nursery,
         clock: clock_module.Clock,
     ) -> None:
@@ -73,6 +74,7 @@
         self._suspects = known_suspects
         self._report = report
         self._on_start = on_start
+        self._on_over = on_over
         self._nursery = nursery
         self._clock = clock
         self._workers: dict[str, endpoint_worker.EndpointWorker] = {}
@@ -214,17 +216,28 @@
         self._started.pop((call.program, call.number), None)
         self._jobs.pop(_key_of(job.execution), None)
 
-    async def crashed(self, job: endpoint_worker.Job) -> None:
+    async def crashed(self, job: endpoint_worker.Job) -> int:
         """Makes the job's request a suspect and tells the entries."""
         call = job.execution.call
-        suspect = self._suspects.crashed(call.fingerprint, call.team)
+        suspect = self._suspects.crashed(
+            call.fingerprint,
+            call.team,
+            crashes_before=1 if call.suspect else 0,
+            now_ms=self._clock.now_ms(),
+        )
         await self._report(suspect)
+        return suspect.crashes
 
     def ended_well(self, job: endpoint_worker.Job) -> None:
         """Clears the job's request if it ran alone."""
         if job.alone:
             self._suspects.clear(job.execution.call.fingerprint)
 
+    def over(self, job: endpoint_worker.Job) -> None:
+        """Lets the engine memory of a program of one call go."""
+        if job.execution.call.single:
+            self._on_over(job.execution.call.program)
+
     def _not_allowed(self, job: endpoint_worker.Job) -> messages.Frame | None:
         call = job.execution.call
         if not call.key_id:
--- a/quetzalmill/home.py
+++ b/quetzalmill/home.py
@@ -329,6 +329,14 @@
             dropped.extend(family.programs)
         return dropped
 
+    def holds(self, program: str) -> bool:
+        """Returns whether this is the home of a program that goes on."""
+        family = self._families.get(program_id.root_of(program))
+        if family is None or family.lost:
+            return False
+        found = family.programs.get(program)
+        return found is not None and not found.ended
+
     async def drained(self) -> None:
         """Returns once no call is under way and all programs are given up."""
         while True:
--- a/quetzalmill/memory_keeper.py
+++ b/quetzalmill/memory_keeper.py
@@ -67,6 +67,10 @@
         """Grants a first lease to a program that is about to run here."""
         self._leases.renew(session, self._clock.now_ms())
 
+    def over(self, session: str) -> None:
+        """Ends the lease of a program of one call that has run."""
+        self._leases.end(session)
+
     async def renew_forever(self) -> None:
         """Renews the leases of this home's programs until cancelled."""
         while True:
@@ -80,7 +84,12 @@
         for program in ended:
             for host in self._hosts(self._runner.forget_caches(program)):
                 over.setdefault(host, []).append(program)
-        for program, caches in self._runner.programs_with_caches().items():
+        for program, caches in list(
+            self._runner.programs_with_caches().items()
+        ):
+            if not self._home.holds(program):
+                self._runner.forget_caches(program)
+                continue
             for host in self._hosts(caches):
                 renewed.setdefault(host, []).append(program)
         async with trio.open_nursery() as nursery:
--- a/quetzalmill/messages.py
+++ b/quetzalmill/messages.py
@@ -68,11 +68,13 @@
         fingerprint: The fingerprint over team and content.
         team: The team that sent it.
         crashes: Endpoints that ended while they ran it.
+        age_ms: How long ago the last crash was.
     """
 
     fingerprint: str
     team: str
     crashes: int
+    age_ms: float
 
 
 @attrs.frozen(kw_only=True)
@@ -204,10 +206,9 @@
 
 @attrs.frozen(kw_only=True)
 class SuspectReport:
-    """Tells entries which requests ran while an endpoint ended."""
+    """Tells an entry which requests ran while an endpoint ended."""
 
     suspects: list[Suspect]
-    forward: bool
 
 
 @attrs.frozen(kw_only=True)
--- a/quetzalmill/sidecar.py
+++ b/quetzalmill/sidecar.py
@@ -108,6 +108,7 @@
         """Starts listening and every regular task."""
         settings = self._settings
         self._store.on_change(self._fleet.configuration_changed)
+        self._store.on_change(self._quarantines_changed)
         self._store.on_change(self._executor.configuration_changed)
         server = control.ControlServer(
             {
@@ -186,6 +187,12 @@
         while True:
             await trio.sleep(_HOUSEKEEPING_MS / 1000.0)
             self._executor.recheck()
+            self._suspects.forget_old(self._clock.now_ms())
+
+    def _quarantines_changed(self) -> None:
+        self._suspects.configuration_changed(
+            self._store.config, self._clock.now_ms()
+        )
 
     def _grant_leases(
         self, request: messages.LeaseRequest
@@ -241,7 +248,7 @@
             },
             "suspects": {
                 each.fingerprint: each.crashes
-                for each in self._suspects.all_known()
+                for each in self._suspects.all_known(self._clock.now_ms())
             },
             "mismatched_frames": self._link.mismatched_frames,
         }
@@ -260,14 +267,12 @@
             port=self._endpoint_port,
             known_suspects=self._suspects,
             report=self._report_suspect,
-            on_start=self._lease_on_start,
+            on_start=lambda program: self._memory.started(program),
+            on_over=lambda program: self._memory.over(program),
             nursery=self._nursery,
             clock=self._clock,
         )
 
-    def _lease_on_start(self, program: str) -> None:
-        self._memory.started(program)
-
     async def _report_suspect(self, suspect: messages.Suspect) -> None:
         _log.warning(
             "endpoint_crash_suspect",
--- a/quetzalmill/sidecar_beats.py
+++ b/quetzalmill/sidecar_beats.py
@@ -95,9 +95,9 @@
 
     async def report(self, suspect: messages.Suspect) -> None:
         """Tells every known entry of a suspect, before its caller hears."""
-        report = messages.SuspectReport(suspects=[suspect], forward=True)
+        report = messages.SuspectReport(suspects=[suspect])
         async with trio.open_nursery() as nursery:
-            for address in self._addresses():
+            for address in self._all_entries():
                 nursery.start_soon(self._send_report, address, report)
 
     async def _send_report(
@@ -153,13 +153,23 @@
         self._fleet.note_loads(reply.loads, asked_ms)
         self._fleet.note_loads(self._executor.loads(), self._clock.now_ms())
         for suspect in reply.suspects:
-            self._suspects.note(suspect)
+            self._suspects.note(suspect, asked_ms)
 
     def _is_silent(self, now_ms: float) -> bool:
         if self._answered_ms is None:
             return False
         return now_ms - self._answered_ms > self._timeout_ms
 
+    def _all_entries(self) -> list[str]:
+        known = [
+            spec.control_address
+            for spec in self._store.config.specs(
+                objects.PROCESS, objects.ProcessSpec
+            ).values()
+            if spec.role == objects.ENTRY
+        ]
+        return list(dict.fromkeys([*known, *self._seeds]))
+
     def _addresses(self) -> list[str]:
         now_ms = self._clock.now_ms()
         known = {
