Keep calls from running twice behind a home that was ahead of the log

Cause: after a takeover only the next call was in doubt, and any call ended the doubt. A home that had answered several calls while the log was down left later calls in doubt too: the service counted two runs for a booking sent again after the home died.

Now a program stays in doubt until a non-idempotent call is found to have been started nowhere; its turns carry the offset of the doubt, so a further home inherits it.

Ruled out: ending the doubt by call number, since nothing bounds how far a home is ahead of the log. Cost: while a sidecar has restarted since the doubt began, bookings of that program end as unknown.

--- a/quetzalmill/call_run.py
+++ b/quetzalmill/call_run.py
@@ -33,6 +33,7 @@
 """When to come back after no endpoint took the call."""
 
 _ASK_AGAIN_MS = 200.0
+_FENCED = "fenced"
 
 _ELSEWHERE_CODES = frozenset({"endpoint_elsewhere", "leaving"})
 """Refusals that cost an endpoint nothing, so no retry is spent on them."""
@@ -46,6 +47,7 @@
         "leaving",
         "queue_full",
         "sidecar_lost",
+        "sidecar_replaced",
         "sidecar_unreachable",
     }
 )
@@ -101,6 +103,8 @@
         started_ms: When it was admitted.
         deadline_ms: When its caller gives up.
         assembly: What has come of a model's answer.
+        may_have_run: Whether an earlier attempt, also one of an earlier home,
+            may have run the call.
     """
 
     family: programs.Family
@@ -110,6 +114,7 @@
     started_ms: float
     deadline_ms: float
     assembly: completion.Assembly = attrs.field(factory=completion.Assembly)
+    may_have_run: bool = False
 
 
 class CallRunner:
@@ -159,22 +164,24 @@
             case _Succeeded():
                 await self._commit(run, result, messages.Ran.YES)
             case _Failed(frame=frame):
-                await self._fail(run, result, frame)
+                await self._fail(run, result, _truthful(run, frame))
 
     async def _attempts(self, run: Run) -> _Succeeded | _Failed:
         target: routing.Target | None = None
-        if run.program.record.program in run.family.in_doubt:
-            found = await self._resolve_doubt(run)
-            if isinstance(found, _Failed):
-                return found
-            target = found
+        instance = ""
+        match await self._investigate(run):
+            case doubt.StartedAt(target=target, instance=instance):
+                run.may_have_run = True
+            case doubt.CannotTell(reason=reason):
+                return self._cannot_tell(run, reason)
         excluded: set[str] = set()
         suspect = run.prepared.call.suspect
         for attempt in range(1, MAX_ATTEMPTS + 1):
             target = target or self._choose(run, excluded)
             if target is None:
                 return self._nowhere(run)
-            result = await self._attempt(run, target, attempt, suspect)
+            execution = self._execution(run, target, attempt, suspect, instance)
+            result = await self._attempt(run, target, execution)
             if isinstance(result, _Succeeded):
                 return result
             if not self._may_retry(run, result, attempt):
@@ -184,35 +191,35 @@
             target = None
         return self._nowhere(run)
 
-    async def _resolve_doubt(self, run: Run) -> routing.Target | _Failed | None:
-        call = run.prepared.call
+    async def _investigate(self, run: Run) -> doubt.Finding:
+        """Finds out whether an earlier home may have started the call."""
         program = run.program.record.program
-        if call.idempotent:
-            run.family.in_doubt.discard(program)
-            return None
+        if program not in run.family.doubts:
+            return doubt.NotStarted()
+        if run.prepared.call.idempotent:
+            run.may_have_run = True
+            return doubt.NotStarted()
         finding = await doubt.investigate(
             run.family,
             run.program,
-            call,
+            run.prepared.call,
             config=self._config,
             router=self._router,
             link=self._link,
         )
-        run.family.in_doubt.discard(program)
-        match finding:
-            case doubt.NotStarted():
-                return None
-            case doubt.StartedAt(target=target):
-                return target
-            case doubt.CannotTell(reason=reason):
-                return _Failed(
-                    frame=self._failure(
-                        run,
-                        code="outcome_unknown",
-                        message=f"an earlier home may have run it: {reason}",
-                        ran=messages.Ran.UNKNOWN,
-                    )
-                )
+        if isinstance(finding, doubt.NotStarted):
+            run.family.doubts.pop(program, None)
+        return finding
+
+    def _cannot_tell(self, run: Run, reason: str) -> _Failed:
+        return _Failed(
+            frame=self._failure(
+                run,
+                code="outcome_unknown",
+                message=f"an earlier home may have run it: {reason}",
+                ran=messages.Ran.UNKNOWN,
+            )
+        )
 
     def _choose(self, run: Run, excluded: set[str]) -> routing.Target | None:
         program = run.program.record.program
@@ -224,18 +231,16 @@
         )
 
     async def _attempt(
-        self, run: Run, target: routing.Target, attempt: int, suspect: bool
+        self, run: Run, target: routing.Target, execution: messages.Execution
     ) -> _Succeeded | _Failed:
-        execution = self._execution(run, target, attempt, suspect)
         units = run.prepared.prompt_tokens + run.prepared.answer_tokens
         sent = self._router.sent(target.endpoint, units)
-        if attempt > 1:
-            try:
-                run.assembly.restart()
-            except completion.DivergedError as error:
-                return self._diverged(run, error)
         try:
+            if execution.attempt > 1:
+                run.assembly.restart()
             return await self._exchange(run, target, execution)
+        except completion.DivergedError as error:
+            return self._diverged(run, error)
         finally:
             self._router.ended(sent)
 
@@ -251,8 +256,9 @@
                 broken = self._lost(
                     run, "sidecar_lost", error, messages.Ran.UNKNOWN
                 )
-            except (completion.DivergedError, errors.CodecError) as error:
+            except errors.CodecError as error:
                 return self._diverged(run, error)
+            run.may_have_run = True
             if run.prepared.call.idempotent:
                 return broken
             again = await self._ask_again(run, target, execution)
@@ -277,6 +283,7 @@
             epoch=run.family.epoch,
             program=execution.call.program,
             call=execution.call.number,
+            since_offset=execution.decided_offset,
         )
         try:
             reply = await self._link.fence(target.host, request)
@@ -285,7 +292,7 @@
         if not reply.seen:
             return None
         call = attrs.evolve(execution.call, time_left_ms=left_ms)
-        return attrs.evolve(execution, call=call)
+        return attrs.evolve(execution, call=call, instance=reply.instance)
 
     async def _frames(
         self, run: Run, target: routing.Target, execution: messages.Execution
@@ -336,14 +343,15 @@
 
     def _may_retry(self, run: Run, result: _Failed, attempt: int) -> bool:
         frame = result.frame
+        if frame.ran is not messages.Ran.NO:
+            run.may_have_run = True
         if frame.code not in _RETRY_CODES or attempt == MAX_ATTEMPTS:
             return False
         if frame.details.get("crashes", 0) >= suspects.QUARANTINE_CRASHES:
             return False
         if self._clock.now_ms() >= run.deadline_ms:
             return False
-        surely_not_run = frame.ran is messages.Ran.NO
-        if not surely_not_run and not run.prepared.call.idempotent:
+        if run.may_have_run and not run.prepared.call.idempotent:
             return False
         if frame.code in _ELSEWHERE_CODES:
             return True
@@ -372,7 +380,7 @@
         self, run: Run, result: _Failed, frame: messages.Frame
     ) -> None:
         now_ms = self._clock.now_ms()
-        if frame.code == "fenced":
+        if frame.code == _FENCED:
             run.family.lost = True
             run.program.running = None
             run.answer.append(self._moved(run))
@@ -405,6 +413,10 @@
     ) -> turns.TurnRecord:
         prepared = run.prepared
         chain = run.program.chain
+        doubted_offset = run.family.doubts.get(run.program.record.program)
+        decided_offset = self._config.applied_offset
+        if doubted_offset is not None:
+            decided_offset = doubted_offset
         return turns.TurnRecord(
             program=prepared.call.program,
             root=run.family.root,
@@ -421,7 +433,7 @@
             tokens=result.tokens,
             time_ms=self._clock.now_ms() - run.started_ms,
             ran=ran.value,
-            applied_offset=self._config.applied_offset,
+            applied_offset=decided_offset,
             time_totals_ms=run.family.time_totals_ms(
                 run.program, self._clock.now_ms()
             ),
@@ -442,7 +454,12 @@
         )
 
     def _execution(
-        self, run: Run, target: routing.Target, attempt: int, suspect: bool
+        self,
+        run: Run,
+        target: routing.Target,
+        attempt: int,
+        suspect: bool,
+        instance: str,
     ) -> messages.Execution:
         prepared = run.prepared
         left_ms = max(1.0, run.deadline_ms - self._clock.now_ms())
@@ -461,6 +478,8 @@
             attained_units=run.program.attained_units,
             prompt_tokens=prepared.prompt_tokens,
             answer_tokens=prepared.answer_tokens,
+            instance=instance,
+            decided_offset=self._config.applied_offset,
         )
 
     def _nowhere(self, run: Run) -> _Failed:
@@ -515,6 +534,18 @@
         )
 
 
+def _truthful(run: Run, frame: messages.Frame) -> messages.Frame:
+    """Returns a refusal that does not hide what earlier attempts may have run.
+
+    A fenced home passes the call on, so that refusal stays as it is.
+    """
+    if not run.may_have_run or frame.code == _FENCED:
+        return frame
+    if frame.ran is not messages.Ran.NO:
+        return frame
+    return attrs.evolve(frame, status=502, ran=messages.Ran.UNKNOWN)
+
+
 def last_frame(
     turn: turns.TurnRecord, *, durable: bool, stream: bool
 ) -> messages.Frame:
--- a/quetzalmill/doubt.py
+++ b/quetzalmill/doubt.py
@@ -28,9 +28,11 @@
 
     Attributes:
         target: An endpoint of that sidecar.
+        instance: That sidecar's process.
     """
 
     target: routing.Target
+    instance: str
 
 
 @attrs.frozen(kw_only=True)
@@ -57,7 +59,7 @@
     link: executor_link.ExecutorLink,
 ) -> Finding:
     """Fences the old home at every sidecar of the call's target."""
-    since_offset = program.decided_offset
+    since_offset = family.doubts[program.record.program]
     if config.routing_revision > since_offset:
         return CannotTell(reason="the routing has changed since")
     request = messages.FenceRequest(
@@ -65,6 +67,7 @@
         epoch=family.epoch,
         program=call.program,
         call=call.number,
+        since_offset=since_offset,
     )
     targets = {
         spec.host: routing.Target(endpoint=name, host=spec.host)
@@ -93,7 +96,7 @@
     except errors.ControlError as error:
         return CannotTell(reason=str(error))
     if reply.seen:
-        return StartedAt(target=target)
+        return StartedAt(target=target, instance=reply.instance)
     process = config.get(objects.PROCESS, target.host)
     if process is None or process.spec.get("instance") != reply.instance:
         return CannotTell(reason=f"the process on {target.host} is not known")
--- a/quetzalmill/endpoint_port.py
+++ b/quetzalmill/endpoint_port.py
@@ -22,6 +22,7 @@
 """The largest answer of an endpoint."""
 
 _HOUSEKEEPING_TIMEOUT_MS = 2_000.0
+_BUSY_STATUSES = (429, 503)
 
 
 @attrs.frozen(kw_only=True)
@@ -46,7 +47,8 @@
         """Runs a model call and yields the chunks of the usual stream.
 
         Raises:
-            errors.NotDoneError: The engine was not reached or refused.
+            errors.NotDoneError: The engine was not reached or is busy.
+            errors.RefusedByEndpointError: The engine takes no such request.
             errors.OutcomeUnknownError: The answer broke off.
         """
         call = execution.call
@@ -70,10 +72,7 @@
                 fresh_connection=not call.idempotent,
                 max_body_bytes=MAX_ANSWER_BYTES,
             ) as response:
-                if response.status != 200:
-                    raise errors.NotDoneError(
-                        f"the engine answered {response.status}"
-                    )
+                _require_ok(response.status)
                 yield _events_of(response)
         except errors.ConnectFailedError as error:
             raise errors.NotDoneError(str(error)) from error
@@ -180,6 +179,16 @@
     return f"{call.program}/{call.number}/{execution.epoch}.{execution.attempt}"
 
 
+def _require_ok(status: int) -> None:
+    message = f"the engine answered {status}"
+    if status in _BUSY_STATUSES:
+        raise errors.NotDoneError(message)
+    if 400 <= status < 500:
+        raise errors.RefusedByEndpointError(message)
+    if status != 200:
+        raise errors.OutcomeUnknownError(message)
+
+
 async def _events_of(
     response: http_client.StreamedResponse,
 ) -> AsyncIterator[bytes]:
--- a/quetzalmill/endpoint_worker.py
+++ b/quetzalmill/endpoint_worker.py
@@ -61,7 +61,7 @@
         """Returns the frame that refuses a job now, None if it may run."""
 
     def starting(self, job: Job) -> None:
-        """Is told just before the first byte goes to the endpoint."""
+        """Is told before the first byte goes to the endpoint."""
 
     def not_started(self, job: Job) -> None:
         """Is told that no byte went to the endpoint after all."""
@@ -236,13 +236,14 @@
         if refusal is not None:
             job.answer.append(refusal)
             return
+        # Recorded in the step of the last check: no fence comes in between.
+        self._rules.starting(job)
         self._running.append(job)
         self._nursery.start_soon(self._run, job)
 
     async def _run(self, job: Job) -> None:
         job.started_ms = self._clock.now_ms()
         left_ms = max(1.0, job.deadline_ms - job.started_ms)
-        self._rules.starting(job)
         with trio.move_on_after(left_ms / 1000.0) as job.scope:
             await self._exchange(job, left_ms)
         if job.scope.cancelled_caught:
@@ -258,6 +259,9 @@
                 await self._exchange_model(job, left_ms)
             else:
                 await self._exchange_service(job, left_ms)
+        except errors.RefusedByEndpointError as error:
+            self._rules.not_started(job)
+            job.answer.append(_refused_for_good(job, str(error)))
         except errors.NotDoneError as error:
             self._rules.not_started(job)
             self._down_until_ms = self._clock.now_ms() + self._failure_ms
@@ -360,6 +364,16 @@
     )
 
 
+def _refused_for_good(job: Job, reason: str) -> messages.Frame:
+    return answer.failed(
+        job.execution.call,
+        status=422,
+        code="endpoint_refused",
+        message=reason,
+        attempt=job.execution.attempt,
+    )
+
+
 def _gave_up(job: Job) -> messages.Frame:
     return answer.failed(
         job.execution.call,
--- a/quetzalmill/errors.py
+++ b/quetzalmill/errors.py
@@ -65,6 +65,10 @@
     """The outside system surely did not do what was asked."""
 
 
+class RefusedByEndpointError(NotDoneError):
+    """An endpoint refused a request for good; others would refuse it too."""
+
+
 class OutcomeUnknownError(PortError):
     """The outside system may or may not have done what was asked."""
 
--- a/quetzalmill/executor.py
+++ b/quetzalmill/executor.py
@@ -7,6 +7,7 @@
 
 import collections
 from collections.abc import Awaitable, Callable
+import itertools
 
 import attrs
 import trio
@@ -81,13 +82,13 @@
         self._jobs: collections.OrderedDict[_Key, endpoint_worker.Job] = (
             collections.OrderedDict()
         )
-        self._started: collections.OrderedDict[tuple[str, int], None] = (
+        self._started: collections.OrderedDict[tuple[str, int], int] = (
             collections.OrderedDict()
         )
         self._fences: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
-        self._forgot_starts = False
+        self._forgotten_offset = -1
         self.leaving = False
 
     @property
@@ -95,6 +96,11 @@
         """Returns whether no endpoint has work."""
         return all(worker.idle for worker in self._workers.values())
 
+    @property
+    def kept_answers(self) -> int:
+        """Returns the number of answers kept for calls sent again."""
+        return len(self._jobs)
+
     def loads(self) -> list[messages.EndpointLoad]:
         """Returns the load of each endpoint."""
         return [worker.load() for worker in self._workers.values()]
@@ -140,7 +146,7 @@
         )
         worker = self._workers.get(execution.endpoint)
         if worker is None:
-            job.answer.append(self._not_here(job))
+            job.answer.append(self.refusal(job) or self._not_here(job))
             return job.answer
         worker.submit(job)
         if _did_run(job.answer):
@@ -171,7 +177,7 @@
         return messages.FenceReply(
             instance=self._options.instance,
             seen=(request.program, request.call) in self._started,
-            complete=not self._forgot_starts,
+            complete=self._forgotten_offset < request.since_offset,
         )
 
     # The methods below are the workers' ``Rules``.
@@ -180,14 +186,6 @@
         """Returns why a job may not run now, None if it may."""
         execution = job.execution
         call = execution.call
-        if self.leaving:
-            return _refused(job, 503, "leaving", "the endpoint takes no work")
-        if execution.epoch < self._fences.get(execution.root, 0):
-            return _refused(job, 409, "fenced", "a newer home has taken over")
-        if self._suspects.is_quarantined(call.fingerprint):
-            return _refused(
-                job, 422, "quarantined", "the request ended endpoints before"
-            )
         if (call.program, call.number) in self._started:
             return _refused(
                 job,
@@ -196,6 +194,18 @@
                 "the call was started before",
                 ran=messages.Ran.UNKNOWN,
             )
+        if execution.instance not in ("", self._options.instance):
+            return _refused(
+                job, 503, "sidecar_replaced", "the process was replaced"
+            )
+        if self.leaving:
+            return _refused(job, 503, "leaving", "the endpoint takes no work")
+        if execution.epoch < self._fences.get(execution.root, 0):
+            return _refused(job, 409, "fenced", "a newer home has taken over")
+        if self._suspects.is_quarantined(call.fingerprint):
+            return _refused(
+                job, 422, "quarantined", "the request ended endpoints before"
+            )
         return self._not_allowed(job)
 
     def starting(self, job: endpoint_worker.Job) -> None:
@@ -205,10 +215,11 @@
             self._on_start(call.program)
         if call.idempotent:
             return
-        self._started[(call.program, call.number)] = None
+        started_offset = job.execution.decided_offset
+        self._started[(call.program, call.number)] = started_offset
         while len(self._started) > REMEMBERED_STARTS:
-            self._started.popitem(last=False)
-            self._forgot_starts = True
+            _, offset = self._started.popitem(last=False)
+            self._forgotten_offset = max(self._forgotten_offset, offset)
 
     def not_started(self, job: endpoint_worker.Job) -> None:
         """Takes the record back, since no byte was sent."""
@@ -259,11 +270,10 @@
 
     def _keep(self, key: _Key, job: endpoint_worker.Job) -> None:
         self._jobs[key] = job
-        while len(self._jobs) > KEPT_ANSWERS:
-            oldest = next(iter(self._jobs))
-            if not self._jobs[oldest].answer.ended:
-                return
-            del self._jobs[oldest]
+        excess = max(0, len(self._jobs) - KEPT_ANSWERS)
+        ended = (key for key, kept in self._jobs.items() if kept.answer.ended)
+        for old in list(itertools.islice(ended, excess)):
+            del self._jobs[old]
 
     def _new_worker(
         self, name: str, spec: objects.EndpointSpec
--- a/quetzalmill/executor_link.py
+++ b/quetzalmill/executor_link.py
@@ -3,6 +3,8 @@
 from collections.abc import AsyncIterator
 import contextlib
 
+import attrs
+
 from quetzalmill import answer
 from quetzalmill import codec
 from quetzalmill import control
@@ -14,6 +16,8 @@
 from quetzalmill import internal_api
 from quetzalmill import messages
 
+_STATUS_UNAVAILABLE = 503
+
 
 class ExecutorLink:
     """Runs executions at any sidecar."""
@@ -43,7 +47,8 @@
         """Runs an execution at a sidecar and yields its frames.
 
         Raises:
-            errors.ConnectFailedError: The execution was not handed over.
+            errors.ConnectFailedError: The execution was not handed over, or
+                was refused before it was read.
             errors.HttpError: The answer broke off; it may have run.
         """
         if host == self._host:
@@ -56,6 +61,9 @@
         process = self._fleet.process(host)
         if process is None:
             raise errors.ConnectFailedError(f"host {host} is unknown")
+        if not execution.instance:
+            execution = attrs.evolve(execution, instance=process.instance)
+        idempotent = execution.call.idempotent
         request = http_message.Request(
             method="POST",
             path=internal_api.EXECUTIONS_PATH,
@@ -66,13 +74,11 @@
             request,
             timeout_ms=self._timeout_ms,
             idle_timeout_ms=execution.call.time_left_ms,
-            idempotent=True,
+            fresh_connection=not idempotent,
+            idempotent=idempotent,
             max_body_bytes=internal_api.MAX_ANSWER_BYTES,
         ) as response:
-            if response.status != 200:
-                raise errors.ConnectFailedError(
-                    f"host {host} refused with status {response.status}"
-                )
+            _require_ok(host, response.status)
             yield self._frames(response, execution)
 
     async def fence(
@@ -114,3 +120,11 @@
         finally:
             self.mismatched_frames += reader.mismatched
         reader.require_end(last)
+
+
+def _require_ok(host: str, status: int) -> None:
+    message = f"host {host} answered with status {status}"
+    if status == _STATUS_UNAVAILABLE or 400 <= status < 500:
+        raise errors.ConnectFailedError(message)
+    if status != 200:
+        raise errors.ConnectionLostError(message)
--- a/quetzalmill/home.py
+++ b/quetzalmill/home.py
@@ -137,6 +137,7 @@
         self._takeovers: dict[str, trio.Lock] = {}
         self._singles_over: list[str] = []
         self._is_unverified = False
+        self._dropped_in_doubt: set[str] = set()
         self._run_ended = trio.Event()
         self.leaving = False
 
@@ -326,6 +327,8 @@
                 continue
             if idle:
                 del self._families[root]
+                if family.doubts and not over:
+                    self._dropped_in_doubt.add(root)
             dropped.extend(family.programs)
         return dropped
 
@@ -400,6 +403,7 @@
             raise RefusedError(504, "deadline", "the deadline has passed")
         if program.record.program in family.in_doubt:
             self._charge_doubt(family, program, prepared.answer_tokens)
+            family.in_doubt.discard(program.record.program)
         call = prepared.call
         family.begin(
             program,
@@ -596,6 +600,8 @@
         """Returns the epoch that surely has no call under way, 0 for none."""
         if any(run.family.root == family.root for run in self._runs.values()):
             return 0
+        if family.root in self._dropped_in_doubt:
+            return 0
         # A release says nothing of a home that came after it.
         if family.released_epoch == family.epoch - 1:
             return family.released_epoch
@@ -611,7 +617,11 @@
             return
         self._give_up(family)
         await self._writer.commit(
-            turns.ReleaseRecord(root=family.root, epoch=family.epoch)
+            turns.ReleaseRecord(
+                root=family.root,
+                epoch=family.epoch,
+                doubts=sorted(family.doubts),
+            )
         )
 
     def _give_up(self, family: programs.Family) -> None:
--- a/quetzalmill/http_client.py
+++ b/quetzalmill/http_client.py
@@ -205,12 +205,29 @@
         if kept is not None:
             try:
                 return kept, await kept.exchange(request, deadline_s)
-            except errors.ConnectionLostError:
+            except errors.ConnectionLostError as lost:
                 if not idempotent or kept.received_bytes:
                     raise
+                return await self._send_again(
+                    address, request, deadline_s, lost
+                )
         connection = await self._connect(address, deadline_s)
         return connection, await connection.exchange(request, deadline_s)
 
+    async def _send_again(
+        self,
+        address: str,
+        request: http_message.Request,
+        deadline_s: float,
+        lost: errors.ConnectionLostError,
+    ) -> tuple["_Connection", h11.Response]:
+        try:
+            connection = await self._connect(address, deadline_s)
+        except errors.ConnectFailedError as error:
+            # The first copy of the request may have arrived.
+            raise lost from error
+        return connection, await connection.exchange(request, deadline_s)
+
     async def _connect(self, address: str, deadline_s: float) -> "_Connection":
         timeout_s = self._connect_timeout_ms / 1000.0
         limit_s = min(deadline_s, trio.current_time() + timeout_s)
--- a/quetzalmill/messages.py
+++ b/quetzalmill/messages.py
@@ -168,12 +168,15 @@
         epoch: The new home's epoch; older ones are refused from now on.
         program: The program whose call is in doubt.
         call: The number of that call.
+        since_offset: The configuration offset before which the call cannot
+            have been started.
     """
 
     root: str
     epoch: int
     program: str
     call: int
+    since_offset: int
 
 
 @attrs.frozen(kw_only=True)
@@ -183,7 +186,8 @@
     Attributes:
         instance: The answering process.
         seen: Whether the call was started there.
-        complete: Whether the process remembers all that it ever started.
+        complete: Whether the process remembers all that it started since the
+            offset that the request names.
     """
 
     instance: str
@@ -303,6 +307,8 @@
         attained_units: Service units that the program has had so far.
         prompt_tokens: An estimate of the prompt's length.
         answer_tokens: The most tokens that the answer may have.
+        instance: The sidecar process that may run it; any when empty.
+        decided_offset: The configuration offset that the home decided by.
     """
 
     call: Call
@@ -313,6 +319,8 @@
     attained_units: float
     prompt_tokens: int
     answer_tokens: int
+    instance: str = ""
+    decided_offset: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/quetzalmill/programs.py
+++ b/quetzalmill/programs.py
@@ -192,7 +192,13 @@
         lost: Whether another process has taken the family over.
         released_epoch: The epoch of the last home if that home gave the family
             up with no call under way, 0 otherwise.
-        in_doubt: Programs whose next call an earlier home may have started.
+        released_doubts: The programs that this home was in doubt of.
+        in_doubt: Programs whose next call is charged once more, since an
+            earlier home may have started it.
+        doubts: Programs of whose coming calls an earlier home may have run
+            any, with the configuration offset of its last record. An earlier
+            home may have been several calls ahead of a log that was down, so
+            only a call that was started nowhere ends the doubt.
     """
 
     root: str
@@ -201,7 +207,9 @@
     programs: dict[str, Program] = attrs.field(factory=dict)
     lost: bool = False
     released_epoch: int = 0
+    released_doubts: frozenset[str] = frozenset()
     in_doubt: set[str] = attrs.field(factory=set)
+    doubts: dict[str, int] = attrs.field(factory=dict)
 
     def start(self, record: turns.ProgramRecord, now_ms: float) -> Program:
         """Adds a program to the family."""
@@ -245,7 +253,7 @@
         program = self.programs.get(name)
         if program is None:
             return self.epoch > 1
-        if name in self.in_doubt:
+        if name in self.doubts:
             return True
         if 1 <= call <= len(program.history):
             return program.history[call - 1].digest == digest
@@ -366,11 +374,16 @@
             quiet_epoch: An epoch whose home surely has no call under way. It
                 had settled every program that it wrote a record of.
         """
-        self.in_doubt = {
-            name
+        self.doubts = {
+            name: program.decided_offset
             for name, program in self.programs.items()
-            if not program.ended and program.recorded_epoch != quiet_epoch
+            if not program.ended
+            and (
+                program.recorded_epoch != quiet_epoch
+                or name in self.released_doubts
+            )
         }
+        self.in_doubt = set(self.doubts)
 
     @property
     def is_busy(self) -> bool:
@@ -451,6 +464,7 @@
                 program.recorded_epoch = record.epoch
         case turns.ReleaseRecord():
             family.released_epoch = record.epoch
+            family.released_doubts = frozenset(record.doubts)
         case turns.EndRecord():
             program = family.programs.get(record.program)
             if program is not None:
--- a/quetzalmill/turns.py
+++ b/quetzalmill/turns.py
@@ -78,7 +78,8 @@
         tokens: Generated tokens that were charged.
         time_ms: How long the call was under way.
         ran: Whether the call ran: ``yes`` or ``unknown``.
-        applied_offset: The configuration offset that the home had applied.
+        applied_offset: The configuration offset that the home had applied; an
+            older one while an earlier home may have run later calls.
         time_totals_ms: The time that calls were under way so far, of the
             program first and then of each program above it.
         endpoint: The engine that ran a model call; empty for a service.
@@ -129,10 +130,18 @@
 
 @attrs.frozen(kw_only=True)
 class ReleaseRecord:
-    """A home gives a root program up and has no call of it under way."""
+    """A home gives a root program up and has no call of it under way.
+
+    Attributes:
+        root: The root program.
+        epoch: The home's epoch.
+        doubts: Programs of whose coming calls an earlier home may have run
+            any.
+    """
 
     root: str
     epoch: int
+    doubts: list[str] = attrs.field(factory=list)
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -102,13 +102,66 @@
                 assert final.body["run"] == 1
 
 
+class TestAheadOfTheLog:
+    """A home that died several calls ahead of a log that was down."""
+
+    @pytest.mark.parametrize("kinds", ["sss", "mss", "sms"])
+    def test_same_calls_again_run_once(
+        self, system: "System", kinds: str
+    ) -> None:
+        system.ready()
+        programs = [system.new_call().program for _ in range(3)]
+        system.set_log(down=True)
+        calls = [
+            Call(program, number, f"{program}-{number}", kind)
+            for program in programs
+            for number, kind in enumerate(kinds, start=1)
+        ]
+        first = [read(system.send(call)) for call in calls]
+        system.strike(KILL, "home", calls)
+        system.set_log(down=False)
+        for call, before in zip(calls, first, strict=True):
+            assert before.ran == "yes"
+            again = system.settle(call, entry=1)
+            if call.kind == "s":
+                assert again.body == before.body
+                assert system.runs(call) == 1
+
+
+class TestSingleCall:
+    """A call without a program: every sending is a call of its own."""
+
+    @pytest.mark.parametrize("action", [KILL, FREEZE])
+    @pytest.mark.parametrize("what", ["home", "sidecar", "service"])
+    def test_runs_once_and_is_not_said_not_to_have_run(
+        self, system: "System", action: str, what: str
+    ) -> None:
+        calls, busy = system.stage(log_down=False, programs=False)
+        system.strike(action, what, calls, busy)
+        system.release_services()
+        wait_readable(system.first, FROZEN_S)
+        system.mend()
+        outcomes = [read(each) for each in system.first]
+        for call, outcome in zip(calls[1:], outcomes, strict=True):
+            assert outcome.ran != "lost"
+            system.check(call, outcome)
+
+
 @attrs.frozen
 class Call:
-    """A booking as its caller numbers it."""
+    """A call as its caller numbers it.
+
+    Attributes:
+        program: Its program; empty for a call of its own.
+        number: Its number.
+        reference: What the services count its runs by.
+        kind: ``s`` for a booking, ``m`` for a model call.
+    """
 
     program: str
     number: int
     reference: str
+    kind: str = "s"
 
 
 @attrs.frozen
@@ -139,7 +192,7 @@
         self._ended_runs: dict[str, int] = {}
         self._frozen_runs: dict[str, dict[str, int]] = {}
         self._serial = 0
-        self._open: list[http.client.HTTPConnection] = []
+        self.first: list[http.client.HTTPConnection] = []
         self._undo: list[Callable[[], None]] = []
         engine = running.fleet.emulator("engine")
         for _ in range(4):
@@ -156,29 +209,35 @@
         running.wait_minting()
         self._key = running.add_team(TEAM)
 
-    def stage(self, log_down: bool) -> tuple[list[Call], int]:
-        """Brings one call to each state; returns them and a busy service."""
+    def ready(self) -> None:
+        """Mends everything and waits until it is healthy."""
         self.mend()
         self.set_log(down=False)
         self.wait_healthy()
-        calls = [self.new_call() for _ in range(4)]
+
+    def stage(
+        self, log_down: bool, programs: bool = True
+    ) -> tuple[list[Call], int]:
+        """Brings one call to each state; returns them and a busy service."""
+        self.ready()
+        calls = [self.new_call(programs) for _ in range(4)]
         self.set_log(down=log_down)
         answered, *others = calls
         assert read(self.send(answered)).ran == "yes"
         self._set_services(hang=True)
-        self._open = []
+        self.first = []
         for number, call in enumerate(others, start=1):
-            self._open.append(self.send(call))
+            self.first.append(self.send(call))
             self._wait_busy(number)
         queued = [n["queued"] for n in self._loads()]
         return calls, queued.index(max(queued))
 
     def strike(
-        self, action: str, what: str, calls: list[Call], busy: int
+        self, action: str, what: str, calls: list[Call], busy: int = 0
     ) -> None:
         """Brings a fault about."""
         if what == "caller":
-            for connection in self._open:
+            for connection in self.first:
                 connection.close()
             return
         if what == "service":
@@ -207,22 +266,27 @@
         node = self.running.entries[entry]
         host, _, port = node.http.rpartition(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=15)
-        connection.request(
-            "POST",
-            "/v1/services/booking/bookings",
-            json.dumps({"reference": call.reference}),
-            deployment.bearer(
-                self._key,
-                Quetzalmill_Program=call.program,
-                Quetzalmill_Call=str(call.number),
-                Quetzalmill_Idempotent="false",
-                Quetzalmill_Deadline_Ms=str(CALL_MS),
-            ),
+        path = "/v1/services/booking/bookings"
+        body: dict[str, Any] = {"reference": call.reference}
+        headers = deployment.bearer(
+            self._key, Quetzalmill_Deadline_Ms=str(CALL_MS)
         )
+        if call.kind == "m":
+            path = "/v1/chat/completions"
+            message = {"role": "user", "content": call.reference}
+            body = {"model": "planner", "messages": [message]}
+        else:
+            headers["Quetzalmill-Idempotent"] = "false"
+        if call.program:
+            headers["Quetzalmill-Program"] = call.program
+            headers["Quetzalmill-Call"] = str(call.number)
+        connection.request("POST", path, json.dumps(body), headers)
         return connection
 
     def check(self, call: Call, outcome: Outcome) -> None:
         """Checks an answer against what the services have run."""
+        if call.kind == "m":
+            return
         runs = self.runs(call)
         assert runs <= 1, (call, outcome)
         if outcome.ran == "yes":
@@ -240,9 +304,11 @@
 
         return harness.eventually(recorded, SETTLE_S, f"{call} is settled")
 
-    def new_call(self, number: int = 1) -> Call:
-        """Returns the first call of a new program."""
+    def new_call(self, in_program: bool = True) -> Call:
+        """Returns the first call of a new program, or a call of its own."""
         self._serial += 1
+        if not in_program:
+            return Call("", 1, f"stage-{self._serial}")
         reply = harness.call(
             self.running.entries[0].http,
             "POST",
@@ -251,7 +317,7 @@
             deployment.bearer(self._key),
         )
         assert reply.status == 201, reply
-        return Call(reply.body["program"], number, f"stage-{self._serial}")
+        return Call(reply.body["program"], 1, f"stage-{self._serial}")
 
     def runs(self, call: Call) -> int:
         """Returns how often a call has run."""
@@ -295,8 +361,8 @@
 
     def _home(self, call: Call) -> deployment.Node:
         home = program_id.first_home(call.program)
-        assert home is not None
-        return next(n for n in self.running.sidecars if n.host == home.host)
+        host = home.host if home else "side-0"
+        return next(n for n in self.running.sidecars if n.host == host)
 
     def _loads(self) -> list[dict[str, Any]]:
         nodes = self.running.sidecars[2:]
--- /dev/null
+++ b/tests/test_executor.py
@@ -0,0 +1,590 @@
+"""Decisions of the executor, the workers and the runner about running once."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+import contextlib
+import functools
+from typing import Any
+
+import attrs
+import pytest
+import trio
+import trio.testing
+
+from quetzalmill import answer
+from quetzalmill import call_run
+from quetzalmill import clock
+from quetzalmill import configuration
+from quetzalmill import endpoint_port
+from quetzalmill import errors
+from quetzalmill import executor
+from quetzalmill import http_client
+from quetzalmill import http_message
+from quetzalmill import http_server
+from quetzalmill import messages
+from quetzalmill import objects
+from quetzalmill import programs
+from quetzalmill import retry_budget
+from quetzalmill import routing
+from quetzalmill import suspects
+from quetzalmill import turn_log
+from quetzalmill import turns
+
+OK = endpoint_port.ServiceAnswer(status=200, content_type="", body=b"done")
+
+
+class TestFence:
+    """A fence tells truthfully what was started, and ends the rest."""
+
+    def test_a_job_taken_from_the_queue_counts_as_started(self) -> None:
+        async def scenario(made: executor.Executor, port: FakePort) -> None:
+            made.submit(execution())
+            reply = made.fence(fence(epoch=2))
+            await trio.testing.wait_all_tasks_blocked()
+            assert reply.seen or not port.ran
+
+        run(scenario)
+
+    def test_a_queued_job_of_an_older_epoch_never_starts(self) -> None:
+        async def scenario(made: executor.Executor, port: FakePort) -> None:
+            port.hold = trio.Event()
+            made.submit(execution(program="busy"))
+            queued = made.submit(execution())
+            assert not made.fence(fence(epoch=2)).seen
+            port.hold.set()
+            assert (await end_of(queued)).code == "fenced"
+            assert port.ran == ["busy"]
+
+        run(scenario)
+
+
+class TestRefusal:
+    """No refusal of a call that was started says that it did not run."""
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            lambda made: setattr(made, "leaving", True),
+            lambda made: made.fence(fence(epoch=9)),
+            lambda made: made.withdraw_endpoint(),
+        ],
+        ids=["leaving", "fenced", "endpoint withdrawn"],
+    )
+    def test_started_call_whose_answer_is_forgotten(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        change: Callable[[Any], None],
+    ) -> None:
+        monkeypatch.setattr(executor, "KEPT_ANSWERS", 0)
+
+        async def scenario(made: executor.Executor, port: FakePort) -> None:
+            await end_of(made.submit(execution()))
+            await end_of(made.submit(execution(program="other")))
+            change(made)
+            refusal = await end_of(made.submit(execution()))
+            assert refusal.ran is messages.Ran.UNKNOWN
+            assert port.ran == ["p", "other"]
+
+        run(scenario)
+
+    def test_execution_for_an_earlier_process_does_not_run(self) -> None:
+        async def scenario(made: executor.Executor, port: FakePort) -> None:
+            found = made.submit(execution(instance="before"))
+            assert (await end_of(found)).code == "sidecar_replaced"
+            assert not port.ran
+
+        run(scenario)
+
+
+class TestKeptAnswers:
+    """Kept answers are bounded, also beside one that never ends."""
+
+    def test_a_hanging_call_does_not_keep_the_others(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(executor, "KEPT_ANSWERS", 2)
+
+        async def scenario(made: executor.Executor, port: FakePort) -> None:
+            port.hold = held = trio.Event()
+            hanging = made.submit(execution(program="hanging"))
+            await trio.testing.wait_all_tasks_blocked()
+            port.hold = None
+            for number in range(8):
+                await end_of(made.submit(execution(program=f"p{number}")))
+            assert made.kept_answers <= 3
+            held.set()
+            assert (await end_of(hanging)).data == OK.body
+
+        run(scenario, slots=2)
+
+
+class TestForgottenStarts:
+    """Only a forgotten start as new as the doubt makes a fence incomplete."""
+
+    @pytest.mark.parametrize(
+        ("since_offset", "complete"), [(3, False), (4, True)]
+    )
+    def test_complete(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        since_offset: int,
+        complete: bool,
+    ) -> None:
+        monkeypatch.setattr(executor, "REMEMBERED_STARTS", 1)
+
+        async def scenario(made: executor.Executor, port: FakePort) -> None:
+            for program in ("a", "b"):
+                await end_of(made.submit(execution(program=program)))
+            request = attrs.evolve(fence(epoch=2), since_offset=since_offset)
+            assert made.fence(request).complete is complete
+
+        run(scenario)
+
+
+class TestEngineRefusals:
+    """What an engine's status says about whether a call ran."""
+
+    @pytest.mark.parametrize(
+        ("status", "error"),
+        [
+            (400, errors.RefusedByEndpointError),
+            (429, errors.NotDoneError),
+            (503, errors.NotDoneError),
+            (500, errors.OutcomeUnknownError),
+            (502, errors.OutcomeUnknownError),
+        ],
+    )
+    def test_status(
+        self, status: int, error: type[errors.QuetzalmillError]
+    ) -> None:
+        async def answering(
+            request: http_message.Request, exchange: http_server.Exchange
+        ) -> None:
+            await exchange.respond(status, b"{}")
+
+        async def scenario(address: str) -> None:
+            port = endpoint_port.EndpointPort(http_client.HttpClient())
+            model = execution(kind=messages.CallKind.MODEL)
+            with pytest.raises(error) as raised:
+                async with port.run_model(address, model, 5_000.0):
+                    pass
+            assert raised.type is error
+
+        serve(answering, scenario)
+
+
+class TestKeptConnection:
+    """A request that may have arrived never counts as not sent."""
+
+    def test_server_ends_after_it_got_the_second_request(self) -> None:
+        async def scenario() -> None:
+            listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+            port = listener.socket.getsockname()[1]
+
+            async def server() -> None:
+                stream = await listener.accept()
+                await stream.receive_some(65_536)
+                await stream.send_all(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                )
+                await stream.receive_some(65_536)
+                await listener.aclose()
+                await stream.aclose()
+
+            client = http_client.HttpClient()
+            post = http_message.Request(method="POST", path="/", body=b"x")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(server)
+                ask = functools.partial(
+                    client.request,
+                    f"127.0.0.1:{port}",
+                    post,
+                    timeout_ms=5_000.0,
+                    idempotent=True,
+                )
+                assert (await ask()).status == 200
+                with pytest.raises(errors.ConnectionLostError):
+                    await ask()
+
+        trio.run(scenario)
+
+
+class FakePort:
+    """Stands for the endpoints; counts what ran."""
+
+    def __init__(self) -> None:
+        self.ran: list[str] = []
+        self.hold: trio.Event | None = None
+
+    async def run_service(
+        self, address: str, execution: messages.Execution, timeout_ms: float
+    ) -> endpoint_port.ServiceAnswer:
+        """Runs a call, held until the test lets it go."""
+        self.ran.append(execution.call.program)
+        if self.hold is not None:
+            await self.hold.wait()
+        return OK
+
+
+class FakeLink:
+    """Stands for the way to the sidecars of hosts a and b."""
+
+    def __init__(self, script: list[Any], *, seen: bool) -> None:
+        self._script = script
+        self._seen = seen
+        self.hosts: list[str] = []
+
+    @contextlib.asynccontextmanager
+    async def run(
+        self, host: str, execution: messages.Execution
+    ) -> AsyncIterator[AsyncIterator[messages.Frame]]:
+        """Plays the next step of the script."""
+        self.hosts.append(host)
+        step = self._script.pop(0)
+        if isinstance(step, Exception):
+            raise step
+
+        async def frames() -> AsyncIterator[messages.Frame]:
+            yield step
+
+        yield frames()
+
+    async def fence(
+        self, host: str, request: messages.FenceRequest
+    ) -> messages.FenceReply:
+        """Tells that host a has seen the call, if anyone has."""
+        seen = self._seen and host == "a"
+        return messages.FenceReply(instance=host, seen=seen, complete=True)
+
+
+class FakeRouter:
+    """Knows one endpoint on each of two hosts."""
+
+    def matching(
+        self, kind: messages.CallKind, target: str
+    ) -> dict[str, objects.EndpointSpec]:
+        """Returns both endpoints."""
+        return {
+            host: objects.EndpointSpec(host=host, address="127.0.0.1:1")
+            for host in ("a", "b")
+        }
+
+    def choose(
+        self, call: messages.Call, *, excluded: set[str], **known: Any
+    ) -> routing.Target | None:
+        """Returns the first endpoint that was not tried."""
+        left = [host for host in ("a", "b") if host not in excluded]
+        return routing.Target(endpoint=left[0], host=left[0]) if left else None
+
+    def sent(self, endpoint: str, units: float) -> None:
+        """Counts nothing."""
+
+    def ended(self, sent: None) -> None:
+        """Counts nothing."""
+
+
+class FakeWriter:
+    """Keeps every record at once."""
+
+    async def commit(self, record: turns.Record) -> turn_log.Commit:
+        """Returns that the record is kept."""
+        return turn_log.Commit.DURABLE
+
+
+def new_config() -> configuration.Configuration:
+    """Returns a configuration that knows the processes of hosts a and b."""
+    config = configuration.Configuration()
+    changes = [
+        objects.ObjectChange(
+            kind=objects.PROCESS,
+            name=host,
+            base_revision=-1,
+            spec={
+                "role": objects.SIDECAR,
+                "instance": host,
+                "http_address": "127.0.0.1:1",
+                "control_address": "127.0.0.1:1",
+                "failure_domain": "rawson",
+            },
+        )
+        for host in ("a", "b")
+    ]
+    record = objects.ConfigRecord(record_id="r", author="t", changes=changes)
+    config.apply(1, record)
+    return config
+
+
+def new_family(*, doubt: bool) -> programs.Family:
+    """Returns a family of one program, in doubt or not."""
+    family = programs.Family(root="p", epoch=2, used_ms=0.0)
+    record = turns.ProgramRecord(
+        program="p",
+        root="p",
+        parent="",
+        team="t",
+        limits=turns.BudgetLimits(),
+        deadline_ms=None,
+        epoch=1,
+        applied_offset=1,
+    )
+    family.start(record, 0.0)
+    if doubt:
+        family.doubts["p"] = 1
+    return family
+
+
+def run_call(
+    link: FakeLink,
+    *,
+    doubt: bool = False,
+    idempotent: bool = False,
+    family: programs.Family | None = None,
+) -> messages.Frame:
+    """Runs one call through the runner and returns its last frame."""
+    family = family or new_family(doubt=doubt)
+    call = attrs.evolve(execution().call, idempotent=idempotent)
+    runner = call_run.CallRunner(
+        config=new_config(),
+        router=FakeRouter(),  # type: ignore[arg-type]
+        link=link,  # type: ignore[arg-type]
+        writer=FakeWriter(),  # type: ignore[arg-type]
+        retries=retry_budget.RetryBudget(1.0),
+        clock=clock.SystemClock(),
+    )
+    now_ms = clock.SystemClock().now_ms()
+    under_way = call_run.Run(
+        family=family,
+        program=family.programs["p"],
+        prepared=call_run.Prepared(
+            call=call,
+            digest="d",
+            body=b"",
+            new_messages=[],
+            prompt_tokens=0,
+            answer_tokens=0,
+        ),
+        answer=answer.Answer(),
+        started_ms=now_ms,
+        deadline_ms=now_ms + 10_000.0,
+    )
+    trio.run(runner.run, under_way)
+    last = under_way.answer.last
+    assert last is not None
+    return last
+
+
+def execution(
+    program: str = "p",
+    kind: messages.CallKind = messages.CallKind.SERVICE,
+    instance: str = "",
+) -> messages.Execution:
+    """Returns the first attempt at a non-idempotent call."""
+    call = messages.Call(
+        program=program,
+        single=False,
+        number=1,
+        team="t",
+        key_id="",
+        kind=kind,
+        target="booking",
+        method="POST",
+        path="/",
+        content_type="",
+        body=b"",
+        stream=False,
+        idempotent=False,
+        time_left_ms=10_000.0,
+        fingerprint=program,
+        suspect=False,
+        applied_offset=1,
+    )
+    return messages.Execution(
+        call=call,
+        root=program,
+        epoch=1,
+        attempt=1,
+        endpoint="booking",
+        attained_units=0.0,
+        prompt_tokens=0,
+        answer_tokens=0,
+        instance=instance,
+        decided_offset=3,
+    )
+
+
+def fence(epoch: int) -> messages.FenceRequest:
+    """Returns a fence of the program's first call."""
+    return messages.FenceRequest(
+        root="p", epoch=epoch, program="p", call=1, since_offset=1
+    )
+
+
+async def end_of(found: answer.Answer) -> messages.Frame:
+    """Returns the last frame of an answer."""
+    with trio.fail_after(5):
+        return [frame async for frame in found.follow()][-1]
+
+
+def run(
+    scenario: Callable[[Any, FakePort], Awaitable[None]], slots: int = 1
+) -> None:
+    """Runs a scenario with an executor before one service."""
+    port = FakePort()
+    config = configuration.Configuration()
+    spec = {
+        "host": "here",
+        "address": "127.0.0.1:1",
+        "kind": objects.SERVICE,
+        "slots": slots,
+    }
+
+    def publish(offset: int, published: dict[str, Any] | None) -> None:
+        change = objects.ObjectChange(
+            kind=objects.ENDPOINT,
+            name="booking",
+            base_revision=-1,
+            spec=published,
+        )
+        config.apply(
+            offset,
+            objects.ConfigRecord(
+                record_id=str(offset), author="t", changes=[change]
+            ),
+        )
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            made = TestedExecutor(
+                executor.Options(
+                    host="here",
+                    instance="now",
+                    fair_queue=True,
+                    max_queue=10,
+                    failure_ms=10.0,
+                ),
+                config=config,
+                port=port,  # type: ignore[arg-type]
+                known_suspects=suspects.Suspects(),
+                report=lambda suspect: trio.lowlevel.checkpoint(),
+                on_start=lambda program: None,
+                on_over=lambda program: None,
+                nursery=nursery,
+                clock=clock.SystemClock(),
+            )
+            made.publish = publish
+            publish(1, spec)
+            made.configuration_changed()
+            await scenario(made, port)
+
+    trio.run(main)
+
+
+class TestedExecutor(executor.Executor):
+    """An executor whose endpoint a test can withdraw."""
+
+    publish: Callable[[int, dict[str, Any] | None], None]
+
+    def withdraw_endpoint(self) -> None:
+        """Publishes that the endpoint is gone."""
+        self.publish(2, None)
+        self.configuration_changed()
+
+
+def lost() -> errors.ConnectionLostError:
+    """Returns the error of an answer that broke off."""
+    return errors.ConnectionLostError("broke off")
+
+
+def refused(code: str) -> messages.Frame:
+    """Returns a frame that says that an attempt was not run."""
+    return answer.failed(
+        execution().call, status=503, code=code, message="refused"
+    )
+
+
+def finished() -> messages.Frame:
+    """Returns the last frame of a whole answer."""
+    return messages.Frame(
+        program="p",
+        call=1,
+        attempt=1,
+        kind=messages.FrameKind.END,
+        status=200,
+        data=b"done",
+    )
+
+
+def serve(
+    handler: http_server.Handler,
+    scenario: Callable[[str], Awaitable[None]],
+) -> None:
+    """Runs a scenario against a server on loopback."""
+
+    async def main() -> None:
+        stopping = trio.Event()
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(
+                lambda task_status: http_server.serve(
+                    "127.0.0.1:0",
+                    handler,
+                    limits=http_message.Limits(),
+                    stopping=stopping,
+                    on_error=lambda error: None,
+                    task_status=task_status,
+                )
+            )
+            await scenario(f"127.0.0.1:{port}")
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+class TestRunner:
+    """The home repeats only what surely did not run, and says so truthfully."""
+
+    def test_started_call_is_not_sent_elsewhere_after_asking_again(
+        self,
+    ) -> None:
+        link = FakeLink([lost(), errors.ConnectFailedError("gone")], seen=True)
+        assert run_call(link).ran is messages.Ran.UNKNOWN
+        assert link.hosts == ["a", "a"]
+
+    @pytest.mark.parametrize(
+        "refusal",
+        [errors.ConnectFailedError("gone"), refused("sidecar_replaced")],
+        ids=["unreachable", "replaced"],
+    )
+    def test_call_of_an_earlier_home_is_not_sent_elsewhere(
+        self, refusal: Any
+    ) -> None:
+        link = FakeLink([refusal], seen=True)
+        assert run_call(link, doubt=True).ran is messages.Ran.UNKNOWN
+        assert link.hosts == ["a"]
+
+    @pytest.mark.parametrize("doubt", [False, True])
+    def test_idempotent_call_that_may_have_run_is_not_said_not_to_have(
+        self, doubt: bool
+    ) -> None:
+        script = [] if doubt else [lost()]
+        link = FakeLink([*script, refused("key_withdrawn")], seen=False)
+        end = run_call(link, doubt=doubt, idempotent=True)
+        assert end.ran is messages.Ran.UNKNOWN
+
+    @pytest.mark.parametrize(
+        ("idempotent", "seen", "stays"),
+        [(True, False, True), (False, True, True), (False, False, False)],
+    )
+    def test_doubt_ends_with_a_call_that_was_started_nowhere(
+        self, idempotent: bool, seen: bool, stays: bool
+    ) -> None:
+        link = FakeLink([finished()], seen=seen)
+        family = new_family(doubt=True)
+        end = run_call(link, family=family, idempotent=idempotent)
+        assert end.kind is messages.FrameKind.END
+        assert bool(family.doubts) is stays
+
+    def test_refusal_before_any_attempt_ran_is_repeated_elsewhere(
+        self,
+    ) -> None:
+        link = FakeLink([refused("queue_full"), finished()], seen=False)
+        assert run_call(link).kind is messages.FrameKind.END
+        assert link.hosts == ["a", "b"]
