Let a home that may be fenced use no sidecar newer than its last check

Cause: fences live in the sidecars' memory. A home froze, another took its programs over and ran a booking, the sidecars restarted, and the log went down; the first home woke up and ran the booking again at a sidecar that knew no fence. The service counted two runs.

Now a family remembers the configuration offset at which its home surely was the only one (a commit, a read of the stream's end, or the takeover). Before a non-idempotent call goes to a sidecar, or under a routing, that is newer, the home reads the end of its stream. If the log does not answer and the home was silent for the entries' timeout, it refuses, and its refusals say "unknown".

Ruled out: refusing whenever the log does not answer, which would keep every restarted sidecar out of use for as long as the log is down; trusting the heartbeats alone, which a woken home sends again before it knows. Left open: a home that entries reach but another sidecar does not hear, while the log is down and a sidecar has restarted.

--- a/quetzalmill/call_run.py
+++ b/quetzalmill/call_run.py
@@ -5,6 +5,7 @@
 comes; its last frame follows the commit.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -102,6 +103,8 @@
         answer: Where its frames go.
         started_ms: When it was admitted.
         deadline_ms: When its caller gives up.
+        may_be_fenced: Whether others may think this home gone, so that one of
+            them may have taken over unnoticed.
         assembly: What has come of a model's answer.
         may_have_run: Whether an earlier attempt, also one of an earlier home,
             may have run the call.
@@ -113,6 +116,7 @@
     answer: answer_module.Answer
     started_ms: float
     deadline_ms: float
+    may_be_fenced: Callable[[], bool]
     assembly: completion.Assembly = attrs.field(factory=completion.Assembly)
     may_have_run: bool = False
 
@@ -180,8 +184,12 @@
             target = target or self._choose(run, excluded)
             if target is None:
                 return self._nowhere(run)
-            execution = self._execution(run, target, attempt, suspect, instance)
-            result = await self._attempt(run, target, execution)
+            refusal = await self._refusal(run, target)
+            result = refusal or await self._attempt(
+                run,
+                target,
+                self._execution(run, target, attempt, suspect, instance),
+            )
             if isinstance(result, _Succeeded):
                 return result
             if not self._may_retry(run, result, attempt):
@@ -211,6 +219,36 @@
             run.family.doubts.pop(program, None)
         return finding
 
+    async def _refusal(
+        self, run: Run, target: routing.Target
+    ) -> _Failed | None:
+        """Checks that no newer home has fenced this one unnoticed.
+
+        A sidecar knows the fences since its start alone. So what came into
+        use after this home last was sure to be the only one may run a
+        non-idempotent call only once the log shows no fence.
+        """
+        family = run.family
+        call = run.prepared.call
+        if call.idempotent or call.single:
+            return None
+        verified_offset = family.verified_offset
+        if self._config.routing_revision <= verified_offset and not (
+            self._link.is_newer(target.host, verified_offset)
+        ):
+            return None
+        applied_offset = self._config.applied_offset
+        if await self._writer.read_fences():
+            family.verified_offset = applied_offset
+        elif run.may_be_fenced():
+            return self._not_run(run, "home_unverified", "the log is down")
+        if family.lost:
+            return self._not_run(run, _FENCED, "a newer home has taken over")
+        return None
+
+    def _not_run(self, run: Run, code: str, message: str) -> _Failed:
+        return _Failed(frame=self._failure(run, code=code, message=message))
+
     def _cannot_tell(self, run: Run, reason: str) -> _Failed:
         return _Failed(
             frame=self._failure(
@@ -360,6 +398,7 @@
     async def _commit(
         self, run: Run, result: _Succeeded, ran: messages.Ran
     ) -> None:
+        applied_offset = self._config.applied_offset
         turn = self._turn(run, result, ran)
         commit = turn_log.Commit.DURABLE
         if not run.prepared.call.single:
@@ -372,6 +411,8 @@
         run.family.finish(run.program, turn, self._clock.now_ms())
         self.note_cache(turn)
         durable = commit is turn_log.Commit.DURABLE
+        if durable:
+            run.family.verified_offset = applied_offset
         run.answer.append(
             last_frame(turn, durable=durable, stream=run.prepared.call.stream)
         )
@@ -386,7 +427,7 @@
             run.answer.append(self._moved(run))
         elif frame.ran is messages.Ran.NO:
             run.family.give_back(run.program, now_ms)
-            run.answer.append(frame)
+            run.answer.append(_not_run_here(run, frame))
         elif run.prepared.call.idempotent:
             run.family.fail(run.program, result.tokens, now_ms)
             run.program.recorded_epoch = run.family.epoch
@@ -546,6 +587,13 @@
     return attrs.evolve(frame, status=502, ran=messages.Ran.UNKNOWN)
 
 
+def _not_run_here(run: Run, frame: messages.Frame) -> messages.Frame:
+    """Returns the refusal of a call that a newer home may have run."""
+    if run.prepared.call.single or not run.may_be_fenced():
+        return frame
+    return attrs.evolve(frame, ran=messages.Ran.UNKNOWN)
+
+
 def last_frame(
     turn: turns.TurnRecord, *, durable: bool, stream: bool
 ) -> messages.Frame:
--- a/quetzalmill/executor_link.py
+++ b/quetzalmill/executor_link.py
@@ -7,6 +7,7 @@
 
 from quetzalmill import answer
 from quetzalmill import codec
+from quetzalmill import configuration
 from quetzalmill import control
 from quetzalmill import errors
 from quetzalmill import executor
@@ -15,6 +16,7 @@
 from quetzalmill import http_message
 from quetzalmill import internal_api
 from quetzalmill import messages
+from quetzalmill import objects
 
 _STATUS_UNAVAILABLE = 503
 
@@ -26,6 +28,7 @@
         self,
         host: str,
         *,
+        config: configuration.Configuration,
         local: executor.Executor,
         client: http_client.HttpClient,
         control_client: control.ControlClient,
@@ -33,6 +36,7 @@
         timeout_ms: float,
     ) -> None:
         self._host = host
+        self._config = config
         self._local = local
         self._client = client
         self._control = control_client
@@ -81,6 +85,21 @@
             _require_ok(host, response.status)
             yield self._frames(response, execution)
 
+    def is_newer(self, host: str, offset: int) -> bool:
+        """Returns whether the process on a host is newer than an offset.
+
+        A process that is not published yet is newer than any offset.
+        """
+        if host == self._host:
+            return False
+        heard = self._fleet.process(host)
+        published = self._config.get(objects.PROCESS, host)
+        if heard is None or published is None:
+            return True
+        if published.spec.get("instance") != heard.instance:
+            return True
+        return published.revision > offset
+
     async def fence(
         self, host: str, request: messages.FenceRequest
     ) -> messages.FenceReply:
--- a/quetzalmill/home.py
+++ b/quetzalmill/home.py
@@ -193,7 +193,10 @@
         else:
             program = root = start.program
             family = programs.Family(
-                root=root, epoch=1, used_ms=self._clock.now_ms()
+                root=root,
+                epoch=1,
+                used_ms=self._clock.now_ms(),
+                verified_offset=self._config.applied_offset,
             )
         record = turns.ProgramRecord(
             program=program,
@@ -305,7 +308,7 @@
         if call.single or program_id.first_home(call.program) is None:
             return messages.Ran.NO
         family = self._families.get(program_id.root_of(call.program))
-        if family is None or family.lost:
+        if family is None or family.lost or self._may_be_fenced():
             return messages.Ran.UNKNOWN
         if family.may_have_run(call.program, call.number, _digest_of(call)):
             return messages.Ran.UNKNOWN
@@ -419,6 +422,7 @@
             answer=answer_module.Answer(),
             started_ms=now_ms,
             deadline_ms=deadline_ms,
+            may_be_fenced=self._may_be_fenced,
         )
         self._runs[(call.program, call.number)] = run
         self._nursery.start_soon(self._run, run)
@@ -551,6 +555,7 @@
     async def _take_over(
         self, root: str, first_home: program_id.Home, may_fence: bool
     ) -> programs.Family:
+        applied_offset = self._config.applied_offset
         try:
             result = await takeover.take_over(
                 self._port,
@@ -575,16 +580,21 @@
             case takeover.NotRecorded():
                 raise UnknownProgramError(f"program {root} is not known")
             case takeover.Taken(records=records, epoch=epoch):
-                return self._adopt(root, records, epoch)
+                return self._adopt(root, records, epoch, applied_offset)
 
     def _adopt(
-        self, root: str, records: list[turns.Record], epoch: int
+        self,
+        root: str,
+        records: list[turns.Record],
+        epoch: int,
+        applied_offset: int,
     ) -> programs.Family:
         family = programs.restore_family(
             root, records, epoch, self._clock.now_ms()
         )
         if not family.programs:
             raise UnknownProgramError(f"program {root} is not known")
+        family.verified_offset = applied_offset
         family.doubt_all_but(self._quiet_epoch(family))
         held = self._families.get(root)
         if held is not None and not held.lost:
@@ -639,10 +649,13 @@
 
     async def _verify(self) -> None:
         """Looks for fences after a time in which others may have set them."""
-        self._is_unverified |= self._was_silent()
-        if self._is_unverified:
+        if self._may_be_fenced():
             await self._verify_now()
 
+    def _may_be_fenced(self) -> bool:
+        self._is_unverified |= self._was_silent()
+        return self._is_unverified
+
     async def _verify_now(self) -> None:
         if await self._writer.read_fences():
             self._is_unverified = False
--- a/quetzalmill/sidecar.py
+++ b/quetzalmill/sidecar.py
@@ -285,6 +285,7 @@
     def _new_link(self) -> executor_link.ExecutorLink:
         return executor_link.ExecutorLink(
             self._settings.host,
+            config=self._store.config,
             local=self._executor,
             client=self._client,
             control_client=self._control,
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -128,6 +128,31 @@
                 assert system.runs(call) == 1
 
 
+class TestWokenHome:
+    """A home that wakes up and meets sidecars that know no fence."""
+
+    @pytest.mark.parametrize("log_down", [False, True])
+    def test_does_not_run_what_its_successor_ran(
+        self, system: "System", log_down: bool
+    ) -> None:
+        system.ready()
+        calls = [system.new_call() for _ in range(3)]
+        system.strike(FREEZE, "home", calls)
+        before = [system.settle(call, entry=1) for call in calls]
+        for busy in range(2):
+            system.strike(KILL, "sidecar", calls, busy)
+        system.mend_last(2)
+        system.wait_healthy(without="side-0")
+        system.set_log(down=log_down)
+        system.mend()
+        system.wait_heard(entry=2, host="side-0")
+        for call in calls:
+            system.check(call, read(system.send(call, entry=2)))
+        system.set_log(down=False)
+        after = [system.settle(call, entry=2) for call in calls]
+        assert after == before
+
+
 class TestSingleCall:
     """A call without a program: every sending is a call of its own."""
 
@@ -257,10 +282,14 @@
 
     def mend(self) -> None:
         """Wakes and replaces what was struck; lets the services answer."""
-        while self._undo:
-            self._undo.pop()()
+        self.mend_last(len(self._undo))
         self.release_services()
 
+    def mend_last(self, count: int) -> None:
+        """Wakes or replaces what was struck last."""
+        for _ in range(count):
+            self._undo.pop()()
+
     def send(self, call: Call, entry: int = 0) -> http.client.HTTPConnection:
         """Sends a call without waiting for its answer."""
         node = self.running.entries[entry]
@@ -339,24 +368,38 @@
         """Lets the services answer."""
         self._set_services(hang=False)
 
-    def wait_healthy(self) -> None:
-        """Waits until every process hears every sidecar of its own."""
-        nodes = self.running.entries + self.running.sidecars
-        instances = {n.host: n.state()["instance"] for n in nodes}
+    def wait_heard(self, entry: int, host: str) -> None:
+        """Waits until an entry hears a host."""
+        node = self.running.entries[entry]
+        harness.eventually(
+            lambda: host in node.state()["heard"], what=f"{host} is heard"
+        )
+
+    def wait_healthy(self, without: str = "") -> None:
+        """Waits until all but one host hear every other and have the log."""
+        nodes = [
+            node
+            for node in self.running.entries + self.running.sidecars
+            if node.host != without
+        ]
+        sidecars = {n.host for n in nodes} - {
+            n.host for n in self.running.entries
+        }
 
         def healthy() -> bool:
             states = [n.state() for n in nodes]
             return all(
-                set(instances) - {"entry-0", "entry-1", "entry-2"}
-                <= {*s["heard"], s["host"]}
+                sidecars <= {*s["heard"], s["host"]}
                 and not s.get("log_is_down")
                 and s.get("trusted", True)
                 for s in states
             ) and all(load["up"] for load in self._loads())
 
         harness.eventually(healthy, SETTLE_S, "everything is healthy")
-        self.running.wait_revision(
-            max(n.state()["applied_offset"] for n in nodes)
+        newest = max(n.state()["applied_offset"] for n in nodes)
+        harness.eventually(
+            lambda: all(n.state()["applied_offset"] >= newest for n in nodes),
+            what=f"every process has revision {newest}",
         )
 
     def _home(self, call: Call) -> deployment.Node:
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -248,6 +248,10 @@
 
         yield frames()
 
+    def is_newer(self, host: str, offset: int) -> bool:
+        """Tells that every process is newer than any offset."""
+        return True
+
     async def fence(
         self, host: str, request: messages.FenceRequest
     ) -> messages.FenceReply:
@@ -285,6 +289,13 @@
 class FakeWriter:
     """Keeps every record at once."""
 
+    def __init__(self, log_answers: bool) -> None:
+        self._log_answers = log_answers
+
+    async def read_fences(self) -> bool:
+        """Finds no fence if the log answers."""
+        return self._log_answers
+
     async def commit(self, record: turns.Record) -> turn_log.Commit:
         """Returns that the record is kept."""
         return turn_log.Commit.DURABLE
@@ -337,6 +348,8 @@
     *,
     doubt: bool = False,
     idempotent: bool = False,
+    may_be_fenced: bool = False,
+    log_answers: bool = True,
     family: programs.Family | None = None,
 ) -> messages.Frame:
     """Runs one call through the runner and returns its last frame."""
@@ -346,7 +359,7 @@
         config=new_config(),
         router=FakeRouter(),  # type: ignore[arg-type]
         link=link,  # type: ignore[arg-type]
-        writer=FakeWriter(),  # type: ignore[arg-type]
+        writer=FakeWriter(log_answers),  # type: ignore[arg-type]
         retries=retry_budget.RetryBudget(1.0),
         clock=clock.SystemClock(),
     )
@@ -365,6 +378,7 @@
         answer=answer.Answer(),
         started_ms=now_ms,
         deadline_ms=now_ms + 10_000.0,
+        may_be_fenced=lambda: may_be_fenced,
     )
     trio.run(runner.run, under_way)
     last = under_way.answer.last
@@ -582,6 +596,22 @@
         assert end.kind is messages.FrameKind.END
         assert bool(family.doubts) is stays
 
+    @pytest.mark.parametrize(
+        ("log_answers", "may_be_fenced", "runs"),
+        [(True, True, True), (False, False, True), (False, True, False)],
+    )
+    def test_newer_sidecar_gets_calls_of_a_home_that_is_not_replaced(
+        self, log_answers: bool, may_be_fenced: bool, runs: bool
+    ) -> None:
+        link = FakeLink([finished()], seen=False)
+        end = run_call(
+            link, log_answers=log_answers, may_be_fenced=may_be_fenced
+        )
+        assert (end.kind is messages.FrameKind.END) is runs
+        assert len(link.hosts) == runs
+        if not runs:
+            assert end.ran is messages.Ran.UNKNOWN
+
     def test_refusal_before_any_attempt_ran_is_repeated_elsewhere(
         self,
     ) -> None:
