Ask the home before an entry refuses a call as not run

Cause: an entry that refused a call, over the rate for example, said ran "no" although an earlier request for the same call had run.

Now an entry that refuses a program's call for its rate asks the program's home, which alone can rule out that the call ran; at most 32 such questions are under way, beyond them and when no home answers it says "unknown". A refusal before that (key, route, team) says "unknown" for a program's call, and "no" for a malformed one and for a call of its own.

Ruled out: "unknown" for every refused call of a program, since a caller over its rate would then not know that it may come back.

--- a/quetzalmill/caller_requests.py
+++ b/quetzalmill/caller_requests.py
@@ -10,6 +10,9 @@
 from quetzalmill import http_message
 from quetzalmill import problems
 
+INVALID = "invalid_request"
+"""The code of a request that is malformed."""
+
 PROGRAM_HEADER = "quetzalmill-program"
 CALL_HEADER = "quetzalmill-call"
 IDEMPOTENT_HEADER = "quetzalmill-idempotent"
@@ -170,4 +173,4 @@
 
 
 def _invalid(message: str) -> problems.CallerError:
-    return problems.CallerError(422, "invalid_request", message)
+    return problems.CallerError(422, INVALID, message)
--- a/quetzalmill/callers_api.py
+++ b/quetzalmill/callers_api.py
@@ -160,6 +160,16 @@
     async def _complete(
         self, request: http_message.Request, exchange: http_server.Exchange
     ) -> None:
+        caller, call = _before_home(self._read_completion, request)
+        await self._admit_call(caller, call)
+        if call.stream:
+            await self._stream(call, caller, exchange)
+        else:
+            await self._whole(call, caller, exchange)
+
+    def _read_completion(
+        self, request: http_message.Request
+    ) -> tuple[Caller, messages.Call]:
         caller = self._authenticate(request)
         wanted = caller_requests.read_completion(request.body)
         model = self._config.model(wanted.model)
@@ -176,15 +186,19 @@
             stream=wanted.stream,
             idempotent=True,
         )
-        await self._admit(caller)
-        if wanted.stream:
-            await self._stream(call, caller, exchange)
-        else:
-            await self._whole(call, caller, exchange)
+        return caller, call
 
     async def _service(
         self, request: http_message.Request, exchange: http_server.Exchange
     ) -> None:
+        caller, call = _before_home(self._read_service, request)
+        if caller is not NOBODY:
+            await self._admit_call(caller, call)
+        await self._whole(call, caller, exchange)
+
+    def _read_service(
+        self, request: http_message.Request
+    ) -> tuple[Caller, messages.Call]:
         route_name, _, path = request.path.removeprefix(
             SERVICES_PATH
         ).partition("/")
@@ -205,9 +219,14 @@
             stream=False,
             idempotent=request.method in ("GET", "HEAD"),
         )
-        if caller is not NOBODY:
+        return caller, call
+
+    async def _admit_call(self, caller: Caller, call: messages.Call) -> None:
+        try:
             await self._admit(caller)
-        await self._whole(call, caller, exchange)
+        except problems.CallerError as error:
+            error.ran = await self._forwarder.ran_of(call)
+            raise
 
     async def _whole(
         self,
@@ -387,6 +406,24 @@
                 )
 
 
+def _before_home(
+    read: Callable[[http_message.Request], tuple[Caller, messages.Call]],
+    request: http_message.Request,
+) -> tuple[Caller, messages.Call]:
+    """Reads a call; a refusal does not rule out that it ran before.
+
+    A malformed request never ran; any other call of a program may have, when
+    its caller sends it again.
+    """
+    try:
+        return read(request)
+    except problems.CallerError as error:
+        in_program = caller_requests.PROGRAM_HEADER in request.headers
+        if in_program and error.code != caller_requests.INVALID:
+            error.ran = messages.Ran.UNKNOWN
+        raise
+
+
 def _answer_headers(
     call: messages.Call, last: messages.Frame
 ) -> dict[str, str]:
--- a/quetzalmill/forwarding.py
+++ b/quetzalmill/forwarding.py
@@ -25,6 +25,9 @@
 UNREACHABLE_RETRY_MS = 1_000.0
 """When to come back while no home can be reached."""
 
+MAX_ASKING = 32
+"""Refused calls that homes are asked about at a time."""
+
 PieceSink = Callable[[bytes], Awaitable[None]]
 """Takes the pieces of a model's answer, in order."""
 
@@ -37,6 +40,7 @@
     ) -> None:
         self._link = link
         self._clock = clock
+        self._asking = 0
 
     async def start_program(
         self, start: messages.ProgramStart, time_left_ms: float
@@ -143,6 +147,27 @@
                 else self._link.home_of(call.program)
             )
 
+    async def ran_of(self, call: messages.Call) -> messages.Ran:
+        """Returns whether a call that is refused here may have run before."""
+        if call.single:
+            return messages.Ran.NO
+        target = self._link.home_of(call.program)
+        if target is None or target.take_over:
+            return messages.Ran.UNKNOWN
+        if self._asking >= MAX_ASKING:
+            return messages.Ran.UNKNOWN
+        self._asking += 1
+        try:
+            response = await self._link.request(
+                target, "POST", internal_api.RAN_PATH, codec.to_msgpack(call)
+            )
+            reply = codec.from_json(response.body, internal_api.RanReply)
+        except (errors.HttpError, errors.CodecError):
+            return messages.Ran.UNKNOWN
+        finally:
+            self._asking -= 1
+        return reply.ran
+
     async def _attempt(
         self,
         target: home_link_module.Target,
--- a/quetzalmill/internal_api.py
+++ b/quetzalmill/internal_api.py
@@ -9,6 +9,9 @@
 CALLS_PATH = "/internal/v1/calls"
 """Where a home takes calls of its programs."""
 
+RAN_PATH = CALLS_PATH + "/ran"
+"""Where a home tells whether a call may have run."""
+
 EXECUTIONS_PATH = "/internal/v1/executions"
 """Where a sidecar takes attempts at its endpoints."""
 
@@ -22,6 +25,13 @@
 """The largest answer that one process reads from another."""
 
 
+@attrs.frozen(kw_only=True)
+class RanReply:
+    """Whether a call may have run, as far as its program's home knows."""
+
+    ran: messages.Ran
+
+
 @attrs.frozen(kw_only=True)
 class Problem:
     """The body of a refusal between processes.
--- a/quetzalmill/sidecar_api.py
+++ b/quetzalmill/sidecar_api.py
@@ -55,6 +55,8 @@
                 await exchange.respond(status, b"{}")
             case ("POST", internal_api.EXECUTIONS_PATH):
                 await self._guarded(self._execute, request, exchange)
+            case ("POST", internal_api.RAN_PATH):
+                await self._guarded(self._tell_ran, request, exchange)
             case ("POST", _) if request.path == internal_api.CALLS_PATH:
                 await self._guarded(self._call, request, exchange)
             case _ if request.path.startswith(internal_api.PROGRAMS_PATH):
@@ -92,6 +94,13 @@
             error.ran = self._home.ran_of(call)
             raise
 
+    async def _tell_ran(
+        self, request: http_message.Request, exchange: http_server.Exchange
+    ) -> None:
+        call = codec.from_msgpack(request.body, messages.Call)
+        reply = internal_api.RanReply(ran=self._home.ran_of(call))
+        await exchange.respond(200, codec.to_json(reply))
+
     async def _program(
         self, request: http_message.Request, exchange: http_server.Exchange
     ) -> None:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -153,6 +153,34 @@
         assert after == before
 
 
+class TestRefusedByEntry:
+    """An entry that refuses a call does not hide that it ran before."""
+
+    def test_over_the_rate(self, system: "System") -> None:
+        system.ready()
+        ran, fresh = system.new_call(), system.new_call()
+        single = system.new_call(in_program=False)
+        assert read(system.send(ran)).ran == "yes"
+        system.publish_team(rate_per_s=0.001, burst=1.0)
+        harness.eventually(
+            lambda: read(system.send(ran)).body.get("code") == "over_rate",
+            what="the team is over its rate",
+        )
+        told = [read(system.send(call)).ran for call in (ran, fresh, single)]
+        system.publish_team(rate_per_s=1000.0, burst=1000.0)
+        assert told == ["unknown", "no", "no"]
+
+    def test_withdrawn_route(self, system: "System") -> None:
+        system.ready()
+        ran = system.new_call()
+        assert read(system.send(ran)).ran == "yes"
+        outcome = read(system.send(attrs.evolve(ran, route="gone")))
+        assert (outcome.ran, outcome.body["code"]) == (
+            "unknown",
+            "route_unknown",
+        )
+
+
 class TestSingleCall:
     """A call without a program: every sending is a call of its own."""
 
@@ -181,12 +209,14 @@
         number: Its number.
         reference: What the services count its runs by.
         kind: ``s`` for a booking, ``m`` for a model call.
+        route: The route of a booking.
     """
 
     program: str
     number: int
     reference: str
     kind: str = "s"
+    route: str = "booking"
 
 
 @attrs.frozen
@@ -295,7 +325,7 @@
         node = self.running.entries[entry]
         host, _, port = node.http.rpartition(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=15)
-        path = "/v1/services/booking/bookings"
+        path = f"/v1/services/{call.route}/bookings"
         body: dict[str, Any] = {"reference": call.reference}
         headers = deployment.bearer(
             self._key, Quetzalmill_Deadline_Ms=str(CALL_MS)
@@ -364,6 +394,10 @@
             self.running.log_address, "POST", "/faults", {"down": down}
         )
 
+    def publish_team(self, **spec: float) -> None:
+        """Gives the team another rate."""
+        self.running.publish_ok(deployment.change("team", TEAM, spec))
+
     def release_services(self) -> None:
         """Lets the services answer."""
         self._set_services(hang=False)
