Probe an endpoint that does not answer before it gets work again

Now the sidecar probes it, and refuses what is queued there at once so that homes can send it elsewhere. Ruled out: a larger retry budget, which hides the same cost.

--- a/quetzalmill/endpoint_worker.py
+++ b/quetzalmill/endpoint_worker.py
@@ -108,7 +108,7 @@
         self._failure_ms = failure_ms
         self._weight_of = weight_of
         self._running: list[Job] = []
-        self._down_until_ms = 0.0
+        self._is_down = False
         self._units_per_s = 0.0
         self._samples = 0
 
@@ -126,7 +126,7 @@
             queued=len(self._queue),
             waiting_units=running_units + self._queue.waiting_units(),
             units_per_s=self._units_per_s * self.spec.slots,
-            up=self._clock.now_ms() >= self._down_until_ms,
+            up=not self._is_down,
         )
 
     def submit(self, job: Job) -> None:
@@ -190,15 +190,8 @@
     def _no_room(self, job: Job) -> messages.Frame | None:
         now_ms = self._clock.now_ms()
         call = job.execution.call
-        if now_ms < self._down_until_ms:
-            return answer.failed(
-                call,
-                status=503,
-                code="endpoint_down",
-                message=f"endpoint {self.name} does not answer",
-                retry_after_ms=self._down_until_ms - now_ms,
-                attempt=job.execution.attempt,
-            )
+        if self._is_down:
+            return self._down(job)
         if len(self._queue) >= self._max_queue:
             return answer.failed(
                 call,
@@ -264,7 +257,7 @@
             job.answer.append(_refused_for_good(job, str(error)))
         except errors.NotDoneError as error:
             self._rules.not_started(job)
-            self._down_until_ms = self._clock.now_ms() + self._failure_ms
+            await self._check_after_failure()
             job.answer.append(self._failure(job, messages.Ran.NO, str(error)))
         except errors.OutcomeUnknownError as error:
             crashes = await self._crashes_after_break(job)
@@ -304,11 +297,41 @@
 
     async def _crashes_after_break(self, job: Job) -> int:
         """Returns how many endpoints the job's request has ended so far."""
-        if await self._port.is_up(self.spec.address):
+        if await self._check_after_failure():
             return 0
-        self._down_until_ms = self._clock.now_ms() + self._failure_ms
         return await self._rules.crashed(job)
 
+    async def _check_after_failure(self) -> bool:
+        """Returns whether the endpoint is up; takes it out if it is not."""
+        if self._is_down:
+            return False
+        if await self._port.is_up(self.spec.address):
+            return True
+        if not self._is_down:
+            self._is_down = True
+            self._nursery.start_soon(self._probe_until_up)
+            for waiting in self._queue.all_waiting():
+                self._queue.remove(waiting)
+                waiting.item.answer.append(self._down(waiting.item))
+        return False
+
+    async def _probe_until_up(self) -> None:
+        while self._is_down:
+            await trio.sleep(self._failure_ms / 1000.0)
+            if await self._port.is_up(self.spec.address):
+                self._is_down = False
+        self.pump()
+
+    def _down(self, job: Job) -> messages.Frame:
+        return answer.failed(
+            job.execution.call,
+            status=503,
+            code="endpoint_down",
+            message=f"endpoint {self.name} does not answer",
+            retry_after_ms=self._failure_ms,
+            attempt=job.execution.attempt,
+        )
+
     def _measure(self, job: Job) -> None:
         if job.started_ms is None:
             return
--- a/quetzalmill/settings.py
+++ b/quetzalmill/settings.py
@@ -112,8 +112,8 @@
         statsd_address: Where metrics are sent; none are when it is absent.
         beat_ms: Time between two heartbeats to a peer.
         peer_timeout_ms: Silence after which a peer counts as unreachable.
-        endpoint_failure_ms: How long an endpoint that has failed gets no
-            request.
+        endpoint_failure_ms: Time between two probes of an endpoint that does
+            not answer; it gets no request before one succeeds.
         commit_interval_ms: The longest time that a turn waits for others to
             share an append to the log.
         commit_buffer_bytes: Turns held while the log is down.
