Let leaving processes finish, take nothing new and hand programs over

Cause: under streaming load with silence counting only after 60 s, - an entry that had not been told by the home itself kept asking a leaving home that had ended, until the caller's time was over; - a sidecar refused what it had queued when it left, and a single endpoint's queue was lost with it; - a sidecar or entry that an operator drained did not notice its own object; - nothing read the host list; - a shutdown waited for 30 s at most while a call may take 120 s.

Change: a refused connection of a leaving home counts as its end; a leaving sidecar runs what it has queued; processes look for evidence about themselves; entries poll the host list (a port of its own) and pass its evidence on with the heartbeats. Leaving sticks for the instances known when the list began to say so; a host that is listed no more proves a silent instance gone.

Ruled out: a shorter silence, which would only have hidden the first fault.

--- a/quetzalmill/entry.py
+++ b/quetzalmill/entry.py
@@ -24,6 +24,8 @@
 from quetzalmill import forwarding
 from quetzalmill import freshness as freshness_module
 from quetzalmill import home_link
+from quetzalmill import host_list
+from quetzalmill import host_watch
 from quetzalmill import http_client
 from quetzalmill import http_message
 from quetzalmill import http_server
@@ -40,6 +42,9 @@
 LOG_TIMEOUT_MS = 2_000.0
 """How long an answer of the log service may take."""
 
+NOTICE_MS = 2_000.0
+"""How long a leaving entry still accepts connections, for the balancer."""
+
 _HOUSEKEEPING_MS = 50.0
 _QUARANTINE_MS = 500.0
 
@@ -135,8 +140,13 @@
             self._keeper.run,
             self._home_link.watch_forever,
             self._publish_quarantines,
+            self._leave_when_told,
         ):
             self._nursery.start_soon(task)
+        if settings.hosts_address is not None:
+            self._nursery.start_soon(
+                self._new_host_watch(settings.hosts_address).run
+            )
         self._nursery.start_soon(
             daemon.announce,
             self._identity,
@@ -160,15 +170,28 @@
         await self._replaced.wait()
         scope.cancel()
 
+    async def _leave(self) -> None:
+        """Stops being ready and goes on serving what still comes."""
+        if self._identity.spec.leaving:
+            return
+        self._identity.leave()
+        _log.info("leaving", host=self._identity.host)
+        await daemon.announce_leaving(
+            self._identity, self._log_port, LOG_TIMEOUT_MS
+        )
+
+    async def _leave_when_told(self) -> None:
+        while not self._identity.spec.leaving:
+            await trio.sleep(_HOUSEKEEPING_MS / 1000.0)
+            if self._fleet.is_leaving(self._identity.host):
+                await self._leave()
+
     async def _drain(self) -> None:
         """Stops being ready, then serves what runs to its end."""
-        self._identity.leave()
         timeout_ms = self._settings.drain_timeout_ms
         with trio.move_on_after(timeout_ms / 1000.0):
-            await daemon.announce_leaving(
-                self._identity, self._log_port, LOG_TIMEOUT_MS
-            )
-            await trio.sleep(2 * self._settings.beat_ms / 1000.0)
+            await self._leave()
+            await trio.sleep(NOTICE_MS / 1000.0)
             self._stopping.set()
             while self._callers.running:
                 await trio.sleep(_HOUSEKEEPING_MS / 1000.0)
@@ -301,6 +324,15 @@
         process = self._fleet.process(host)
         return process.control_address if process else None
 
+    def _new_host_watch(self, address: str) -> host_watch.HostWatch:
+        return host_watch.HostWatch(
+            host_list.HttpHostList(
+                self._client, address, timeout_ms=LOG_TIMEOUT_MS
+            ),
+            fleet=self._fleet,
+            clock=self._clock,
+        )
+
     def _new_beats(self) -> entry_control.EntryControl:
         settings = self._settings
         return entry_control.EntryControl(
--- a/quetzalmill/executor.py
+++ b/quetzalmill/executor.py
@@ -145,6 +145,10 @@
             or self._suspects.is_suspect(execution.call.fingerprint),
         )
         worker = self._workers.get(execution.endpoint)
+        if self.leaving:
+            # What was queued before is still run.
+            job.answer.append(self.refusal(job) or _leaving(job))
+            return job.answer
         if worker is None:
             job.answer.append(self.refusal(job) or self._not_here(job))
             return job.answer
@@ -198,8 +202,6 @@
             return _refused(
                 job, 503, "sidecar_replaced", "the process was replaced"
             )
-        if self.leaving:
-            return _refused(job, 503, "leaving", "the endpoint takes no work")
         if execution.epoch < self._fences.get(execution.root, 0):
             return _refused(job, 409, "fenced", "a newer home has taken over")
         if self._suspects.is_quarantined(call.fingerprint):
@@ -315,6 +317,10 @@
     return last.ran is not messages.Ran.NO
 
 
+def _leaving(job: endpoint_worker.Job) -> messages.Frame:
+    return _refused(job, 503, "leaving", "the endpoint takes no new work")
+
+
 def _refused(
     job: endpoint_worker.Job,
     status: int,
--- a/quetzalmill/fleet_view.py
+++ b/quetzalmill/fleet_view.py
@@ -40,6 +40,8 @@
         self._leaving: set[tuple[str, str]] = set()
         self._published: dict[str, str] = {}
         self._replaced: set[tuple[str, str]] = set()
+        self._listed: dict[str, str] = {}
+        self._listed_leaving: set[str] = set()
 
     def configuration_changed(self) -> None:
         """Notes which instances the newest configuration has replaced."""
@@ -77,6 +79,25 @@
         """Notes that a process takes no new work; it sticks."""
         self._leaving.add((host, instance))
 
+    def note_host_list(self, listed: dict[str, bool], now_ms: float) -> None:
+        """Notes which hosts the host list shows, and whether they leave.
+
+        The list lags. Leaving sticks for the instances that were known when
+        the list began to say so; one that started later takes no work for as
+        long as the list says so. A host that was listed and is no more proves
+        that its instance of then is gone, if that is silent too.
+        """
+        for host, leaves in listed.items():
+            process = self.process(host)
+            if leaves and process and host not in self._listed_leaving:
+                self._leaving.add((host, process.instance))
+            if process:
+                self._listed[host] = process.instance
+        self._listed_leaving = {h for h, leaves in listed.items() if leaves}
+        for host in set(self._listed) - set(listed):
+            if not self.is_alive(host, now_ms):
+                self._replaced.add((host, self._listed.pop(host)))
+
     def note_loads(
         self, loads: list[messages.EndpointLoad], at_ms: float
     ) -> None:
@@ -111,6 +132,8 @@
         process = self.process(host)
         if process is None:
             return False
+        if host in self._listed_leaving:
+            return True
         return (host, process.instance) in self._leaving
 
     def takes_work(self, host: str, now_ms: float) -> bool:
@@ -129,7 +152,7 @@
         return [
             messages.Heard(
                 host=host,
-                spec=heard.spec,
+                spec=self._with_evidence(host, heard.spec),
                 applied_offset=heard.applied_offset,
                 age_ms=now_ms - heard.at_ms,
             )
@@ -152,3 +175,10 @@
             for heard in self.heard(role, now_ms)
             if self.takes_work(heard.host, now_ms)
         ]
+
+    def _with_evidence(
+        self, host: str, spec: objects.ProcessSpec
+    ) -> objects.ProcessSpec:
+        if (host, spec.instance) not in self._leaving:
+            return spec
+        return attrs.evolve(spec, leaving=True)
--- a/quetzalmill/forwarding.py
+++ b/quetzalmill/forwarding.py
@@ -196,6 +196,7 @@
                         case _:
                             return frame
         except errors.ConnectFailedError:
+            self._link.note_refused(target.home)
             return None
         except home_link_module.NoLongerAllowedError as error:
             raise problems.CallerError(
@@ -227,6 +228,9 @@
             return await self._link.request(
                 target, method, internal_api.PROGRAMS_PATH + path, body, query
             )
+        except errors.ConnectFailedError:
+            self._link.note_refused(target.home)
+            return None
         except errors.HttpError:
             return None
 
--- a/quetzalmill/home_link.py
+++ b/quetzalmill/home_link.py
@@ -95,6 +95,7 @@
             collections.OrderedDict()
         )
         self._given_up: set[str] = set()
+        self._ended: set[program_id.Home] = set()
         self._watched: set[_Watched] = set()
         self.mismatched_frames = 0
 
@@ -121,11 +122,8 @@
         home = self._moved.get(root) or program_id.first_home(program)
         if home is None:
             return None
-        now_ms = self._clock.now_ms()
         process = self._fleet.process(home.host)
-        if process and not self._fleet.is_gone(
-            home.host, home.instance, now_ms
-        ):
+        if process and not self._is_gone(home):
             return Target(
                 home=home,
                 address=process.http_address,
@@ -157,6 +155,11 @@
         while len(self._moved) > REMEMBERED_MOVES:
             self._moved.popitem(last=False)
 
+    def note_refused(self, home: program_id.Home) -> None:
+        """Notes that a home takes no connection; a leaving one has ended."""
+        if self._fleet.is_leaving(home.host):
+            self._ended.add(home)
+
     def ask_to_take_over(self, program: str, home: program_id.Home) -> None:
         """Remembers that a program's home gave it up to be taken over."""
         self.note_home(program, home)
@@ -275,6 +278,13 @@
             self.mismatched_frames += reader.mismatched
         reader.require_end(last)
 
+    def _is_gone(self, home: program_id.Home) -> bool:
+        if home in self._ended:
+            return True
+        return self._fleet.is_gone(
+            home.host, home.instance, self._clock.now_ms()
+        )
+
     def _possible_homes(self) -> list[str]:
         now_ms = self._clock.now_ms()
         hosts = self._fleet.working_hosts(objects.SIDECAR, now_ms)
--- /dev/null
+++ b/quetzalmill/host_list.py
@@ -0,0 +1,82 @@
+"""The port to the platform's list of hosts, which lags.
+
+It speaks the list's HTTP protocol. A read either is done or surely is not;
+nothing is ever changed through this port.
+"""
+
+import enum
+from typing import Protocol
+
+import attrs
+
+from quetzalmill import codec
+from quetzalmill import errors
+from quetzalmill import http_client
+from quetzalmill import http_message
+
+MAX_LIST_BYTES = 4 * 1024 * 1024
+"""The largest list that is read."""
+
+_PATH = "/hosts"
+
+
+class HostState(enum.Enum):
+    """What the platform says of a host."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@attrs.frozen(kw_only=True)
+class ListedHost:
+    """A host as the list shows it."""
+
+    host: str
+    state: HostState
+
+
+class HostListPort(Protocol):
+    """What the system needs of the platform's host list."""
+
+    async def read(self) -> list[ListedHost]:
+        """Returns the hosts as the list shows them now.
+
+        Raises:
+            errors.NotDoneError: The list could not be read.
+        """
+
+
+class HttpHostList:
+    """Reads the host list by HTTP."""
+
+    def __init__(
+        self,
+        client: http_client.HttpClient,
+        address: str,
+        *,
+        timeout_ms: float,
+    ) -> None:
+        self._client = client
+        self._address = address
+        self._timeout_ms = timeout_ms
+
+    async def read(self) -> list[ListedHost]:
+        """Returns the listed hosts; see ``HostListPort.read``."""
+        request = http_message.Request(method="GET", path=_PATH)
+        try:
+            response = await self._client.request(
+                self._address,
+                request,
+                timeout_ms=self._timeout_ms,
+                idempotent=True,
+                max_body_bytes=MAX_LIST_BYTES,
+            )
+        except errors.HttpError as error:
+            raise errors.NotDoneError(str(error)) from error
+        if response.status != 200:
+            raise errors.NotDoneError(f"the list answered {response.status}")
+        try:
+            found = codec.from_json(response.body, dict[str, list[ListedHost]])
+            return found["hosts"]
+        except (errors.CodecError, KeyError) as error:
+            raise errors.NotDoneError(f"no list of hosts: {error}") from error
--- a/quetzalmill/settings.py
+++ b/quetzalmill/settings.py
@@ -93,7 +93,7 @@
     max_body_bytes: int = attrs.field(default=4_194_304, metadata=_BYTES)
     max_header_bytes: int = attrs.field(default=32_768, metadata=_BYTES)
     call_timeout_ms: int = attrs.field(default=120_000, metadata=_MILLISECONDS)
-    drain_timeout_ms: int = attrs.field(default=30_000, metadata=_MILLISECONDS)
+    drain_timeout_ms: int = attrs.field(default=150_000, metadata=_MILLISECONDS)
     retry_share: float = attrs.field(default=0.1, metadata=_SHARE)
     log_level: str = attrs.field(default="info", metadata=_LOG_LEVEL)
 
@@ -159,7 +159,7 @@
     call_timeout_ms: int = attrs.field(default=120_000, metadata=_MILLISECONDS)
     max_body_bytes: int = attrs.field(default=4_194_304, metadata=_BYTES)
     max_header_bytes: int = attrs.field(default=32_768, metadata=_BYTES)
-    drain_timeout_ms: int = attrs.field(default=30_000, metadata=_MILLISECONDS)
+    drain_timeout_ms: int = attrs.field(default=150_000, metadata=_MILLISECONDS)
     memory_check_ms: int = attrs.field(default=5_000, metadata=_MILLISECONDS)
     log_level: str = attrs.field(default="info", metadata=_LOG_LEVEL)
 
--- a/quetzalmill/sidecar.py
+++ b/quetzalmill/sidecar.py
@@ -45,6 +45,9 @@
 COMMIT_PATIENCE_MS = 1_500.0
 """How long an answer waits for its turn to be in the log."""
 
+LEAVING_BEATS = 2
+"""Heartbeats after which others know that a process leaves."""
+
 _HOUSEKEEPING_MS = 100.0
 
 _log = logs.get("sidecar")
@@ -149,18 +152,27 @@
         await self._replaced.wait()
         scope.cancel()
 
-    async def _drain(self) -> None:
+    async def _leave(self) -> None:
+        """Takes nothing new and hands programs over; goes on serving."""
+        if self._identity.spec.leaving:
+            return
         self._identity.leave()
         self._home.leaving = True
+        _log.info("leaving", host=self._identity.host)
+        await self._beats.beat_all()
+        await daemon.announce_leaving(
+            self._identity, self._log_port, LOG_TIMEOUT_MS
+        )
+        self._nursery.start_soon(self._home.drained)
+        await trio.sleep(LEAVING_BEATS * self._settings.beat_ms / 1000.0)
+        self._executor.leaving = True
+
+    async def _drain(self) -> None:
+        """Serves what runs to its end."""
         timeout_ms = self._settings.drain_timeout_ms
         with trio.move_on_after(timeout_ms / 1000.0):
-            await self._beats.beat_all()
-            await daemon.announce_leaving(
-                self._identity, self._log_port, LOG_TIMEOUT_MS
-            )
-            await trio.sleep(2 * self._settings.beat_ms / 1000.0)
+            await self._leave()
             await self._home.drained()
-            self._executor.leaving = True
             while not self._executor.idle:
                 await trio.sleep(_HOUSEKEEPING_MS / 1000.0)
             self._stopping.set()
@@ -188,6 +200,13 @@
             await trio.sleep(_HOUSEKEEPING_MS / 1000.0)
             self._executor.recheck()
             self._suspects.forget_old(self._clock.now_ms())
+            if self._is_told_to_leave():
+                self._nursery.start_soon(self._leave)
+
+    def _is_told_to_leave(self) -> bool:
+        if self._identity.spec.leaving:
+            return False
+        return self._fleet.is_leaving(self._identity.host)
 
     def _quarantines_changed(self) -> None:
         self._suspects.configuration_changed(
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -61,6 +61,7 @@
         self.log = fleet.emulator("log")
         self.entries: list[Node] = []
         self.sidecars: list[Node] = []
+        self.engines: list[harness.Process] = []
         self.keys: dict[str, str] = {}
 
     @property
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,209 @@
+"""Leaving hosts and shutdowns under streaming load.
+
+Silence counts only after a time that no call here may take, so what goes on
+in these tests is never owed to a timeout.
+"""
+
+from collections.abc import Iterator
+import threading
+from typing import Any
+
+import pytest
+
+from tests import deployment
+from tests import harness
+from tests import talk as talk_module
+
+SILENCE_MS = 60_000
+BOUND_S = 5.0
+TALKS = 6
+TURNS = 8
+SIDECARS = 3
+
+
+@pytest.fixture(name="system")
+def fixture_system() -> Iterator[deployment.Deployment]:
+    with harness.Fleet() as fleet:
+        running = deployment.Deployment(fleet)
+        hosts = fleet.emulator("hosts", "--lag-ms", "700")
+        running.start_entries(
+            2, hosts_address=hosts.address, peer_timeout_ms=SILENCE_MS
+        )
+        changes = [deployment.change("model", "planner", {"selector": ""})]
+        for index in range(SIDECARS):
+            engine = fleet.emulator("engine", "--decode-ms", "4")
+            running.engines.append(engine)
+            running.start_sidecar(peer_timeout_ms=SILENCE_MS)
+            spec = {
+                "host": f"side-{index}",
+                "address": engine.address,
+                "slots": 2,
+            }
+            changes.append(
+                deployment.change("endpoint", f"engine-{index}", spec)
+            )
+            set_listed(hosts, f"side-{index}", "live")
+        running.publish_ok(*changes)
+        running.wait_minting()
+        running.add_team("keepers")
+        yield running
+
+
+class Load:
+    """Callers that each make dependent streamed calls at ready entries."""
+
+    def __init__(self, system: deployment.Deployment) -> None:
+        self.failures: list[str] = []
+        self.turns = 0
+        self._system = system
+        self._threads = [
+            threading.Thread(target=self._run, args=(n,), daemon=True)
+            for n in range(TALKS)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def wait_turns(self, count: int) -> None:
+        """Waits until so many more turns have ended."""
+        target = self.turns + count
+        harness.eventually(
+            lambda: self.turns >= target or bool(self.failures),
+            what=f"{target} turns have ended",
+        )
+
+    def finish(self) -> None:
+        """Waits for all callers; every call must have ended well."""
+        for thread in self._threads:
+            thread.join(60)
+        assert not self.failures
+        assert self.turns == TALKS * TURNS
+
+    def _run(self, number: int) -> None:
+        try:
+            talk = talk_module.Talk(self._system, entry=self._ready(number))
+            for turn in range(TURNS):
+                talk.entry = self._ready(number + turn)
+                talk.ask(f"caller {number} turn {turn}", 40)
+                self.turns += 1
+            assert talk.view()["next_call"] == TURNS + 1
+        except (AssertionError, OSError) as error:
+            self.failures.append(repr(error))
+
+    def _ready(self, preferred: int) -> int:
+        """Chooses an entry as the balancer does."""
+        count = len(self._system.entries)
+        order = [(preferred + n) % count for n in range(count)]
+
+        def ready() -> list[int]:
+            return [n for n in order if is_ready(self._system.entries[n])]
+
+        return harness.eventually(ready, what="an entry is ready")[0]
+
+
+def is_ready(node: deployment.Node) -> bool:
+    try:
+        return harness.call(node.http, "GET", "/ready").status == 200
+    except OSError:
+        return False
+
+
+def set_listed(hosts: harness.Process, host: str, state: str) -> None:
+    harness.call(
+        hosts.address, "POST", "/hosts", {"host": host, "state": state}
+    )
+
+
+def requests_at(system: deployment.Deployment, index: int) -> int:
+    """Returns how many requests an engine has got."""
+    address = system.engines[index].address
+    seen = harness.call(address, "GET", "/debug/requests").body
+    return len(seen["requests"])
+
+
+def drain_by_operator(system: deployment.Deployment, host: str) -> None:
+    node = next(n for n in system.entries + system.sidecars if n.host == host)
+    fields = ("http_address", "control_address", "failure_domain")
+    spec: dict[str, Any] = {name: node.settings[name] for name in fields}
+    spec |= {
+        "role": "entry" if node in system.entries else "sidecar",
+        "instance": node.state()["instance"],
+        "leaving": True,
+    }
+    assert (
+        system.publish([deployment.change("process", host, spec)]).status == 200
+    )
+
+
+def leave_listed(system: deployment.Deployment, host: str) -> None:
+    hosts = system.entries[0].settings["hosts_address"]
+    body = {"host": host, "state": "leaving"}
+    harness.call(hosts, "POST", "/hosts", body)
+
+
+class TestShutdown:
+    """SIGTERM under streaming load cuts no request."""
+
+    @pytest.mark.parametrize("host", ["side-0", "entry-0"])
+    def test_terminated_process_finishes_its_requests(
+        self, system: deployment.Deployment, host: str
+    ) -> None:
+        load = Load(system)
+        load.wait_turns(TALKS)
+        node = next(
+            n for n in system.entries + system.sidecars if n.host == host
+        )
+        node.process.signal_terminate()
+        load.finish()
+        assert node.process.wait_end(30) == 0
+
+    def test_sidecar_that_waits_for_its_queue(
+        self, system: deployment.Deployment
+    ) -> None:
+        talks = [talk_module.Talk(system) for _ in range(TALKS)]
+        calls = [talk_module.Background(t, "long", 200) for t in talks]
+        calls[0].wait_started()
+        home = next(n for n in system.sidecars if n.host == talks[0].home)
+        home.process.signal_terminate()
+        for talk, call in zip(talks, calls, strict=True):
+            talk.take("long", call.result(), 200)
+        assert home.process.wait_end(30) == 0
+        for talk in talks:
+            talk.ask("after its home has gone")
+
+
+class TestLeaving:
+    """A leaving process gets no new work and hands its programs over."""
+
+    @pytest.mark.parametrize("told_by", ["operator", "host list"])
+    def test_sidecar_told_to_leave(
+        self, system: deployment.Deployment, told_by: str
+    ) -> None:
+        load = Load(system)
+        load.wait_turns(TALKS)
+        if told_by == "operator":
+            drain_by_operator(system, "side-0")
+        else:
+            leave_listed(system, "side-0")
+        node = system.sidecars[0]
+        harness.eventually(
+            lambda: node.state()["leaving"] and not node.state()["programs"],
+            BOUND_S,
+            "the sidecar has handed its programs over",
+        )
+        harness.eventually(
+            lambda: node.state()["loads"][0]["running"] == 0,
+            what="the endpoint has finished",
+        )
+        before = requests_at(system, 0)
+        again = Load(system)
+        load.finish()
+        again.finish()
+        assert requests_at(system, 0) == before
+        if told_by == "host list":
+            hosts = system.entries[0].settings["hosts_address"]
+            body = {"host": "side-0", "state": "live"}
+            harness.call(hosts, "POST", "/hosts", body)
+            Load(system).finish()
+            assert requests_at(system, 0) == before
+        assert node.process.running
+        assert node.process.terminate(30) == 0
