Weigh endpoints in service units and trust unmeasured ones

Placement divided prompt tokens, not service units, by a speed in service units, and took an endpoint without samples to do 200 units a second. The first endpoint that was measured then looked several times faster than the rest and got all calls: at a low rate 29 of 29 calls went to one of four engines.

--- a/quetzalmill/call_run.py
+++ b/quetzalmill/call_run.py
@@ -17,6 +17,7 @@
 from quetzalmill import completion
 from quetzalmill import configuration
 from quetzalmill import doubt
+from quetzalmill import endpoint_worker
 from quetzalmill import errors
 from quetzalmill import executor_link
 from quetzalmill import messages
@@ -271,7 +272,7 @@
     async def _attempt(
         self, run: Run, target: routing.Target, execution: messages.Execution
     ) -> _Succeeded | _Failed:
-        units = run.prepared.prompt_tokens + run.prepared.answer_tokens
+        units = endpoint_worker.cost_units(execution)
         sent = self._router.sent(target.endpoint, units)
         try:
             if execution.attempt > 1:
--- a/quetzalmill/endpoint_worker.py
+++ b/quetzalmill/endpoint_worker.py
@@ -20,9 +20,6 @@
 from quetzalmill import objects
 from quetzalmill import scheduler
 
-PREFILL_UNITS_PER_TOKEN = 0.05
-"""Service units of one prompt token; a generated token takes one unit."""
-
 SERVICE_UNITS = 32.0
 """Service units of a plain service's call."""
 
@@ -372,7 +369,7 @@
     """Returns the service units that an execution is expected to take."""
     if execution.call.kind is messages.CallKind.SERVICE:
         return SERVICE_UNITS
-    prefill = execution.prompt_tokens * PREFILL_UNITS_PER_TOKEN
+    prefill = execution.prompt_tokens * scheduler.PREFILL_UNITS_PER_TOKEN
     expected = min(execution.answer_tokens, completion.DEFAULT_ANSWER_TOKENS)
     return prefill + expected
 
--- a/quetzalmill/placement.py
+++ b/quetzalmill/placement.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from quetzalmill import scheduler
+
 CLEAR_GAIN = 0.75
 """A program leaves its cache only for less than this part of its cost."""
 
@@ -32,7 +34,7 @@
         slots: Requests that it runs at once.
         outstanding: Requests there, as reported and as sent since.
         waiting_units: Service units there, as reported and as sent since.
-        units_per_s: Service units that it does a second.
+        units_per_s: Service units that it does a second, 0 if unknown.
         cached_tokens: Tokens of the program's history cached there.
         distance_ms: One-way distance from here.
     """
@@ -75,6 +77,7 @@
     def _by_cost(
         self, candidates: Sequence[Candidate], prompt_tokens: int
     ) -> Candidate:
+        candidates = _with_speeds(candidates)
         best = min(
             candidates,
             key=lambda c: (cost_ms(c, prompt_tokens), self._chance.random()),
@@ -90,13 +93,29 @@
 
 def cost_ms(candidate: Candidate, prompt_tokens: int) -> float:
     """Returns the estimated time until the call's first token."""
-    speed = max(candidate.units_per_s, 1.0)
     excess = max(0, candidate.outstanding + 1 - candidate.slots)
     wait_units = 0.0
     if excess:
         wait_units = (
             candidate.waiting_units * excess / (excess + candidate.slots)
         )
-    prefill = max(0, prompt_tokens - candidate.cached_tokens)
-    work_ms = (wait_units + prefill) / speed * 1000.0
+    missing_tokens = max(0, prompt_tokens - candidate.cached_tokens)
+    prefill_units = missing_tokens * scheduler.PREFILL_UNITS_PER_TOKEN
+    work_ms = (wait_units + prefill_units) / candidate.units_per_s * 1000.0
     return work_ms + 2.0 * candidate.distance_ms
+
+
+def _with_speeds(candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Takes an endpoint that is not measured yet to be as fast as the best.
+
+    A slower guess would keep work from it, and so from ever being measured.
+    """
+    best = max(candidate.units_per_s for candidate in candidates)
+    guess = best or _DEFAULT_UNITS_PER_S
+    return [
+        attrs.evolve(candidate, units_per_s=candidate.units_per_s or guess)
+        for candidate in candidates
+    ]
+
+
+_DEFAULT_UNITS_PER_S = 200.0
--- a/quetzalmill/routing.py
+++ b/quetzalmill/routing.py
@@ -20,8 +20,6 @@
 OTHER_DOMAIN_MS = 4.0
 """One-way distance to a host of another failure domain."""
 
-_DEFAULT_UNITS_PER_S = 200.0
-
 
 @attrs.define(kw_only=True, eq=False)
 class Sent:
@@ -142,12 +140,12 @@
         ]
         outstanding = len(since)
         units = sum(sent.units for sent in since)
-        speed = _DEFAULT_UNITS_PER_S
+        speed = 0.0
         if report is not None:
             load = report[0]
             outstanding += load.running + load.queued
             units += load.waiting_units
-            speed = load.units_per_s or _DEFAULT_UNITS_PER_S
+            speed = load.units_per_s
         return placement.Candidate(
             endpoint=name,
             slots=spec.slots,
--- a/quetzalmill/scheduler.py
+++ b/quetzalmill/scheduler.py
@@ -17,6 +17,9 @@
 URGENT_MS = 2_000.0
 """Slack below which a request goes before its team's others."""
 
+PREFILL_UNITS_PER_TOKEN = 0.05
+"""Service units of one prompt token; a generated token takes one unit."""
+
 _T = TypeVar("_T")
 
 
