Let work under way count before an endpoint's slots are full

Requests that run at once share an engine: a prompt that is computed slows its neighbours. The estimate of the wait counted nothing until the slots were full, so three idle engines and one with three of four slots taken looked alike but for the distance.

--- a/quetzalmill/placement.py
+++ b/quetzalmill/placement.py
@@ -92,13 +92,13 @@
 
 
 def cost_ms(candidate: Candidate, prompt_tokens: int) -> float:
-    """Returns the estimated time until the call's first token."""
-    excess = max(0, candidate.outstanding + 1 - candidate.slots)
-    wait_units = 0.0
-    if excess:
-        wait_units = (
-            candidate.waiting_units * excess / (excess + candidate.slots)
-        )
+    """Returns the estimated time until the call's first token.
+
+    Requests that run at once share the engine, so work under way delays a
+    call also while a slot is free, the more the fuller the slots are.
+    """
+    occupied = min(1.0, candidate.outstanding / candidate.slots)
+    wait_units = occupied * candidate.waiting_units
     missing_tokens = max(0, prompt_tokens - candidate.cached_tokens)
     prefill_units = missing_tokens * scheduler.PREFILL_UNITS_PER_TOKEN
     work_ms = (wait_units + prefill_units) / candidate.units_per_s * 1000.0
