--- a/quetzalmill_load/cluster.py
+++ b/quetzalmill_load/cluster.py
@@ -133,6 +133,29 @@
         Raises:
             processes.LoadError: They are rejected or do not arrive.
         """
+        revision = self.publish_only(changes)
+        self.wait_revision(revision)
+        return revision
+
+    def wait_revision(self, revision: int) -> None:
+        """Waits until all processes have applied a revision.
+
+        Raises:
+            processes.LoadError: They do not in time.
+        """
+        processes.wait_until(
+            lambda: all(
+                state["applied_offset"] >= revision for state in self.states()
+            ),
+            f"revision {revision} is everywhere",
+        )
+
+    def publish_only(self, changes: list[dict[str, Any]]) -> int:
+        """Publishes changes and returns their revision at once.
+
+        Raises:
+            processes.LoadError: They are rejected.
+        """
         record = {
             "record_id": uuid.uuid4().hex,
             "author": "load",
@@ -144,14 +167,7 @@
         )
         if status != 200:
             raise processes.LoadError(f"publishing: {status} {body}")
-        revision = int(body["revision"])
-        processes.wait_until(
-            lambda: all(
-                state["applied_offset"] >= revision for state in self.states()
-            ),
-            f"revision {revision} is everywhere",
-        )
-        return revision
+        return int(body["revision"])
 
     def add_teams(self, teams: dict[str, dict[str, Any]]) -> None:
         """Publishes teams with one key each, once the shares are settled."""
--- a/quetzalmill_load/main.py
+++ b/quetzalmill_load/main.py
@@ -122,6 +122,8 @@
 ) -> None:
     """Measures the slopes that docs/CAPACITY.md is worked out from."""
     print(f"commit={_commit()}", flush=True)
+    for name, resident_bytes in slopes_module.measure_imports().items():
+        print(f"import {name}: {resident_bytes / 1e6:.1f} MB resident")
     structures = slopes_module.measure_structures()
     print(slopes_module.table(structures), flush=True)
     found = slopes_module.measure_processes()
--- a/quetzalmill_load/slopes.py
+++ b/quetzalmill_load/slopes.py
@@ -8,6 +8,9 @@
 from collections.abc import Callable, Sequence
 import functools
 import gc
+import os
+import subprocess
+import sys
 import time
 import tracemalloc
 from typing import Any
@@ -34,6 +37,7 @@
 ENTRY_COUNTS = (2, 4, 8)
 HEARD_COUNTS = (36, 120, 360)
 TURN_COUNTS = (5, 20, 80)
+ANSWER_CHARACTERS = (320, 1_280, 5_120)
 CHANGES = 40
 """Configuration changes that are published one after the other."""
 
@@ -41,6 +45,26 @@
 _PROGRAMS = 50
 _REPEATS = 20
 _BEAT_MS = 500
+_QUIET_S = 2.0
+_WAITED_CHANGES = 5
+_IMPORTS = (
+    "sys",
+    "asyncio",
+    "trio",
+    "trio_asyncio",
+    "grpclib.client",
+    "h11",
+    "msgspec",
+    "attrs",
+    "structlog",
+    "statsd",
+    "typer",
+    "quetzalmill.objects",
+    "quetzalmill.control",
+    "quetzalmill.sidecar",
+    "quetzalmill.entry",
+    "quetzalmill.main",
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -64,6 +88,14 @@
     intercept: float
 
 
+_IMPORT_PROGRAM = """
+import importlib, re, sys
+importlib.import_module(sys.argv[1])
+status = open("/proc/self/status").read()
+print(re.search(r"VmRSS:\\s+(\\d+)", status).group(1))
+"""
+
+
 def fit(
     quantity: str, per: str, sizes: Sequence[int], values: Sequence[float]
 ) -> Slope:
@@ -84,6 +116,21 @@
     return [*_configuration(), *_beats(), *_programs()]
 
 
+def measure_imports() -> dict[str, int]:
+    """Returns the resident bytes of Python after importing one module."""
+    found: dict[str, int] = {}
+    for name in _IMPORTS:
+        done = subprocess.run(
+            [sys.executable, "-c", _IMPORT_PROGRAM, name],
+            env={"PYTHONPATH": os.pathsep.join(sys.path)},
+            capture_output=True,
+            check=True,
+            timeout=60,
+        )
+        found[name] = int(done.stdout) * 1024
+    return found
+
+
 def measure_processes() -> list[Slope]:
     """Measures real idle processes at growing sizes, then changes."""
     return [*_by_sidecars(), *_by_entries(), *_by_teams()]
@@ -177,7 +224,17 @@
         program = next(iter(held[0].programs.values()))
         prompt_ms.append(_cpu_ms(functools.partial(_encode_prompt, program)))
     per = f"turn of {_TURN_CHARACTERS} new characters"
+    logged = [
+        float(len(codec.to_json(turns.encode(_turn("r", 1, characters)))))
+        for characters in ANSWER_CHARACTERS
+    ]
     return [
+        fit(
+            "turn in the log, bytes",
+            "character of the answer",
+            ANSWER_CHARACTERS,
+            logged,
+        ),
         fit("program at its home, bytes", per, TURN_COUNTS, memory),
         fit("building a prompt, CPU ms", per, TURN_COUNTS, prompt_ms),
     ]
@@ -296,20 +353,17 @@
 ) -> _Idle:
     before = cluster.usage()
     started_s = time.monotonic()
-    slowest_s = 0.0
     for index in range(changes):
-        spec = {"rate_per_s": 10.0 + index, "burst": 20.0}
-        change = {
-            "kind": "team",
-            "name": "team-0",
-            "base_revision": -1,
-            "spec": spec,
-        }
-        asked_s = time.monotonic()
-        cluster.publish([change])
-        slowest_s = max(slowest_s, time.monotonic() - asked_s)
+        revision = cluster.publish_only([_rate_change(index)])
+    time.sleep(_QUIET_S)
     elapsed_s = time.monotonic() - started_s
     after = cluster.usage()
+    cluster.wait_revision(revision)
+    slowest_s = 0.0
+    for index in range(_WAITED_CHANGES):
+        asked_s = time.monotonic()
+        cluster.publish([_rate_change(index)])
+        slowest_s = max(slowest_s, time.monotonic() - asked_s)
     entries = len(cluster.entries)
     sidecars = len(cluster.sidecars)
     entry_s = (after.entry_s - before.entry_s) / entries
@@ -324,6 +378,15 @@
     )
 
 
+def _rate_change(index: int) -> dict[str, Any]:
+    return {
+        "kind": "team",
+        "name": "team-0",
+        "base_revision": -1,
+        "spec": {"rate_per_s": 10.0 + index, "burst": 20.0},
+    }
+
+
 def _endpoint(index: int) -> dict[str, Any]:
     return {
         "kind": "endpoint",
@@ -441,8 +504,10 @@
     return found
 
 
-def _turn(root: str, call: int) -> turns.TurnRecord:
-    text = uuid.uuid4().hex * (_TURN_CHARACTERS // 64)
+def _turn(
+    root: str, call: int, characters: int = _TURN_CHARACTERS // 2
+) -> turns.TurnRecord:
+    text = uuid.uuid4().hex * (characters // 32)
     answer = {"role": "assistant", "content": text}
     return turns.TurnRecord(
         program=root,
