Let heartbeats carry only what changed

Tables now have a version for each change; a beat names the versions that the sender has. Ruled out: everything each time; asking endpoints before each call.

--- a/quetzalmill/entry_control.py
+++ b/quetzalmill/entry_control.py
@@ -4,8 +4,10 @@
 and feeds the evidence that the shares and the freshness rules need.
 """
 
+import attrs
 import trio
 
+from quetzalmill import change_log
 from quetzalmill import clock as clock_module
 from quetzalmill import config_store
 from quetzalmill import control
@@ -19,9 +21,32 @@
 from quetzalmill import shares
 from quetzalmill import suspects as suspects_module
 
+PROCESSES_PER_REPLY = 512
+"""Changed processes that one answer to a beat tells of."""
+
+LOADS_PER_REPLY = 16
+"""Changed loads that one answer to a beat tells of."""
+
+_REFRESH_MS = 20.0
+
 _log = logs.get("entry_control")
 
 
+@attrs.define(kw_only=True)
+class _OwnLoads:
+    """What one sidecar has told of its endpoints.
+
+    Attributes:
+        instance: The process that told it.
+        number: Its newest beat.
+        loads: The loads by endpoint.
+    """
+
+    instance: str
+    number: int = 0
+    loads: dict[str, messages.EndpointLoad] = attrs.field(factory=dict)
+
+
 class EntryControl:
     """The control traffic of one entry."""
 
@@ -51,7 +76,12 @@
         self._suspects = suspects
         self._client = client
         self._clock = clock
-        self._direct: dict[str, float] = {}
+        self._host_at: dict[str, str] = {}
+        self._own_loads: dict[str, _OwnLoads] = {}
+        self._direct = _Tables(identity.spec.instance)
+        self._all = _Tables(identity.spec.instance)
+        self._lagging: dict[str, int] = {}
+        self._refreshed_ms = -_REFRESH_MS
 
     async def run(self) -> None:
         """Beats to every other entry until cancelled."""
@@ -96,22 +126,22 @@
             applied_offset=beat.applied_offset,
             at_ms=now_ms,
         )
-        self._fleet.note_loads(beat.loads, now_ms)
-        self._direct[beat.host] = now_ms
-        return self._reply(beat.applied_offset)
+        self._note_own_loads(beat, now_ms)
+        return self._reply(
+            beat.applied_offset, self._all, beat.processes_at, beat.loads_at
+        )
 
     def on_entry_beat(self, beat: messages.EntryBeat) -> messages.BeatReply:
         """Answers another entry's beat."""
-        now_ms = self._clock.now_ms()
         self._fleet.note(
             beat.host,
             beat.spec,
             applied_offset=beat.applied_offset,
-            at_ms=now_ms,
+            at_ms=self._clock.now_ms(),
+        )
+        return self._reply(
+            beat.applied_offset, self._direct, beat.processes_at, beat.loads_at
         )
-        self._note_heard(beat.heard, now_ms)
-        self._fleet.note_loads(self._indirect(beat.loads), now_ms)
-        return self._reply(beat.applied_offset)
 
     def note_suspects(self, suspects: list[messages.Suspect]) -> None:
         """Remembers suspects that another process reported."""
@@ -126,13 +156,16 @@
 
     async def _beat(self, address: str) -> None:
         asked_ms = self._clock.now_ms()
+        processes_at, loads_at = self._fleet.positions(
+            self._host_at.get(address, "")
+        )
         beat = messages.EntryBeat(
             host=self._identity.host,
             spec=self._identity.spec,
             applied_offset=self._store.config.applied_offset,
             shares_revision=self._ledger.newest.revision,
-            heard=self._heard_directly(asked_ms),
-            loads=self._direct_loads(asked_ms),
+            processes_at=processes_at,
+            loads_at=loads_at,
         )
         try:
             reply = await self._client.call(
@@ -141,18 +174,12 @@
         except errors.ControlError as error:
             _log.debug("beat_failed", entry=address, reason=str(error))
             return
+        self._host_at[address] = reply.host
         self._take(reply, asked_ms)
 
     def _take(self, reply: messages.BeatReply, asked_ms: float) -> None:
         self._store.catch_up(reply.snapshot, reply.records)
-        self._fleet.note(
-            reply.host,
-            reply.spec,
-            applied_offset=reply.applied_offset,
-            at_ms=asked_ms,
-        )
-        self._note_heard(reply.heard, asked_ms)
-        self._fleet.note_loads(self._indirect(reply.loads), asked_ms)
+        self._fleet.note_reply(reply, asked_ms)
         self.note_suspects(reply.suspects)
         self._freshness.heard(
             reply.host,
@@ -167,50 +194,50 @@
             asked_ms=asked_ms,
         )
 
-    def _note_heard(self, heard: list[messages.Heard], now_ms: float) -> None:
-        for each in heard:
-            self._fleet.note(
-                each.host,
-                each.spec,
-                applied_offset=each.applied_offset,
-                at_ms=now_ms - each.age_ms,
-            )
-
-    def _heard_directly(self, now_ms: float) -> list[messages.Heard]:
-        return [
-            heard
-            for heard in self._fleet.heard(objects.SIDECAR, now_ms)
-            if self._is_direct(heard.host, now_ms)
-        ]
-
-    def _direct_loads(self, now_ms: float) -> list[messages.EndpointLoad]:
-        return [
-            load
-            for load in self._fleet.loads()
-            if self._is_direct(self._host_of(load.endpoint), now_ms)
-        ]
-
-    def _indirect(
-        self, loads: list[messages.EndpointLoad]
-    ) -> list[messages.EndpointLoad]:
-        now_ms = self._clock.now_ms()
-        return [
-            load
-            for load in loads
-            if not self._is_direct(self._host_of(load.endpoint), now_ms)
-        ]
-
-    def _host_of(self, endpoint: str) -> str:
-        spec = self._store.config.endpoint(endpoint)
-        return spec.host if spec else ""
+    def _note_own_loads(
+        self, beat: messages.SidecarBeat, now_ms: float
+    ) -> None:
+        """Notes a sidecar's loads; what it left out has not changed."""
+        instance = beat.spec.instance
+        known = self._own_loads.get(beat.host)
+        if known is None or known.instance != instance:
+            known = _OwnLoads(instance=instance)
+            self._own_loads[beat.host] = known
+        if beat.number > known.number:
+            known.number = beat.number
+            known.loads.update({load.endpoint: load for load in beat.loads})
+        for endpoint in list(known.loads):
+            if self._store.config.endpoint(endpoint) is None:
+                del known.loads[endpoint]
+        self._fleet.note_loads(list(known.loads.values()), now_ms)
 
-    def _is_direct(self, host: str, now_ms: float) -> bool:
-        return now_ms - self._direct.get(host, -self._timeout_ms) < (
-            self._timeout_ms
-        )
+    def _refresh_tables(self, now_ms: float) -> None:
+        if now_ms - self._refreshed_ms < _REFRESH_MS:
+            return
+        self._refreshed_ms = now_ms
+        fleet = self._fleet
+        direct = fleet.heard_directly(objects.SIDECAR, now_ms)
+        every = fleet.heard(objects.SIDECAR, now_ms)
+        self._direct.processes.replace({h.host: h.spec for h in direct})
+        self._all.processes.replace({h.host: h.spec for h in every})
+        self._direct.loads.replace(fleet.direct_loads(now_ms))
+        self._all.loads.replace({load.endpoint: load for load in fleet.loads()})
+        offset = self._store.config.applied_offset
+        self._lagging = {
+            heard.host: heard.applied_offset
+            for heard in direct
+            if heard.applied_offset < offset
+        }
 
-    def _reply(self, offset: int) -> messages.BeatReply:
+    def _reply(
+        self,
+        offset: int,
+        tables: "_Tables",
+        processes_at: change_log.Position,
+        loads_at: change_log.Position,
+    ) -> messages.BeatReply:
         now_ms = self._clock.now_ms()
+        self._refresh_tables(now_ms)
         snapshot, records = self._store.since(offset)
         return messages.BeatReply(
             host=self._identity.host,
@@ -220,7 +247,16 @@
             freshness_ms=self._freshness.age_ms(now_ms),
             snapshot=snapshot,
             records=records,
-            heard=self._fleet.heard(objects.SIDECAR, now_ms),
-            loads=self._fleet.loads(),
+            processes=tables.processes.since(processes_at, PROCESSES_PER_REPLY),
+            lagging=self._lagging,
+            loads=tables.loads.since(loads_at, LOADS_PER_REPLY),
             suspects=self._suspects.all_known(now_ms),
         )
+
+
+class _Tables:
+    """What is told to one kind of process, with a version for each change."""
+
+    def __init__(self, instance: str) -> None:
+        self.processes = change_log.ChangeLog[objects.ProcessSpec](instance)
+        self.loads = change_log.ChangeLog[messages.EndpointLoad](instance)
--- a/quetzalmill/fleet_view.py
+++ b/quetzalmill/fleet_view.py
@@ -2,11 +2,14 @@
 
 Evidence that a process leaves counts at once and sticks for that instance; a
 late report that it lives overrides none of it. Silence only stops new work.
+What an entry tells of others is kept by entry: all of it is as fresh as that
+entry's last answer, so nothing is sent again while it does not change.
 The module is plain synchronous code.
 """
 
 import attrs
 
+from quetzalmill import change_log
 from quetzalmill import configuration
 from quetzalmill import messages
 from quetzalmill import objects
@@ -17,16 +20,41 @@
     """A process as last heard, directly or through an entry.
 
     Attributes:
+        host: Its host.
         spec: The process.
         applied_offset: The configuration offset that it had applied.
         at_ms: When it was heard, on this process's clock.
     """
 
+    host: str
     spec: objects.ProcessSpec
     applied_offset: int
     at_ms: float
 
 
+@attrs.define(kw_only=True)
+class _Source:
+    """What one entry tells of other processes.
+
+    Attributes:
+        at_ms: When it last answered, on this process's clock.
+        applied_offset: The offset that its processes have, if not lagging.
+        lagging: Offsets of processes that lag behind that.
+        processes: The copy of its table of processes.
+        loads: The copy of its table of loads.
+    """
+
+    at_ms: float = 0.0
+    applied_offset: int = 0
+    lagging: dict[str, int] = attrs.field(factory=dict)
+    processes: change_log.Mirror[objects.ProcessSpec] = attrs.field(
+        factory=change_log.Mirror
+    )
+    loads: change_log.Mirror[messages.EndpointLoad] = attrs.field(
+        factory=change_log.Mirror
+    )
+
+
 class FleetView:
     """Processes and loads, as heard and as published."""
 
@@ -37,6 +65,7 @@
         self._timeout_ms = timeout_ms
         self._heard: dict[str, HeardProcess] = {}
         self._loads: dict[str, tuple[messages.EndpointLoad, float]] = {}
+        self._sources: dict[str, _Source] = {}
         self._leaving: set[tuple[str, str]] = set()
         self._published: dict[str, str] = {}
         self._replaced: set[tuple[str, str]] = set()
@@ -72,8 +101,35 @@
         if (host, spec.instance) in self._replaced:
             return
         self._heard[host] = HeardProcess(
-            spec=spec, applied_offset=applied_offset, at_ms=at_ms
+            host=host, spec=spec, applied_offset=applied_offset, at_ms=at_ms
+        )
+
+    def positions(
+        self, source: str
+    ) -> tuple[change_log.Position, change_log.Position]:
+        """Returns where this process stands in an entry's two tables."""
+        known = self._sources.get(source, _Source())
+        return known.processes.position, known.loads.position
+
+    def note_reply(self, reply: messages.BeatReply, at_ms: float) -> None:
+        """Notes an entry's answer to a beat that was sent at ``at_ms``."""
+        self.note(
+            reply.host,
+            reply.spec,
+            applied_offset=reply.applied_offset,
+            at_ms=at_ms,
         )
+        source = self._sources.setdefault(reply.host, _Source())
+        if at_ms < source.at_ms:
+            return
+        source.at_ms = at_ms
+        source.applied_offset = reply.applied_offset
+        source.lagging = reply.lagging
+        source.processes.take(reply.spec.instance, reply.processes)
+        source.loads.take(reply.spec.instance, reply.loads)
+        for host, spec in reply.processes.rows.items():
+            if spec.leaving:
+                self._leaving.add((host, spec.instance))
 
     def note_leaving(self, host: str, instance: str) -> None:
         """Notes that a process takes no new work; it sticks."""
@@ -107,22 +163,41 @@
 
     def load(self, endpoint: str) -> tuple[messages.EndpointLoad, float] | None:
         """Returns an endpoint's last report and when it was noted."""
-        return self._loads.get(endpoint)
+        newest = self._loads.get(endpoint)
+        for source in self._sources.values():
+            told = source.loads.rows.get(endpoint)
+            if told is not None and (
+                newest is None or source.at_ms > newest[1]
+            ):
+                newest = (told, source.at_ms)
+        return newest
 
     def loads(self) -> list[messages.EndpointLoad]:
-        """Returns every known report."""
-        return [load for load, _ in self._loads.values()]
+        """Returns the last report of every known endpoint."""
+        endpoints = set(self._loads)
+        for source in self._sources.values():
+            endpoints.update(source.loads.rows)
+        found = [self.load(endpoint) for endpoint in sorted(endpoints)]
+        return [report[0] for report in found if report is not None]
+
+    def direct_loads(self, now_ms: float) -> dict[str, messages.EndpointLoad]:
+        """Returns the loads that sidecars have lately told themselves."""
+        return {
+            endpoint: load
+            for endpoint, (load, at_ms) in self._loads.items()
+            if now_ms - at_ms <= self._timeout_ms
+        }
 
     def process(self, host: str) -> objects.ProcessSpec | None:
         """Returns the newest process known on a host."""
-        heard = self._heard.get(host)
+        heard = self.last_heard(host)
         if heard is None or (host, heard.spec.instance) in self._replaced:
             return self._config.process(host)
         return heard.spec
 
     def is_alive(self, host: str, now_ms: float) -> bool:
         """Returns whether the host's newest process was heard lately."""
-        heard = self._heard.get(host)
+        heard = self.last_heard(host)
         if heard is None or now_ms - heard.at_ms > self._timeout_ms:
             return False
         return (host, heard.spec.instance) not in self._replaced
@@ -147,17 +222,28 @@
             return True
         return not self.is_alive(host, now_ms)
 
-    def heard(self, role: str, now_ms: float) -> list[messages.Heard]:
-        """Returns the live processes of a role for other processes."""
+    def heard(self, role: str, now_ms: float) -> list[HeardProcess]:
+        """Returns the live processes of a role, ordered by host."""
+        hosts = set(self._heard)
+        for source in self._sources.values():
+            hosts.update(source.processes.rows)
+        found = [self.last_heard(host) for host in sorted(hosts)]
+        return [
+            attrs.evolve(heard, spec=self._with_evidence(heard))
+            for heard in found
+            if heard is not None
+            and heard.spec.role == role
+            and self.is_alive(heard.host, now_ms)
+        ]
+
+    def heard_directly(self, role: str, now_ms: float) -> list[HeardProcess]:
+        """Returns the processes of a role that were lately heard here."""
         return [
-            messages.Heard(
-                host=host,
-                spec=self._with_evidence(host, heard.spec),
-                applied_offset=heard.applied_offset,
-                age_ms=now_ms - heard.at_ms,
-            )
+            attrs.evolve(heard, spec=self._with_evidence(heard))
             for host, heard in sorted(self._heard.items())
-            if heard.spec.role == role and self.is_alive(host, now_ms)
+            if heard.spec.role == role
+            and now_ms - heard.at_ms <= self._timeout_ms
+            and (host, heard.spec.instance) not in self._replaced
         ]
 
     def replaced(self) -> frozenset[str]:
@@ -165,8 +251,22 @@
         return frozenset(f"{host} {inst}" for host, inst in self._replaced)
 
     def last_heard(self, host: str) -> HeardProcess | None:
-        """Returns a process as last heard."""
-        return self._heard.get(host)
+        """Returns a process as last heard, directly or through an entry."""
+        newest = self._heard.get(host)
+        for source in self._sources.values():
+            spec = source.processes.rows.get(host)
+            if spec is None or (host, spec.instance) in self._replaced:
+                continue
+            if newest is None or source.at_ms > newest.at_ms:
+                newest = HeardProcess(
+                    host=host,
+                    spec=spec,
+                    applied_offset=source.lagging.get(
+                        host, source.applied_offset
+                    ),
+                    at_ms=source.at_ms,
+                )
+        return newest
 
     def working_hosts(self, role: str, now_ms: float) -> list[str]:
         """Returns the hosts of a role that take new work."""
@@ -176,9 +276,7 @@
             if self.takes_work(heard.host, now_ms)
         ]
 
-    def _with_evidence(
-        self, host: str, spec: objects.ProcessSpec
-    ) -> objects.ProcessSpec:
-        if (host, spec.instance) not in self._leaving:
-            return spec
-        return attrs.evolve(spec, leaving=True)
+    def _with_evidence(self, heard: HeardProcess) -> objects.ProcessSpec:
+        if (heard.host, heard.spec.instance) not in self._leaving:
+            return heard.spec
+        return attrs.evolve(heard.spec, leaving=True)
--- a/quetzalmill/messages.py
+++ b/quetzalmill/messages.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from quetzalmill import change_log
 from quetzalmill import configuration
 from quetzalmill import control
 from quetzalmill import objects
@@ -43,23 +44,6 @@
     up: bool
 
 
-@attrs.frozen(kw_only=True)
-class Heard:
-    """A process as some entry has last heard it.
-
-    Attributes:
-        host: The host's name.
-        spec: The process, including its instance.
-        applied_offset: The configuration offset that it had applied.
-        age_ms: How long ago it was heard.
-    """
-
-    host: str
-    spec: objects.ProcessSpec
-    applied_offset: int
-    age_ms: float
-
-
 @attrs.frozen(kw_only=True)
 class Suspect:
     """A request that ran while an endpoint ended.
@@ -79,12 +63,27 @@
 
 @attrs.frozen(kw_only=True)
 class SidecarBeat:
-    """A sidecar's regular message to an entry."""
+    """A sidecar's regular message to an entry.
+
+    Attributes:
+        host: The sidecar's host.
+        spec: The sending process.
+        applied_offset: The configuration offset that it has applied.
+        number: Counts this process's beats; loads of a beat that arrives
+            after a later one are passed over.
+        loads: The loads of its endpoints that changed since the last beat
+            that the entry answered.
+        processes_at: Where it stands in the entry's table of processes.
+        loads_at: Where it stands in the entry's table of loads.
+    """
 
     host: str
     spec: objects.ProcessSpec
     applied_offset: int
+    number: int
     loads: list[EndpointLoad]
+    processes_at: change_log.Position
+    loads_at: change_log.Position
 
 
 @attrs.frozen(kw_only=True)
@@ -96,16 +95,16 @@
         spec: The sending process.
         applied_offset: The configuration offset that it has applied.
         shares_revision: The newest shares record that it has applied.
-        heard: The sidecars that it hears directly.
-        loads: Their endpoints' loads.
+        processes_at: Where it stands in the other's table of processes.
+        loads_at: Where it stands in the other's table of loads.
     """
 
     host: str
     spec: objects.ProcessSpec
     applied_offset: int
     shares_revision: int
-    heard: list[Heard]
-    loads: list[EndpointLoad]
+    processes_at: change_log.Position
+    loads_at: change_log.Position
 
 
 @attrs.frozen(kw_only=True)
@@ -121,8 +120,10 @@
             None when that was never so.
         snapshot: The whole state, when single records do not reach back.
         records: The records that the sender lacks.
-        heard: Processes that the entry knows to be alive.
-        loads: Loads of endpoints.
+        processes: Changes of the table of sidecars that are alive: to a
+            sidecar all of them, to an entry those that this one hears itself.
+        lagging: Offsets of those that lag behind ``applied_offset``.
+        loads: Changes of the table of their endpoints' loads.
         suspects: Requests suspected of ending endpoints.
     """
 
@@ -133,8 +134,9 @@
     freshness_ms: float | None
     snapshot: configuration.Snapshot | None
     records: list[NumberedRecord]
-    heard: list[Heard]
-    loads: list[EndpointLoad]
+    processes: change_log.Changes[objects.ProcessSpec]
+    lagging: dict[str, int]
+    loads: change_log.Changes[EndpointLoad]
     suspects: list[Suspect]
 
 
--- a/quetzalmill/sidecar_beats.py
+++ b/quetzalmill/sidecar_beats.py
@@ -4,6 +4,7 @@
 never reads the configuration stream itself.
 """
 
+import attrs
 import trio
 
 from quetzalmill import clock as clock_module
@@ -27,6 +28,21 @@
 _log = logs.get("sidecar_beats")
 
 
+@attrs.frozen(kw_only=True)
+class _Answered:
+    """What an entry has from this sidecar.
+
+    Attributes:
+        host: The entry's host.
+        instance: The process that answered.
+        loads: The loads that it was told.
+    """
+
+    host: str = ""
+    instance: str = ""
+    loads: dict[str, messages.EndpointLoad] = attrs.field(factory=dict)
+
+
 class SidecarBeats:
     """The control traffic of one sidecar with its entries."""
 
@@ -55,6 +71,8 @@
         self._client = client
         self._clock = clock
         self._avoid_until_ms: dict[str, float] = {}
+        self._answered_by: dict[str, _Answered] = {}
+        self._number = 0
         self._answered_ms: float | None = None
         self._was_silent = False
         self.heard_any = False
@@ -112,11 +130,22 @@
 
     async def _beat(self, address: str) -> None:
         asked_ms = self._clock.now_ms()
+        self._number += 1
+        known = self._answered_by.get(address, _Answered())
+        loads = {load.endpoint: load for load in self._executor.loads()}
+        processes_at, loads_at = self._fleet.positions(known.host)
         beat = messages.SidecarBeat(
             host=self._identity.host,
             spec=self._identity.spec,
             applied_offset=self._store.config.applied_offset,
-            loads=self._executor.loads(),
+            number=self._number,
+            loads=[
+                load
+                for endpoint, load in loads.items()
+                if known.loads.get(endpoint) != load
+            ],
+            processes_at=processes_at,
+            loads_at=loads_at,
         )
         try:
             reply = await self._client.call(
@@ -130,6 +159,11 @@
             now_ms = self._clock.now_ms()
             self._avoid_until_ms[address] = now_ms + _AVOID_MS
             return
+        if known.instance not in ("", reply.spec.instance):
+            loads = {}
+        self._answered_by[address] = _Answered(
+            host=reply.host, instance=reply.spec.instance, loads=loads
+        )
         self._take(reply, asked_ms)
 
     def _take(self, reply: messages.BeatReply, asked_ms: float) -> None:
@@ -137,20 +171,7 @@
         self._was_silent |= self._is_silent(self._clock.now_ms())
         self._answered_ms = max(asked_ms, self._answered_ms or 0.0)
         self._store.catch_up(reply.snapshot, reply.records)
-        self._fleet.note(
-            reply.host,
-            reply.spec,
-            applied_offset=reply.applied_offset,
-            at_ms=asked_ms,
-        )
-        for heard in reply.heard:
-            self._fleet.note(
-                heard.host,
-                heard.spec,
-                applied_offset=heard.applied_offset,
-                at_ms=asked_ms - heard.age_ms,
-            )
-        self._fleet.note_loads(reply.loads, asked_ms)
+        self._fleet.note_reply(reply, asked_ms)
         self._fleet.note_loads(self._executor.loads(), self._clock.now_ms())
         for suspect in reply.suspects:
             self._suspects.note(suspect, asked_ms)
--- a/quetzalmill_load/slopes.py
+++ b/quetzalmill_load/slopes.py
@@ -19,8 +19,10 @@
 import attrs
 import numpy as np
 
+from quetzalmill import change_log
 from quetzalmill import codec
 from quetzalmill import configuration
+from quetzalmill import entry_control
 from quetzalmill import messages
 from quetzalmill import objects
 from quetzalmill import programs
@@ -439,6 +441,14 @@
 
 
 def _beat_reply(sidecars: int) -> messages.BeatReply:
+    """Returns the answer to a sidecar while every endpoint's load changes."""
+    processes = change_log.ChangeLog[objects.ProcessSpec]("entry")
+    processes.replace(
+        {f"side-{index}": _process("sidecar") for index in range(sidecars)}
+    )
+    told = processes.since(change_log.Position(), sidecars)
+    loads = change_log.ChangeLog[messages.EndpointLoad]("entry")
+    loads.replace(_loads(sidecars))
     return messages.BeatReply(
         host="entry-0",
         spec=_process("entry"),
@@ -447,31 +457,31 @@
         freshness_ms=120.5,
         snapshot=None,
         records=[],
-        heard=[
-            messages.Heard(
-                host=f"side-{index}",
-                spec=_process("sidecar"),
-                applied_offset=100_000,
-                age_ms=123.456,
-            )
-            for index in range(sidecars)
-        ],
-        loads=[
-            messages.EndpointLoad(
-                endpoint=f"engine-{index}-{replica}",
-                running=7,
-                queued=3,
-                waiting_units=1234.5,
-                units_per_s=678.9,
-                up=True,
-            )
-            for index in range(sidecars)
-            for replica in range(13)
-        ],
+        processes=processes.since(
+            change_log.Position(instance="entry", version=told.version),
+            entry_control.PROCESSES_PER_REPLY,
+        ),
+        lagging={},
+        loads=loads.since(change_log.Position(), entry_control.LOADS_PER_REPLY),
         suspects=[],
     )
 
 
+def _loads(sidecars: int) -> dict[str, messages.EndpointLoad]:
+    return {
+        f"engine-{index}-{replica}": messages.EndpointLoad(
+            endpoint=f"engine-{index}-{replica}",
+            running=7,
+            queued=3,
+            waiting_units=1234.5,
+            units_per_s=678.9,
+            up=True,
+        )
+        for index in range(sidecars)
+        for replica in range(13)
+    }
+
+
 def _process(role: str) -> objects.ProcessSpec:
     return objects.ProcessSpec(
         role=role,
