Bound the kept answers by size and drop those of idempotent calls

Cause: an executor kept up to 2048 answers of any kind and size, also of model calls, whose answers nobody asks for again, and jobs refused in the queue; 200 000 remembered starts took more than a process may for control.

Now only answers of non-idempotent calls are kept, at most 2048 and 8 MiB together; the record of starts holds 50 000.

--- a/quetzalmill/answer.py
+++ b/quetzalmill/answer.py
@@ -35,6 +35,11 @@
         """Returns the newest frame."""
         return self._frames[-1] if self._frames else None
 
+    @property
+    def size_bytes(self) -> int:
+        """Returns the size of the content so far."""
+        return sum(len(frame.data) for frame in self._frames)
+
     def append(self, frame: messages.Frame) -> None:
         """Adds a frame; after the last one, further frames are ignored."""
         if self.ended:
--- a/quetzalmill/endpoint_worker.py
+++ b/quetzalmill/endpoint_worker.py
@@ -61,7 +61,7 @@
         """Is told before the first byte goes to the endpoint."""
 
     def not_started(self, job: Job) -> None:
-        """Is told that no byte went to the endpoint after all."""
+        """Is told that no byte of a queued job went to the endpoint."""
 
     async def crashed(self, job: Job) -> int:
         """Is told that the endpoint ended while it ran the job.
@@ -168,6 +168,7 @@
                 refusal = _too_late(job)
             if refusal is not None:
                 self._queue.remove(waiting)
+                self._rules.not_started(job)
                 job.answer.append(refusal)
         self.pump()
 
@@ -224,6 +225,7 @@
         if refusal is None and self._clock.now_ms() >= job.deadline_ms:
             refusal = _too_late(job)
         if refusal is not None:
+            self._rules.not_started(job)
             job.answer.append(refusal)
             return
         # Recorded in the step of the last check: no fence comes in between.
--- a/quetzalmill/executor.py
+++ b/quetzalmill/executor.py
@@ -7,7 +7,6 @@
 
 import collections
 from collections.abc import Awaitable, Callable
-import itertools
 
 import attrs
 import trio
@@ -22,11 +21,14 @@
 from quetzalmill import scheduler
 from quetzalmill import suspects
 
-REMEMBERED_STARTS = 200_000
+REMEMBERED_STARTS = 50_000
 """Non-idempotent calls that are remembered as started."""
 
 KEPT_ANSWERS = 2_048
-"""Answers that are kept for the same call sent again."""
+"""Answers of non-idempotent calls that are kept for the same call again."""
+
+KEPT_BYTES = 8 * 1024 * 1024
+"""The size of the kept answers together; one larger answer is kept alone."""
 
 REMEMBERED_FENCES = 200_000
 """Root programs whose fenced epoch is remembered."""
@@ -79,7 +81,8 @@
         self._nursery = nursery
         self._clock = clock
         self._workers: dict[str, endpoint_worker.EndpointWorker] = {}
-        self._jobs: collections.OrderedDict[_Key, endpoint_worker.Job] = (
+        self._jobs: dict[_Key, endpoint_worker.Job] = {}
+        self._kept_bytes: collections.OrderedDict[_Key, int] = (
             collections.OrderedDict()
         )
         self._started: collections.OrderedDict[tuple[str, int], int] = (
@@ -99,7 +102,7 @@
     @property
     def kept_answers(self) -> int:
         """Returns the number of answers kept for calls sent again."""
-        return len(self._jobs)
+        return len(self._kept_bytes)
 
     def loads(self) -> list[messages.EndpointLoad]:
         """Returns the load of each endpoint."""
@@ -154,7 +157,7 @@
             return job.answer
         worker.submit(job)
         if _did_run(job.answer):
-            self._keep(key, job)
+            self._jobs[key] = job
         return job.answer
 
     def abandon(self, execution: messages.Execution) -> None:
@@ -224,10 +227,11 @@
             self._forgotten_offset = max(self._forgotten_offset, offset)
 
     def not_started(self, job: endpoint_worker.Job) -> None:
-        """Takes the record back, since no byte was sent."""
+        """Takes the records back, since no byte was sent."""
         call = job.execution.call
-        self._started.pop((call.program, call.number), None)
-        self._jobs.pop(_key_of(job.execution), None)
+        if not call.idempotent:
+            self._started.pop((call.program, call.number), None)
+        self._drop(job)
 
     async def crashed(self, job: endpoint_worker.Job) -> int:
         """Makes the job's request a suspect and tells the entries."""
@@ -247,9 +251,20 @@
             self._suspects.clear(job.execution.call.fingerprint)
 
     def over(self, job: endpoint_worker.Job) -> None:
-        """Lets the engine memory of a program of one call go."""
-        if job.execution.call.single:
-            self._on_over(job.execution.call.program)
+        """Keeps the answer if needed, lets a single call's memory go."""
+        call = job.execution.call
+        key = _key_of(job.execution)
+        if call.idempotent:
+            self._drop(job)
+        elif self._jobs.get(key) is job:
+            self._keep(key, job.answer.size_bytes)
+        if call.single:
+            self._on_over(call.program)
+
+    def _drop(self, job: endpoint_worker.Job) -> None:
+        key = _key_of(job.execution)
+        if self._jobs.get(key) is job:
+            del self._jobs[key]
 
     def _not_allowed(self, job: endpoint_worker.Job) -> messages.Frame | None:
         call = job.execution.call
@@ -270,12 +285,14 @@
             f"endpoint {job.execution.endpoint} is not served here",
         )
 
-    def _keep(self, key: _Key, job: endpoint_worker.Job) -> None:
-        self._jobs[key] = job
-        excess = max(0, len(self._jobs) - KEPT_ANSWERS)
-        ended = (key for key, kept in self._jobs.items() if kept.answer.ended)
-        for old in list(itertools.islice(ended, excess)):
-            del self._jobs[old]
+    def _keep(self, key: _Key, size_bytes: int) -> None:
+        self._kept_bytes[key] = size_bytes
+        while len(self._kept_bytes) > KEPT_ANSWERS or (
+            len(self._kept_bytes) > 1
+            and sum(self._kept_bytes.values()) > KEPT_BYTES
+        ):
+            oldest, _ = self._kept_bytes.popitem(last=False)
+            del self._jobs[oldest]
 
     def _new_worker(
         self, name: str, spec: objects.EndpointSpec
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -38,15 +38,18 @@
         faults: An action and what it strikes, one after the other.
         log_down: Whether the log is down from the first call on.
         exact: Whether every call must get its whole answer in the end.
+        hold: Whether the services answer only once the faults are over.
     """
 
     faults: tuple[tuple[str, str], ...]
     log_down: bool = False
     exact: bool = True
+    hold: bool = False
 
     def __str__(self) -> str:
         text = "+".join(f"{action}-{what}" for action, what in self.faults)
-        return text + ("-log-down" if self.log_down else "")
+        text += "-log-down" if self.log_down else ""
+        return text + ("-hold" if self.hold else "")
 
 
 CASES = (
@@ -55,6 +58,8 @@
     Case(((FREEZE, "entry"),)),
     Case(((KILL, "home"),)),
     Case(((FREEZE, "home"),)),
+    Case(((KILL, "home"),), hold=True),
+    Case(((FREEZE, "home"),), hold=True),
     Case(((KILL, "sidecar"),), exact=False),
     Case(((FREEZE, "sidecar"),)),
     Case(((KILL, "service"),), exact=False),
@@ -87,7 +92,8 @@
         for fault in case.faults:
             system.strike(*fault, calls, busy)
         again = [system.send(call, entry=1) for call in calls]
-        system.release_services()
+        if not case.hold:
+            system.release_services()
         wait_readable(again, FROZEN_S)
         system.mend()
         for call, sent in zip(calls, again, strict=True):
@@ -153,6 +159,37 @@
         assert after == before
 
 
+class TestServiceFaults:
+    """What a caller is told when its service fails."""
+
+    @pytest.mark.parametrize(
+        ("fault", "runs"), [("drop_after_run", 1), ("close_before_run", 0)]
+    )
+    def test_connection_ends_without_an_answer(
+        self, system: "System", fault: str, runs: int
+    ) -> None:
+        system.ready()
+        call = system.new_call()
+        system.set_services(**{fault: 1})
+        outcome = read(system.send(call))
+        assert (outcome.ran, system.runs(call)) == ("unknown", runs)
+        assert system.settle(call, entry=1) == outcome
+        assert system.runs(call) == runs
+
+    def test_refused_connections_are_not_run_until_accepted(
+        self, system: "System"
+    ) -> None:
+        system.ready()
+        call = system.new_call()
+        for service in range(2):
+            system.strike(KILL, "service", [call], service)
+        outcome = read(system.send(call))
+        assert (outcome.ran, system.runs(call)) == ("no", 0)
+        system.mend()
+        final = system.settle(call, entry=1)
+        assert (final.ran, system.runs(call)) == ("yes", 1)
+
+
 class TestRefusedByEntry:
     """An entry that refuses a call does not hide that it ran before."""
 
@@ -279,7 +316,7 @@
         self.set_log(down=log_down)
         answered, *others = calls
         assert read(self.send(answered)).ran == "yes"
-        self._set_services(hang=True)
+        self.set_services(hang=True)
         self.first = []
         for number, call in enumerate(others, start=1):
             self.first.append(self.send(call))
@@ -400,7 +437,7 @@
 
     def release_services(self) -> None:
         """Lets the services answer."""
-        self._set_services(hang=False)
+        self.set_services(hang=False)
 
     def wait_heard(self, entry: int, host: str) -> None:
         """Waits until an entry hears a host."""
@@ -479,7 +516,8 @@
         )
         del self._frozen_runs[address]
 
-    def _set_services(self, **faults: Any) -> None:
+    def set_services(self, **faults: Any) -> None:
+        """Puts these faults in force at the services that run."""
         for service in self.services:
             if service.address not in self._frozen_runs:
                 harness.call(service.address, "POST", "/debug/faults", faults)
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -110,12 +110,24 @@
             port.hold = None
             for number in range(8):
                 await end_of(made.submit(execution(program=f"p{number}")))
-            assert made.kept_answers <= 3
+            assert made.kept_answers == 2
             held.set()
             assert (await end_of(hanging)).data == OK.body
 
         run(scenario, slots=2)
 
+    def test_their_size_is_bounded(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(executor, "KEPT_BYTES", 3 * len(OK.body))
+
+        async def scenario(made: executor.Executor, port: FakePort) -> None:
+            for number in range(8):
+                await end_of(made.submit(execution(program=f"p{number}")))
+            assert made.kept_answers == 3
+
+        run(scenario)
+
 
 class TestForgottenStarts:
     """Only a forgotten start as new as the doubt makes a fence incomplete."""
@@ -467,7 +479,7 @@
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
-            made = TestedExecutor(
+            made = _Executor(
                 executor.Options(
                     host="here",
                     instance="now",
@@ -492,7 +504,7 @@
     trio.run(main)
 
 
-class TestedExecutor(executor.Executor):
+class _Executor(executor.Executor):
     """An executor whose endpoint a test can withdraw."""
 
     publish: Callable[[int, dict[str, Any] | None], None]
