Give callers' mistakes their errors before they reach a home

Another team could read a program; malformed program ids got 503 with a time to come back; JSON nested 200 levels or deeper broke the answer or gave 500, as did numbers beyond 64 bits; CONNECT and header values outside ASCII broke calls (said to have run perhaps); repeated and blank query fields were merged on the way to a service; HEAD claimed a length of 0.

Ruled out: a schema for each message, which would refuse what engines take.

--- a/quetzalmill/caller_requests.py
+++ b/quetzalmill/caller_requests.py
@@ -9,6 +9,7 @@
 from quetzalmill import errors
 from quetzalmill import http_message
 from quetzalmill import problems
+from quetzalmill import program_id
 
 INVALID = "invalid_request"
 """The code of a request that is malformed."""
@@ -22,6 +23,9 @@
 MAX_CALL_NUMBER = 1_000_000
 """The largest number of a call within a program."""
 
+MAX_BUDGET = 1 << 53
+"""The largest number in a budget or deadline."""
+
 _BUDGET_FIELDS = ("calls", "tokens", "time_ms")
 _PROGRAM_FIELDS = {"budget", "deadline_ms", "parent"}
 
@@ -77,6 +81,8 @@
     number = _number(headers.get(CALL_HEADER), CALL_HEADER, MAX_CALL_NUMBER)
     if program and number is None:
         raise _invalid(f"{CALL_HEADER} is needed with {PROGRAM_HEADER}")
+    if program:
+        require_program_id(program)
     left_ms = _number(
         headers.get(DEADLINE_HEADER), DEADLINE_HEADER, int(longest_ms)
     )
@@ -112,24 +118,36 @@
     except errors.CodecError as error:
         raise _invalid(f"the body is no JSON object: {error}") from error
     _reject_unknown(fields, _PROGRAM_FIELDS, "the body")
-    budget = fields.get("budget") or {}
+    budget = _given(fields, "budget", {})
     if not isinstance(budget, dict):
         raise _invalid("budget: an object is needed")
     _reject_unknown(budget, set(_BUDGET_FIELDS), "budget")
-    parent = fields.get("parent") or ""
+    parent = _given(fields, "parent", "")
     if not isinstance(parent, str):
         raise _invalid("parent: a program id is needed")
-    calls = _positive(budget, "calls", "budget.calls")
-    tokens = _positive(budget, "tokens", "budget.tokens")
+    if parent:
+        require_program_id(parent)
     return NewProgram(
-        calls=None if calls is None else int(calls),
-        tokens=None if tokens is None else int(tokens),
+        calls=_positive_whole(budget, "calls", "budget.calls"),
+        tokens=_positive_whole(budget, "tokens", "budget.tokens"),
         time_ms=_positive(budget, "time_ms", "budget.time_ms"),
         deadline_ms=_positive(fields, "deadline_ms", "deadline_ms"),
         parent=parent,
     )
 
 
+def require_program_id(text: str) -> None:
+    """Checks that a program's id has the form of those that are issued.
+
+    Raises:
+        problems.CallerError: It has not, so there is no such program.
+    """
+    if program_id.first_home(text) is None:
+        raise problems.CallerError(
+            404, "program_unknown", f"{text!r} is no program's id"
+        )
+
+
 def _reject_unknown(
     fields: dict[str, Any], known: set[str], where: str
 ) -> None:
@@ -138,17 +156,33 @@
         raise _invalid(f"{where} has the unknown field {unknown[0]!r}")
 
 
+def _given(fields: dict[str, Any], name: str, default: Any) -> Any:
+    value = fields.get(name)
+    return default if value is None else value
+
+
 def _positive(fields: dict[str, Any], name: str, shown: str) -> float | None:
     value = fields.get(name)
     if value is None:
         return None
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise _invalid(f"{shown}: a number is needed")
-    if value <= 0:
-        raise _invalid(f"{shown}: a number above zero is needed")
+    if not 0 < value <= MAX_BUDGET:
+        raise _invalid(f"{shown}: a number from 1 to {MAX_BUDGET} is needed")
     return float(value)
 
 
+def _positive_whole(
+    fields: dict[str, Any], name: str, shown: str
+) -> int | None:
+    value = _positive(fields, name, shown)
+    if value is None:
+        return None
+    if not value.is_integer():
+        raise _invalid(f"{shown}: a whole number is needed")
+    return int(value)
+
+
 def _number(text: str | None, name: str, largest: int) -> int | None:
     if text is None:
         return None
--- a/quetzalmill/callers_api.py
+++ b/quetzalmill/callers_api.py
@@ -120,7 +120,9 @@
                 await self._start_program(request, exchange)
             case ("GET" | "DELETE", _) if path.startswith(PROGRAMS_PATH + "/"):
                 await self._program(request, exchange)
-            case (_, _) if path.startswith(SERVICES_PATH):
+            case (method, _) if (
+                path.startswith(SERVICES_PATH) and method != "CONNECT"
+            ):
                 await self._service(request, exchange)
             case _:
                 raise problems.CallerError(
@@ -152,6 +154,7 @@
     ) -> None:
         caller = self._authenticate(request)
         program = request.path.removeprefix(PROGRAMS_PATH + "/")
+        caller_requests.require_program_id(program)
         response = await self._forwarder.ask(
             request.method, program, {"team": caller.team}, QUICK_REQUEST_MS
         )
--- a/quetzalmill/codec.py
+++ b/quetzalmill/codec.py
@@ -28,6 +28,8 @@
         return msgspec.json.decode(data, type=expected)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise errors.CodecError(str(error)) from error
+    except RecursionError as error:
+        raise errors.CodecError("the value is nested too deeply") from error
 
 
 def to_msgpack(value: Any) -> bytes:
@@ -45,6 +47,8 @@
         return msgspec.msgpack.decode(data, type=expected)
     except msgspec.DecodeError as error:
         raise errors.CodecError(str(error)) from error
+    except RecursionError as error:
+        raise errors.CodecError("the value is nested too deeply") from error
 
 
 def to_plain(value: Any) -> Any:
--- a/quetzalmill/completion.py
+++ b/quetzalmill/completion.py
@@ -14,6 +14,12 @@
 DEFAULT_ANSWER_TOKENS = 1024
 """Tokens reserved for an answer when the request names no maximum."""
 
+MAX_ANSWER_TOKENS = 1 << 31
+"""The largest maximum that a request may name for its answer."""
+
+MAX_NESTING = 64
+"""Levels of lists and objects in a request."""
+
 _BYTES_PER_TOKEN = 4
 
 
@@ -56,6 +62,11 @@
         raise InvalidRequestError(f"the body is no JSON object: {error}") from (
             error
         )
+    # What is nested deeper may be read here and fail where it is written.
+    if not _is_flat(fields):
+        raise InvalidRequestError(
+            f"the body: at most {MAX_NESTING} levels of nesting are allowed"
+        )
     model = fields.get("model")
     if not isinstance(model, str) or not model:
         raise InvalidRequestError("model: a non-empty string is needed")
@@ -78,6 +89,21 @@
     )
 
 
+def _is_flat(fields: dict[str, Any]) -> bool:
+    level: list[Any] = [fields]
+    for _ in range(MAX_NESTING):
+        level = [child for value in level for child in _children(value)]
+        if not level:
+            return True
+    return False
+
+
+def _children(value: Any) -> list[Any]:
+    """Returns the lists and objects right inside a list or an object."""
+    inside = value.values() if isinstance(value, dict) else value
+    return [each for each in inside if isinstance(each, dict | list)]
+
+
 def prompt_body(
     request: CompletionRequest, prompt: list[Any], max_tokens: int
 ) -> bytes:
@@ -263,4 +289,8 @@
         return None
     if not isinstance(value, int) or isinstance(value, bool) or value < 1:
         raise InvalidRequestError("max_tokens: a positive number is needed")
+    if value > MAX_ANSWER_TOKENS:
+        raise InvalidRequestError(
+            f"max_tokens: at most {MAX_ANSWER_TOKENS} is allowed"
+        )
     return value
--- a/quetzalmill/home.py
+++ b/quetzalmill/home.py
@@ -260,6 +260,14 @@
             if commit is turn_log.Commit.FENCED:
                 raise MovedError(self._moved.get(family.root))
 
+    async def show(
+        self, program: str, team: str, *, take_over: bool
+    ) -> messages.ProgramView:
+        """Returns what a program's own team is told of it; see ``find``."""
+        _, found = await self.find(program, take_over=take_over)
+        self._require_team(found, team)
+        return self.view(found)
+
     def view(self, program: programs.Program) -> messages.ProgramView:
         """Returns what callers are told of a program."""
         record = program.record
--- a/quetzalmill/http_client.py
+++ b/quetzalmill/http_client.py
@@ -340,8 +340,8 @@
         self.stream.socket.close()
 
     def _encode(self, request: http_message.Request) -> bytes:
-        headers = _request_headers(request, self.address)
         try:
+            headers = _request_headers(request, self.address)
             head = h11.Request(
                 method=request.method, target=request.target(), headers=headers
             )
@@ -387,15 +387,16 @@
 
 def _request_headers(
     request: http_message.Request, address: str
-) -> list[tuple[str, str]]:
-    headers = [("host", address)]
+) -> list[tuple[bytes, bytes]]:
+    headers = [(b"host", address.encode())]
     headers += [
-        (name, value)
+        (name.encode(), value.encode("latin-1"))
         for name, value in request.headers.items()
         if name.lower() not in http_message.HOP_BY_HOP
     ]
     if request.body or request.method not in ("GET", "HEAD"):
-        headers.append(("content-length", str(len(request.body))))
+        length = str(len(request.body)).encode()
+        headers.append((b"content-length", length))
     return headers
 
 
--- a/quetzalmill/http_message.py
+++ b/quetzalmill/http_message.py
@@ -56,6 +56,7 @@
         method: The method in capitals.
         path: The path as sent, with percent escapes.
         query: The decoded query; of a repeated field the last one counts.
+        raw_query: The query as sent; empty to encode ``query``.
         headers: Values by lower-case name; repeated ones joined by commas.
         body: The whole body.
     """
@@ -63,14 +64,14 @@
     method: str
     path: str
     query: dict[str, str] = attrs.field(factory=dict)
+    raw_query: str = ""
     headers: dict[str, str] = attrs.field(factory=dict)
     body: bytes = b""
 
     def target(self) -> str:
         """Returns the path and the encoded query."""
-        if not self.query:
-            return self.path
-        return f"{self.path}?{urllib.parse.urlencode(self.query)}"
+        query = self.raw_query or urllib.parse.urlencode(self.query)
+        return f"{self.path}?{query}" if query else self.path
 
 
 @attrs.frozen(kw_only=True)
@@ -106,19 +107,27 @@
     return headers
 
 
-def parse_target(target: bytes) -> tuple[str, dict[str, str]]:
-    """Splits a request target into its path and decoded query.
+def parse_target(target: bytes) -> tuple[str, str, dict[str, str]]:
+    """Splits a request target into its path, its query and its fields.
 
     Raises:
         errors.BadMessageError: The target is not a path with a query.
     """
     try:
-        parts = urllib.parse.urlsplit(target.decode("ascii"))
+        path, query = _split_target(target.decode("ascii"))
         pairs = urllib.parse.parse_qsl(
-            parts.query,
+            query,
             keep_blank_values=True,
             max_num_fields=MAX_QUERY_FIELDS,
         )
     except ValueError as error:
         raise errors.BadMessageError(f"bad request target: {error}") from error
-    return parts.path or "/", dict(pairs)
+    return path or "/", query, dict(pairs)
+
+
+def _split_target(target: str) -> tuple[str, str]:
+    if target.startswith("/"):
+        path, _, query = target.partition("?")
+        return path, query
+    parts = urllib.parse.urlsplit(target)
+    return parts.path, parts.query
--- a/quetzalmill/http_server.py
+++ b/quetzalmill/http_server.py
@@ -114,9 +114,11 @@
         """Sends a whole answer."""
         all_headers = {
             "content-type": content_type,
-            "content-length": str(len(body)),
             **_without_framing(headers),
         }
+        # An answer to HEAD may not know the length that GET would have.
+        if body or self._has_body:
+            all_headers["content-length"] = str(len(body))
         if status in (204, 304):
             all_headers = _without_framing(headers)
             body = b""
@@ -370,12 +372,13 @@
                 return None
             self._http.receive_data(data)
         head = await self._read_head()
-        path, query = http_message.parse_target(head.target)
+        path, raw_query, query = http_message.parse_target(head.target)
         body = await self._read_body(head)
         return http_message.Request(
             method=head.method.decode("ascii"),
             path=path,
             query=query,
+            raw_query=raw_query,
             headers=http_message.join_headers(list(head.headers)),
             body=body,
         )
--- a/quetzalmill/sidecar_api.py
+++ b/quetzalmill/sidecar_api.py
@@ -107,6 +107,7 @@
         program = request.path.removeprefix(internal_api.PROGRAMS_PATH).lstrip(
             "/"
         )
+        team = request.query.get("team", "")
         take_over = _takes_over(request)
         match request.method:
             case "POST":
@@ -115,13 +116,10 @@
                 view = await self._home.start(start, take_over=take_over)
                 await exchange.respond(201, codec.to_json(view))
             case "DELETE":
-                await self._home.end(
-                    program, request.query.get("team", ""), take_over=take_over
-                )
+                await self._home.end(program, team, take_over=take_over)
                 await exchange.respond(200, b"{}")
             case _:
-                _, found = await self._home.find(program, take_over=take_over)
-                view = self._home.view(found)
+                view = await self._home.show(program, team, take_over=take_over)
                 await exchange.respond(200, codec.to_json(view))
 
     async def _require(self, offset: int) -> None:
