Pace a home's appends to what the log takes

Cause: the log refuses appends over its rate with 429. The home took that for an outage, retried at once after 200 ms and told callers durable: false, and a publish by an operator failed with unavailable. A home now gathers turns for longer when it is refused and for less while it is not, and a configuration record is tried again for a second. Ruled out: a longer fixed interval, which delays every last frame also where the log has room.

--- a/quetzalmill/announcement.py
+++ b/quetzalmill/announcement.py
@@ -8,6 +8,8 @@
 import secrets
 from typing import Any
 
+import trio
+
 from quetzalmill import codec
 from quetzalmill import errors
 from quetzalmill import log_port
@@ -16,6 +18,11 @@
 CONFIG_STREAM = "config"
 """The stream that holds the configuration records."""
 
+THROTTLED_TRIES = 20
+"""Tries to append a record while the log takes no more appends."""
+
+_THROTTLED_WAIT_MS = 50.0
+
 SNAPSHOT_STREAM = "config-snapshots"
 """The stream that holds snapshots of the configuration."""
 
@@ -52,6 +59,12 @@
             record again is harmless.
     """
     data: Any = codec.to_plain(record)
+    for _ in range(THROTTLED_TRIES - 1):
+        try:
+            await port.append(CONFIG_STREAM, [data])
+            return
+        except errors.ThrottledError:
+            await trio.sleep(_THROTTLED_WAIT_MS / 1000.0)
     await port.append(CONFIG_STREAM, [data])
 
 
--- a/quetzalmill/errors.py
+++ b/quetzalmill/errors.py
@@ -69,6 +69,10 @@
     """An endpoint refused a request for good; others would refuse it too."""
 
 
+class ThrottledError(NotDoneError):
+    """The outside system takes no more requests for the moment."""
+
+
 class OutcomeUnknownError(PortError):
     """The outside system may or may not have done what was asked."""
 
--- a/quetzalmill/log_port.py
+++ b/quetzalmill/log_port.py
@@ -18,6 +18,7 @@
 """The largest page of records that is read at once."""
 
 _STATUS_GONE = 410
+_STATUS_TOO_MANY = 429
 
 
 @attrs.frozen(kw_only=True)
@@ -53,7 +54,8 @@
         """Appends records together and returns the first one's offset.
 
         Raises:
-            errors.NotDoneError: Nothing was appended.
+            errors.NotDoneError: Nothing was appended; ``ThrottledError`` when
+                the log takes no more appends for the moment.
             errors.OutcomeUnknownError: The records may have been appended.
         """
 
@@ -97,6 +99,8 @@
             raise errors.NotDoneError(str(error)) from error
         except errors.HttpError as error:
             raise errors.OutcomeUnknownError(str(error)) from error
+        if response.status == _STATUS_TOO_MANY:
+            raise errors.ThrottledError("the log takes no more appends now")
         if response.status != 200:
             raise errors.NotDoneError(f"the log answered {response.status}")
         return int(
--- a/quetzalmill/sidecar.py
+++ b/quetzalmill/sidecar.py
@@ -12,6 +12,7 @@
 
 from quetzalmill import call_run
 from quetzalmill import clock as clock_module
+from quetzalmill import commit_pace
 from quetzalmill import config_store
 from quetzalmill import control
 from quetzalmill import daemon
@@ -317,7 +318,9 @@
         return turn_log.TurnWriter(
             self._log_port,
             turns.stream_of(settings.host, self._identity.spec.instance),
-            interval_ms=settings.commit_interval_ms,
+            pace=commit_pace.CommitPace(
+                settings.commit_interval_ms, random.Random()
+            ),
             patience_ms=COMMIT_PATIENCE_MS,
             buffer_bytes=settings.commit_buffer_bytes,
             on_fence=self._fenced,
--- a/quetzalmill/turn_log.py
+++ b/quetzalmill/turn_log.py
@@ -15,6 +15,7 @@
 import trio
 
 from quetzalmill import codec
+from quetzalmill import commit_pace
 from quetzalmill import errors
 from quetzalmill import log_port
 from quetzalmill import turns
@@ -66,14 +67,14 @@
         port: log_port.LogPort,
         stream: str,
         *,
-        interval_ms: float,
+        pace: commit_pace.CommitPace,
         patience_ms: float,
         buffer_bytes: int,
         on_fence: Callable[[turns.FenceRecord], None],
     ) -> None:
         self._port = port
         self._stream = stream
-        self._interval_ms = interval_ms
+        self._pace = pace
         self._patience_ms = patience_ms
         self._buffer_bytes = buffer_bytes
         self._on_fence = on_fence
@@ -120,9 +121,9 @@
         """Appends batches until cancelled."""
         while True:
             await self._arrived.wait()
-            await trio.sleep(self._interval_ms / 1000.0)
             self._arrived = trio.Event()
             while self._pending:
+                await trio.sleep(self._pace.wait_ms() / 1000.0)
                 await self._append(self._next_batch())
 
     async def flushed(self) -> None:
@@ -167,6 +168,7 @@
         offset = await self._append_surely(encoded)
         self.log_is_down = False
         self.appends += 1
+        self._pace.accepted()
         # Never set back, and never past records that were not read: a fence
         # may stand among them.
         self._next_offset = max(self._next_offset, offset + 1)
@@ -194,6 +196,10 @@
                 maybe_appended = True
             except errors.RetentionError as error:
                 self._next_offset = max(self._next_offset, error.first_offset)
+            except errors.ThrottledError:
+                self._pace.refused()
+                await trio.sleep(self._pace.wait_ms() / 1000.0)
+                continue
             except errors.NotDoneError:
                 pass
             self.log_is_down = True
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -56,9 +56,9 @@
 class Deployment:
     """Stand-ins, entries and sidecars on loopback."""
 
-    def __init__(self, fleet: harness.Fleet) -> None:
+    def __init__(self, fleet: harness.Fleet, *log_options: str) -> None:
         self.fleet = fleet
-        self.log = fleet.emulator("log")
+        self.log = fleet.emulator("log", *log_options)
         self.entries: list[Node] = []
         self.sidecars: list[Node] = []
         self.engines: list[harness.Process] = []
