Check for fences once for a home instead of once for each program

Cause: after each change of the routing every program with a booking read the end of its home's stream by itself, and waited for the log each time while it was slow. A read or a commit shows the fences of all programs of the home.

--- a/quetzalmill/call_run.py
+++ b/quetzalmill/call_run.py
@@ -142,6 +142,7 @@
         self._retries = retries
         self._clock = clock
         self._caches: dict[str, dict[str, int]] = {}
+        self._verified_offset = 0
 
     def cached(self, program: str) -> dict[str, int]:
         """Returns the tokens of a program's history at each endpoint."""
@@ -229,24 +230,30 @@
         use after this home last was sure to be the only one may run a
         non-idempotent call only once the log shows no fence.
         """
-        family = run.family
         call = run.prepared.call
         if call.idempotent or call.single:
             return None
-        verified_offset = family.verified_offset
-        if self._config.routing_revision <= verified_offset and not (
-            self._link.is_newer(target.host, verified_offset)
+        if self._config.routing_revision <= self._verified_offset and not (
+            self._link.is_newer(target.host, self._verified_offset)
         ):
             return None
-        applied_offset = self._config.applied_offset
-        if await self._writer.read_fences():
-            family.verified_offset = applied_offset
-        elif run.may_be_fenced():
+        if not await self._verify() and run.may_be_fenced():
             return self._not_run(run, "home_unverified", "the log is down")
-        if family.lost:
+        if run.family.lost:
             return self._not_run(run, _FENCED, "a newer home has taken over")
         return None
 
+    async def _verify(self) -> bool:
+        """Learns of every fence so far; returns whether the log answered."""
+        applied_offset = self._config.applied_offset
+        if self._writer.log_is_down or not await self._writer.read_fences():
+            return False
+        self._note_verified(applied_offset)
+        return True
+
+    def _note_verified(self, offset: int) -> None:
+        self._verified_offset = max(self._verified_offset, offset)
+
     def _not_run(self, run: Run, code: str, message: str) -> _Failed:
         return _Failed(frame=self._failure(run, code=code, message=message))
 
@@ -404,6 +411,9 @@
         commit = turn_log.Commit.DURABLE
         if not run.prepared.call.single:
             commit = await self._writer.commit(turn)
+            if commit is not turn_log.Commit.BUFFERED:
+                # The writer has seen all that stands before its own record.
+                self._note_verified(applied_offset)
         if commit is turn_log.Commit.FENCED:
             run.family.lost = True
             run.program.running = None
@@ -412,8 +422,6 @@
         run.family.finish(run.program, turn, self._clock.now_ms())
         self.note_cache(turn)
         durable = commit is turn_log.Commit.DURABLE
-        if durable:
-            run.family.verified_offset = applied_offset
         run.answer.append(
             last_frame(turn, durable=durable, stream=run.prepared.call.stream)
         )
--- a/quetzalmill/home.py
+++ b/quetzalmill/home.py
@@ -193,10 +193,7 @@
         else:
             program = root = start.program
             family = programs.Family(
-                root=root,
-                epoch=1,
-                used_ms=self._clock.now_ms(),
-                verified_offset=self._config.applied_offset,
+                root=root, epoch=1, used_ms=self._clock.now_ms()
             )
         record = turns.ProgramRecord(
             program=program,
@@ -563,7 +560,6 @@
     async def _take_over(
         self, root: str, first_home: program_id.Home, may_fence: bool
     ) -> programs.Family:
-        applied_offset = self._config.applied_offset
         try:
             result = await takeover.take_over(
                 self._port,
@@ -588,21 +584,16 @@
             case takeover.NotRecorded():
                 raise UnknownProgramError(f"program {root} is not known")
             case takeover.Taken(records=records, epoch=epoch):
-                return self._adopt(root, records, epoch, applied_offset)
+                return self._adopt(root, records, epoch)
 
     def _adopt(
-        self,
-        root: str,
-        records: list[turns.Record],
-        epoch: int,
-        applied_offset: int,
+        self, root: str, records: list[turns.Record], epoch: int
     ) -> programs.Family:
         family = programs.restore_family(
             root, records, epoch, self._clock.now_ms()
         )
         if not family.programs:
             raise UnknownProgramError(f"program {root} is not known")
-        family.verified_offset = applied_offset
         family.doubt_all_but(self._quiet_epoch(family))
         held = self._families.get(root)
         if held is not None and not held.lost:
--- a/quetzalmill/programs.py
+++ b/quetzalmill/programs.py
@@ -199,8 +199,6 @@
             any, with the configuration offset of its last record. An earlier
             home may have been several calls ahead of a log that was down, so
             only a call that was started nowhere ends the doubt.
-        verified_offset: The configuration offset at which no other home had
-            fenced this one.
     """
 
     root: str
@@ -212,7 +210,6 @@
     released_doubts: frozenset[str] = frozenset()
     in_doubt: set[str] = attrs.field(factory=set)
     doubts: dict[str, int] = attrs.field(factory=dict)
-    verified_offset: int = 0
 
     def start(self, record: turns.ProgramRecord, now_ms: float) -> Program:
         """Adds a program to the family."""
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -301,6 +301,8 @@
 class FakeWriter:
     """Keeps every record at once."""
 
+    log_is_down = False
+
     def __init__(self, log_answers: bool) -> None:
         self._log_answers = log_answers
 
