Give engines their orders, and end a sidecar that was replaced while paused

Its announcement's outcome in the fold tells now whether another process came after it. Ruled out: a lease on giving orders, which a paused holder wakes up with.

--- a/quetzalmill/daemon.py
+++ b/quetzalmill/daemon.py
@@ -10,6 +10,7 @@
 
 from quetzalmill import announcement
 from quetzalmill import config_store
+from quetzalmill import configuration
 from quetzalmill import errors
 from quetzalmill import log_port
 from quetzalmill import logs
@@ -18,6 +19,9 @@
 ANNOUNCE_RETRY_MS = 2_000.0
 """How long an announcement may take before it is appended again."""
 
+_ANNOUNCE_POLL_MS = 200.0
+_POLLS_PER_TRY = int(ANNOUNCE_RETRY_MS / _ANNOUNCE_POLL_MS)
+
 _log = logs.get("daemon")
 
 
@@ -54,18 +58,35 @@
         identity.host,
         [announcement.process_change(identity.host, identity.spec)],
     )
-    announced = False
-    while True:
+    tries = 0
+    while not _is_replaced(identity, store.config, record):
         published = store.config.process(identity.host)
-        if published and published.instance == identity.spec.instance:
-            announced = True
-        elif announced:
-            _log.error("process_replaced", host=identity.host)
-            replaced.set()
-            return
-        else:
+        known = published and published.instance == identity.spec.instance
+        if not known and tries % _POLLS_PER_TRY == 0:
             await _try_append(port, record)
-        await trio.sleep(ANNOUNCE_RETRY_MS / 1000.0)
+        tries = 0 if known else tries + 1
+        await trio.sleep(_ANNOUNCE_POLL_MS / 1000.0)
+    _log.error("process_replaced", host=identity.host)
+    replaced.set()
+
+
+def _is_replaced(
+    identity: Identity,
+    config: configuration.Configuration,
+    record: objects.ConfigRecord,
+) -> bool:
+    """Returns whether another process of the host came after this one.
+
+    The outcome of the own announcement tells, even when this process was
+    paused and never saw the configuration in which it was the newest.
+    """
+    outcome = config.outcome_of(record.record_id)
+    if outcome is None or outcome.verdict is not (
+        configuration.Verdict.ACCEPTED
+    ):
+        return False
+    published = config.process(identity.host)
+    return published is None or published.instance != identity.spec.instance
 
 
 async def announce_leaving(
--- a/quetzalmill/endpoint_port.py
+++ b/quetzalmill/endpoint_port.py
@@ -21,6 +21,7 @@
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """The largest answer of an endpoint."""
 
+_STATUS_CONFLICT = 409
 _HOUSEKEEPING_TIMEOUT_MS = 2_000.0
 _BUSY_STATUSES = (429, 503)
 
@@ -126,6 +127,23 @@
         """Frees the memory that an engine holds for a program."""
         await self._post(address, "/kv/release", {"session": session})
 
+    async def order(
+        self, address: str, order: dict[str, str], fencing: int
+    ) -> None:
+        """Gives an engine an order with a fencing number.
+
+        Raises:
+            errors.RefusedByEndpointError: The engine knows a newer number.
+            errors.NotDoneError: It did not obey, or may not have; the same
+                order may be given again.
+        """
+        body = codec.to_json({"order": order, "fencing": fencing})
+        response = await self._response(address, "POST", "/orders", body)
+        if response.status == _STATUS_CONFLICT:
+            raise errors.RefusedByEndpointError("the order is out of date")
+        if response.status != 200:
+            raise errors.NotDoneError(f"the engine answered {response.status}")
+
     async def sessions(self, address: str) -> dict[str, int]:
         """Returns the programs whose history an engine holds, in tokens."""
         body = await self._request(address, "GET", "/kv", b"")
@@ -154,6 +172,11 @@
     async def _request(
         self, address: str, method: str, path: str, body: bytes
     ) -> bytes:
+        return (await self._response(address, method, path, body)).body
+
+    async def _response(
+        self, address: str, method: str, path: str, body: bytes
+    ) -> http_message.Response:
         request = http_message.Request(method=method, path=path, body=body)
         try:
             response = await self._client.request(
@@ -165,7 +188,7 @@
             )
         except errors.HttpError as error:
             raise errors.NotDoneError(str(error)) from error
-        return response.body
+        return response
 
 
 def request_id(execution: messages.Execution) -> str:
--- a/quetzalmill/objects.py
+++ b/quetzalmill/objects.py
@@ -72,6 +72,8 @@
         slots: Requests that may run at once.
         memory_tokens: Tokens of cached history that the engine can hold.
         checks_fencing: Whether it refuses orders with an old fencing number.
+        wanted: What an engine is ordered to load or to be, such as a model, a
+            version, adapters or a role; empty for no orders.
     """
 
     host: str
@@ -81,6 +83,7 @@
     slots: int = 8
     memory_tokens: int = 200_000
     checks_fencing: bool = False
+    wanted: dict[str, str] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
--- a/quetzalmill/sidecar.py
+++ b/quetzalmill/sidecar.py
@@ -17,6 +17,7 @@
 from quetzalmill import control
 from quetzalmill import daemon
 from quetzalmill import endpoint_port
+from quetzalmill import engine_orders
 from quetzalmill import executor as executor_module
 from quetzalmill import executor_link
 from quetzalmill import fleet_view
@@ -97,6 +98,13 @@
         self._home = self._new_home()
         self._beats = self._new_beats()
         self._memory = self._new_memory()
+        self._orders = engine_orders.OrderKeeper(
+            settings.host,
+            config=self._store.config,
+            port=self._endpoint_port,
+            may_order=self._beats.was_answered,
+            clock=self._clock,
+        )
         self._api = sidecar_api.SidecarApi(
             home=self._home,
             executor=self._executor,
@@ -127,6 +135,7 @@
             self._writer.run,
             self._memory.renew_forever,
             self._memory.free_forever,
+            self._orders.run,
             self._housekeeping,
         ):
             self._nursery.start_soon(task)
--- a/quetzalmill/sidecar_beats.py
+++ b/quetzalmill/sidecar_beats.py
@@ -99,6 +99,10 @@
         self._was_silent = False
         return silent
 
+    def was_answered(self) -> bool:
+        """Returns whether an entry answered within the timeout."""
+        return self.heard_any and not self._is_silent(self._clock.now_ms())
+
     async def catch_up(self, offset: int) -> bool:
         """Fetches the configuration up to ``offset``; False if it cannot."""
         config = self._store.config
