Bound calls by the home's call_timeout_ms and drop the entry's retry_share

Cause: both settings were checked and then read by nothing. The home alone retries, so the entry has no use for a share of retries; the field is refused as unknown now. The check of its range moved to the sidecar's settings.

Seen red: test_deadline[home] got the service's answer after 5 s with the sidecar's limit at 2.5 s; with the bound it gets 504.

--- a/quetzalmill/home.py
+++ b/quetzalmill/home.py
@@ -100,10 +100,12 @@
     Attributes:
         own: This process.
         idle_ms: Idle time after which a program's memory is dropped.
+        call_timeout_ms: The longest time that a call may take.
     """
 
     own: program_id.Home
     idle_ms: float
+    call_timeout_ms: float
 
 
 class Home:
@@ -365,7 +367,8 @@
         call: messages.Call,
     ) -> AsyncIterator[messages.Frame]:
         prepared = self._prepare(family, program, call)
-        deadline_ms = self._clock.now_ms() + call.time_left_ms
+        left_ms = min(call.time_left_ms, self._options.call_timeout_ms)
+        deadline_ms = self._clock.now_ms() + left_ms
         while True:
             admission = family.admit(
                 program,
--- a/quetzalmill/settings.py
+++ b/quetzalmill/settings.py
@@ -73,7 +73,6 @@
         max_header_bytes: The largest request head.
         call_timeout_ms: The longest time that a call may take.
         drain_timeout_ms: How long a shutdown waits for running requests.
-        retry_share: Retries allowed for each first attempt.
         log_level: The least severe level that is logged.
     """
 
@@ -94,7 +93,6 @@
     max_header_bytes: int = attrs.field(default=32_768, metadata=_BYTES)
     call_timeout_ms: int = attrs.field(default=120_000, metadata=_MILLISECONDS)
     drain_timeout_ms: int = attrs.field(default=150_000, metadata=_MILLISECONDS)
-    retry_share: float = attrs.field(default=0.1, metadata=_SHARE)
     log_level: str = attrs.field(default="info", metadata=_LOG_LEVEL)
 
 
@@ -124,7 +122,7 @@
         limit_policy: How the number of running requests is limited.
         max_queue: Requests that may wait before the endpoint.
         retry_share: Retries allowed for each first attempt.
-        call_timeout_ms: The longest time that a call may take.
+        call_timeout_ms: The longest time that a call may take at its home.
         max_body_bytes: The largest request body.
         max_header_bytes: The largest request head.
         drain_timeout_ms: How long a shutdown waits for running requests.
--- a/quetzalmill/sidecar.py
+++ b/quetzalmill/sidecar.py
@@ -364,6 +364,7 @@
                     host=settings.host, instance=self._identity.spec.instance
                 ),
                 idle_ms=settings.program_idle_ms,
+                call_timeout_ms=settings.call_timeout_ms,
             ),
             config=self._store.config,
             runner=self._runner,
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -19,6 +19,7 @@
 BOOKINGS = "/v1/services/booking/bookings"
 MAX_BODY_BYTES = 65_536
 MAX_HEADER_BYTES = 4_096
+CALL_TIMEOUT_MS = 2_500
 PATIENCE_S = 10.0
 ASK = {"model": "planner", "messages": [{"role": "user", "content": "when"}]}
 UNKNOWN_PROGRAM = "ab12.cd34.side-9"
@@ -302,12 +303,14 @@
         assert (reply.status, reply.body["code"]) == (402, "budget_spent")
         assert reply.body["ran"] == "no"
 
-    @pytest.mark.parametrize("where", ["header", "program"])
+    @pytest.mark.parametrize("where", ["header", "program", "home"])
     def test_deadline(self, system: "System", where: str) -> None:
         fields: dict[str, Any] = {}
         if where == "program":
             fields["deadline_ms"] = 400
-        header = {} if fields else {"Quetzalmill_Deadline_Ms": "400"}
+        header = {}
+        if where == "header":
+            header["Quetzalmill_Deadline_Ms"] = "400"
         one = talk.Talk(system.running, **fields)
         reply = one.request(
             "POST",
@@ -416,7 +419,7 @@
     ) -> None:
         self.running = running
         engine = running.fleet.emulator("engine")
-        running.start_sidecar()
+        running.start_sidecar(call_timeout_ms=CALL_TIMEOUT_MS)
         echo = f"127.0.0.1:{server.server_address[1]}"
         labels = {"for": "keepers"}
         running.publish_ok(
@@ -496,7 +499,7 @@
         if self.path.startswith("/status/"):
             status, kind, data = int(self.path[8:]), "text/x-echo", b"as it is"
         if self.path == "/slow":
-            threading.Event().wait(1.0)
+            threading.Event().wait(2 * CALL_TIMEOUT_MS / 1000)
         if status == 204:
             data = b""
         self.send_response(status)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -90,7 +90,7 @@
             ('beat_ms = "500ms"', ["beat_ms", "whole number of milliseconds"]),
             ("beat_ms = true", ["beat_ms", "whole number"]),
             ("beat_ms = 0", ["beat_ms", "from 1 to"]),
-            ("retry_share = 1.5", ["retry_share", "from 0 to 1"]),
+            ("retry_share = 0.1", ["retry_share", "remove it"]),
             ('log_level = "loud"', ["log_level", '"debug"']),
             ('statsd_address = "localhost:1"', ["statsd_address", "IP number"]),
             ('statsd_address = "127.0.0.1:0"', ["statsd_address", "port"]),
@@ -142,6 +142,12 @@
         with pytest.raises(errors.SettingsError, match='says "sidecar"'):
             settings.load_sidecar(write(tmp_path, ENTRY_TEXT))
 
+    def test_share_is_from_0_to_1(self, tmp_path: Path) -> None:
+        text = SIDECAR_TEXT + "retry_share = 1.5\n"
+        (problem,) = problems_of(write(tmp_path, text))
+        assert "retry_share" in problem
+        assert "from 0 to 1" in problem
+
     def test_sidecar_needs_an_entry(self, tmp_path: Path) -> None:
         text = SIDECAR_TEXT.replace('["127.0.0.1:7102"]', "[]")
         (problem,) = problems_of(write(tmp_path, text))
