--- a/quetzalmill/call_run.py
+++ b/quetzalmill/call_run.py
@@ -21,6 +21,7 @@
 from quetzalmill import errors
 from quetzalmill import executor_link
 from quetzalmill import messages
+from quetzalmill import metrics as metrics_module
 from quetzalmill import programs
 from quetzalmill import retry_budget
 from quetzalmill import routing
@@ -134,12 +135,14 @@
         writer: turn_log.TurnWriter,
         retries: retry_budget.RetryBudget,
         clock: clock_module.Clock,
+        metrics: metrics_module.Metrics = metrics_module.NONE,
     ) -> None:
         self._config = config
         self._router = router
         self._link = link
         self._writer = writer
         self._retries = retries
+        self._metrics = metrics
         self._clock = clock
         self._caches: dict[str, dict[str, int]] = {}
         self._verified_offset = 0
@@ -377,6 +380,7 @@
         run.assembly.require_whole()
         tokens = run.assembly.used_tokens()
         run.program.attained_units += tokens
+        self._count_prompt(run.assembly)
         return _Succeeded(
             status=200,
             content_type="application/json",
@@ -387,6 +391,13 @@
             cached_tokens=run.prepared.prompt_tokens + tokens,
         )
 
+    def _count_prompt(self, assembly: completion.Assembly) -> None:
+        prompt, cached = assembly.prompt_tokens()
+        self._metrics.count(metrics_module.PROMPT_TOKENS, prompt)
+        self._metrics.count(
+            metrics_module.PROMPT_TOKENS_COMPUTED, max(0, prompt - cached)
+        )
+
     def _may_retry(self, run: Run, result: _Failed, attempt: int) -> bool:
         frame = result.frame
         if frame.ran is not messages.Ran.NO:
--- a/quetzalmill/callers_api.py
+++ b/quetzalmill/callers_api.py
@@ -12,6 +12,7 @@
 
 from quetzalmill import admission as admission_module
 from quetzalmill import caller_requests
+from quetzalmill import clock as clock_module
 from quetzalmill import codec
 from quetzalmill import configuration
 from quetzalmill import errors
@@ -21,6 +22,7 @@
 from quetzalmill import keys
 from quetzalmill import logs
 from quetzalmill import messages
+from quetzalmill import metrics as metrics_module
 from quetzalmill import objects
 from quetzalmill import problems
 from quetzalmill import selectors
@@ -71,6 +73,8 @@
         is_trusted: Callable[[], bool],
         is_ready: Callable[[], bool],
         call_timeout_ms: float,
+        metrics: metrics_module.Metrics,
+        clock: clock_module.Clock,
     ) -> None:
         self._config = config
         self._admission = admission
@@ -79,6 +83,8 @@
         self._is_trusted = is_trusted
         self._is_ready = is_ready
         self._call_timeout_ms = call_timeout_ms
+        self._metrics = metrics
+        self._clock = clock
         self.running = 0
 
     async def handle(
@@ -89,6 +95,7 @@
         try:
             await self._route(request, exchange)
         except problems.CallerError as error:
+            self._count_error(error)
             _log.info(
                 "request_failed",
                 path=request.path,
@@ -114,6 +121,19 @@
                 await exchange.respond(200, b"{}")
             case ("GET", "/ready"):
                 await exchange.respond(200 if self._is_ready() else 503, b"{}")
+            case _:
+                started_ms = self._clock.now_ms()
+                try:
+                    await self._serve(request, exchange)
+                finally:
+                    took_ms = self._clock.now_ms() - started_ms
+                    self._metrics.time(metrics_module.REQUEST_MS, took_ms)
+
+    async def _serve(
+        self, request: http_message.Request, exchange: http_server.Exchange
+    ) -> None:
+        path = request.path
+        match (request.method, path):
             case ("POST", _) if path == COMPLETIONS_PATH:
                 await self._complete(request, exchange)
             case ("POST", _) if path == PROGRAMS_PATH:
@@ -252,11 +272,16 @@
         exchange: http_server.Exchange,
     ) -> None:
         started = False
+        started_ms = self._clock.now_ms()
 
         async def start() -> None:
             nonlocal started
             if not started:
                 started = True
+                self._metrics.time(
+                    metrics_module.FIRST_TOKEN_MS,
+                    self._clock.now_ms() - started_ms,
+                )
                 await exchange.start_stream(
                     200,
                     {
@@ -278,6 +303,7 @@
         except problems.CallerError as error:
             if not started:
                 raise
+            self._count_error(error)
             await exchange.send(
                 sse.encode_event(problems.body_of(error).decode())
             )
@@ -341,13 +367,21 @@
             raise _key_unknown("the key is unknown or withdrawn")
         if not keys.matches(key, spec.secret_sha256):
             raise _key_unknown("the key is unknown or withdrawn")
+        self._metrics.count(metrics_module.REQUESTS, part=spec.team)
         return Caller(team=spec.team, key_id=key_id)
 
+    def _count_error(self, error: problems.CallerError) -> None:
+        if error.ran is messages.Ran.UNKNOWN:
+            self._metrics.count(metrics_module.OUTCOMES_UNKNOWN)
+        else:
+            self._metrics.count(metrics_module.REFUSALS, part=error.code)
+
     def _caller_of_route(
         self, request: http_message.Request, route: objects.RouteSpec
     ) -> Caller:
         if route.open and "authorization" not in request.headers:
             self._require_trust()
+            self._metrics.count(metrics_module.REQUESTS)
             return NOBODY
         return self._authenticate(request)
 
@@ -392,8 +426,9 @@
     async def _admit(self, caller: Caller) -> None:
         match await self._admission.admit(caller.team):
             case admission_module.Admitted():
-                return
+                self._metrics.count(metrics_module.ADMITTED, part=caller.team)
             case admission_module.OverRate(retry_after_ms=retry_after_ms):
+                self._metrics.count(metrics_module.OVER_RATE, part=caller.team)
                 raise problems.CallerError(
                     429,
                     "over_rate",
--- a/quetzalmill/completion.py
+++ b/quetzalmill/completion.py
@@ -157,6 +157,18 @@
         if self._to_skip:
             raise DivergedError("the attempt's answer is shorter")
 
+    def prompt_tokens(self) -> tuple[int, int]:
+        """Returns the prompt's tokens and those cached, as far as known."""
+        details = self.usage.get("prompt_tokens_details")
+        cached = (
+            details.get("cached_tokens") if isinstance(details, dict) else 0
+        )
+        prompt = self.usage.get("prompt_tokens")
+        return (
+            prompt if isinstance(prompt, int) else 0,
+            cached if isinstance(cached, int) else 0,
+        )
+
     def add(self, chunk: bytes) -> bytes | None:
         """Takes a chunk and returns what is to be passed on, if anything.
 
--- a/quetzalmill/control.py
+++ b/quetzalmill/control.py
@@ -43,17 +43,33 @@
 Handler = Callable[[Any], Any]
 
 
+@attrs.define
+class Traffic:
+    """What was sent.
+
+    Attributes:
+        messages: Requests and replies.
+        sent_bytes: Their size, without the framing around them.
+    """
+
+    messages: int = 0
+    sent_bytes: int = 0
+
+
 class ControlServer:
     """Serves control calls with synchronous handlers."""
 
     def __init__(self, handlers: Mapping[Method, Handler]) -> None:
         self._handlers = handlers
+        self.traffic = Traffic()
         self._server: grpclib.server.Server | None = None
 
     async def start(self, address: str) -> None:
         """Listens on ``address``; must run inside a trio-asyncio loop."""
         host, port = split_address(address)
-        server = grpclib.server.Server([self], codec=_MsgpackCodec())
+        server = grpclib.server.Server(
+            [self], codec=_MsgpackCodec(self.traffic)
+        )
         await trio_asyncio.aio_as_trio(server.start)(host, port)
         self._server = server
 
@@ -82,6 +98,7 @@
 
     def __init__(self) -> None:
         self._channels: dict[str, grpclib.client.Channel] = {}
+        self.traffic = Traffic()
 
     async def call(
         self, address: str, method: Method, message: Any, *, timeout_ms: float
@@ -124,7 +141,9 @@
         channel = self._channels.get(address)
         if channel is None:
             host, port = split_address(address)
-            channel = grpclib.client.Channel(host, port, codec=_MsgpackCodec())
+            channel = grpclib.client.Channel(
+                host, port, codec=_MsgpackCodec(self.traffic)
+            )
             self._channels[address] = channel
         return channel
 
@@ -138,8 +157,14 @@
 class _MsgpackCodec(grpclib.encoding.base.CodecBase):
     __content_subtype__ = "msgpack"
 
+    def __init__(self, traffic: Traffic) -> None:
+        self._traffic = traffic
+
     def encode(self, message: Any, message_type: Any) -> bytes:
-        return codec.to_msgpack(message)
+        data = codec.to_msgpack(message)
+        self._traffic.messages += 1
+        self._traffic.sent_bytes += len(data)
+        return data
 
     def decode(self, data: bytes, message_type: Any) -> Any:
         return codec.from_msgpack(data, message_type)
--- a/quetzalmill/endpoint_worker.py
+++ b/quetzalmill/endpoint_worker.py
@@ -17,6 +17,7 @@
 from quetzalmill import endpoint_port
 from quetzalmill import errors
 from quetzalmill import messages
+from quetzalmill import metrics as metrics_module
 from quetzalmill import objects
 from quetzalmill import scheduler
 
@@ -93,6 +94,7 @@
         max_queue: int,
         failure_ms: float,
         weight_of: Callable[[str], float],
+        metrics: metrics_module.Metrics,
     ) -> None:
         self.name = name
         self.spec = spec
@@ -104,6 +106,7 @@
         self._max_queue = max_queue
         self._failure_ms = failure_ms
         self._weight_of = weight_of
+        self._metrics = metrics
         self._running: list[Job] = []
         self._is_down = False
         self._units_per_s = 0.0
@@ -156,6 +159,11 @@
             if waiting.item.alone and self._running:
                 self._queue.push(waiting)
                 return
+            self._metrics.time(
+                metrics_module.QUEUE_MS,
+                self._clock.now_ms() - waiting.arrived_ms,
+                waiting.team,
+            )
             self._start(waiting.item)
 
     def recheck(self) -> None:
@@ -308,6 +316,7 @@
             return True
         if not self._is_down:
             self._is_down = True
+            self._metrics.count(metrics_module.ENDPOINT_FAILURES)
             self._nursery.start_soon(self._probe_until_up)
             for waiting in self._queue.all_waiting():
                 self._queue.remove(waiting)
--- a/quetzalmill/engine_memory.py
+++ b/quetzalmill/engine_memory.py
@@ -17,6 +17,7 @@
         self._ended: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        self.lapsed = 0
 
     def __len__(self) -> int:
         return len(self._until_ms)
@@ -36,6 +37,7 @@
     def unleased(self, sessions: list[str], now_ms: float) -> list[str]:
         """Returns the sessions that an engine holds without a lease."""
         lapsed = [s for s, until in self._until_ms.items() if until <= now_ms]
+        self.lapsed += len(lapsed)
         for session in lapsed:
             del self._until_ms[session]
         return [s for s in sessions if s not in self._until_ms]
--- a/quetzalmill/entry.py
+++ b/quetzalmill/entry.py
@@ -32,6 +32,8 @@
 from quetzalmill import log_port
 from quetzalmill import logs
 from quetzalmill import messages
+from quetzalmill import metrics as metrics_module
+from quetzalmill import metrics_report
 from quetzalmill import objects
 from quetzalmill import operator_api
 from quetzalmill import settings as settings_module
@@ -80,6 +82,9 @@
         self._fleet = fleet_view.FleetView(
             self._store.config, timeout_ms=settings.peer_timeout_ms
         )
+        self._metrics = metrics_module.Metrics(
+            settings.statsd_address, objects.ENTRY, settings.host
+        )
         self._suspects = suspects_module.Suspects()
         self._freshness = freshness_module.Freshness(settings.config_lease_ms)
         self._ledger = shares.ShareHolder(
@@ -141,6 +146,7 @@
             self._home_link.watch_forever,
             self._publish_quarantines,
             self._leave_when_told,
+            self._new_reporter(server).run,
         ):
             self._nursery.start_soon(task)
         if settings.hosts_address is not None:
@@ -395,6 +401,37 @@
             is_trusted=self._is_trusted,
             is_ready=self._is_ready,
             call_timeout_ms=self._settings.call_timeout_ms,
+            metrics=self._metrics,
+            clock=self._clock,
+        )
+
+    def _new_reporter(
+        self, server: control.ControlServer
+    ) -> metrics_report.Reporter:
+        sent = (server.traffic, self._control.traffic)
+        return metrics_report.Reporter(
+            self._metrics,
+            gauges={
+                metrics_module.APPLIED_OFFSET: lambda: (
+                    self._store.config.applied_offset
+                ),
+                metrics_module.PEERS_LIVE: lambda: self._fleet.count_heard(
+                    self._clock.now_ms()
+                ),
+            },
+            totals={
+                metrics_module.SHARE_ASKS: lambda: self._admission.asked,
+                metrics_module.STALE_ANSWERS: lambda: (
+                    self._home_link.mismatched_frames
+                ),
+                metrics_module.LOG_ERRORS: lambda: self._log_port.failed_calls,
+                metrics_module.CONTROL_MESSAGES: lambda: sum(
+                    each.messages for each in sent
+                ),
+                metrics_module.CONTROL_BYTES: lambda: sum(
+                    each.sent_bytes for each in sent
+                ),
+            },
         )
 
 
--- a/quetzalmill/executor.py
+++ b/quetzalmill/executor.py
@@ -17,6 +17,7 @@
 from quetzalmill import endpoint_port
 from quetzalmill import endpoint_worker
 from quetzalmill import messages
+from quetzalmill import metrics as metrics_module
 from quetzalmill import objects
 from quetzalmill import scheduler
 from quetzalmill import suspects
@@ -70,6 +71,7 @@
         on_over: Callable[[str], None],
         nursery: trio.Nursery,
         clock: clock_module.Clock,
+        metrics: metrics_module.Metrics = metrics_module.NONE,
     ) -> None:
         self._options = options
         self._config = config
@@ -78,6 +80,7 @@
         self._report = report
         self._on_start = on_start
         self._on_over = on_over
+        self._metrics = metrics
         self._nursery = nursery
         self._clock = clock
         self._workers: dict[str, endpoint_worker.EndpointWorker] = {}
@@ -108,6 +111,10 @@
         """Returns the load of each endpoint."""
         return [worker.load() for worker in self._workers.values()]
 
+    def slots(self) -> int:
+        """Returns the requests that the endpoints may run at once."""
+        return sum(worker.spec.slots for worker in self._workers.values())
+
     def configuration_changed(self) -> None:
         """Brings endpoints and queued work to the newest configuration."""
         mine = {
@@ -242,6 +249,8 @@
             crashes_before=1 if call.suspect else 0,
             now_ms=self._clock.now_ms(),
         )
+        if suspect.crashes == suspects.QUARANTINE_CRASHES:
+            self._metrics.count(metrics_module.QUARANTINED)
         await self._report(suspect)
         return suspect.crashes
 
@@ -313,6 +322,7 @@
             max_queue=self._options.max_queue,
             failure_ms=self._options.failure_ms,
             weight_of=self._weight_of,
+            metrics=self._metrics,
         )
 
     def _weight_of(self, team: str) -> float:
--- a/quetzalmill/fleet_view.py
+++ b/quetzalmill/fleet_view.py
@@ -236,6 +236,11 @@
             and self.is_alive(heard.host, now_ms)
         ]
 
+    def count_heard(self, now_ms: float) -> int:
+        """Returns how many processes were heard in time."""
+        roles = (objects.ENTRY, objects.SIDECAR)
+        return sum(len(self.heard(role, now_ms)) for role in roles)
+
     def heard_directly(self, role: str, now_ms: float) -> list[HeardProcess]:
         """Returns the processes of a role that were lately heard here."""
         return [
--- a/quetzalmill/home.py
+++ b/quetzalmill/home.py
@@ -22,6 +22,7 @@
 from quetzalmill import errors
 from quetzalmill import log_port
 from quetzalmill import messages
+from quetzalmill import metrics as metrics_module
 from quetzalmill import program_id
 from quetzalmill import programs
 from quetzalmill import takeover
@@ -122,6 +123,7 @@
         is_gone: Callable[[str, str], bool],
         was_silent: Callable[[], bool],
         nursery: trio.Nursery,
+        metrics: metrics_module.Metrics,
         clock: clock_module.Clock,
     ) -> None:
         self._options = options
@@ -132,6 +134,7 @@
         self._is_gone = is_gone
         self._was_silent = was_silent
         self._nursery = nursery
+        self._metrics = metrics
         self._clock = clock
         self._families: dict[str, programs.Family] = {}
         self._moved: dict[str, program_id.Home] = {}
@@ -142,6 +145,7 @@
         self._dropped_in_doubt: set[str] = set()
         self._run_ended = trio.Event()
         self.leaving = False
+        self.takeovers = 0
 
     @property
     def running(self) -> int:
@@ -258,6 +262,11 @@
             )
             if commit is turn_log.Commit.FENCED:
                 raise MovedError(self._moved.get(family.root))
+            self._metrics.time(
+                metrics_module.PROGRAM_MS,
+                self._clock.now_ms() - each.started_ms,
+                each.record.team,
+            )
 
     async def show(
         self, program: str, team: str, *, take_over: bool
@@ -602,6 +611,7 @@
         if held is not None and not held.lost:
             return held
         self._families[root] = family
+        self.takeovers += 1
         self._moved.pop(root, None)
         for program in family.programs.values():
             for turn in program.history:
--- a/quetzalmill/log_port.py
+++ b/quetzalmill/log_port.py
@@ -83,6 +83,7 @@
         self._client = client
         self._address = address
         self._timeout_ms = timeout_ms
+        self.failed_calls = 0
 
     async def append(self, stream: str, records: list[Any]) -> int:
         """Appends records together; see ``LogPort.append``."""
@@ -96,13 +97,19 @@
                 self._address, request, timeout_ms=self._timeout_ms
             )
         except errors.ConnectFailedError as error:
-            raise errors.NotDoneError(str(error)) from error
+            raise self._failed(errors.NotDoneError(str(error))) from error
         except errors.HttpError as error:
-            raise errors.OutcomeUnknownError(str(error)) from error
+            raise self._failed(
+                errors.OutcomeUnknownError(str(error))
+            ) from error
         if response.status == _STATUS_TOO_MANY:
-            raise errors.ThrottledError("the log takes no more appends now")
+            raise self._failed(
+                errors.ThrottledError("the log takes no more appends now")
+            )
         if response.status != 200:
-            raise errors.NotDoneError(f"the log answered {response.status}")
+            raise self._failed(
+                errors.NotDoneError(f"the log answered {response.status}")
+            )
         return int(
             codec.from_json(response.body, dict[str, int])["first_offset"]
         )
@@ -129,10 +136,17 @@
                 max_body_bytes=MAX_PAGE_BYTES,
             )
         except errors.HttpError as error:
-            raise errors.NotDoneError(str(error)) from error
+            raise self._failed(errors.NotDoneError(str(error))) from error
         if response.status == _STATUS_GONE:
             gone = codec.from_json(response.body, dict[str, Any])
             raise errors.RetentionError(int(gone.get("first_offset", 1)))
         if response.status != 200:
-            raise errors.NotDoneError(f"the log answered {response.status}")
+            raise self._failed(
+                errors.NotDoneError(f"the log answered {response.status}")
+            )
         return codec.from_json(response.body, Page)
+
+    def _failed(self, error: errors.PortError) -> errors.PortError:
+        """Counts a failure and returns it."""
+        self.failed_calls += 1
+        return error
--- a/quetzalmill/memory_keeper.py
+++ b/quetzalmill/memory_keeper.py
@@ -54,6 +54,17 @@
         self._clock = clock
         self._leases = engine_memory.MemoryLeases(lease_ms)
         self._started_ms = clock.now_ms()
+        self._held_tokens: dict[str, int] = {}
+
+    @property
+    def held_tokens(self) -> int:
+        """Returns the leased tokens that the engines listed last."""
+        return sum(self._held_tokens.values())
+
+    @property
+    def leases_lapsed(self) -> int:
+        """Returns how many leases have lapsed."""
+        return self._leases.lapsed
 
     def grant(self, request: messages.LeaseRequest) -> None:
         """Renews and ends leases as a home asks."""
@@ -115,6 +126,9 @@
             return
         now_ms = self._clock.now_ms()
         unleased = self._leases.unleased(list(listed), now_ms)
+        self._held_tokens[address] = sum(listed.values()) - sum(
+            listed[session] for session in unleased
+        )
         if now_ms - self._started_ms < self._lease_ms:
             return
         for session in unleased:
--- a/quetzalmill/metrics.py
+++ b/quetzalmill/metrics.py
@@ -89,14 +89,14 @@
 COMMIT_BUFFER_BYTES = _gauge(
     "commit_buffer_bytes", "bytes", "", "turns that await their commit"
 )
-PREFIX_TOKENS = _counter(
-    "prefix_tokens", "tokens", "", "history tokens sent to an engine"
+PROMPT_TOKENS = _counter(
+    "prompt_tokens", "tokens", "", "prompt tokens of model calls that ended"
 )
-PREFIX_TOKENS_RECOMPUTED = _counter(
-    "prefix_tokens_recomputed",
+PROMPT_TOKENS_COMPUTED = _counter(
+    "prompt_tokens_computed",
     "tokens",
     "",
-    "history tokens that an engine computed again",
+    "those of them that an engine did not have cached",
 )
 ENGINE_MEMORY_TOKENS = _gauge(
     "engine_memory_tokens", "tokens", "", "tokens held under leases"
@@ -173,6 +173,10 @@
         self._sock.setblocking(False)
 
 
+NONE = Metrics(None, "", "")
+"""Sends nothing."""
+
+
 def _full_name(metric: Metric, part: str) -> str:
     return f"{metric.name}.{_name_part(part)}" if part else metric.name
 
--- a/quetzalmill/sidecar.py
+++ b/quetzalmill/sidecar.py
@@ -29,6 +29,8 @@
 from quetzalmill import logs
 from quetzalmill import memory_keeper
 from quetzalmill import messages
+from quetzalmill import metrics as metrics_module
+from quetzalmill import metrics_report
 from quetzalmill import objects
 from quetzalmill import placement
 from quetzalmill import program_id
@@ -84,6 +86,9 @@
         self._fleet = fleet_view.FleetView(
             self._store.config, timeout_ms=settings.peer_timeout_ms
         )
+        self._metrics = metrics_module.Metrics(
+            settings.statsd_address, objects.SIDECAR, settings.host
+        )
         self._suspects = suspects_module.Suspects()
         self._client = http_client.HttpClient()
         self._control = control.ControlClient()
@@ -91,6 +96,7 @@
             self._client, settings.log_address, timeout_ms=LOG_TIMEOUT_MS
         )
         self._endpoint_port = endpoint_port.EndpointPort(self._client)
+        self._retries = retry_budget.RetryBudget(settings.retry_share)
         self._executor = self._new_executor()
         self._link = self._new_link()
         self._writer = self._new_writer()
@@ -137,6 +143,7 @@
             self._memory.free_forever,
             self._orders.run,
             self._housekeeping,
+            self._new_reporter(server).run,
         ):
             self._nursery.start_soon(task)
         self._nursery.start_soon(
@@ -299,6 +306,7 @@
             on_start=lambda program: self._memory.started(program),
             on_over=lambda program: self._memory.over(program),
             nursery=self._nursery,
+            metrics=self._metrics,
             clock=self._clock,
         )
 
@@ -333,6 +341,8 @@
             patience_ms=COMMIT_PATIENCE_MS,
             buffer_bytes=settings.commit_buffer_bytes,
             on_fence=self._fenced,
+            metrics=self._metrics,
+            clock=self._clock,
         )
 
     def _new_runner(self) -> call_run.CallRunner:
@@ -352,7 +362,8 @@
             ),
             link=self._link,
             writer=self._writer,
-            retries=retry_budget.RetryBudget(settings.retry_share),
+            retries=self._retries,
+            metrics=self._metrics,
             clock=self._clock,
         )
 
@@ -373,6 +384,7 @@
             is_gone=self._is_gone,
             was_silent=lambda: self._beats.was_silent(),
             nursery=self._nursery,
+            metrics=self._metrics,
             clock=self._clock,
         )
 
@@ -407,6 +419,58 @@
             clock=self._clock,
         )
 
+    def _new_reporter(
+        self, server: control.ControlServer
+    ) -> metrics_report.Reporter:
+        sent = (server.traffic, self._control.traffic)
+        return metrics_report.Reporter(
+            self._metrics,
+            gauges={
+                metrics_module.QUEUE_LENGTH: lambda: sum(
+                    load.queued for load in self._executor.loads()
+                ),
+                metrics_module.RUNNING: lambda: sum(
+                    load.running for load in self._executor.loads()
+                ),
+                metrics_module.RUNNING_LIMIT: self._executor.slots,
+                metrics_module.PROGRAMS: lambda: sum(
+                    len(family.programs)
+                    for family in self._home.families.values()
+                ),
+                metrics_module.COMMIT_BUFFER_BYTES: lambda: (
+                    self._writer.buffered_bytes
+                ),
+                metrics_module.ENGINE_MEMORY_TOKENS: lambda: (
+                    self._memory.held_tokens
+                ),
+                metrics_module.APPLIED_OFFSET: lambda: (
+                    self._store.config.applied_offset
+                ),
+                metrics_module.PEERS_LIVE: lambda: self._fleet.count_heard(
+                    self._clock.now_ms()
+                ),
+            },
+            totals={
+                metrics_module.RETRIES: lambda: self._retries.spent,
+                metrics_module.RETRIES_REFUSED: lambda: self._retries.denied,
+                metrics_module.STALE_ANSWERS: lambda: (
+                    self._link.mismatched_frames
+                ),
+                metrics_module.TAKEOVERS: lambda: self._home.takeovers,
+                metrics_module.COMMITS: lambda: self._writer.appends,
+                metrics_module.LEASES_LAPSED: lambda: (
+                    self._memory.leases_lapsed
+                ),
+                metrics_module.LOG_ERRORS: lambda: self._log_port.failed_calls,
+                metrics_module.CONTROL_MESSAGES: lambda: sum(
+                    each.messages for each in sent
+                ),
+                metrics_module.CONTROL_BYTES: lambda: sum(
+                    each.sent_bytes for each in sent
+                ),
+            },
+        )
+
 
 def _identity_of(settings: settings_module.SidecarSettings) -> daemon.Identity:
     return daemon.Identity(
--- a/quetzalmill/turn_log.py
+++ b/quetzalmill/turn_log.py
@@ -14,10 +14,12 @@
 import attrs
 import trio
 
+from quetzalmill import clock as clock_module
 from quetzalmill import codec
 from quetzalmill import commit_pace
 from quetzalmill import errors
 from quetzalmill import log_port
+from quetzalmill import metrics as metrics_module
 from quetzalmill import turns
 
 PAGE_BATCHES = 256
@@ -55,6 +57,7 @@
 class _Pending:
     record: turns.Record
     size_bytes: int
+    since_ms: float
     settled: trio.Event = attrs.field(factory=trio.Event)
     result: Commit = Commit.BUFFERED
 
@@ -71,6 +74,8 @@
         patience_ms: float,
         buffer_bytes: int,
         on_fence: Callable[[turns.FenceRecord], None],
+        metrics: metrics_module.Metrics,
+        clock: clock_module.Clock,
     ) -> None:
         self._port = port
         self._stream = stream
@@ -78,6 +83,8 @@
         self._patience_ms = patience_ms
         self._buffer_bytes = buffer_bytes
         self._on_fence = on_fence
+        self._metrics = metrics
+        self._clock = clock
         self._pending: list[_Pending] = []
         self._waiting_bytes = 0
         self._arrived = trio.Event()
@@ -107,7 +114,9 @@
         stays in the buffer and is appended when the log answers again.
         """
         pending = _Pending(
-            record=record, size_bytes=len(codec.to_json(turns.encode(record)))
+            record=record,
+            size_bytes=len(codec.to_json(turns.encode(record))),
+            since_ms=self._clock.now_ms(),
         )
         self._pending.append(pending)
         self._waiting_bytes += pending.size_bytes
@@ -234,6 +243,8 @@
         pending.result = Commit.FENCED if is_fenced else Commit.DURABLE
         self._pending.remove(pending)
         self._waiting_bytes -= pending.size_bytes
+        waited_ms = self._clock.now_ms() - pending.since_ms
+        self._metrics.time(metrics_module.COMMIT_MS, waited_ms)
         pending.settled.set()
 
 
