Work out by applied offsets what shares may be minted

All follow from one rule now: an entry confirms by the offset that it has applied, an offset is in force once all holders have it, or half of them and a lease has passed, and until then the smallest fraction counts. team_rates joins this with the buckets. Admission waits up to 250 ms for a token that is due and asks a peer that lacks tokens at most every 50 ms. Entries can announce another control address than the one they listen on, which the tests' links need.

--- a/quetzalmill/config_tail.py
+++ b/quetzalmill/config_tail.py
@@ -46,11 +46,13 @@
         port: log_port.LogPort,
         *,
         on_end_read: Callable[[float], None],
+        on_failure: Callable[[], None],
         clock: clock_module.Clock,
     ) -> None:
         self._store = store
         self._port = port
         self._on_end_read = on_end_read
+        self._on_failure = on_failure
         self._clock = clock
         self._chance = random.Random()
         self.log_answers = False
@@ -69,6 +71,7 @@
                 if self.log_answers:
                     _log.warning("log_unreachable", reason=str(error))
                 self.log_answers = False
+                self._on_failure()
                 await trio.sleep(_RETRY_MS / 1000.0)
 
     async def read_once(self, wait_ms: float) -> bool:
--- a/quetzalmill/entry_control.py
+++ b/quetzalmill/entry_control.py
@@ -18,8 +18,8 @@
 from quetzalmill import logs
 from quetzalmill import messages
 from quetzalmill import objects
-from quetzalmill import shares
 from quetzalmill import suspects as suspects_module
+from quetzalmill import team_rates
 
 PROCESSES_PER_REPLY = 512
 """Changed processes that one answer to a beat tells of."""
@@ -60,7 +60,7 @@
         store: config_store.ConfigStore,
         fleet: fleet_view.FleetView,
         freshness: freshness_module.Freshness,
-        ledger: shares.ShareHolder,
+        rates: team_rates.TeamRates,
         suspects: suspects_module.Suspects,
         client: control.ControlClient,
         clock: clock_module.Clock,
@@ -72,7 +72,7 @@
         self._store = store
         self._fleet = fleet
         self._freshness = freshness
-        self._ledger = ledger
+        self._rates = rates
         self._suspects = suspects
         self._client = client
         self._clock = clock
@@ -163,7 +163,6 @@
             host=self._identity.host,
             spec=self._identity.spec,
             applied_offset=self._store.config.applied_offset,
-            shares_revision=self._ledger.newest.revision,
             processes_at=processes_at,
             loads_at=loads_at,
         )
@@ -187,11 +186,12 @@
             freshness_ms=reply.freshness_ms,
             behind=reply.applied_offset > self._store.config.applied_offset,
         )
-        self._ledger.heard(
+        self._rates.heard(
             reply.host,
             reply.spec.instance,
-            revision=reply.shares_revision,
+            applied_offset=reply.applied_offset,
             asked_ms=asked_ms,
+            now_ms=self._clock.now_ms(),
         )
 
     def _note_own_loads(
@@ -243,7 +243,6 @@
             host=self._identity.host,
             spec=self._identity.spec,
             applied_offset=self._store.config.applied_offset,
-            shares_revision=self._ledger.newest.revision,
             freshness_ms=self._freshness.age_ms(now_ms),
             snapshot=snapshot,
             records=records,
