Let no silent peer delay heartbeats, admissions or reclaims

One frozen entry held every round of heartbeats for a whole timeout, which is longer than the silence after which a peer counts as down, so live entries were taken from the holders too; every request of a team waited for a frozen holder's answer, up to 500 ms, while other holders had tokens; and a record of new holders waited one lease for each entry that comes first in line. Each peer now has a beat of its own, the next holder is asked after 50 ms, and the line moves by two beats. A part of a burst holds 2 whole tokens at least.

--- a/quetzalmill/admission.py
+++ b/quetzalmill/admission.py
@@ -33,9 +33,15 @@
 SILENT_MS = 1_000.0
 """How long a peer that did not answer is not asked again."""
 
+NO_SHARE_MS = 100.0
+"""How long a peer that may mint nothing just now is not asked again."""
+
 ASK_INTERVAL_MS = 50.0
 """The shortest time between two questions to a peer that lacks tokens."""
 
+HEDGE_MS = 50.0
+"""How long one peer's answer is waited for before the next is asked too."""
+
 _MIN_PAUSE_MS = 2.0
 _KEPT_PEERS = 20_000
 
@@ -116,6 +122,7 @@
         self._waiters: dict[str, list[_Waiter]] = {}
         self._peers: dict[tuple[str, str], _Peer] = {}
         self._asking: set[str] = set()
+        self._unanswered: set[tuple[str, str]] = set()
         self.asked = 0
 
     async def admit(self, team: str) -> Verdict:
@@ -191,8 +198,12 @@
             wanted = len(self._waiters[team])
             if wanted == 0:
                 return
-            granted = await self._ask(host, team, wanted)
-            self._settle_first(team, granted)
+            self._unanswered.add((team, host))
+            answered = trio.Event()
+            self._nursery.start_soon(self._ask, host, team, wanted, answered)
+            with trio.move_on_after(HEDGE_MS / 1000.0):
+                await answered.wait()
+            self._admit_here(team)
 
     def _promising_peers(self, team: str) -> list[str]:
         now_ms = self._clock.now_ms()
@@ -200,7 +211,8 @@
         for host in self._reachable_peers(team):
             peer = self._peers.get((team, host))
             again_ms = peer.again_ms if peer else 0.0
-            if again_ms <= now_ms:
+            busy = (team, host) in self._unanswered
+            if again_ms <= now_ms and not busy:
                 due.append((again_ms, host))
         return [host for _, host in sorted(due)]
 
@@ -221,10 +233,8 @@
         waiting = self._waiters[team]
         next_ms = self._next_token_ms(team, now_ms)
         if next_ms is None:
-            for waiter in waiting:
-                waiter.settle(NoHolder())
-            waiting.clear()
-            return 0.0
+            self._refuse_unanswered(team, now_ms)
+            return HEDGE_MS
         interval_ms = self._interval_ms(team)
         kept: list[_Waiter] = []
         for waiter in waiting:
@@ -236,6 +246,21 @@
         waiting[:] = kept
         return next_ms
 
+    def _refuse_unanswered(self, team: str, now_ms: float) -> None:
+        """Refuses those for which no peer's answer can come in time."""
+        asked = any(
+            (team, host) in self._unanswered
+            for host in self._reachable_peers(team)
+        )
+        waiting = self._waiters[team]
+        kept: list[_Waiter] = []
+        for waiter in waiting:
+            if asked and now_ms < waiter.since_ms + MAX_WAIT_MS:
+                kept.append(waiter)
+            else:
+                waiter.settle(NoHolder())
+        waiting[:] = kept
+
     def _interval_ms(self, team: str) -> float:
         """Returns the time between two tokens of a team, over all entries."""
         spec = self._config.team(team)
@@ -249,19 +274,27 @@
             waits_ms.append(own_ms)
         for host in self._reachable_peers(team):
             peer = self._peers.get((team, host))
+            if (team, host) in self._unanswered:
+                # It is asked by now; what it last said is out of date.
+                continue
             if peer and peer.next_ms is not None:
                 waits_ms.append(max(0.0, peer.next_ms - now_ms))
         return min(waits_ms, default=None)
 
-    async def _ask(self, host: str, team: str, wanted: int) -> int:
-        """Returns how many requests a peer admitted."""
+    async def _ask(
+        self, host: str, team: str, wanted: int, answered: trio.Event
+    ) -> None:
+        """Asks a peer to admit requests; an answer may come late."""
         reply = await self._call(host, team, wanted)
+        self._unanswered.discard((team, host))
         if len(self._peers) > _KEPT_PEERS:
             self._peers.clear()
         self._peers[(team, host)] = _peer_of(
             reply, wanted, self._clock.now_ms()
         )
-        return min(wanted, max(0, reply.granted)) if reply else 0
+        if reply is not None and team in self._waiters:
+            self._settle_first(team, max(0, reply.granted))
+        answered.set()
 
     async def _call(
         self, host: str, team: str, wanted: int
@@ -283,8 +316,10 @@
 def _peer_of(
     reply: messages.AdmitReply | None, wanted: int, now_ms: float
 ) -> _Peer:
-    if reply is None or reply.retry_after_ms is None:
+    if reply is None:
         return _Peer(next_ms=None, again_ms=now_ms + SILENT_MS)
+    if reply.retry_after_ms is None:
+        return _Peer(next_ms=None, again_ms=now_ms + NO_SHARE_MS)
     if reply.granted >= wanted:
         return _Peer(next_ms=now_ms + reply.retry_after_ms, again_ms=now_ms)
     pause_ms = min(reply.retry_after_ms, UNKNOWN_RETRY_MS)
--- a/quetzalmill/entry_control.py
+++ b/quetzalmill/entry_control.py
@@ -82,18 +82,20 @@
         self._all = _Tables(identity.spec.instance)
         self._lagging: dict[str, int] = {}
         self._refreshed_ms = -_REFRESH_MS
+        self._beating: set[str] = set()
 
     async def run(self) -> None:
-        """Beats to every other entry until cancelled."""
-        while True:
-            await self.beat_all()
-            await trio.sleep(self._beat_ms / 1000.0)
+        """Beats to every other entry until cancelled.
 
-    async def beat_all(self) -> None:
-        """Sends one beat to each other entry."""
+        A peer that does not answer delays no beat to any other.
+        """
         async with trio.open_nursery() as nursery:
-            for address in self.peers():
-                nursery.start_soon(self._beat, address)
+            while True:
+                for address in self.peers():
+                    if address not in self._beating:
+                        self._beating.add(address)
+                        nursery.start_soon(self._beat_once, address)
+                await trio.sleep(self._beat_ms / 1000.0)
 
     def peers(self) -> list[str]:
         """Returns the control addresses of the other entries."""
@@ -154,6 +156,12 @@
                     crashes=suspect.crashes,
                 )
 
+    async def _beat_once(self, address: str) -> None:
+        try:
+            await self._beat(address)
+        finally:
+            self._beating.discard(address)
+
     async def _beat(self, address: str) -> None:
         asked_ms = self._clock.now_ms()
         processes_at, loads_at = self._fleet.positions(
--- a/quetzalmill/share_keeper.py
+++ b/quetzalmill/share_keeper.py
@@ -87,7 +87,7 @@
             return False
         if self._differs_since_ms is None:
             self._differs_since_ms = now_ms
-        patience_ms = self._lease_ms * self._place_in_line(now_ms)
+        patience_ms = 2 * self._beat_ms * self._place_in_line(now_ms)
         return now_ms - self._differs_since_ms >= patience_ms
 
     def _may_propose(self, now_ms: float) -> bool:
--- a/quetzalmill/shares.py
+++ b/quetzalmill/shares.py
@@ -25,7 +25,7 @@
 HOLDERS_PER_TEAM = 4
 """Entries over which one team's rate is split, at most."""
 
-MIN_PART_TOKENS = 4
+MIN_PART_TOKENS = 2
 """Whole tokens that each entry's part of a burst holds, at least."""
 
 _CLOCK_MARGIN = 1.05
