Read the log often enough for the leases that it renews

A read waits up to 500 ms for a record, so its news is up to 500 ms old when it ends and nearly 1000 ms when the next one ends: as long as a lease of 1000 ms. An entry that holds all shares alone has no other evidence, lapsed at each read and refused requests as rate_unknown. A read now waits a quarter of the shortest lease at most.

--- a/quetzalmill/entry.py
+++ b/quetzalmill/entry.py
@@ -104,6 +104,7 @@
             self._log_port,
             on_end_read=self._log_end_read,
             on_failure=self._log_failed,
+            lease_ms=min(settings.config_lease_ms, settings.share_lease_ms),
             clock=self._clock,
         )
         self._beats = self._new_beats()
