Let operators release quarantines and see what a change leaves without effect

A team could be deleted while its keys worked, and a model or route whose selector chooses nothing was accepted without a word.

Ruled out: deleting keys with their team by themselves, since a team set anew would bring none back and the operator would not have seen which ended; rejecting empty selectors, since endpoints may follow.

Seen red: the commands did not exist, the deletion was accepted.

--- a/quetzalmill/commands_app.py
+++ b/quetzalmill/commands_app.py
@@ -30,6 +30,7 @@
 app.add_typer(commands_objects.endpoint_app, name="endpoint")
 app.add_typer(commands_objects.model_app, name="model")
 app.add_typer(commands_objects.route_app, name="route")
+app.add_typer(commands_objects.quarantine_app, name="quarantine")
 
 
 def run(words: list[str]) -> None:
--- a/quetzalmill/commands_objects.py
+++ b/quetzalmill/commands_objects.py
@@ -14,6 +14,9 @@
 endpoint_app = typer.Typer(no_args_is_help=True, help="Back ends.")
 model_app = typer.Typer(no_args_is_help=True, help="Models callers name.")
 route_app = typer.Typer(no_args_is_help=True, help="Services callers name.")
+quarantine_app = typer.Typer(
+    no_args_is_help=True, help="Requests that ended endpoints."
+)
 
 
 @team_app.command("set")
@@ -172,9 +175,7 @@
     _set(publication, objects.ROUTE, name, fields, labels)
 
 
-def _add_list_and_delete(app: typer.Typer, kind: str) -> None:
-    """Adds the two commands that are the same for every kind."""
-
+def _add_list(app: typer.Typer, kind: str) -> None:
     @app.command("list", help=f"List every {kind} in force.")
     def list_objects(
         operators: options.Operator, as_json: options.Json = False
@@ -182,7 +183,9 @@
         listed = commands_publish.connect(operators).list_objects(kind)
         print_objects(listed.objects, as_json)
 
-    @app.command("delete", help=f"Delete a {kind}.")
+
+def _add_delete(app: typer.Typer, kind: str, word: str, help_text: str) -> None:
+    @app.command(word, help=help_text)
     def delete_object(
         name: options.Name,
         operators: options.Operator,
@@ -204,10 +207,21 @@
         commands_publish.report(publication, outcome)
 
 
-_add_list_and_delete(team_app, objects.TEAM)
-_add_list_and_delete(endpoint_app, objects.ENDPOINT)
-_add_list_and_delete(model_app, objects.MODEL)
-_add_list_and_delete(route_app, objects.ROUTE)
+for _app, _kind in (
+    (team_app, objects.TEAM),
+    (endpoint_app, objects.ENDPOINT),
+    (model_app, objects.MODEL),
+    (route_app, objects.ROUTE),
+):
+    _add_list(_app, _kind)
+    _add_delete(_app, _kind, "delete", f"Delete a {_kind}.")
+_add_list(quarantine_app, objects.QUARANTINE)
+_add_delete(
+    quarantine_app,
+    objects.QUARANTINE,
+    "release",
+    "Let the request with this fingerprint run again.",
+)
 
 
 def print_objects(
--- a/quetzalmill/commands_publish.py
+++ b/quetzalmill/commands_publish.py
@@ -47,6 +47,7 @@
     objects.MODEL: "model list",
     objects.ROUTE: "route list",
     objects.PROCESS: "config processes",
+    objects.QUARANTINE: "quarantine list",
 }
 """The command that lists the objects of a kind."""
 
--- a/quetzalmill/commands_report.py
+++ b/quetzalmill/commands_report.py
@@ -24,6 +24,7 @@
     object: str | None = None
     problems: list[str] | None = None
     message: str | None = None
+    hints: list[str] | None = None
 
 
 def print_json(value: Any) -> None:
@@ -57,6 +58,9 @@
     else:
         accepted = isinstance(outcome, operator_client.Accepted)
         typer.echo(_outcome_text(outcome), err=not accepted)
+    if isinstance(outcome, operator_client.Accepted) and not as_json:
+        for hint in outcome.hints:
+            typer.echo(f"note: {hint}", err=True)
     code = _exit_code_of(outcome)
     if code != commands_exit.ExitCode.OK:
         raise typer.Exit(code)
@@ -110,9 +114,12 @@
     outcome: operator_client.Outcome, record_id: str
 ) -> _OutcomeReport:
     match outcome:
-        case operator_client.Accepted(revision):
+        case operator_client.Accepted(revision, hints):
             return _OutcomeReport(
-                outcome="accepted", record_id=record_id, revision=revision
+                outcome="accepted",
+                record_id=record_id,
+                revision=revision,
+                hints=hints or None,
             )
         case operator_client.Rejected(problems):
             return _OutcomeReport(
--- a/quetzalmill/operator_api.py
+++ b/quetzalmill/operator_api.py
@@ -22,6 +22,7 @@
 from quetzalmill import http_server
 from quetzalmill import log_port
 from quetzalmill import logs
+from quetzalmill import object_hints
 from quetzalmill import object_rules
 from quetzalmill import objects
 
@@ -132,6 +133,7 @@
         if not record.changes:
             problems.append("the record changes nothing")
         for change in record.changes:
+            problems.extend(self._live_keys(record, change))
             if change.spec is None or change.kind not in objects.SPEC_TYPES:
                 continue
             problems.extend(
@@ -151,6 +153,33 @@
             return []
         return [f"key/{change.name}: there is no team {team!r}"]
 
+    def _live_keys(
+        self, record: objects.ConfigRecord, change: objects.ObjectChange
+    ) -> list[str]:
+        """Returns why a team may not be deleted while its keys work."""
+        if change.kind != objects.TEAM or change.spec is not None:
+            return []
+        ended = {
+            each.name
+            for each in record.changes
+            if each.kind == objects.KEY
+            and (each.spec is None or each.spec.get("withdrawn"))
+        }
+        keys = self._store.config.specs(objects.KEY, objects.KeySpec)
+        live = [
+            name
+            for name, spec in keys.items()
+            if spec.team == change.name
+            and not spec.withdrawn
+            and name not in ended
+        ]
+        if not live:
+            return []
+        return [
+            f"team/{change.name}: its keys still work: {', '.join(live)}; "
+            "withdraw them first"
+        ]
+
     async def _answer_outcome(
         self,
         exchange: http_server.Exchange,
@@ -166,7 +195,13 @@
         )
         match outcome.verdict:
             case configuration.Verdict.ACCEPTED:
-                body = {"outcome": "accepted", "revision": outcome.revision}
+                body = {
+                    "outcome": "accepted",
+                    "revision": outcome.revision,
+                    "hints": object_hints.hints_of(
+                        self._store.config, record.changes
+                    ),
+                }
                 await _answer(exchange, 200, body)
             case configuration.Verdict.CONFLICT:
                 await _answer(
--- a/quetzalmill/operator_client.py
+++ b/quetzalmill/operator_client.py
@@ -32,9 +32,15 @@
 
 @attrs.frozen
 class Accepted:
-    """The record is in force from this revision on."""
+    """The record is in force from this revision on.
+
+    Attributes:
+        revision: That revision.
+        hints: What the operator may want to look at.
+    """
 
     revision: int
+    hints: list[str] = attrs.field(factory=list)
 
 
 @attrs.frozen
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -642,6 +642,24 @@
         assert result.json()["object"] == "team/field"
 
 
+class TestQuarantine:
+    """The commands that list and release quarantined requests."""
+
+    def test_list_and_release(self, cli: Cli) -> None:
+        spec = {"team": "field", "crashes": 2}
+        cli.fake.put(objects.QUARANTINE, "ab12", spec)
+        lines = cli.run("quarantine list").out.splitlines()
+        assert lines[1].split() == ["ab12", "1", "field", "2"]
+        released = cli.run("quarantine release ab12")
+        assert released.out == "accepted at revision 2\n"
+        assert cli.fake.stored == {}
+
+    def test_unknown_fingerprint(self, cli: Cli) -> None:
+        result = cli.run("quarantine release ab12")
+        assert result.code == Exit.REJECTED
+        assert "see `quarantine list`" in result.err
+
+
 class TestKeys:
     """The commands on keys."""
 
