--- a/quetzalmill/call_run.py
+++ b/quetzalmill/call_run.py
@@ -38,6 +38,8 @@
 _ASK_AGAIN_MS = 200.0
 _FENCED = "fenced"
 
+_DEADLINE_CODES = frozenset({"deadline", "deadline_out_of_reach"})
+
 _ELSEWHERE_CODES = frozenset({"endpoint_elsewhere", "leaving"})
 """Refusals that cost an endpoint nothing, so no retry is spent on them."""
 
@@ -107,6 +109,7 @@
         deadline_ms: When its caller gives up.
         may_be_fenced: Whether others may think this home gone, so that one of
             them may have taken over unnoticed.
+        is_budget_bound: Whether a time budget sets the deadline.
         assembly: What has come of a model's answer.
         may_have_run: Whether an earlier attempt, also one of an earlier home,
             may have run the call.
@@ -119,6 +122,7 @@
     started_ms: float
     deadline_ms: float
     may_be_fenced: Callable[[], bool]
+    is_budget_bound: bool = False
     assembly: completion.Assembly = attrs.field(factory=completion.Assembly)
     may_have_run: bool = False
 
@@ -441,6 +445,8 @@
         self, run: Run, result: _Failed, frame: messages.Frame
     ) -> None:
         now_ms = self._clock.now_ms()
+        if run.is_budget_bound and frame.code in _DEADLINE_CODES:
+            frame = _over_budget(frame)
         if frame.code == _FENCED:
             run.family.lost = True
             run.program.running = None
@@ -614,6 +620,17 @@
     return attrs.evolve(frame, ran=messages.Ran.UNKNOWN)
 
 
+def _over_budget(frame: messages.Frame) -> messages.Frame:
+    """Returns a failure at a deadline that a time budget had set."""
+    return attrs.evolve(
+        frame,
+        status=402,
+        code="budget_spent",
+        message="the budget of time does not cover the call",
+        retry_after_ms=None,
+    )
+
+
 def last_frame(
     turn: turns.TurnRecord, *, durable: bool, stream: bool
 ) -> messages.Frame:
--- a/quetzalmill/home.py
+++ b/quetzalmill/home.py
@@ -416,11 +416,15 @@
     ) -> AsyncIterator[messages.Frame]:
         self._require_room()
         now_ms = self._clock.now_ms()
+        left_ms = family.time_left_ms(program, now_ms)
+        if left_ms is not None:
+            deadline_ms = min(deadline_ms, now_ms + left_ms)
+        if deadline_ms <= now_ms:
+            raise RefusedError(504, "deadline", "the deadline has passed")
         room_ms = family.time_room_ms(program, now_ms)
+        is_budget_bound = room_ms is not None and now_ms + room_ms < deadline_ms
         if room_ms is not None:
             deadline_ms = min(deadline_ms, now_ms + room_ms)
-        if deadline_ms <= now_ms:
-            raise RefusedError(504, "deadline", "the deadline has passed")
         if program.record.program in family.in_doubt:
             self._charge_doubt(family, program, prepared.answer_tokens)
             family.in_doubt.discard(program.record.program)
@@ -439,6 +443,7 @@
             answer=answer_module.Answer(),
             started_ms=now_ms,
             deadline_ms=deadline_ms,
+            is_budget_bound=is_budget_bound,
             may_be_fenced=self._may_be_fenced,
         )
         self._runs[(call.program, call.number)] = run
--- a/quetzalmill/programs.py
+++ b/quetzalmill/programs.py
@@ -352,17 +352,23 @@
         return max(0, min(rooms)) if rooms else None
 
     def time_room_ms(self, program: Program, now_ms: float) -> float | None:
-        """Returns the time that budgets and deadlines leave, None for any."""
-        rooms: list[float] = []
-        for each in self._with_ancestors(program):
-            limit_ms = each.record.limits.time_ms
-            if limit_ms is not None:
-                rooms.append(limit_ms - each.spent.used_ms(now_ms))
-            if each.record.deadline_ms is not None:
-                age_ms = now_ms - each.started_ms
-                rooms.append(each.record.deadline_ms - age_ms)
+        """Returns the time that the budgets still cover, None for any."""
+        rooms = [
+            each.record.limits.time_ms - each.spent.used_ms(now_ms)
+            for each in self._with_ancestors(program)
+            if each.record.limits.time_ms is not None
+        ]
         return min(rooms) if rooms else None
 
+    def time_left_ms(self, program: Program, now_ms: float) -> float | None:
+        """Returns the time until the first deadline, None without one."""
+        left = [
+            each.record.deadline_ms - (now_ms - each.started_ms)
+            for each in self._with_ancestors(program)
+            if each.record.deadline_ms is not None
+        ]
+        return min(left) if left else None
+
     def depth(self, program: Program) -> int:
         """Returns how many programs stand above ``program``."""
         return len(self._with_ancestors(program)) - 1
