Restore from each home's stream only what it wrote at its own epoch

Cause: a home that got a program back read its stream from the start again, so a turn that stood behind the fence that had ended its first right came back.

Change: of each home on the way a takeover takes the records of that home's epoch before the fence that ended it. Unit tests of the writer, the takeover and the restored family over a fake log with lost, late and doubled appends.

Ruled out: filtering by the newest epoch seen, since a home between may have written nothing.

Before: test_later_fence_of_the_same_epoch_loses red (5 records for 1). After: green.

--- a/quetzalmill/takeover.py
+++ b/quetzalmill/takeover.py
@@ -81,22 +81,23 @@
         stream = turns.stream_of(home.host, home.instance)
         found = await turn_log.read_root(port, stream, root)
         fence = _first_fence(found.records, epoch)
-        if fence is None:
-            if home == own:
-                return Taken(records=records + found.records, epoch=epoch)
-            given_up = _is_released(found.records) or is_gone(home)
-            if not (may_fence and given_up):
-                return HeldBy(home=home)
-            if not records and not found.records:
-                # An id that names a process which never existed must not
-                # make a stream.
-                return NotRecorded()
-            with contextlib.suppress(errors.OutcomeUnknownError):
-                await _append_fence(port, stream, root, epoch + 1, own)
+        written = _written(found.records, epoch, fence)
+        records.extend(written)
+        if fence is not None:
+            home = program_id.Home(host=fence.host, instance=fence.instance)
+            epoch = fence.epoch
             continue
-        records.extend(_before(found.records, fence))
-        home = program_id.Home(host=fence.host, instance=fence.instance)
-        epoch = fence.epoch
+        if home == own:
+            return Taken(records=records, epoch=epoch)
+        if not (may_fence and (_is_released(written) or is_gone(home))):
+            return HeldBy(home=home)
+        if not records:
+            # An id that names a process which never existed must not make a
+            # stream.
+            return NotRecorded()
+        with contextlib.suppress(errors.OutcomeUnknownError):
+            await _append_fence(port, stream, root, epoch + 1, own)
+        del records[len(records) - len(written) :]
     raise errors.NotDoneError(f"program {root} has had too many homes")
 
 
@@ -113,10 +114,22 @@
     return bool(records) and isinstance(records[-1], turns.ReleaseRecord)
 
 
-def _before(
-    records: list[turns.Record], fence: turns.FenceRecord
+def _written(
+    records: list[turns.Record],
+    epoch: int,
+    fence: turns.FenceRecord | None,
 ) -> list[turns.Record]:
-    return records[: records.index(fence)]
+    """Returns what a home wrote at one epoch before it was fenced.
+
+    A home that lost a program and got it back has records of both epochs in
+    its stream, and some may stand behind the fence that ended the first.
+    """
+    end = len(records) if fence is None else records.index(fence)
+    return [
+        record
+        for record in records[:end]
+        if record.epoch == epoch and not isinstance(record, turns.FenceRecord)
+    ]
 
 
 async def _append_fence(
