--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -29,6 +29,12 @@
 from quetzalmill import turn_log
 from quetzalmill import turns
 
+PROCESS = {
+    "role": objects.SIDECAR,
+    "http_address": "127.0.0.1:1",
+    "control_address": "127.0.0.1:1",
+    "failure_domain": "rawson",
+}
 OK = endpoint_port.ServiceAnswer(status=200, content_type="", body=b"done")
 
 
@@ -65,7 +71,7 @@
         [
             lambda made: setattr(made, "leaving", True),
             lambda made: made.fence(fence(epoch=9)),
-            lambda made: made.withdraw_endpoint(),
+            lambda made: made.publish_endpoint(None),
         ],
         ids=["leaving", "fenced", "endpoint withdrawn"],
     )
@@ -230,7 +236,6 @@
     async def run_service(
         self, address: str, execution: messages.Execution, timeout_ms: float
     ) -> endpoint_port.ServiceAnswer:
-        """Runs a call, held until the test lets it go."""
         self.ran.append(execution.call.program)
         if self.hold is not None:
             await self.hold.wait()
@@ -249,7 +254,6 @@
     async def run(
         self, host: str, execution: messages.Execution
     ) -> AsyncIterator[AsyncIterator[messages.Frame]]:
-        """Plays the next step of the script."""
         self.hosts.append(host)
         step = self._script.pop(0)
         if isinstance(step, Exception):
@@ -261,24 +265,21 @@
         yield frames()
 
     def is_newer(self, host: str, offset: int) -> bool:
-        """Tells that every process is newer than any offset."""
         return True
 
     async def fence(
         self, host: str, request: messages.FenceRequest
     ) -> messages.FenceReply:
-        """Tells that host a has seen the call, if anyone has."""
         seen = self._seen and host == "a"
         return messages.FenceReply(instance=host, seen=seen, complete=True)
 
 
 class FakeRouter:
-    """Knows one endpoint on each of two hosts."""
+    """Knows one endpoint on each of hosts a and b."""
 
     def matching(
         self, kind: messages.CallKind, target: str
     ) -> dict[str, objects.EndpointSpec]:
-        """Returns both endpoints."""
         return {
             host: objects.EndpointSpec(host=host, address="127.0.0.1:1")
             for host in ("a", "b")
@@ -287,15 +288,14 @@
     def choose(
         self, call: messages.Call, *, excluded: set[str], **known: Any
     ) -> routing.Target | None:
-        """Returns the first endpoint that was not tried."""
         left = [host for host in ("a", "b") if host not in excluded]
         return routing.Target(endpoint=left[0], host=left[0]) if left else None
 
     def sent(self, endpoint: str, units: float) -> None:
-        """Counts nothing."""
+        pass
 
     def ended(self, sent: None) -> None:
-        """Counts nothing."""
+        pass
 
 
 class FakeWriter:
@@ -307,35 +307,25 @@
         self._log_answers = log_answers
 
     async def read_fences(self) -> bool:
-        """Finds no fence if the log answers."""
         return self._log_answers
 
     async def commit(self, record: turns.Record) -> turn_log.Commit:
-        """Returns that the record is kept."""
         return turn_log.Commit.DURABLE
 
 
-def new_config() -> configuration.Configuration:
-    """Returns a configuration that knows the processes of hosts a and b."""
-    config = configuration.Configuration()
-    changes = [
-        objects.ObjectChange(
-            kind=objects.PROCESS,
-            name=host,
-            base_revision=-1,
-            spec={
-                "role": objects.SIDECAR,
-                "instance": host,
-                "http_address": "127.0.0.1:1",
-                "control_address": "127.0.0.1:1",
-                "failure_domain": "rawson",
-            },
-        )
-        for host in ("a", "b")
-    ]
-    record = objects.ConfigRecord(record_id="r", author="t", changes=changes)
-    config.apply(1, record)
-    return config
+def publish(
+    config: configuration.Configuration,
+    kind: str,
+    name: str,
+    spec: dict[str, Any] | None,
+) -> None:
+    change = objects.ObjectChange(
+        kind=kind, name=name, base_revision=-1, spec=spec
+    )
+    record = objects.ConfigRecord(
+        record_id=f"{kind} {name} {spec}", author="t", changes=[change]
+    )
+    config.apply(config.applied_offset + 1, record)
 
 
 def new_family(*, doubt: bool) -> programs.Family:
@@ -353,7 +343,7 @@
     )
     family.start(record, 0.0)
     if doubt:
-        family.doubts["p"] = 1
+        family.doubts["p"] = 2
     return family
 
 
@@ -369,8 +359,11 @@
     """Runs one call through the runner and returns its last frame."""
     family = family or new_family(doubt=doubt)
     call = attrs.evolve(execution().call, idempotent=idempotent)
+    config = configuration.Configuration()
+    for host in ("a", "b"):
+        publish(config, objects.PROCESS, host, {**PROCESS, "instance": host})
     runner = call_run.CallRunner(
-        config=new_config(),
+        config=config,
         router=FakeRouter(),  # type: ignore[arg-type]
         link=link,  # type: ignore[arg-type]
         writer=FakeWriter(log_answers),  # type: ignore[arg-type]
@@ -405,7 +398,6 @@
     kind: messages.CallKind = messages.CallKind.SERVICE,
     instance: str = "",
 ) -> messages.Execution:
-    """Returns the first attempt at a non-idempotent call."""
     call = messages.Call(
         program=program,
         single=False,
@@ -447,7 +439,6 @@
 
 
 async def end_of(found: answer.Answer) -> messages.Frame:
-    """Returns the last frame of an answer."""
     with trio.fail_after(5):
         return [frame async for frame in found.follow()][-1]
 
@@ -465,20 +456,6 @@
         "slots": slots,
     }
 
-    def publish(offset: int, published: dict[str, Any] | None) -> None:
-        change = objects.ObjectChange(
-            kind=objects.ENDPOINT,
-            name="booking",
-            base_revision=-1,
-            spec=published,
-        )
-        config.apply(
-            offset,
-            objects.ConfigRecord(
-                record_id=str(offset), author="t", changes=[change]
-            ),
-        )
-
     async def main() -> None:
         async with trio.open_nursery() as nursery:
             made = _Executor(
@@ -498,9 +475,7 @@
                 nursery=nursery,
                 clock=clock.SystemClock(),
             )
-            made.publish = publish
-            publish(1, spec)
-            made.configuration_changed()
+            made.publish_endpoint(spec)
             await scenario(made, port)
 
     trio.run(main)
@@ -509,28 +484,22 @@
 class _Executor(executor.Executor):
     """An executor whose endpoint a test can withdraw."""
 
-    publish: Callable[[int, dict[str, Any] | None], None]
-
-    def withdraw_endpoint(self) -> None:
-        """Publishes that the endpoint is gone."""
-        self.publish(2, None)
+    def publish_endpoint(self, spec: dict[str, Any] | None) -> None:
+        publish(self._config, objects.ENDPOINT, "booking", spec)
         self.configuration_changed()
 
 
 def lost() -> errors.ConnectionLostError:
-    """Returns the error of an answer that broke off."""
     return errors.ConnectionLostError("broke off")
 
 
 def refused(code: str) -> messages.Frame:
-    """Returns a frame that says that an attempt was not run."""
     return answer.failed(
         execution().call, status=503, code=code, message="refused"
     )
 
 
 def finished() -> messages.Frame:
-    """Returns the last frame of a whole answer."""
     return messages.Frame(
         program="p",
         call=1,
