Leave it to the executing sidecar to say whether a late call ran

Cause: a home stopped reading at the very moment at which the executing sidecar refused the queued call for its deadline, so the caller was told "unknown" for a call that surely did not run. The home now waits longer by the timeout between processes.

--- a/quetzalmill/executor_link.py
+++ b/quetzalmill/executor_link.py
@@ -77,7 +77,8 @@
             process.http_address,
             request,
             timeout_ms=self._timeout_ms,
-            idle_timeout_ms=execution.call.time_left_ms,
+            # The sidecar keeps the deadline and says whether the call ran.
+            idle_timeout_ms=execution.call.time_left_ms + self._timeout_ms,
             fresh_connection=not idempotent,
             idempotent=idempotent,
             max_body_bytes=internal_api.MAX_ANSWER_BYTES,
