--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -19,6 +19,8 @@
 TALKS = 6
 TURNS = 8
 SIDECARS = 3
+LONG_TOKENS = 1000
+"""An answer that outlasts the notice that a leaving entry gives."""
 
 
 @pytest.fixture(name="system")
@@ -147,13 +149,17 @@
     def test_terminated_process_finishes_its_requests(
         self, system: deployment.Deployment, host: str
     ) -> None:
+        talk = talk_module.Talk(system)
+        call = talk_module.Background(talk, "long", LONG_TOKENS)
         load = Load(system)
         load.wait_turns(TALKS)
+        call.wait_started()
         node = next(
             n for n in system.entries + system.sidecars if n.host == host
         )
         node.process.signal_terminate()
         load.finish()
+        talk.take("long", call.result(), LONG_TOKENS)
         assert node.process.wait_end(30) == 0
 
     def test_sidecar_that_waits_for_its_queue(
