--- a/quetzalmill_load/slopes.py
+++ b/quetzalmill_load/slopes.py
@@ -26,7 +26,8 @@
 from quetzalmill import messages
 from quetzalmill import objects
 from quetzalmill import programs
-from quetzalmill import rate_limit
+from quetzalmill import shares
+from quetzalmill import team_rates
 from quetzalmill import turns
 from quetzalmill_load import cluster as cluster_module
 from quetzalmill_load import processes
@@ -427,17 +428,21 @@
     )
 
 
-def _buckets(teams: int) -> rate_limit.TeamBuckets:
-    buckets = rate_limit.TeamBuckets()
-    for index in range(teams):
-        buckets.configure(
-            f"team-{index}",
-            rate_per_s=10.0,
-            burst=20.0,
-            fraction=0.25,
-            now_ms=float(index),
-        )
-    return buckets
+def _buckets(teams: int) -> team_rates.TeamRates:
+    ledger = shares.ShareHolder("entry-0", "instance", lease_ms=3_000.0)
+    rates = team_rates.TeamRates(ledger)
+    spec = objects.TeamSpec(rate_per_s=10.0, burst=20.0)
+    holders = shares.HolderSet(
+        revision=1, holders={"entry-0": "instance"}, lease_ms=3_000.0
+    )
+    rates.configure(
+        1,
+        {f"team-{index}": spec for index in range(teams)},
+        holders,
+        holders,
+        now_ms=0.0,
+    )
+    return rates
 
 
 def _beat_reply(sidecars: int) -> messages.BeatReply:
@@ -453,7 +458,6 @@
         host="entry-0",
         spec=_process("entry"),
         applied_offset=100_000,
-        shares_revision=90_000,
         freshness_ms=120.5,
         snapshot=None,
         records=[],
