Ask the peers before refusing requests that come at the same moment

A request that came while the first one's task had not run yet was judged by the tokens due here alone and refused, although peers that had not been asked held tokens: of 40 requests at once with a burst of 20 over three entries 8 were admitted, now 18 and more.

--- a/quetzalmill/admission.py
+++ b/quetzalmill/admission.py
@@ -139,6 +139,7 @@
                 self._refuse_hopeless(team)
         else:
             self._waiters[team] = [waiter]
+            self._asking.add(team)
             self._nursery.start_soon(self._serve_waiters, team)
         await waiter.settled.wait()
         return waiter.verdict or NoHolder()
@@ -169,8 +170,8 @@
         """Settles waiting requests until there is none."""
         try:
             while self._waiters[team]:
-                self._admit_here(team)
                 self._asking.add(team)
+                self._admit_here(team)
                 await self._admit_at_peers(team)
                 self._asking.discard(team)
                 pause_ms = self._refuse_hopeless(team)
