--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -157,7 +157,7 @@
     @pytest.mark.parametrize(
         ("delay_ms", "least", "slowest_ms"),
         [
-            ({"h1": 2.0, "h2": 2.0}, 18, 260.0),
+            ({"h1": 2.0, "h2": 2.0}, 19, 260.0),
             ({"h1": None, "h2": 2.0}, 12, 360.0),
             ({"h1": None, "h2": None}, 6, 600.0),
         ],
@@ -172,6 +172,19 @@
 
         run(Peers(delay_ms=delay_ms), check)
 
+    def test_hopeless_request_is_refused_at_once(self) -> None:
+        async def check(entry: admission.Admission) -> None:
+            results = await admit_at_once(entry, 60)
+            refused = [
+                ms
+                for verdict, ms in results
+                if not isinstance(verdict, admission.Admitted)
+            ]
+            assert len(refused) >= 30
+            assert max(refused) <= admission.HEDGE_MS
+
+        run(Peers(delay_ms={"h1": 2.0, "h2": 2.0}), check)
+
     def test_flood_costs_few_questions_and_gets_its_rate(self) -> None:
         peers = Peers(delay_ms={"h1": 2.0, "h2": 2.0})
         seconds = 10
@@ -192,14 +205,15 @@
 
     def test_coming_back_as_told_helps(self) -> None:
         async def check(entry: admission.Admission) -> None:
-            results = await admit_at_once(entry, 60)
-            waits_ms = [
-                verdict.retry_after_ms
-                for verdict, _ in results
-                if isinstance(verdict, admission.OverRate)
-            ]
-            assert waits_ms
-            await trio.sleep(min(waits_ms) / 1000.0)
-            assert isinstance(await entry.admit(TEAM), admission.Admitted)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(admit_at_once, entry, 60)
+                await trio.sleep(0.1)
+                nursery.start_soon(admit_at_once, entry, 20)
+                await trio.testing.wait_all_tasks_blocked()
+                refused = await entry.admit(TEAM)
+                assert isinstance(refused, admission.OverRate)
+                await trio.sleep(refused.retry_after_ms / 1000.0)
+                (back_ms,) = admitted(await admit_at_once(entry, 1))
+                assert back_ms <= admission.ASK_INTERVAL_MS
 
         run(Peers(delay_ms={"h1": 2.0, "h2": 2.0}), check)
