--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -126,6 +126,18 @@
         model.run_alone(heir, ["h1"])
         assert model.fractions("fixed")[:2] == [0.0, 1.0]
 
+    def test_shares_of_removed_hosts_come_back(self) -> None:
+        model = Model(seed=0, hosts=3)
+        model.share_between(["h0", "h1", "h2"])
+        for each in model.processes[:2]:
+            each.paused = True
+            model.append(objects.PROCESS, each.host, None)
+        model.run_alone(model.processes[2], ["h2"])
+        assert model.fractions("fixed") == pytest.approx([1 / 3] * 3)
+        model.now_ms += 1.1 * LEASE_MS
+        model.run_alone(model.processes[2], ["h2"])
+        assert model.fractions("fixed") == [0.0, 0.0, 1.0]
+
     def test_majority_without_the_log_keeps_its_shares(self) -> None:
         model = Model(seed=0, hosts=3)
         model.share_between(["h0", "h1", "h2"])
