--- a/quetzalmill/endpoint_worker.py
+++ b/quetzalmill/endpoint_worker.py
@@ -157,7 +157,7 @@
             if waiting is None:
                 return
             if waiting.item.alone and self._running:
-                self._queue.push(waiting)
+                self._queue.put_back(waiting)
                 return
             self._metrics.time(
                 metrics_module.QUEUE_MS,
@@ -226,7 +226,11 @@
         if len(self._running) < self.spec.slots:
             return own_ms
         speed = self._units_per_s * self.spec.slots
-        return self._queue.waiting_units() / speed * 1000.0 + own_ms
+        team = job.execution.call.team
+        ahead = self._queue.units_ahead(
+            team, self._weight_of(team), job.cost_units
+        )
+        return ahead / speed * 1000.0 + own_ms
 
     def _start(self, job: Job) -> None:
         refusal = self._rules.refusal(job)
