--- a/quetzalmill/endpoint_worker.py
+++ b/quetzalmill/endpoint_worker.py
@@ -24,6 +24,12 @@
 SERVICE_UNITS = 32.0
 """Service units of a plain service's call."""
 
+RUNNING_MEMORY_PART = 0.5
+"""The part of an engine's memory that running requests may take.
+
+The rest keeps the histories of programs that are between two calls.
+"""
+
 _SPEED_WEIGHT = 0.2
 _MIN_SAMPLES = 5
 _FULL_QUEUE_RETRY_MS = 1_000.0
@@ -92,6 +98,7 @@
         nursery: trio.Nursery,
         clock: clock_module.Clock,
         max_queue: int,
+        limits_memory: bool,
         failure_ms: float,
         weight_of: Callable[[str], float],
         metrics: metrics_module.Metrics,
@@ -104,6 +111,7 @@
         self._nursery = nursery
         self._clock = clock
         self._max_queue = max_queue
+        self._limits_memory = limits_memory
         self._failure_ms = failure_ms
         self._weight_of = weight_of
         self._metrics = metrics
@@ -156,7 +164,7 @@
             waiting = self._queue.pop(self._clock.now_ms())
             if waiting is None:
                 return
-            if waiting.item.alone and self._running:
+            if self._running and not self._fits_beside(waiting.item):
                 self._queue.put_back(waiting)
                 return
             self._metrics.time(
@@ -193,6 +201,15 @@
             return False
         return len(self._running) < self.spec.slots
 
+    def _fits_beside(self, job: Job) -> bool:
+        """Returns whether a job may run beside those that run now."""
+        if job.alone:
+            return False
+        if not self._limits_memory:
+            return True
+        tokens = sum(_tokens(each) for each in [*self._running, job])
+        return tokens <= RUNNING_MEMORY_PART * self.spec.memory_tokens
+
     def _no_room(self, job: Job) -> messages.Frame | None:
         now_ms = self._clock.now_ms()
         call = job.execution.call
@@ -389,6 +406,10 @@
     return prefill + expected
 
 
+def _tokens(job: Job) -> int:
+    return job.execution.prompt_tokens + job.execution.answer_tokens
+
+
 def _too_late(job: Job) -> messages.Frame:
     return answer.failed(
         job.execution.call,
--- a/quetzalmill/sidecar.py
+++ b/quetzalmill/sidecar.py
@@ -297,6 +297,7 @@
                 instance=self._identity.spec.instance,
                 fair_queue=settings.queue_policy == settings_module.FAIR,
                 max_queue=settings.max_queue,
+                limits_memory=settings.limit_policy == settings_module.MEMORY,
                 failure_ms=settings.endpoint_failure_ms,
             ),
             config=self._store.config,
