--- a/quetzalmill/sidecar.py
+++ b/quetzalmill/sidecar.py
@@ -359,6 +359,7 @@
                     placement.Policy(settings.placement_policy),
                     random.Random(),
                 ),
+                report_lag_ms=settings.beat_ms,
                 clock=self._clock,
             ),
             link=self._link,
