Ask every sidecar that a changed routing may have sent a call to

Cause: after a takeover any change of endpoints, models or routes since the program's last record made the call in doubt end as unknown, and operators publish while traffic runs.

Now the new home asks the sidecars of the endpoints that match, of those that changed since, and of the hosts that endpoints had before they changed, which the configuration remembers; of all endpoints if the model or route itself changed. Beyond 64 sidecars the call still ends as unknown.

Ruled out: asking every sidecar always, 4,700 at the target's size.

Before: TestChangedRouting red (unknown). After: green.

--- a/quetzalmill/configuration.py
+++ b/quetzalmill/configuration.py
@@ -22,6 +22,9 @@
 REMEMBERED_RECORDS = 2048
 """Record ids that are remembered to recognise second copies."""
 
+MAX_FORMER_HOSTS = 1_024
+"""Hosts that are remembered to have had an endpoint that was changed."""
+
 
 class Verdict(enum.Enum):
     """What became of a record."""
@@ -55,12 +58,15 @@
         objects: Every object.
         outcomes: The remembered record ids with their outcomes, oldest first.
         routing_revision: The last offset that changed endpoints or selectors.
+        former_hosts: Hosts of endpoints that were changed, with the offset of
+            the change, oldest first.
     """
 
     offset: int
     objects: list[objects.StoredObject]
     outcomes: list[tuple[str, Outcome]]
     routing_revision: int
+    former_hosts: list[tuple[str, int]] = attrs.field(factory=list)
 
 
 class Configuration:
@@ -69,6 +75,7 @@
     def __init__(self) -> None:
         self.applied_offset = 0
         self.routing_revision = 0
+        self._former_hosts: dict[str, int] = {}
         self._objects: dict[str, dict[str, objects.StoredObject]] = {}
         self._specs: dict[tuple[str, str], Any] = {}
         self._outcomes: collections.OrderedDict[str, Outcome] = (
@@ -157,6 +164,24 @@
         """Returns the newest process of a host."""
         return self.spec(objects.PROCESS, host, objects.ProcessSpec)
 
+    def former_hosts(self, since_offset: int) -> set[str] | None:
+        """Returns the hosts of endpoints before they changed.
+
+        Args:
+            since_offset: Only changes after this offset count.
+
+        Returns:
+            The hosts, or None if some may be forgotten.
+        """
+        offsets = list(self._former_hosts.values())
+        if len(offsets) >= MAX_FORMER_HOSTS and offsets[0] > since_offset:
+            return None
+        return {
+            host
+            for host, offset in self._former_hosts.items()
+            if offset > since_offset
+        }
+
     def snapshot(self) -> Snapshot:
         """Returns the whole state for another process or the log."""
         return Snapshot(
@@ -168,6 +193,7 @@
             ],
             outcomes=list(self._outcomes.items()),
             routing_revision=self.routing_revision,
+            former_hosts=list(self._former_hosts.items()),
         )
 
     def restore(self, snapshot: Snapshot) -> bool:
@@ -185,6 +211,7 @@
         self._outcomes = collections.OrderedDict(snapshot.outcomes)
         self.applied_offset = snapshot.offset
         self.routing_revision = snapshot.routing_revision
+        self._former_hosts = dict(snapshot.former_hosts)
         return True
 
     def _judge(self, offset: int, record: objects.ConfigRecord) -> Outcome:
@@ -208,6 +235,8 @@
     def _set(self, offset: int, change: objects.ObjectChange) -> None:
         if change.kind in (objects.ENDPOINT, objects.MODEL, objects.ROUTE):
             self.routing_revision = offset
+        if change.kind == objects.ENDPOINT:
+            self._note_former_host(change.name, offset)
         if change.spec is None:
             self._objects.get(change.kind, {}).pop(change.name, None)
             self._specs.pop((change.kind, change.name), None)
@@ -221,6 +250,15 @@
             )
         )
 
+    def _note_former_host(self, endpoint: str, offset: int) -> None:
+        before = self.endpoint(endpoint)
+        if before is None:
+            return
+        self._former_hosts.pop(before.host, None)
+        self._former_hosts[before.host] = offset
+        if len(self._former_hosts) > MAX_FORMER_HOSTS:
+            del self._former_hosts[next(iter(self._former_hosts))]
+
     def _store(self, stored: objects.StoredObject) -> None:
         self._objects.setdefault(stored.kind, {})[stored.name] = stored
         self._specs[(stored.kind, stored.name)] = codec.from_plain(
--- a/quetzalmill/doubt.py
+++ b/quetzalmill/doubt.py
@@ -16,6 +16,9 @@
 from quetzalmill import programs
 from quetzalmill import routing
 
+MAX_ASKED = 64
+"""Sidecars that are asked about one call."""
+
 
 @attrs.frozen(kw_only=True)
 class NotStarted:
@@ -58,10 +61,11 @@
     router: routing.Router,
     link: executor_link.ExecutorLink,
 ) -> Finding:
-    """Fences the old home at every sidecar of the call's target."""
+    """Fences the old home at every sidecar that may have got the call."""
     since_offset = family.doubts[program.record.program]
-    if config.routing_revision > since_offset:
-        return CannotTell(reason="the routing has changed since")
+    targets = _targets(call, config, router, since_offset)
+    if targets is None:
+        return CannotTell(reason="the routing has changed too much since")
     request = messages.FenceRequest(
         root=family.root,
         epoch=family.epoch,
@@ -69,21 +73,52 @@
         call=call.number,
         since_offset=since_offset,
     )
-    targets = {
-        spec.host: routing.Target(endpoint=name, host=spec.host)
-        for name, spec in router.matching(call.kind, call.target).items()
-    }
     findings: list[Finding] = []
 
     async def ask(target: routing.Target) -> None:
         findings.append(await _ask(target, request, since_offset, config, link))
 
     async with trio.open_nursery() as nursery:
-        for target in targets.values():
+        for target in targets:
             nursery.start_soon(ask, target)
     return _worst(findings)
 
 
+def _targets(
+    call: messages.Call,
+    config: configuration.Configuration,
+    router: routing.Router,
+    since_offset: int,
+) -> list[routing.Target] | None:
+    """Returns one endpoint of each host that has matched since an offset.
+
+    An endpoint that was changed may have matched before, and any may have if
+    the model or route itself was. None if there are too many to ask.
+    """
+    former = config.former_hosts(since_offset)
+    if former is None:
+        return None
+    kind = objects.ROUTE
+    if call.kind is messages.CallKind.MODEL:
+        kind = objects.MODEL
+    published = config.get(kind, call.target)
+    any_matched = published is None or published.revision > since_offset
+    endpoints = router.matching(call.kind, call.target)
+    for name, spec in config.specs(
+        objects.ENDPOINT, objects.EndpointSpec
+    ).items():
+        is_new = config.revision(objects.ENDPOINT, name) > since_offset
+        if any_matched or is_new:
+            endpoints[name] = spec
+    hosts = dict.fromkeys(former, "")
+    hosts.update({spec.host: name for name, spec in endpoints.items()})
+    if len(hosts) > MAX_ASKED:
+        return None
+    return [
+        routing.Target(endpoint=name, host=host) for host, name in hosts.items()
+    ]
+
+
 async def _ask(
     target: routing.Target,
     request: messages.FenceRequest,
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -152,6 +152,22 @@
         assert [outcome.ran for outcome in final] == ["yes"] * 4
 
 
+class TestChangedRouting:
+    """Operators change endpoints and the route while calls are under way."""
+
+    def test_next_home_asks_where_calls_may_have_gone(
+        self, system: "System"
+    ) -> None:
+        calls, _ = system.stage(log_down=False)
+        changes = system.routing()
+        system.running.publish_ok(*changes)
+        system.running.publish_ok(*changes)
+        system.strike(KILL, "home", calls)
+        system.release_services()
+        for call in calls:
+            assert system.settle(call, entry=1).ran == "yes"
+
+
 class TestDeadline:
     """A deadline that passes in the queue, and one that passes in a run."""
 
@@ -332,15 +348,21 @@
             running.start_sidecar(endpoint_failure_ms=200)
         running.publish_ok(
             *(endpoint(f"engine-{i}", i, engine.address) for i in range(2)),
+            *self.routing(),
+            deployment.change("model", "planner", {"selector": ""}),
+        )
+        running.wait_minting()
+        self._key = running.add_team(TEAM)
+
+    def routing(self) -> list[dict[str, Any]]:
+        """Returns the changes that publish the bookings' endpoints."""
+        return [
             *(
                 endpoint(f"booking-{i}", i + 2, service.address, "service")
                 for i, service in enumerate(self.services)
             ),
-            deployment.change("model", "planner", {"selector": ""}),
             deployment.change("route", "booking", {"selector": ""}),
-        )
-        running.wait_minting()
-        self._key = running.add_team(TEAM)
+        ]
 
     def ready(self) -> None:
         """Mends everything and waits until it is healthy."""
