Look for fences soon after a silence instead of at the next request

Cause: a home that had woken up looked for fences only when a request came. If the log went down before that, it refused bookings at sidecars newer than its last look for as long as the log stayed down.

The state dump shows may_be_fenced. The tests wait for it, and for a first booking to run, before they bring faults about: the home hears of an endpoint that is up again a heartbeat after its sidecar.

--- a/quetzalmill/home.py
+++ b/quetzalmill/home.py
@@ -324,7 +324,7 @@
         if call.single or program_id.first_home(call.program) is None:
             return messages.Ran.NO
         family = self._families.get(program_id.root_of(call.program))
-        if family is None or family.lost or self._may_be_fenced():
+        if family is None or family.lost or self.may_be_fenced():
             return messages.Ran.UNKNOWN
         if family.may_have_run(call.program, call.number, _digest_of(call)):
             return messages.Ran.UNKNOWN
@@ -444,7 +444,7 @@
             started_ms=now_ms,
             deadline_ms=deadline_ms,
             is_budget_bound=is_budget_bound,
-            may_be_fenced=self._may_be_fenced,
+            may_be_fenced=self.may_be_fenced,
         )
         self._runs[(call.program, call.number)] = run
         self._nursery.start_soon(self._run, run)
@@ -664,12 +664,19 @@
         if family.lost:
             raise MovedError(self._moved.get(family.root))
 
+    async def verify_forever(self, interval_ms: float) -> None:
+        """Looks for fences soon after each silence, while the log answers."""
+        while True:
+            await trio.sleep(interval_ms / 1000.0)
+            await self._verify()
+
     async def _verify(self) -> None:
         """Looks for fences after a time in which others may have set them."""
-        if self._may_be_fenced():
+        if self.may_be_fenced():
             await self._verify_now()
 
-    def _may_be_fenced(self) -> bool:
+    def may_be_fenced(self) -> bool:
+        """Returns whether others may have taken programs over unnoticed."""
         self._is_unverified |= self._was_silent()
         return self._is_unverified
 
--- a/quetzalmill/sidecar.py
+++ b/quetzalmill/sidecar.py
@@ -146,6 +146,7 @@
             self._new_reporter(server).run,
         ):
             self._nursery.start_soon(task)
+        self._nursery.start_soon(self._home.verify_forever, settings.beat_ms)
         self._nursery.start_soon(
             daemon.announce,
             self._identity,
@@ -262,6 +263,7 @@
             ),
             "calls_running": self._home.running,
             "log_is_down": self._writer.log_is_down,
+            "may_be_fenced": self._home.may_be_fenced(),
             "buffered_bytes": self._writer.buffered_bytes,
             "appends": self._writer.appends,
             "loads": [
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -365,10 +365,14 @@
         ]
 
     def ready(self) -> None:
-        """Mends everything and waits until it is healthy."""
+        """Mends everything and waits until bookings run again."""
         self.mend()
         self.set_log(down=False)
         self.wait_healthy()
+        harness.eventually(
+            lambda: read(self.send(self.new_call())).ran == "yes",
+            what="a booking runs",
+        )
 
     def stage(
         self, log_down: bool, programs: bool = True
@@ -528,6 +532,7 @@
             return all(
                 sidecars <= {*s["heard"], s["host"]}
                 and not s.get("log_is_down")
+                and not s.get("may_be_fenced")
                 and s.get("trusted", True)
                 for s in states
             ) and all(load["up"] for load in self._loads())
