--- a/quetzalmill/executor.py
+++ b/quetzalmill/executor.py
@@ -31,7 +31,7 @@
 KEPT_BYTES = 8 * 1024 * 1024
 """The size of the kept answers together; one larger answer is kept alone."""
 
-REMEMBERED_FENCES = 200_000
+REMEMBERED_FENCES = 50_000
 """Root programs whose fenced epoch is remembered."""
 
 _Key = tuple[str, int, int, int]
