Count one end of an endpoint once against a request

Whoever counts now names the end of the endpoint.

Ruled out: counting by call instead of by content, since the same content comes again as a new program.

--- a/quetzalmill/entry_control.py
+++ b/quetzalmill/entry_control.py
@@ -18,8 +18,8 @@
 from quetzalmill import logs
 from quetzalmill import messages
 from quetzalmill import objects
+from quetzalmill import shares
 from quetzalmill import suspects as suspects_module
-from quetzalmill import team_rates
 
 PROCESSES_PER_REPLY = 512
 """Changed processes that one answer to a beat tells of."""
@@ -60,7 +60,7 @@
         store: config_store.ConfigStore,
         fleet: fleet_view.FleetView,
         freshness: freshness_module.Freshness,
-        rates: team_rates.TeamRates,
+        ledger: shares.ShareHolder,
         suspects: suspects_module.Suspects,
         client: control.ControlClient,
         clock: clock_module.Clock,
@@ -72,7 +72,7 @@
         self._store = store
         self._fleet = fleet
         self._freshness = freshness
-        self._rates = rates
+        self._ledger = ledger
         self._suspects = suspects
         self._client = client
         self._clock = clock
@@ -82,20 +82,18 @@
         self._all = _Tables(identity.spec.instance)
         self._lagging: dict[str, int] = {}
         self._refreshed_ms = -_REFRESH_MS
-        self._beating: set[str] = set()
 
     async def run(self) -> None:
-        """Beats to every other entry until cancelled.
+        """Beats to every other entry until cancelled."""
+        while True:
+            await self.beat_all()
+            await trio.sleep(self._beat_ms / 1000.0)
 
-        A peer that does not answer delays no beat to any other.
-        """
+    async def beat_all(self) -> None:
+        """Sends one beat to each other entry."""
         async with trio.open_nursery() as nursery:
-            while True:
-                for address in self.peers():
-                    if address not in self._beating:
-                        self._beating.add(address)
-                        nursery.start_soon(self._beat_once, address)
-                await trio.sleep(self._beat_ms / 1000.0)
+            for address in self.peers():
+                nursery.start_soon(self._beat, address)
 
     def peers(self) -> list[str]:
         """Returns the control addresses of the other entries."""
@@ -156,12 +154,6 @@
                     crashes=suspect.crashes,
                 )
 
-    async def _beat_once(self, address: str) -> None:
-        try:
-            await self._beat(address)
-        finally:
-            self._beating.discard(address)
-
     async def _beat(self, address: str) -> None:
         asked_ms = self._clock.now_ms()
         processes_at, loads_at = self._fleet.positions(
@@ -171,6 +163,7 @@
             host=self._identity.host,
             spec=self._identity.spec,
             applied_offset=self._store.config.applied_offset,
+            shares_revision=self._ledger.newest.revision,
             processes_at=processes_at,
             loads_at=loads_at,
         )
@@ -194,12 +187,11 @@
             freshness_ms=reply.freshness_ms,
             behind=reply.applied_offset > self._store.config.applied_offset,
         )
-        self._rates.heard(
+        self._ledger.heard(
             reply.host,
             reply.spec.instance,
-            applied_offset=reply.applied_offset,
+            revision=reply.shares_revision,
             asked_ms=asked_ms,
-            now_ms=self._clock.now_ms(),
         )
 
     def _note_own_loads(
@@ -251,6 +243,7 @@
             host=self._identity.host,
             spec=self._identity.spec,
             applied_offset=self._store.config.applied_offset,
+            shares_revision=self._ledger.newest.revision,
             freshness_ms=self._freshness.age_ms(now_ms),
             snapshot=snapshot,
             records=records,
--- a/quetzalmill/executor.py
+++ b/quetzalmill/executor.py
@@ -46,7 +46,6 @@
         instance: This process.
         fair_queue: Whether teams share endpoints fairly, or first come.
         max_queue: Requests that may wait before one endpoint.
-        limits_memory: Whether an engine's memory limits what runs at once.
         failure_ms: How long a failed endpoint gets no request.
     """
 
@@ -54,7 +53,6 @@
     instance: str
     fair_queue: bool
     max_queue: int
-    limits_memory: bool = False
     failure_ms: float
 
 
@@ -242,12 +240,13 @@
             self._started.pop((call.program, call.number), None)
         self._drop(job)
 
-    async def crashed(self, job: endpoint_worker.Job) -> int:
+    async def crashed(self, job: endpoint_worker.Job, failure: str) -> int:
         """Makes the job's request a suspect and tells the entries."""
         call = job.execution.call
         suspect = self._suspects.crashed(
             call.fingerprint,
             call.team,
+            failure=failure,
             crashes_before=1 if call.suspect else 0,
             now_ms=self._clock.now_ms(),
         )
@@ -322,7 +321,6 @@
             nursery=self._nursery,
             clock=self._clock,
             max_queue=self._options.max_queue,
-            limits_memory=self._options.limits_memory,
             failure_ms=self._options.failure_ms,
             weight_of=self._weight_of,
             metrics=self._metrics,
--- a/quetzalmill/suspects.py
+++ b/quetzalmill/suspects.py
@@ -29,6 +29,7 @@
     team: str
     crashes: int
     since_ms: float
+    failure: str = ""
 
 
 class Suspects:
@@ -55,24 +56,36 @@
         return True
 
     def crashed(
-        self, fingerprint: str, team: str, *, crashes_before: int, now_ms: float
+        self,
+        fingerprint: str,
+        team: str,
+        *,
+        failure: str,
+        crashes_before: int,
+        now_ms: float,
     ) -> messages.Suspect:
         """Counts one more crash of a request and returns the suspect.
 
+        A request that ran twice when an endpoint ended, such as for an old
+        and a new home, has ended it only once.
+
         Args:
             fingerprint: The request's fingerprint.
             team: The team that sent it.
+            failure: Names this end of this endpoint.
             crashes_before: Crashes that its sender knew of.
             now_ms: The current time.
         """
         known = self._known.get(fingerprint)
-        before = max(crashes_before, known.crashes if known else 0)
+        crashes = max(crashes_before, known.crashes if known else 0) + 1
+        if known is not None and known.failure == failure:
+            crashes = known.crashes
         self._known[fingerprint] = _Known(
-            team=team, crashes=before + 1, since_ms=now_ms
+            team=team, crashes=crashes, since_ms=now_ms, failure=failure
         )
         self._released_ms.pop(fingerprint, None)
         return messages.Suspect(
-            fingerprint=fingerprint, team=team, crashes=before + 1, age_ms=0.0
+            fingerprint=fingerprint, team=team, crashes=crashes, age_ms=0.0
         )
 
     def is_suspect(self, fingerprint: str) -> bool:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from quetzalmill import suspects
 from tests import deployment
 from tests import harness
 
@@ -65,6 +66,20 @@
         yield System(running)
 
 
+class TestSuspects:
+    """What is counted against a request."""
+
+    def test_one_end_of_an_endpoint_counts_once(self) -> None:
+        known = suspects.Suspects()
+        counts = [
+            known.crashed(
+                "f", "team", failure=failure, crashes_before=0, now_ms=0.0
+            ).crashes
+            for failure in ("engine-0/1", "engine-0/1", "engine-0/2")
+        ]
+        assert counts == [1, 1, 2]
+
+
 class TestCrashingRequest:
     """A request that ends each endpoint that runs it."""
 
