See that an endpoint has ended though it still accepted a connection

Cause: a process that ends closes its sockets one after the other. The check after a lost answer could still be accepted by its listener; the loss of that connection was taken for an endpoint that is up, so the crash was not counted and the request went on to the next endpoint. That ended 3 to 5 engines where two are the bound, whenever the machine was busy.

TestEndpointUp red before, green after.

--- a/quetzalmill/endpoint_port.py
+++ b/quetzalmill/endpoint_port.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import attrs
+import trio
 
 from quetzalmill import codec
 from quetzalmill import errors
@@ -24,6 +25,8 @@
 _STATUS_CONFLICT = 409
 _HOUSEKEEPING_TIMEOUT_MS = 2_000.0
 _BUSY_STATUSES = (429, 503)
+_UP_TRIES = 5
+_UP_PAUSE_MS = 50.0
 
 
 @attrs.frozen(kw_only=True)
@@ -151,19 +154,28 @@
         return listed.get("sessions", {})
 
     async def is_up(self, address: str) -> bool:
-        """Returns whether an endpoint accepts a connection."""
+        """Returns whether an endpoint accepts connections and keeps them.
+
+        A process that ends closes its sockets one after the other, so the
+        first connection may still be accepted and then be lost.
+        """
         request = http_message.Request(method="GET", path="/load")
-        try:
-            await self._client.request(
-                address,
-                request,
-                timeout_ms=_HOUSEKEEPING_TIMEOUT_MS,
-                fresh_connection=True,
-            )
-        except errors.ConnectFailedError:
-            return False
-        except errors.HttpError:
-            return True
+        for _ in range(_UP_TRIES):
+            try:
+                await self._client.request(
+                    address,
+                    request,
+                    timeout_ms=_HOUSEKEEPING_TIMEOUT_MS,
+                    fresh_connection=True,
+                )
+            except errors.ConnectFailedError:
+                return False
+            except errors.ConnectionLostError:
+                await trio.sleep(_UP_PAUSE_MS / 1000.0)
+            except errors.HttpError:
+                return True
+            else:
+                return True
         return True
 
     async def _post(self, address: str, path: str, body: Any) -> None:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -2,10 +2,15 @@
 
 from collections.abc import Iterator
 from concurrent import futures
+import socket
+import threading
 from typing import Any
 
 import pytest
+import trio
 
+from quetzalmill import endpoint_port
+from quetzalmill import http_client
 from quetzalmill import suspects
 from tests import deployment
 from tests import harness
@@ -80,6 +85,28 @@
         assert counts == [1, 1, 2]
 
 
+class TestEndpointUp:
+    """Whether an endpoint is found to have ended."""
+
+    def test_ending_process_that_still_accepts_is_down(self) -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+
+        def end() -> None:
+            accepted, _ = listener.accept()
+            listener.close()
+            accepted.close()
+
+        async def main() -> bool:
+            port = endpoint_port.EndpointPort(http_client.HttpClient())
+            return await port.is_up(address)
+
+        ending = threading.Thread(target=end)
+        ending.start()
+        assert not trio.run(main)
+        ending.join()
+
+
 class TestCrashingRequest:
     """A request that ends each endpoint that runs it."""
 
