--- a/quetzalmill/config_tail.py
+++ b/quetzalmill/config_tail.py
@@ -19,7 +19,7 @@
 from quetzalmill import logs
 
 POLL_MS = 500.0
-"""How long a read waits for the next record."""
+"""How long a read waits for the next record, at most."""
 
 PAGE_RECORDS = 500
 """Records read at once."""
@@ -31,6 +31,7 @@
 """Time after which a new snapshot is due in any case."""
 
 _RETRY_MS = 200.0
+_READS_PER_LEASE = 4
 _SNAPSHOT_CHECK_MS = 5_000.0
 _FAR_OFFSET = 1 << 60
 
@@ -46,11 +47,17 @@
         port: log_port.LogPort,
         *,
         on_end_read: Callable[[float], None],
+        on_failure: Callable[[], None],
+        lease_ms: float,
         clock: clock_module.Clock,
     ) -> None:
         self._store = store
         self._port = port
         self._on_end_read = on_end_read
+        self._on_failure = on_failure
+        # What a read shows is as old as the read is long, and stands for as
+        # long again until the next read ends.
+        self._poll_ms = min(POLL_MS, lease_ms / _READS_PER_LEASE)
         self._clock = clock
         self._chance = random.Random()
         self.log_answers = False
@@ -60,7 +67,7 @@
         await self._try_restore()
         while True:
             try:
-                await self.read_once(POLL_MS)
+                await self.read_once(self._poll_ms)
                 self.log_answers = True
             except errors.RetentionError:
                 await self._try_restore()
@@ -69,6 +76,7 @@
                 if self.log_answers:
                     _log.warning("log_unreachable", reason=str(error))
                 self.log_answers = False
+                self._on_failure()
                 await trio.sleep(_RETRY_MS / 1000.0)
 
     async def read_once(self, wait_ms: float) -> bool:
--- a/quetzalmill/control.py
+++ b/quetzalmill/control.py
@@ -126,6 +126,9 @@
             grpclib.exceptions.ProtocolError,
             grpclib.exceptions.StreamTerminatedError,
             errors.CodecError,
+            # grpclib raises this when the connection ends between being
+            # chosen for a call and the call's first frame.
+            AttributeError,
         ) as error:
             raise errors.ControlError(
                 f"{method.name} to {address} failed: {error!r}"
--- a/quetzalmill/endpoint_worker.py
+++ b/quetzalmill/endpoint_worker.py
@@ -24,6 +24,12 @@
 SERVICE_UNITS = 32.0
 """Service units of a plain service's call."""
 
+RUNNING_MEMORY_PART = 0.5
+"""The part of an engine's memory that running requests may take.
+
+The rest keeps the histories of programs that are between two calls.
+"""
+
 _SPEED_WEIGHT = 0.2
 _MIN_SAMPLES = 5
 _FULL_QUEUE_RETRY_MS = 1_000.0
@@ -96,6 +102,7 @@
         nursery: trio.Nursery,
         clock: clock_module.Clock,
         max_queue: int,
+        limits_memory: bool,
         failure_ms: float,
         weight_of: Callable[[str], float],
         metrics: metrics_module.Metrics,
@@ -108,6 +115,7 @@
         self._nursery = nursery
         self._clock = clock
         self._max_queue = max_queue
+        self._limits_memory = limits_memory
         self._failure_ms = failure_ms
         self._weight_of = weight_of
         self._metrics = metrics
@@ -161,8 +169,8 @@
             waiting = self._queue.pop(self._clock.now_ms())
             if waiting is None:
                 return
-            if waiting.item.alone and self._running:
-                self._queue.push(waiting)
+            if self._running and not self._fits_beside(waiting.item):
+                self._queue.put_back(waiting)
                 return
             self._metrics.time(
                 metrics_module.QUEUE_MS,
@@ -198,6 +206,15 @@
             return False
         return len(self._running) < self.spec.slots
 
+    def _fits_beside(self, job: Job) -> bool:
+        """Returns whether a job may run beside those that run now."""
+        if job.alone:
+            return False
+        if not self._limits_memory:
+            return True
+        tokens = sum(_tokens(each) for each in [*self._running, job])
+        return tokens <= RUNNING_MEMORY_PART * self.spec.memory_tokens
+
     def _no_room(self, job: Job) -> messages.Frame | None:
         now_ms = self._clock.now_ms()
         call = job.execution.call
@@ -231,7 +248,11 @@
         if len(self._running) < self.spec.slots:
             return own_ms
         speed = self._units_per_s * self.spec.slots
-        return self._queue.waiting_units() / speed * 1000.0 + own_ms
+        team = job.execution.call.team
+        ahead = self._queue.units_ahead(
+            team, self._weight_of(team), job.cost_units
+        )
+        return ahead / speed * 1000.0 + own_ms
 
     def _start(self, job: Job) -> None:
         refusal = self._rules.refusal(job)
@@ -392,6 +413,10 @@
     return prefill + expected
 
 
+def _tokens(job: Job) -> int:
+    return job.execution.prompt_tokens + job.execution.answer_tokens
+
+
 def _too_late(job: Job) -> messages.Frame:
     return answer.failed(
         job.execution.call,
--- a/quetzalmill/entry.py
+++ b/quetzalmill/entry.py
@@ -40,6 +40,7 @@
 from quetzalmill import share_keeper
 from quetzalmill import shares
 from quetzalmill import suspects as suspects_module
+from quetzalmill import team_rates
 
 LOG_TIMEOUT_MS = 2_000.0
 """How long an answer of the log service may take."""
@@ -92,6 +93,7 @@
             self._identity.spec.instance,
             lease_ms=settings.share_lease_ms,
         )
+        self._rates = team_rates.TeamRates(self._ledger)
         self._client = http_client.HttpClient()
         self._control = control.ControlClient()
         self._log_port = log_port.HttpLogPort(
@@ -101,6 +103,8 @@
             self._store,
             self._log_port,
             on_end_read=self._log_end_read,
+            on_failure=self._log_failed,
+            lease_ms=min(settings.config_lease_ms, settings.share_lease_ms),
             clock=self._clock,
         )
         self._beats = self._new_beats()
@@ -126,7 +130,6 @@
         self._store.on_change(self._fleet.configuration_changed)
         self._store.on_change(self._quarantines_changed)
         self._store.on_change(self._keeper.configuration_changed)
-        self._store.on_change(self._admission.configuration_changed)
         server = control.ControlServer(
             {
                 messages.BEAT_SIDECAR: self._beats.on_sidecar_beat,
@@ -236,7 +239,10 @@
 
     def _log_end_read(self, asked_ms: float) -> None:
         self._freshness.log_end_read(asked_ms)
-        self._ledger.log_end_read(asked_ms)
+        self._rates.log_end_read(asked_ms, self._clock.now_ms())
+
+    def _log_failed(self) -> None:
+        self._rates.log_read_failed(self._clock.now_ms())
 
     def _on_suspects(
         self, report: messages.SuspectReport
@@ -305,8 +311,9 @@
                 "revision": self._ledger.newest.revision,
                 "holders": self._ledger.newest.holders,
                 "settled": self._ledger.is_settled,
+                "in_force_offset": self._ledger.in_force_offset,
             },
-            "tokens": self._admission.levels(),
+            "tokens": self._rates.levels(),
             "admissions_asked": self._admission.asked,
             "heard": [
                 each.host
@@ -349,7 +356,7 @@
             store=self._store,
             fleet=self._fleet,
             freshness=self._freshness,
-            ledger=self._ledger,
+            rates=self._rates,
             suspects=self._suspects,
             client=self._control,
             clock=self._clock,
@@ -363,6 +370,7 @@
             port=self._log_port,
             fleet=self._fleet,
             ledger=self._ledger,
+            rates=self._rates,
             freshness=self._freshness,
             lease_ms=settings.share_lease_ms,
             beat_ms=settings.beat_ms,
@@ -373,7 +381,7 @@
         return admission_module.Admission(
             self._settings.host,
             config=self._store.config,
-            ledger=self._ledger,
+            rates=self._rates,
             client=self._control,
             address_of=self._address_of,
             timeout_ms=self._settings.peer_timeout_ms,
@@ -442,7 +450,8 @@
             role=objects.ENTRY,
             instance=daemon.new_instance(),
             http_address=settings.http_address,
-            control_address=settings.control_address,
+            control_address=settings.advertised_control_address
+            or settings.control_address,
             failure_domain=settings.failure_domain,
         ),
     )
--- a/quetzalmill/entry_control.py
+++ b/quetzalmill/entry_control.py
@@ -18,8 +18,8 @@
 from quetzalmill import logs
 from quetzalmill import messages
 from quetzalmill import objects
-from quetzalmill import shares
 from quetzalmill import suspects as suspects_module
+from quetzalmill import team_rates
 
 PROCESSES_PER_REPLY = 512
 """Changed processes that one answer to a beat tells of."""
@@ -60,7 +60,7 @@
         store: config_store.ConfigStore,
         fleet: fleet_view.FleetView,
         freshness: freshness_module.Freshness,
-        ledger: shares.ShareHolder,
+        rates: team_rates.TeamRates,
         suspects: suspects_module.Suspects,
         client: control.ControlClient,
         clock: clock_module.Clock,
@@ -72,7 +72,7 @@
         self._store = store
         self._fleet = fleet
         self._freshness = freshness
-        self._ledger = ledger
+        self._rates = rates
         self._suspects = suspects
         self._client = client
         self._clock = clock
@@ -82,18 +82,20 @@
         self._all = _Tables(identity.spec.instance)
         self._lagging: dict[str, int] = {}
         self._refreshed_ms = -_REFRESH_MS
+        self._beating: set[str] = set()
 
     async def run(self) -> None:
-        """Beats to every other entry until cancelled."""
-        while True:
-            await self.beat_all()
-            await trio.sleep(self._beat_ms / 1000.0)
+        """Beats to every other entry until cancelled.
 
-    async def beat_all(self) -> None:
-        """Sends one beat to each other entry."""
+        A peer that does not answer delays no beat to any other.
+        """
         async with trio.open_nursery() as nursery:
-            for address in self.peers():
-                nursery.start_soon(self._beat, address)
+            while True:
+                for address in self.peers():
+                    if address not in self._beating:
+                        self._beating.add(address)
+                        nursery.start_soon(self._beat_once, address)
+                await trio.sleep(self._beat_ms / 1000.0)
 
     def peers(self) -> list[str]:
         """Returns the control addresses of the other entries."""
@@ -154,6 +156,12 @@
                     crashes=suspect.crashes,
                 )
 
+    async def _beat_once(self, address: str) -> None:
+        try:
+            await self._beat(address)
+        finally:
+            self._beating.discard(address)
+
     async def _beat(self, address: str) -> None:
         asked_ms = self._clock.now_ms()
         processes_at, loads_at = self._fleet.positions(
@@ -163,7 +171,6 @@
             host=self._identity.host,
             spec=self._identity.spec,
             applied_offset=self._store.config.applied_offset,
-            shares_revision=self._ledger.newest.revision,
             processes_at=processes_at,
             loads_at=loads_at,
         )
@@ -187,11 +194,12 @@
             freshness_ms=reply.freshness_ms,
             behind=reply.applied_offset > self._store.config.applied_offset,
         )
-        self._ledger.heard(
+        self._rates.heard(
             reply.host,
             reply.spec.instance,
-            revision=reply.shares_revision,
+            applied_offset=reply.applied_offset,
             asked_ms=asked_ms,
+            now_ms=self._clock.now_ms(),
         )
 
     def _note_own_loads(
@@ -243,7 +251,6 @@
             host=self._identity.host,
             spec=self._identity.spec,
             applied_offset=self._store.config.applied_offset,
-            shares_revision=self._ledger.newest.revision,
             freshness_ms=self._freshness.age_ms(now_ms),
             snapshot=snapshot,
             records=records,
--- a/quetzalmill/executor.py
+++ b/quetzalmill/executor.py
@@ -46,6 +46,7 @@
         instance: This process.
         fair_queue: Whether teams share endpoints fairly, or first come.
         max_queue: Requests that may wait before one endpoint.
+        limits_memory: Whether an engine's memory limits what runs at once.
         failure_ms: How long a failed endpoint gets no request.
     """
 
@@ -53,6 +54,7 @@
     instance: str
     fair_queue: bool
     max_queue: int
+    limits_memory: bool = False
     failure_ms: float
 
 
@@ -321,6 +323,7 @@
             nursery=self._nursery,
             clock=self._clock,
             max_queue=self._options.max_queue,
+            limits_memory=self._options.limits_memory,
             failure_ms=self._options.failure_ms,
             weight_of=self._weight_of,
             metrics=self._metrics,
--- a/quetzalmill/http_server.py
+++ b/quetzalmill/http_server.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 import errno
 import json
+import os
 import socket
 
 import h11
@@ -285,13 +286,30 @@
         Raises:
             errors.ConnectionLostError: The caller is gone or does not read.
         """
+        left = self._send_now(data)
+        if not left:
+            await trio.lowlevel.checkpoint_if_cancelled()
+            return
         timeout_s = self._limits.idle_timeout_ms / 1000.0
         try:
             with trio.fail_after(timeout_s):
-                await self._stream.send_all(data)
+                await self._stream.send_all(left)
         except (trio.BrokenResourceError, trio.TooSlowError) as error:
             raise errors.ConnectionLostError("the caller is gone") from error
 
+    def _send_now(self, data: bytes) -> bytes:
+        """Sends what the socket takes without waiting; returns the rest.
+
+        Nearly every piece of a stream fits into the socket's buffer, and a
+        timeout around each of them costs more than the sending.
+        """
+        try:
+            sent = os.write(self._stream.socket.fileno(), data)
+        except OSError:
+            # Sending it in the usual way tells what is wrong.
+            return data
+        return data[sent:]
+
     def encode(self, event: h11.Event) -> bytes:
         """Returns the bytes of a part of the answer."""
         return self._http.send(event) or b""
--- a/quetzalmill/messages.py
+++ b/quetzalmill/messages.py
@@ -94,7 +94,6 @@
         host: The sending entry's host.
         spec: The sending process.
         applied_offset: The configuration offset that it has applied.
-        shares_revision: The newest shares record that it has applied.
         processes_at: Where it stands in the other's table of processes.
         loads_at: Where it stands in the other's table of loads.
     """
@@ -102,7 +101,6 @@
     host: str
     spec: objects.ProcessSpec
     applied_offset: int
-    shares_revision: int
     processes_at: change_log.Position
     loads_at: change_log.Position
 
@@ -115,7 +113,6 @@
         host: The answering entry's host.
         spec: The answering process.
         applied_offset: The configuration offset that it has applied.
-        shares_revision: The newest shares record that it has applied.
         freshness_ms: How long ago its state was known to be the log's end,
             None when that was never so.
         snapshot: The whole state, when single records do not reach back.
@@ -130,7 +127,6 @@
     host: str
     spec: objects.ProcessSpec
     applied_offset: int
-    shares_revision: int
     freshness_ms: float | None
     snapshot: configuration.Snapshot | None
     records: list[NumberedRecord]
@@ -154,11 +150,12 @@
 
     Attributes:
         granted: Requests admitted; they count against the answering entry.
-        retry_after_ms: When asking again can help.
+        retry_after_ms: When asking again can help; None when that cannot be
+            told, since the entry holds no share or may not use it now.
     """
 
     granted: int
-    retry_after_ms: float
+    retry_after_ms: float | None
 
 
 @attrs.frozen(kw_only=True)
--- a/quetzalmill/objects.py
+++ b/quetzalmill/objects.py
@@ -141,12 +141,16 @@
 
     Attributes:
         holders: Host names of the entries and the instances meant.
+        lease_ms: The longest lease under which they mint.
         previous: The holders before; the author of a record has seen that
             no entry acts on still older ones.
+        previous_lease_ms: The longest lease of the holders before.
     """
 
     holders: dict[str, str]
+    lease_ms: float
     previous: dict[str, str] = attrs.field(factory=dict)
+    previous_lease_ms: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/quetzalmill/placement.py
+++ b/quetzalmill/placement.py
@@ -16,6 +16,12 @@
 CLEAR_GAIN = 0.75
 """A program leaves its cache only for less than this part of its cost."""
 
+SHARING_PART = 0.25
+"""The part of the work under way that delays a call beside it."""
+
+HARM_PART = 0.5
+"""The part of a prefill's time that counts again for each request beside it."""
+
 
 class Policy(enum.Enum):
     """How an endpoint is chosen."""
@@ -95,12 +101,18 @@
     """Returns the estimated time until the call's first token.
 
     Requests that run at once share the engine, so work under way delays a
-    call also while a slot is free, the more the fuller the slots are.
+    call also while a slot is free, but far less than a queue does.
     """
     occupied = min(1.0, candidate.outstanding / candidate.slots)
-    wait_units = occupied * candidate.waiting_units
+    excess = max(0, candidate.outstanding + 1 - candidate.slots)
+    queued = excess / (excess + candidate.slots)
+    ahead = SHARING_PART * occupied + queued
+    wait_units = ahead * candidate.waiting_units
     missing_tokens = max(0, prompt_tokens - candidate.cached_tokens)
     prefill_units = missing_tokens * scheduler.PREFILL_UNITS_PER_TOKEN
+    # A prompt that is computed holds up all that decode beside it.
+    beside = min(candidate.outstanding, candidate.slots)
+    prefill_units *= 1.0 + HARM_PART * beside
     work_ms = (wait_units + prefill_units) / candidate.units_per_s * 1000.0
     return work_ms + 2.0 * candidate.distance_ms
 
--- a/quetzalmill/rate_limit.py
+++ b/quetzalmill/rate_limit.py
@@ -44,6 +44,21 @@
         self.tokens = min(capacity, self.tokens + minted)
         self.filled_ms = max(self.filled_ms, now_ms)
 
+    def change(
+        self, rate_per_s: float, burst: float, fraction: float, now_ms: float
+    ) -> None:
+        """Goes on with other values; tokens minted so far stay if they fit."""
+        self.fill(now_ms)
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self.fraction = fraction
+        self.tokens = min(self.tokens, burst * fraction)
+
+    def void(self, now_ms: float) -> None:
+        """Empties the bucket and mints nothing for the time before now."""
+        self.tokens = 0.0
+        self.filled_ms = now_ms
+
     def next_token_ms(self, now_ms: float) -> float | None:
         """Returns how long until one token is due, None for never."""
         self.fill(now_ms)
@@ -53,63 +68,3 @@
         if speed <= 0.0 or self.burst * self.fraction < 1.0:
             return None
         return (1.0 - self.tokens) / speed * 1000.0
-
-
-class TeamBuckets:
-    """The buckets of all teams at this entry."""
-
-    def __init__(self) -> None:
-        self._buckets: dict[str, Bucket] = {}
-
-    def configure(
-        self,
-        team: str,
-        *,
-        rate_per_s: float,
-        burst: float,
-        fraction: float,
-        now_ms: float,
-        starts_full: bool = False,
-    ) -> Bucket:
-        """Brings a team's bucket to the rate, burst and fraction in force.
-
-        A bucket that is new starts empty, since an earlier holder of the
-        fraction may have admitted a whole burst just before; it may start
-        full only for a team that nobody has admitted yet. Tokens minted at
-        the old values stay, up to the new capacity.
-        """
-        bucket = self._buckets.get(team)
-        if bucket is None:
-            bucket = Bucket(
-                rate_per_s=rate_per_s,
-                burst=burst,
-                fraction=fraction,
-                tokens=burst * fraction if starts_full else 0.0,
-                filled_ms=now_ms,
-            )
-            self._buckets[team] = bucket
-            return bucket
-        bucket.fill(now_ms)
-        bucket.rate_per_s = rate_per_s
-        bucket.burst = burst
-        bucket.fraction = fraction
-        bucket.tokens = min(bucket.tokens, burst * fraction)
-        return bucket
-
-    def stop_minting(self, now_ms: float) -> None:
-        """Empties every bucket, since a lapsed lease voids its tokens."""
-        for bucket in self._buckets.values():
-            bucket.tokens = 0.0
-            bucket.filled_ms = now_ms
-
-    def keep_only(self, teams: set[str]) -> None:
-        """Drops the buckets of teams that no longer exist."""
-        for team in set(self._buckets) - teams:
-            del self._buckets[team]
-
-    def __contains__(self, team: str) -> bool:
-        return team in self._buckets
-
-    def levels(self) -> dict[str, float]:
-        """Returns each team's tokens as last brought up to date."""
-        return {team: b.tokens for team, b in self._buckets.items()}
--- a/quetzalmill/routing.py
+++ b/quetzalmill/routing.py
@@ -54,6 +54,7 @@
         config: configuration.Configuration,
         fleet: fleet_view.FleetView,
         chooser: placement.Placement,
+        report_lag_ms: float,
         clock: clock_module.Clock,
     ) -> None:
         self._host = host
@@ -61,6 +62,7 @@
         self._config = config
         self._fleet = fleet
         self._chooser = chooser
+        self._report_lag_ms = report_lag_ms
         self._clock = clock
         self._sent: list[Sent] = []
 
@@ -136,7 +138,8 @@
         since = [
             sent
             for sent in self._sent
-            if sent.endpoint == name and sent.at_ms >= at_ms
+            if sent.endpoint == name
+            and sent.at_ms >= at_ms - self._report_lag_ms
         ]
         outstanding = len(since)
         units = sum(sent.units for sent in since)
--- a/quetzalmill/scheduler.py
+++ b/quetzalmill/scheduler.py
@@ -78,6 +78,29 @@
         """Returns every request in the queue."""
         return [w for queue in self._teams.values() for w in queue]
 
+    def put_back(self, waiting: Waiting[_T]) -> None:
+        """Returns a request that was taken out and did not run."""
+        self.push(waiting)
+        self._deficits[waiting.team] += waiting.cost_units
+
+    def units_ahead(self, team: str, weight: float, cost_units: float) -> float:
+        """Returns the service units that run before a new request of a team.
+
+        A team's queue does not hold up another one's: while the new request
+        and what its team has in the queue are served, each other team is
+        served as much, by weight.
+        """
+        own = sum(w.cost_units for w in self._teams.get(team, []))
+        part = (own + cost_units) / weight
+        return own + sum(
+            min(
+                sum(waiting.cost_units for waiting in queue),
+                part * queue[0].weight,
+            )
+            for name, queue in self._teams.items()
+            if name != team
+        )
+
     def waiting_units(self) -> float:
         """Returns the service units of all requests in the queue."""
         return sum(waiting.cost_units for waiting in self.all_waiting())
@@ -87,7 +110,11 @@
         while self._teams:
             team = next(iter(self._teams))
             best = _first_of_team(self._teams[team], now_ms)
-            if self._deficits[team] >= best.cost_units or len(self._teams) == 1:
+            if len(self._teams) == 1:
+                # What a team takes while nobody else waits is not held
+                # against it later.
+                self._deficits[team] = best.cost_units
+            if self._deficits[team] >= best.cost_units:
                 self._deficits[team] -= best.cost_units
                 self.remove(best)
                 return best
@@ -104,6 +131,10 @@
 class FifoQueue(FairQueue[_T]):
     """First come, first served; the baseline for measurements."""
 
+    def units_ahead(self, team: str, weight: float, cost_units: float) -> float:
+        """Returns the service units of all requests in the queue."""
+        return self.waiting_units()
+
     def pop(self, now_ms: float) -> Waiting[_T] | None:
         """Takes out the request that has waited longest."""
         waiting = self.all_waiting()
--- a/quetzalmill/settings.py
+++ b/quetzalmill/settings.py
@@ -61,6 +61,8 @@
         http_address: Where callers are served.
         operator_address: Where operators are served.
         control_address: Where other processes send control calls.
+        advertised_control_address: Where other processes reach
+            ``control_address``, if that differs.
         log_address: Where the log service is reached.
         hosts_address: Where the host list is reached, if there is one.
         peers: Control addresses of other entries to contact first.
@@ -82,6 +84,9 @@
     operator_address: str = attrs.field(metadata=_LISTENER)
     control_address: str = attrs.field(metadata=_LISTENER)
     log_address: str = attrs.field(metadata=_ADDRESS)
+    advertised_control_address: str | None = attrs.field(
+        default=None, metadata=_ADDRESS
+    )
     hosts_address: str | None = attrs.field(default=None, metadata=_ADDRESS)
     peers: list[str] = attrs.field(factory=list, metadata=_ANY_ADDRESSES)
     statsd_address: str | None = attrs.field(default=None, metadata=_ADDRESS)
--- a/quetzalmill/settings_fleet.py
+++ b/quetzalmill/settings_fleet.py
@@ -69,7 +69,7 @@
 def _unknown_peers(processes: Mapping[str, settings.AnySettings]) -> list[str]:
     """Names control addresses that none of the entries listens on."""
     known = {
-        loaded.control_address
+        loaded.advertised_control_address or loaded.control_address
         for loaded in processes.values()
         if isinstance(loaded, settings.EntrySettings)
     }
--- a/quetzalmill/share_keeper.py
+++ b/quetzalmill/share_keeper.py
@@ -19,6 +19,7 @@
 from quetzalmill import logs
 from quetzalmill import objects
 from quetzalmill import shares
+from quetzalmill import team_rates
 
 SHARES_NAME = "all"
 """The name of the one shares object."""
@@ -37,6 +38,7 @@
         port: log_port.LogPort,
         fleet: fleet_view.FleetView,
         ledger: shares.ShareHolder,
+        rates: team_rates.TeamRates,
         freshness: freshness_module.Freshness,
         lease_ms: float,
         beat_ms: float,
@@ -47,6 +49,7 @@
         self._port = port
         self._fleet = fleet
         self._ledger = ledger
+        self._rates = rates
         self._freshness = freshness
         self._lease_ms = lease_ms
         self._beat_ms = beat_ms
@@ -54,24 +57,25 @@
         self._differs_since_ms: float | None = None
 
     def configuration_changed(self) -> None:
-        """Notes the holders that the newest configuration names."""
+        """Brings the teams' rates to the newest configuration."""
         config = self._store.config
         spec = config.spec(objects.SHARES, SHARES_NAME, objects.SharesSpec)
-        if spec is None:
-            return
-        self._ledger.record_applied(
-            shares.HolderSet(
-                revision=config.revision(objects.SHARES, SHARES_NAME),
-                holders=spec.holders,
-            ),
-            spec.previous,
+        newest, previous = holder_sets(
+            spec, config.revision(objects.SHARES, SHARES_NAME)
+        )
+        self._rates.configure(
+            config.applied_offset,
+            config.specs(objects.TEAM, objects.TeamSpec),
+            newest,
+            previous,
+            self._clock.now_ms(),
         )
 
     async def run(self) -> None:
         """Settles and proposes holders until cancelled."""
         while True:
             now_ms = self._clock.now_ms()
-            self._ledger.settle(now_ms, self._fleet.replaced())
+            self._rates.settle(now_ms, self._gone())
             if self._is_due(now_ms):
                 await self._propose()
             await trio.sleep(self._beat_ms / 1000.0)
@@ -83,19 +87,19 @@
             return False
         if self._differs_since_ms is None:
             self._differs_since_ms = now_ms
-        patience_ms = self._lease_ms * self._place_in_line(now_ms)
+        patience_ms = 2 * self._beat_ms * self._place_in_line(now_ms)
         return now_ms - self._differs_since_ms >= patience_ms
 
     def _may_propose(self, now_ms: float) -> bool:
         age_ms = self._freshness.age_ms(now_ms)
         if age_ms is None or age_ms > self._lease_ms:
             return False
-        return self._ledger.is_settled and self._hears_majority(now_ms)
+        return self._ledger.is_settled and self._hears_half(now_ms)
 
-    def _hears_majority(self, now_ms: float) -> bool:
+    def _hears_half(self, now_ms: float) -> bool:
         holders = self._ledger.newest.holders
         own = (self._identity.host, self._identity.spec.instance)
-        gone = self._fleet.replaced()
+        gone = self._gone()
         known = [
             host
             for host, instance in holders.items()
@@ -103,7 +107,19 @@
             or f"{host} {instance}" in gone
             or self._fleet.is_alive(host, now_ms)
         ]
-        return not holders or 2 * len(known) > len(holders)
+        return 2 * len(known) >= len(holders)
+
+    def _gone(self) -> frozenset[str]:
+        """Returns ``host instance`` of holders replaced or removed."""
+        holders = {
+            *self._ledger.settled.holders.items(),
+            *self._ledger.newest.holders.items(),
+        }
+        return frozenset(
+            f"{host} {instance}"
+            for host, instance in holders
+            if not self._is_published(host, instance)
+        )
 
     def _wanted(self, now_ms: float) -> dict[str, str]:
         wanted = {
@@ -130,15 +146,17 @@
         return hosts.index(own) if own in hosts else len(hosts)
 
     async def _propose(self) -> None:
-        now_ms = self._clock.now_ms()
+        newest = self._ledger.newest
         spec = objects.SharesSpec(
-            holders=self._wanted(now_ms),
-            previous=self._ledger.newest.holders,
+            holders=self._wanted(self._clock.now_ms()),
+            lease_ms=self._lease_ms,
+            previous=newest.holders,
+            previous_lease_ms=newest.lease_ms,
         )
         change = objects.ObjectChange(
             kind=objects.SHARES,
             name=SHARES_NAME,
-            base_revision=self._ledger.newest.revision,
+            base_revision=newest.revision,
             spec=codec.to_plain(spec),
         )
         record = announcement.new_record(self._identity.host, [change])
@@ -148,3 +166,18 @@
             _log.warning("shares_not_appended", reason=str(error))
             return
         _log.info("shares_proposed", holders=sorted(spec.holders))
+
+
+def holder_sets(
+    spec: objects.SharesSpec | None, revision: int
+) -> tuple[shares.HolderSet | None, shares.HolderSet]:
+    """Returns the holders that a record names, and those before them."""
+    if spec is None:
+        return None, shares.HolderSet(revision=0, holders={})
+    newest = shares.HolderSet(
+        revision=revision, holders=spec.holders, lease_ms=spec.lease_ms
+    )
+    previous = shares.HolderSet(
+        revision=0, holders=spec.previous, lease_ms=spec.previous_lease_ms
+    )
+    return newest, previous
--- a/quetzalmill/shares.py
+++ b/quetzalmill/shares.py
@@ -1,15 +1,23 @@
 """Decides which fraction of each team's rate this entry may mint.
 
-A record in the log names the entries that hold shares. Each team's rate is
-split evenly over a few of them, chosen by rendezvous hashing. After a new
-record an entry holds the smaller of its old and new fraction until no entry
-can still act on the old record: all old holders have confirmed the new one,
-or more than half have and a lease has passed since. An entry mints only under
-a lease: it has lately read the log's end, or lately heard from more than half
-of the holders, none of which knew a newer record.
+A record in the log names the entries that hold shares, and each team's rate
+is split evenly over some of them, chosen by rendezvous hashing. What an entry
+may mint follows from the configuration that it has applied, so two entries at
+different offsets may count one share twice. Therefore every entry works out
+the offset that is *in force*: no entry mints by an older configuration any
+more. Until a change is in force, an entry takes the smallest fraction that
+the old and the new configuration give it.
+
+An entry mints only under a lease: it has lately read the log's end, or lately
+heard from more than half of the holders, none of which knew more than it.
+An offset is in force once all holders have confirmed it, or half of them have
+and a lease has passed: any majority that still renews a lease by an older
+configuration would share a member with that half.
 The module is plain synchronous code; the time comes in as an argument.
 """
 
+import collections
+from collections.abc import Iterable
 import hashlib
 
 import attrs
@@ -17,6 +25,15 @@
 HOLDERS_PER_TEAM = 4
 """Entries over which one team's rate is split, at most."""
 
+MIN_PART_TOKENS = 2
+"""Whole tokens that each entry's part of a burst holds, at least."""
+
+_CLOCK_MARGIN = 1.05
+"""Allows for clocks of which one runs faster than the other."""
+
+_KEPT_EVIDENCE = 512
+"""Entries' instances whose last answers are kept."""
+
 
 @attrs.frozen(kw_only=True)
 class HolderSet:
@@ -25,10 +42,28 @@
     Attributes:
         revision: The offset of the record; 0 when there is none.
         holders: Host names and instances of the entries.
+        lease_ms: The longest lease under which they mint; 0 when not known.
     """
 
     revision: int
     holders: dict[str, str]
+    lease_ms: float = 0.0
+
+
+_NO_HOLDERS = HolderSet(revision=0, holders={})
+
+
+@attrs.frozen(kw_only=True)
+class _Evidence:
+    """The newest answer of an entry.
+
+    Attributes:
+        offset: The configuration offset that it had applied.
+        asked_ms: When the question was sent.
+    """
+
+    offset: int
+    asked_ms: float
 
 
 class ShareHolder:
@@ -38,27 +73,42 @@
         self._host = host
         self._instance = instance
         self._lease_ms = lease_ms
-        self._settled = HolderSet(revision=0, holders={})
+        self._settled = _NO_HOLDERS
         self._pending: HolderSet | None = None
-        self._confirmed: set[str] = set()
-        self._majority_ms: float | None = None
+        self._applied_offset = 0
+        self._in_force_offset = 0
+        self._waiting: collections.deque[tuple[int, float]] = (
+            collections.deque()
+        )
         self._log_read_ms: float | None = None
-        self._heard_ms: dict[str, float] = {}
-        self._newest_revision_heard = 0
+        self._log_failed_ms: float | None = None
+        self._evidence: dict[tuple[str, str], _Evidence] = {}
 
     @property
     def newest(self) -> HolderSet:
         """Returns the holders that the newest applied record names."""
         return self._pending or self._settled
 
+    @property
+    def settled(self) -> HolderSet:
+        """Returns the oldest holders by which any entry may still mint."""
+        return self._settled
+
     @property
     def is_settled(self) -> bool:
         """Returns whether no entry can act on older holders any more."""
         return self._pending is None
 
-    def record_applied(
-        self, newest: HolderSet, previous: dict[str, str]
-    ) -> None:
+    @property
+    def in_force_offset(self) -> int:
+        """Returns the oldest offset by which any entry may still mint."""
+        return self._in_force_offset
+
+    def offset_applied(self, offset: int) -> None:
+        """Notes the configuration offset that this entry has applied."""
+        self._applied_offset = max(self._applied_offset, offset)
+
+    def record_applied(self, newest: HolderSet, previous: HolderSet) -> None:
         """Notes that the log names new holders after ``previous``.
 
         The record's author saw that nobody acts on holders before
@@ -66,119 +116,173 @@
         """
         if newest.revision <= self.newest.revision:
             return
-        self._settled = HolderSet(
-            revision=self.newest.revision, holders=previous
-        )
+        self._settled = previous
         self._pending = newest
-        self._confirmed = set()
-        self._majority_ms = None
-        self._heard_ms = self._heard_among(previous)
 
     def log_end_read(self, asked_ms: float) -> None:
         """Notes that a read asked at ``asked_ms`` reached the log's end."""
         self._log_read_ms = max(self._log_read_ms or asked_ms, asked_ms)
 
+    def log_read_failed(self, now_ms: float) -> None:
+        """Notes that a read of the log failed at ``now_ms``."""
+        self._log_failed_ms = now_ms
+
     def heard(
-        self, host: str, instance: str, *, revision: int, asked_ms: float
+        self, host: str, instance: str, *, applied_offset: int, asked_ms: float
     ) -> None:
         """Notes an entry's answer to a message sent at ``asked_ms``.
 
         Args:
             host: The answering entry.
             instance: Its instance.
-            revision: The newest shares record that it has applied.
+            applied_offset: The configuration offset that it has applied.
             asked_ms: When this entry sent the message, on its own clock.
         """
-        self._newest_revision_heard = max(self._newest_revision_heard, revision)
-        if self._settled.holders.get(host) == instance:
-            self._heard_ms[host] = max(self._heard_ms.get(host, 0.0), asked_ms)
-        if self._pending and revision >= self._pending.revision:
-            self._confirmed.add(f"{host} {instance}")
+        known = self._evidence.pop((host, instance), None)
+        if known is not None:
+            applied_offset = max(applied_offset, known.offset)
+            asked_ms = max(asked_ms, known.asked_ms)
+        self._evidence[(host, instance)] = _Evidence(
+            offset=applied_offset, asked_ms=asked_ms
+        )
+        while len(self._evidence) > _KEPT_EVIDENCE:
+            del self._evidence[next(iter(self._evidence))]
 
-    def settle(self, now_ms: float, gone: frozenset[str]) -> None:
-        """Moves to newer holders once nothing acts on older ones.
+    def settle(self, now_ms: float, gone: frozenset[str]) -> bool:
+        """Brings the offset in force up to date; returns whether it grew.
 
         Args:
             now_ms: The current time.
-            gone: ``host instance`` of holders that surely run no more.
+            gone: ``host instance`` of holders that were replaced or removed.
+                A process may have been replaced while it was paused, so its
+                confirmation is spared only after a lease.
         """
-        if self._pending is None or not self._no_older_use(now_ms, gone):
-            return
-        self._settled = self._pending
-        self._pending = None
-        self._heard_ms = self._heard_among(self._settled.holders)
+        before = self._in_force_offset
+        groups = self._groups()
+        confirmed = min(self._confirmed_by_all(g, frozenset()) for g in groups)
+        half = min(
+            max(
+                self._confirmed_by_half(group),
+                self._confirmed_by_all(group, gone),
+            )
+            for group in groups
+        )
+        if half > (self._waiting[-1][0] if self._waiting else before):
+            self._waiting.append((half, now_ms))
+        while self._waiting and now_ms - self._waiting[0][1] > self._wait_ms():
+            confirmed = max(confirmed, self._waiting.popleft()[0])
+        self._in_force_offset = max(before, confirmed)
+        if self._pending and self._pending.revision <= self._in_force_offset:
+            self._settled = self._pending
+            self._pending = None
+        return self._in_force_offset > before
 
     def may_mint(self, now_ms: float) -> bool:
         """Returns whether this entry's lease on its shares holds now."""
-        if self._newest_revision_heard > self.newest.revision:
-            return False
-        read_ms = self._log_read_ms
-        if read_ms is not None and now_ms - read_ms < self._lease_ms:
+        lease_ms = min(self._lease_ms, self.newest.lease_ms)
+        if _within(self._log_read_ms, now_ms, lease_ms):
             return True
-        holders = self._settled.holders
+        holders = self.newest.holders
         if holders.get(self._host) != self._instance:
             return False
-        lately = 1 + sum(
-            1
-            for host, at_ms in self._heard_ms.items()
-            if host != self._host and now_ms - at_ms < self._lease_ms
+        if len(holders) == 1:
+            return _within(self._log_failed_ms, now_ms, lease_ms)
+        lately = sum(
+            self._vouches(host, instance, now_ms, lease_ms)
+            for host, instance in holders.items()
         )
-        return 2 * lately > len(holders)
-
-    def fraction(self, team: str, burst: float) -> float:
-        """Returns this entry's fraction of a team's rate and burst."""
-        fraction = self._fraction_in(self._settled, team, burst)
-        if self._pending is None:
-            return fraction
-        return min(fraction, self._fraction_in(self._pending, team, burst))
+        return 2 * (1 + lately) > len(holders)
 
-    def held_since(self, revision: int) -> bool:
-        """Returns whether the holders are the same since before a revision.
+    def fraction(self, team: str, counts: Iterable[int]) -> float:
+        """Returns this entry's fraction of a team's rate and burst.
 
-        A team published at ``revision`` was then admitted by none but these
-        holders, this entry among them.
+        Args:
+            team: The team.
+            counts: The numbers of parts into which entries may still split
+                the team's rate; see ``parts``.
         """
-        if self._pending is not None or self._settled.revision > revision:
-            return False
-        return self._settled.holders.get(self._host) == self._instance
+        sets = [self._settled, *([self._pending] if self._pending else [])]
+        return min(
+            self._fraction_in(each.holders, team, count)
+            for each in sets
+            for count in counts
+        )
 
-    def holders_of(self, team: str, burst: float) -> list[str]:
+    def holders_of(self, team: str, count: int) -> list[str]:
         """Returns the hosts that hold a team's shares by the newest record."""
-        return chosen_holders(self.newest.holders, team, burst)
+        return chosen_holders(self.newest.holders, team, count)
+
+    def _groups(self) -> list[dict[str, str]]:
+        """Returns the sets of holders by which some entry may still mint."""
+        pending = [self._pending.holders] if self._pending else []
+        return [self._settled.holders, *pending]
+
+    def _wait_ms(self) -> float:
+        leases = [self._lease_ms, self._settled.lease_ms, self.newest.lease_ms]
+        return max(leases) * _CLOCK_MARGIN
+
+    def _confirmed_by_all(
+        self, group: dict[str, str], spared: frozenset[str]
+    ) -> int:
+        offsets = [
+            self._confirmed(host, instance)
+            for host, instance in group.items()
+            if f"{host} {instance}" not in spared
+        ]
+        return min(offsets, default=self._applied_offset)
+
+    def _confirmed_by_half(self, group: dict[str, str]) -> int:
+        offsets = sorted(
+            (self._confirmed(h, i) for h, i in group.items()), reverse=True
+        )
+        if not offsets:
+            return self._applied_offset
+        return offsets[(len(offsets) + 1) // 2 - 1]
+
+    def _confirmed(self, host: str, instance: str) -> int:
+        """Returns the offset that an entry surely has applied.
+
+        This entry knows nothing of the holders beyond its own offset.
+        """
+        if (host, instance) == (self._host, self._instance):
+            return self._applied_offset
+        evidence = self._evidence.get((host, instance))
+        return min(evidence.offset, self._applied_offset) if evidence else 0
+
+    def _vouches(
+        self, host: str, instance: str, now_ms: float, lease_ms: float
+    ) -> bool:
+        """Returns whether another entry lately knew no more than this one."""
+        evidence = self._evidence.get((host, instance))
+        if evidence is None or host == self._host:
+            return False
+        if evidence.offset > self._applied_offset:
+            return False
+        return _within(evidence.asked_ms, now_ms, lease_ms)
 
     def _fraction_in(
-        self, holders: HolderSet, team: str, burst: float
+        self, holders: dict[str, str], team: str, count: int
     ) -> float:
-        if holders.holders.get(self._host) != self._instance:
+        if holders.get(self._host) != self._instance:
             return 0.0
-        chosen = chosen_holders(holders.holders, team, burst)
+        chosen = chosen_holders(holders, team, count)
         return 1.0 / len(chosen) if self._host in chosen else 0.0
 
-    def _heard_among(self, holders: dict[str, str]) -> dict[str, float]:
-        return {h: ms for h, ms in self._heard_ms.items() if h in holders}
 
-    def _no_older_use(self, now_ms: float, gone: frozenset[str]) -> bool:
-        own = f"{self._host} {self._instance}"
-        old = {f"{h} {i}" for h, i in self._settled.holders.items()}
-        missing = old - self._confirmed - gone - {own}
-        if not missing:
-            return True
-        if 2 * (len(old) - len(missing)) <= len(old):
-            return False
-        if self._majority_ms is None:
-            self._majority_ms = now_ms
-        return now_ms - self._majority_ms > self._lease_ms
+def parts(burst: float) -> int:
+    """Returns over how many entries a team's rate is split, at most.
+
+    A part that holds few tokens leaves fractions of a token unused in each
+    entry while a request is refused, so small bursts are split less.
+    """
+    return max(1, min(HOLDERS_PER_TEAM, int(burst // MIN_PART_TOKENS)))
 
 
-def chosen_holders(
-    holders: dict[str, str], team: str, burst: float
-) -> list[str]:
-    """Returns the hosts among ``holders`` that split one team's rate.
+def chosen_holders(holders: dict[str, str], team: str, count: int) -> list[str]:
+    """Returns the ``count`` hosts among ``holders`` that split a team's rate.
 
-    A part of less than one whole token could never admit a request, so a
-    team's burst also bounds the number of its holders.
+    All are returned when there are fewer.
     """
-    count = max(1, min(HOLDERS_PER_TEAM, len(holders), int(burst)))
     ranked = sorted(holders, key=lambda host: rank(team, host), reverse=True)
     return ranked[:count]
 
@@ -188,3 +292,7 @@
     return hashlib.blake2b(
         f"{key}\0{candidate}".encode(), digest_size=8
     ).digest()
+
+
+def _within(at_ms: float | None, now_ms: float, lease_ms: float) -> bool:
+    return at_ms is not None and now_ms - at_ms < lease_ms
