Refuse a program whose records are partly forgotten, and set no second fence

Cause: a family was restored past missing turns, so a history that the log had partly forgotten would have gone on shorter in silence; and where a fence had been forgotten a takeover set another one of the same epoch, which gives the program two homes.

Change: a missing turn or first record leaves the family without programs, and a stream whose beginning is gone and that holds nothing of the home's epoch is not fenced.

Ruled out: going on with the turns that are left, as a caller compares nothing.

Before: with the check of the cut stream off 1 test red, with the old passing over 2 cases red. After: green.

--- a/quetzalmill/programs.py
+++ b/quetzalmill/programs.py
@@ -431,8 +431,9 @@
 ) -> Family:
     """Builds a family from its records, in log order.
 
-    Records of an epoch that a fence had ended when they were appended are
-    passed over, and so are turns that do not continue the chain.
+    Second copies are passed over. A family whose first record or any turn is
+    missing has no programs: what the log has forgotten must not be left out
+    of a history or a budget in silence.
     """
     family = Family(root=root, epoch=epoch, used_ms=now_ms)
     newest_epoch = 0
@@ -443,25 +444,29 @@
             continue
         newest_epoch = record.epoch
         family.released_epoch = 0
-        _restore(family, record, now_ms)
+        if not _restore(family, record, now_ms):
+            family.programs.clear()
+            return family
     if root not in family.programs:
-        # Without the root's record its budget is unknown, and so nothing of
-        # the family may go on.
         family.programs.clear()
     return family
 
 
-def _restore(family: Family, record: turns.Record, now_ms: float) -> None:
+def _restore(family: Family, record: turns.Record, now_ms: float) -> bool:
+    """Adds a record; returns whether none before it is missing."""
     match record:
         case turns.ProgramRecord():
             if record.program not in family.programs:
                 family.start(record, now_ms)
         case turns.TurnRecord():
             program = family.programs.get(record.program)
-            if program is None or record.call != program.next_call:
-                return
-            if record.previous_chain == program.chain:
-                family.finish(program, record, now_ms)
+            if program is None:
+                return False
+            if record.call < program.next_call:
+                return True
+            if record.previous_chain != program.chain:
+                return False
+            family.finish(program, record, now_ms)
         case turns.ChargeRecord():
             program = family.programs.get(record.program)
             if program is not None:
@@ -476,7 +481,8 @@
             if program is not None:
                 program.ended = True
         case turns.FenceRecord():
-            return
+            pass
+    return True
 
 
 def _replay(program: Program, call: int, digest: str) -> Admission:
--- a/quetzalmill/takeover.py
+++ b/quetzalmill/takeover.py
@@ -91,9 +91,9 @@
             return Taken(records=records, epoch=epoch)
         if not (may_fence and (_is_released(written) or is_gone(home))):
             return HeldBy(home=home)
-        if not records:
+        if not records or (found.is_cut and not written):
             # An id that names a process which never existed must not make a
-            # stream.
+            # stream. What the log has forgotten may have been a fence.
             return NotRecorded()
         with contextlib.suppress(errors.OutcomeUnknownError):
             await _append_fence(port, stream, root, epoch + 1, own)
--- a/quetzalmill/turn_log.py
+++ b/quetzalmill/turn_log.py
@@ -255,10 +255,12 @@
     Attributes:
         records: Its records in order, each copy of a batch once.
         end: The offset after the last batch that was read.
+        is_cut: Whether the log has forgotten the stream's beginning.
     """
 
     records: list[turns.Record]
     end: int
+    is_cut: bool
 
 
 async def read_root(
@@ -272,6 +274,7 @@
     seen: set[str] = set()
     records: list[turns.Record] = []
     offset = 1
+    is_cut = False
     while True:
         try:
             page = await port.read(
@@ -279,6 +282,7 @@
             )
         except errors.RetentionError as error:
             offset = error.first_offset
+            is_cut = True
             continue
         for logged in page.records:
             offset = logged.offset + 1
@@ -288,7 +292,7 @@
             seen.add(batch.batch_id)
             records.extend(_of_root(batch, root))
         if offset >= page.end:
-            return StreamRecords(records=records, end=offset)
+            return StreamRecords(records=records, end=offset, is_cut=is_cut)
 
 
 def _of_root(batch: Batch, root: str) -> list[turns.Record]:
--- a/tests/test_turn_log.py
+++ b/tests/test_turn_log.py
@@ -22,6 +22,7 @@
 
 A = program_id.Home(host="side-a", instance="a1")
 B = program_id.Home(host="side-b", instance="b1")
+C = program_id.Home(host="side-c", instance="c1")
 ROOT = program_id.new_root("c0", A)
 STREAM = turns.stream_of(A.host, A.instance)
 
@@ -37,6 +38,7 @@
     def __init__(self, *courses: str) -> None:
         self.streams: dict[str, list[Any]] = {}
         self.courses = list(courses)
+        self.first_offsets: dict[str, int] = {}
         self._late: list[tuple[str, list[Any]]] = []
 
     async def append(self, stream: str, records: list[Any]) -> int:
@@ -68,6 +70,8 @@
         """Reads what is there."""
         await trio.lowlevel.checkpoint()
         held = self._held(stream)
+        if from_offset < self.first_offsets.get(stream, 1):
+            raise errors.RetentionError(self.first_offsets[stream])
         records = [
             log_port.LogRecord(offset=n, data=data)
             for n, data in enumerate(held, start=1)
@@ -222,6 +226,15 @@
         assert take_over(log, B, gone={A}) == takeover.NotRecorded()
         assert not any(log.streams.values())
 
+    def test_forgotten_fence_is_not_set_anew(self) -> None:
+        log = FakeLog()
+        log.streams[STREAM] = [record_batch(started()), fence_batch(2, B)]
+        stream = turns.stream_of(B.host, B.instance)
+        log.streams[stream] = [fence_batch(3, A), record_batch()]
+        log.first_offsets[stream] = 2
+        assert take_over(log, C, gone={A, B}) == takeover.NotRecorded()
+        assert len(log.streams[stream]) == 2
+
     def test_released_program_is_taken_from_a_live_home(self) -> None:
         log = FakeLog()
         released = turns.ReleaseRecord(root=ROOT, epoch=1)
@@ -239,16 +252,18 @@
         [
             ([started(), turn(1, "")], 2),
             ([started(), turn(1, ""), turn(1, "")], 2),
-            ([started(), turn(2, "x")], 1),
-            ([started(), turn(1, ""), turn(2, "other")], 2),
             ([started(), turn(1, "", epoch=2), turn(2, "", epoch=1)], 2),
+            ([started(), turn(2, "x")], None),
+            ([started(), turn(1, ""), turn(2, "other")], None),
+            ([turn(2, "x"), started()], None),
         ],
     )
-    def test_turns_continue_the_chain(
-        self, records: list[turns.Record], next_call: int
+    def test_turns_continue_the_chain_or_nothing_goes_on(
+        self, records: list[turns.Record], next_call: int | None
     ) -> None:
         family = programs.restore_family(ROOT, records, 2, 0.0)
-        assert family.programs[ROOT].next_call == next_call
+        found = family.programs.get(ROOT)
+        assert (found and found.next_call) == next_call
 
     def test_without_the_root_nothing_goes_on(self) -> None:
         child = attrs.evolve(
