Draw the tests' ports below those of outgoing connections

Cause: a port that a test keeps for a process came from the range of outgoing connections (32768 to 60999 here). While a killed process was down, another process's connection took its port, and the restart failed with "address already in use": 1 of 5 runs of test_order_and_history red, all later tests of the file with it.

Change: ports are drawn between 10000 and 32000 and tried.

Ruled out: the product, which binds at once at its start; waiting longer, as the other connection may stay.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -9,6 +9,7 @@
 import http.client
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -26,6 +27,8 @@
 READY_TIMEOUT_S = 15.0
 CALL_TIMEOUT_S = 15.0
 
+_LOWEST_PORT = 10_000
+_HIGHEST_PORT = 32_000
 _POLL_S = 0.01
 _END_TIMEOUT_S = 10.0
 _SHOWN_CHARACTERS = 4000
@@ -35,6 +38,7 @@
 _T = TypeVar("_T")
 
 _given_ports: set[int] = set()
+_draws = random.SystemRandom()
 
 
 @attrs.frozen
@@ -239,16 +243,27 @@
 
 
 def free_port() -> int:
-    """Returns a loopback port that is free and was not returned before."""
+    """Returns a loopback port that is free and was not returned before.
+
+    It lies below the ports that outgoing connections take, so that none of
+    them holds it while a test starts a killed process again.
+    """
     while True:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = int(probe.getsockname()[1])
-        if port not in _given_ports:
+        port = _draws.randrange(_LOWEST_PORT, _HIGHEST_PORT)
+        if port not in _given_ports and _is_free(port):
             _given_ports.add(port)
             return port
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 def free_address() -> str:
     """Returns a free loopback address."""
     return f"127.0.0.1:{free_port()}"
