Read the log once for many refused calls in a row

Cause: a home read the end of its stream before each refusal for order or budget, so a program that loops on a spent budget cost the log a read a call.

Change: within 100 ms one read serves all refusals; after a silence of the heartbeats each one still waits for a read.

--- a/quetzalmill/home.py
+++ b/quetzalmill/home.py
@@ -32,6 +32,9 @@
 BUFFER_FULL_RETRY_MS = 5_000.0
 """When to come back while the buffer of turns is full."""
 
+VERIFY_MS = 100.0
+"""Time in which a home looks for fences once for all calls it refuses."""
+
 RELEASE_PATIENCE_MS = 1_000.0
 """How long a family that is given up waits for its records to be kept."""
 
@@ -142,6 +145,7 @@
         self._takeovers: dict[str, trio.Lock] = {}
         self._singles_over: list[str] = []
         self._is_unverified = False
+        self._verified_ms = -VERIFY_MS
         self._dropped_in_doubt: set[str] = set()
         self._run_ended = trio.Event()
         self.leaving = False
@@ -402,7 +406,7 @@
                     await self._leave_if_due(family)
                     prepared = self._prepare(family, program, call)
                 case _:
-                    await self._verify_now()
+                    await self._verify_for_refusal()
                     if family.lost:
                         raise MovedError(self._moved.get(family.root))
                     raise _refusal(admission)
@@ -680,7 +684,14 @@
         self._is_unverified |= self._was_silent()
         return self._is_unverified
 
+    async def _verify_for_refusal(self) -> None:
+        """Looks for fences, but not for each of many refusals in a row."""
+        since_ms = self._clock.now_ms() - self._verified_ms
+        if since_ms > VERIFY_MS or self.may_be_fenced():
+            await self._verify_now()
+
     async def _verify_now(self) -> None:
+        self._verified_ms = self._clock.now_ms()
         if await self._writer.read_fences():
             self._is_unverified = False
 
