Make the test of rates see a lost lease and a lost wait

With the lease, the wait for a lease and the older fraction each switched off in a scratch copy the test stayed green: a woken entry learned what had changed before it admitted anything, and tokens lost in earlier phases hid the excess. The entry now wakes cut off from the log and from the others, once past its lease and once within it, and the buckets fill before each.

--- a/tests/test_rate.py
+++ b/tests/test_rate.py
@@ -19,11 +19,14 @@
 from tests import harness
 
 ENTRIES = 3
-PAST_LEASE_S = 2.5
-CALM_S = 4.0
+LEASE_MS = 2000
+WITHIN_LEASE_S = 1.2
+CUT_OFF_S = 0.4
+PAST_LEASE_S = 3.2
+CALM_S = 2.0
 TOLERANCE = 1e-6
 MAX_REFUSED_SHARE = 0.15
-PATIENCE_S = 0.4
+PATIENCE_S = 0.1
 
 
 @attrs.frozen(kw_only=True)
@@ -45,7 +48,7 @@
 
 TEAMS = {
     "flood": Team(
-        rate_per_s=20, burst=20, sent_per_s=100, places=(0, 0, 1, 1, 2, 2)
+        rate_per_s=20, burst=60, sent_per_s=100, places=(0, 0, 1, 1, 2, 2)
     ),
     "fair": Team(rate_per_s=20, burst=10, sent_per_s=14, places=(0, 0, 0, 2)),
     "small": Team(rate_per_s=4, burst=2, sent_per_s=2.8, places=(1, 2)),
@@ -117,7 +120,9 @@
             }
             for index in range(ENTRIES)
         }
-        self.system.start_entries(ENTRIES, overrides, log_level="debug")
+        self.system.start_entries(
+            ENTRIES, overrides, log_level="debug", share_lease_ms=LEASE_MS
+        )
 
     def cut(self, links: list[str]) -> None:
         """Holds back all bytes on some links."""
@@ -147,6 +152,7 @@
         self._system = system
         self._ended = threading.Event()
         self.requests: list[Request] = []
+        self.quiet = False
         # The entry that takes the calls for one that is down, as the
         # balancer would choose; floods are sent to the one that is down.
         self.stand_in: dict[int, int] = {}
@@ -173,7 +179,8 @@
             place = team.places[number]
             if name in WITHIN_RATE:
                 place = self.stand_in.get(place, place)
-            self.requests.append(self._call(name, place))
+            if name in WITHIN_RATE or not self.quiet:
+                self.requests.append(self._call(name, place))
             due_s = max(due_s + interval_s, time.monotonic())
 
     def _call(self, name: str, place: int) -> Request:
@@ -217,11 +224,14 @@
         with self._phase("log down"):
             self._cut_for(fleet.to_log)
         self._recover("log back")
-        with self._phase("frozen"), self._without(2):
-            self._entries[2].process.freeze()
-            time.sleep(PAST_LEASE_S)
-            self._entries[2].process.wake()
-        self._recover("woken")
+        for name, frozen_s in (
+            ("frozen past its lease", PAST_LEASE_S),
+            ("frozen within its lease", WITHIN_LEASE_S),
+        ):
+            self._refill()
+            with self._phase(name), self._without(2):
+                self._wake_cut_off(2, frozen_s)
+            self._recover(f"after {name}")
         with self._phase("entries cut from each other"):
             self._cut_for(fleet.to_entries)
         self._recover("entries linked")
@@ -261,6 +271,26 @@
         time.sleep(PAST_LEASE_S)
         self._fleet.proxy.heal()
 
+    def _wake_cut_off(self, index: int, frozen_s: float) -> None:
+        """Freezes an entry; on waking it cannot learn what has changed."""
+        process = self._entries[index].process
+        others = [i for i in range(ENTRIES) if i != index]
+        process.freeze()
+        self._fleet.cut([self._fleet.to_log[index]])
+        time.sleep(frozen_s)
+        self._fleet.cut([self._fleet.to_entries[i] for i in others])
+        process.wake()
+        time.sleep(CUT_OFF_S)
+        self._fleet.proxy.heal()
+
+    def _refill(self) -> None:
+        """Lets every bucket fill, so that the next burst uses all of it."""
+        flood = TEAMS["flood"]
+        self._load.quiet = True
+        time.sleep(flood.burst / flood.rate_per_s)
+        self._load.quiet = False
+        time.sleep(1.0)
+
     def _recover(self, name: str) -> None:
         with self._phase(name):
             self._fleet.system.wait_minting()
