Draw pairs of faults by seed and check all promises after each

Two faults out of kill, freeze and restart of an entry, a home, other sidecars and an engine, a log that is down, slow or loses replies, and a cut between an entry and the log strike three teams' traffic through three entries.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -38,3 +38,20 @@
         for line in lines
         if line.startswith(_PREFIX)
     }
+
+
+def pytest_addoption(parser: pytest.Parser) -> None:
+    parser.addoption(
+        "--fault-seeds",
+        default="1-3",
+        help="First and last seed of the tests of fault pairs.",
+    )
+
+
+def pytest_generate_tests(metafunc: pytest.Metafunc) -> None:
+    if "fault_seed" in metafunc.fixturenames:
+        first, _, last = metafunc.config.getoption("--fault-seeds").partition(
+            "-"
+        )
+        seeds = range(int(first), int(last or first) + 1)
+        metafunc.parametrize("fault_seed", seeds)
--- /dev/null
+++ b/tests/mixed_traffic.py
@@ -0,0 +1,280 @@
+"""Callers of mixed traffic that send again until they know the outcome.
+
+Each caller is a thread with draws of its own, and keeps what it was told, so
+that a test can compare that with what endpoints have run.
+"""
+
+import http.client
+import random
+import threading
+import time
+from typing import Any
+
+import attrs
+
+from quetzalmill_emulator import answers
+from tests import deployment
+from tests import harness
+
+SETTLE_S = 25.0
+"""How long a call may take to get its outcome, through faults and all."""
+
+CALL_MS = 4_000
+READ_S = 8.0
+_PAUSE_S = 0.05
+_LONGEST_PAUSE_S = 0.3
+_NOT_ADMITTED = frozenset(
+    {
+        "configuration_stale",
+        "key_unknown",
+        "key_withdrawn",
+        "over_rate",
+        "rate_unknown",
+    }
+)
+
+LOST = harness.Reply(0, {}, {"code": "lost", "ran": "unknown"})
+
+
+class Caller(threading.Thread):
+    """Sends requests through entries that it draws.
+
+    Attributes:
+        error: What ended it early.
+    """
+
+    def __init__(
+        self, system: deployment.Deployment, team: str, draws: random.Random
+    ) -> None:
+        super().__init__(daemon=True)
+        self._system = system
+        self._key = system.keys[team]
+        self._draws = draws
+        self.error: BaseException | None = None
+
+    def run(self) -> None:
+        """Works until done; keeps what went wrong."""
+        try:
+            self.work()
+        except BaseException as error:
+            self.error = error
+
+    def work(self) -> None:
+        """Sends this caller's requests."""
+        raise NotImplementedError
+
+    def send(
+        self, method: str, path: str, body: Any, **headers: str
+    ) -> harness.Reply:
+        """Sends one request through any entry; ``LOST`` if it breaks."""
+        entry = self._draws.choice(self._system.entries)
+        all_headers = deployment.bearer(
+            self._key, Quetzalmill_Deadline_Ms=str(CALL_MS), **headers
+        )
+        try:
+            return harness.call(
+                entry.http, method, path, body, all_headers, READ_S
+            )
+        except (OSError, http.client.HTTPException):
+            return LOST
+
+
+class Agent(Caller):
+    """One program: model calls, bookings and a sub-program, then its end.
+
+    Attributes:
+        program: The program's id.
+        programs: The program and its sub-programs.
+        bookings: References of its bookings, each with what was said of it.
+    """
+
+    def __init__(
+        self,
+        system: deployment.Deployment,
+        team: str,
+        draws: random.Random,
+        service: str,
+    ) -> None:
+        super().__init__(system, team, draws)
+        self._service = service
+        self.programs: list[str] = []
+        self.bookings: dict[str, list[str]] = {}
+        self.calls = 0
+
+    def work(self) -> None:
+        """Runs the program to its end."""
+        program = self._start({})
+        kinds = self._draws.sample("mmmbbc", 6)
+        self._run_calls(program, kinds)
+        self._settle("DELETE", f"/v1/programs/{program}", None)
+
+    def _run_calls(self, program: str, kinds: list[str]) -> None:
+        prompt: list[dict[str, Any]] = []
+        for number, kind in enumerate(kinds, start=1):
+            if kind == "b":
+                self._book(program, number)
+                continue
+            if kind == "c":
+                self._run_calls(self._start({"parent": program}), ["m", "b"])
+            prompt = self._ask(program, number, prompt)
+        view = self._settle("GET", f"/v1/programs/{program}", None).body
+        assert view["next_call"] == len(kinds) + 1, view
+
+    def _start(self, fields: dict[str, Any]) -> str:
+        program = str(
+            self._settle("POST", "/v1/programs", fields).body["program"]
+        )
+        self.programs.append(program)
+        return program
+
+    def _ask(
+        self, program: str, number: int, prompt: list[dict[str, Any]]
+    ) -> list[dict[str, Any]]:
+        """Makes a model call, checks the answer and returns the history."""
+        new = {"role": "user", "content": f"{program} call {number}"}
+        body = {"model": "planner", "messages": [new], "answer_tokens": 24}
+        reply = self._settle(
+            "POST", "/v1/chat/completions", body, program, number
+        )
+        text = reply.body["choices"][0]["message"]["content"]
+        assert text == answers.answer_text([*prompt, new], 24), (program, text)
+        return [*prompt, new, {"role": "assistant", "content": text}]
+
+    def _book(self, program: str, number: int) -> None:
+        reference = f"{program}/{number}"
+        reply = self._settle(
+            "POST",
+            "/v1/services/booking/bookings",
+            {"reference": reference},
+            program,
+            number,
+            reference,
+        )
+        assert reply.status != 200 or reply.body["run"] == 1, reply
+
+    def _settle(
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        program: str = "",
+        number: int = 0,
+        reference: str = "",
+    ) -> harness.Reply:
+        """Sends a request again until its outcome is known."""
+        headers = {}
+        if program:
+            headers["Quetzalmill_Program"] = program
+            headers["Quetzalmill_Call"] = str(number)
+        said = self.bookings.setdefault(reference, []) if reference else []
+        deadline_s = time.monotonic() + SETTLE_S
+        while True:
+            reply = self.send(method, path, body, **headers)
+            if reply.status in (200, 201):
+                said.append("yes")
+                self.calls += 1
+                return reply
+            said.append("lost" if reply is LOST else str(reply.body["ran"]))
+            if "history" in reply.body.get("details", {}) and reference:
+                return reply
+            if said[-1] == "no" and reference and "lost" not in said:
+                assert self._runs(reference) == 0, (reference, said, reply)
+            assert time.monotonic() < deadline_s, (path, number, reply)
+            _pause(reply)
+
+    def _runs(self, reference: str) -> int:
+        return runs_of(self._service).get(reference, 0)
+
+
+@attrs.frozen
+class Sent:
+    """One request of a flood.
+
+    Attributes:
+        reference: What the service counts it by.
+        sent_s: When it was sent.
+        done_s: When its answer was there.
+        ran: What the answer said.
+        code: The answer's code, if it was an error.
+        admitted: Whether it has passed the team's rate.
+    """
+
+    reference: str
+    sent_s: float
+    done_s: float
+    ran: str
+    code: str
+    admitted: bool
+
+
+class Flood(Caller):
+    """Bookings without a program, at several times a team's rate.
+
+    Attributes:
+        sent: What was sent and answered.
+    """
+
+    def __init__(
+        self, system: deployment.Deployment, team: str, draws: random.Random
+    ) -> None:
+        super().__init__(system, team, draws)
+        self._name = f"{team}-{draws.random()}"
+        self._ended = threading.Event()
+        self.sent: list[Sent] = []
+
+    def work(self) -> None:
+        """Sends until it is told to end."""
+        while not self._ended.wait(_PAUSE_S / 2):
+            reference = f"{self._name}-{len(self.sent)}"
+            sent_s = time.monotonic()
+            reply = self.send(
+                "POST",
+                "/v1/services/booking/bookings",
+                {"reference": reference},
+                Quetzalmill_Idempotent="false",
+            )
+            code = "" if reply.status == 200 else str(reply.body["code"])
+            self.sent.append(
+                Sent(
+                    reference=reference,
+                    sent_s=sent_s,
+                    done_s=time.monotonic(),
+                    ran="yes" if not code else str(reply.body["ran"]),
+                    code=code,
+                    admitted=reply is not LOST and code not in _NOT_ADMITTED,
+                )
+            )
+
+    def end(self) -> None:
+        """Ends the flood."""
+        self._ended.set()
+        self.join(2 * READ_S)
+
+
+def runs_of(service: str) -> dict[str, int]:
+    """Returns how often each reference has run at a service."""
+    reply = harness.call(service, "GET", "/debug/runs")
+    counts: dict[str, int] = reply.body["references"]
+    return counts
+
+
+def most_over(sent: list[Sent], rate_per_s: float, burst: float) -> float:
+    """Returns by how much the admitted requests are over the rate at most.
+
+    Of every window from the sending of one request to the answer of another,
+    the requests that lie wholly within it are counted.
+    """
+    admitted = [each for each in sent if each.admitted]
+    most = -burst
+    for first in admitted:
+        inside = [each for each in admitted if each.sent_s >= first.sent_s]
+        inside.sort(key=lambda each: each.done_s)
+        for count, last in enumerate(inside, start=1):
+            window_s = last.done_s - first.sent_s
+            most = max(most, count - rate_per_s * window_s - burst)
+    return most
+
+
+def _pause(reply: harness.Reply) -> None:
+    after_ms = reply.body.get("retry_after_ms") or 0
+    time.sleep(min(_LONGEST_PAUSE_S, max(_PAUSE_S, after_ms / 1000)))
