--- a/quetzalmill_load/main.py
+++ b/quetzalmill_load/main.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import signal
 import subprocess
 import sys
 from typing import Annotated
@@ -35,7 +36,8 @@
 
 
 def run() -> None:
-    """Runs the command line."""
+    """Runs the command line; ends all that it started when told to end."""
+    signal.signal(signal.SIGTERM, _end)
     try:
         _commands()
     except processes.LoadError as error:
@@ -146,6 +148,10 @@
         output.write_bytes(codec.to_json(found))
 
 
+def _end(number: int, frame: object) -> None:
+    raise SystemExit(128 + number)
+
+
 def _parse(text: str) -> cluster.Policies:
     parts = text.split("+")
     if len(parts) != 3:
