--- a/quetzalmill_load/report.py
+++ b/quetzalmill_load/report.py
@@ -33,6 +33,7 @@
         fair_share: Its part of all teams' rates.
         refusals: Requests refused with 429 or 503.
         wrongful_refusals: Those of them that were within its rate.
+        shortfall: Requests fewer than an exact bucket would have admitted.
     """
 
     team: str
@@ -48,6 +49,7 @@
     fair_share: float
     refusals: int
     wrongful_refusals: int
+    shortfall: int
 
 
 @attrs.frozen(kw_only=True)
@@ -187,13 +189,7 @@
     An exact bucket takes a token for each request that was not refused, at
     the moment at which it was sent. A refusal while it holds one is wrongful.
     """
-    bucket = rate_limit.Bucket(
-        rate_per_s=team.rate_per_s,
-        burst=team.burst,
-        fraction=1.0,
-        tokens=team.burst,
-        filled_ms=0.0,
-    )
+    bucket = _full_bucket(team)
     wrongful = 0
     for request in sorted(requests, key=lambda each: each.sent_ms):
         if request.team != team.name or not request.counted:
@@ -207,6 +203,23 @@
     return wrongful
 
 
+def shortfall(team: workload.Team, requests: Sequence[driver.Request]) -> int:
+    """Returns how many requests too few were admitted.
+
+    An exact bucket judges the same requests at the moments at which they were
+    sent. Tokens that lie in parts at several entries show here once, however
+    often a request is refused beside them.
+    """
+    mine = [r for r in requests if r.team == team.name and r.counted]
+    bucket = _full_bucket(team)
+    exact = sum(
+        bucket.take(1, request.sent_ms)
+        for request in sorted(mine, key=lambda each: each.sent_ms)
+    )
+    admitted = sum(1 for request in mine if request.status not in _REFUSED)
+    return max(0, exact - admitted)
+
+
 def percentile(values: Sequence[float], rank: float) -> float:
     """Returns a percentile, not-a-number without values."""
     return float(np.percentile(values, rank)) if values else _EMPTY
@@ -246,8 +259,9 @@
     """Returns the teams of one run as text."""
     lines = [
         "| team | programs | done | refused | failed | p50 ms | p95 ms "
-        "| p99 ms | served share | fair share | refusals | wrongful |",
-        "|---" * 12 + "|",
+        "| p99 ms | served share | fair share | refusals | wrongful "
+        "| shortfall |",
+        "|---" * 13 + "|",
     ]
     for team in report.teams:
         name = f"{team.team} (floods)" if team.floods else team.team
@@ -256,7 +270,7 @@
             f"| {team.failed} | {team.p50_ms:.0f} | {team.p95_ms:.0f} "
             f"| {team.p99_ms:.0f} | {team.served_share:.3f} "
             f"| {team.fair_share:.3f} | {team.refusals} "
-            f"| {team.wrongful_refusals} |"
+            f"| {team.wrongful_refusals} | {team.shortfall} |"
         )
     return "\n".join(lines)
 
@@ -322,6 +336,17 @@
         fair_share=team.rate_per_s / sum(t.rate_per_s for t in load.teams),
         refusals=len(refused),
         wrongful_refusals=wrongful_refusals(team, record.requests),
+        shortfall=shortfall(team, record.requests),
+    )
+
+
+def _full_bucket(team: workload.Team) -> rate_limit.Bucket:
+    return rate_limit.Bucket(
+        rate_per_s=team.rate_per_s,
+        burst=team.burst,
+        fraction=1.0,
+        tokens=team.burst,
+        filled_ms=0.0,
     )
 
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -66,6 +66,19 @@
         assert report.wrongful_refusals(self.TEAM, requests) == 0
 
 
+class TestShortfall:
+    """Requests that an exact bucket would have admitted, counted once."""
+
+    def test_refusals_beside_one_token_count_once(self) -> None:
+        team = TestWrongfulRefusals.TEAM
+        requests = [
+            driver.Request(team="a", sent_ms=float(index), status=status)
+            for index, status in enumerate([200, 429, 429, 429])
+        ]
+        assert report.wrongful_refusals(team, requests) == 3
+        assert report.shortfall(team, requests) == 1
+
+
 class TestSlopes:
     """Lines through measured values."""
 
