Wire what entry and sidecar share in one core

Behaviour stays as it was; the log lines of start and end are now process_started and process_ended with a role.

--- a/quetzalmill/entry.py
+++ b/quetzalmill/entry.py
@@ -12,39 +12,31 @@
 from quetzalmill import admission as admission_module
 from quetzalmill import announcement
 from quetzalmill import callers_api
-from quetzalmill import clock as clock_module
 from quetzalmill import codec
-from quetzalmill import config_store
 from quetzalmill import config_tail
 from quetzalmill import control
 from quetzalmill import daemon
 from quetzalmill import entry_control
 from quetzalmill import errors
-from quetzalmill import fleet_view
 from quetzalmill import forwarding
 from quetzalmill import freshness as freshness_module
 from quetzalmill import home_link
 from quetzalmill import host_list
 from quetzalmill import host_watch
-from quetzalmill import http_client
 from quetzalmill import http_message
 from quetzalmill import http_server
-from quetzalmill import log_port
 from quetzalmill import logs
 from quetzalmill import messages
 from quetzalmill import metrics as metrics_module
 from quetzalmill import metrics_report
 from quetzalmill import objects
 from quetzalmill import operator_api
+from quetzalmill import process_core
 from quetzalmill import settings as settings_module
 from quetzalmill import share_keeper
 from quetzalmill import shares
-from quetzalmill import suspects as suspects_module
 from quetzalmill import team_rates
 
-LOG_TIMEOUT_MS = 2_000.0
-"""How long an answer of the log service may take."""
-
 NOTICE_MS = 2_000.0
 """How long a leaving entry still accepts connections, for the balancer."""
 
@@ -77,35 +69,27 @@
     ) -> None:
         self._settings = settings
         self._nursery = nursery
-        self._clock = clock_module.SystemClock()
-        self._identity = _identity_of(settings)
-        self._store = config_store.ConfigStore()
-        self._fleet = fleet_view.FleetView(
-            self._store.config, timeout_ms=settings.peer_timeout_ms
-        )
-        self._metrics = metrics_module.Metrics(
-            settings.statsd_address, objects.ENTRY, settings.host
+        self._core = process_core.ProcessCore(
+            objects.ENTRY,
+            settings,
+            nursery,
+            control_address=settings.advertised_control_address
+            or settings.control_address,
         )
-        self._suspects = suspects_module.Suspects()
         self._freshness = freshness_module.Freshness(settings.config_lease_ms)
         self._ledger = shares.ShareHolder(
             settings.host,
-            self._identity.spec.instance,
+            self._core.identity.spec.instance,
             lease_ms=settings.share_lease_ms,
         )
         self._rates = team_rates.TeamRates(self._ledger)
-        self._client = http_client.HttpClient()
-        self._control = control.ControlClient()
-        self._log_port = log_port.HttpLogPort(
-            self._client, settings.log_address, timeout_ms=LOG_TIMEOUT_MS
-        )
         self._tail = config_tail.ConfigTail(
-            self._store,
-            self._log_port,
+            self._core.store,
+            self._core.log_port,
             on_end_read=self._log_end_read,
             on_failure=self._log_failed,
             lease_ms=min(settings.config_lease_ms, settings.share_lease_ms),
-            clock=self._clock,
+            clock=self._core.clock,
         )
         self._beats = self._new_beats()
         self._keeper = self._new_keeper()
@@ -113,23 +97,18 @@
         self._home_link = self._new_home_link()
         self._callers = self._new_callers()
         self._operators = operator_api.OperatorApi(
-            store=self._store,
-            port=self._log_port,
-            fleet=self._fleet,
-            own=lambda: (self._identity.host, self._identity.spec),
+            store=self._core.store,
+            port=self._core.log_port,
+            fleet=self._core.fleet,
+            own=lambda: (self._core.identity.host, self._core.identity.spec),
             dump=self._dump,
-            clock=self._clock,
+            clock=self._core.clock,
         )
-        self._stopping = trio.Event()
-        self._replaced = trio.Event()
-        self._served = trio.Event()
 
     async def start(self) -> None:
         """Starts listening and every regular task."""
         settings = self._settings
-        self._store.on_change(self._fleet.configuration_changed)
-        self._store.on_change(self._quarantines_changed)
-        self._store.on_change(self._keeper.configuration_changed)
+        self._core.store.on_change(self._keeper.configuration_changed)
         server = control.ControlServer(
             {
                 messages.BEAT_SIDECAR: self._beats.on_sidecar_beat,
@@ -156,43 +135,24 @@
             self._nursery.start_soon(
                 self._new_host_watch(settings.hosts_address).run
             )
-        self._nursery.start_soon(
-            daemon.announce,
-            self._identity,
-            self._store,
-            self._log_port,
-            self._replaced,
-        )
-        _log.info("entry_started", host=settings.host)
+        self._core.start_announcing()
 
     async def until_ended(self) -> None:
         """Serves until a signal or a newer process ends this one."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._cancel_when_replaced, nursery.cancel_scope)
-            await daemon.wait_for_signal()
-            nursery.cancel_scope.cancel()
-        if not self._replaced.is_set():
-            await self._drain()
-        _log.info("entry_ended", host=self._settings.host)
-
-    async def _cancel_when_replaced(self, scope: trio.CancelScope) -> None:
-        await self._replaced.wait()
-        scope.cancel()
+        await self._core.until_ended(self._drain)
 
     async def _leave(self) -> None:
         """Stops being ready and goes on serving what still comes."""
-        if self._identity.spec.leaving:
+        if self._core.identity.spec.leaving:
             return
-        self._identity.leave()
-        _log.info("leaving", host=self._identity.host)
-        await daemon.announce_leaving(
-            self._identity, self._log_port, LOG_TIMEOUT_MS
-        )
+        self._core.identity.leave()
+        _log.info("leaving", host=self._core.identity.host)
+        await self._core.announce_leaving()
 
     async def _leave_when_told(self) -> None:
-        while not self._identity.spec.leaving:
+        while not self._core.identity.spec.leaving:
             await trio.sleep(_HOUSEKEEPING_MS / 1000.0)
-            if self._fleet.is_leaving(self._identity.host):
+            if self._core.fleet.is_leaving(self._core.identity.host):
                 await self._leave()
 
     async def _drain(self) -> None:
@@ -201,27 +161,24 @@
         with trio.move_on_after(timeout_ms / 1000.0):
             await self._leave()
             await trio.sleep(NOTICE_MS / 1000.0)
-            self._stopping.set()
+            self._core.stopping.set()
             while self._callers.running:
                 await trio.sleep(_HOUSEKEEPING_MS / 1000.0)
-            await self._served.wait()
+            await self._core.stop_serving()
 
     async def _serve_callers(
         self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
     ) -> None:
         settings = self._settings
-        await http_server.serve(
+        await self._core.serve(
             settings.http_address,
             self._callers.handle,
-            limits=http_message.Limits(
+            http_message.Limits(
                 max_header_bytes=settings.max_header_bytes,
                 max_body_bytes=settings.max_body_bytes,
             ),
-            stopping=self._stopping,
-            on_error=_report_error,
-            task_status=task_status,
+            task_status,
         )
-        self._served.set()
 
     async def _serve_operators(
         self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
@@ -233,16 +190,16 @@
                 max_body_bytes=self._settings.max_body_bytes
             ),
             stopping=trio.Event(),
-            on_error=_report_error,
+            on_error=process_core.report_error,
             task_status=task_status,
         )
 
     def _log_end_read(self, asked_ms: float) -> None:
         self._freshness.log_end_read(asked_ms)
-        self._rates.log_end_read(asked_ms, self._clock.now_ms())
+        self._rates.log_end_read(asked_ms, self._core.clock.now_ms())
 
     def _log_failed(self) -> None:
-        self._rates.log_read_failed(self._clock.now_ms())
+        self._rates.log_read_failed(self._core.clock.now_ms())
 
     def _on_suspects(
         self, report: messages.SuspectReport
@@ -250,18 +207,13 @@
         self._beats.note_suspects(report.suspects)
         return messages.Acknowledgement()
 
-    def _quarantines_changed(self) -> None:
-        self._suspects.configuration_changed(
-            self._store.config, self._clock.now_ms()
-        )
-
     async def _publish_quarantines(self) -> None:
         """Puts quarantined requests into the log, so that they last."""
         while True:
             await trio.sleep(_QUARANTINE_MS / 1000.0)
-            now_ms = self._clock.now_ms()
-            self._suspects.forget_old(now_ms)
-            for suspect in self._suspects.unpublished(now_ms):
+            now_ms = self._core.clock.now_ms()
+            self._core.suspects.forget_old(now_ms)
+            for suspect in self._core.suspects.unpublished(now_ms):
                 await self._publish_quarantine(suspect)
 
     async def _publish_quarantine(self, suspect: messages.Suspect) -> None:
@@ -274,33 +226,28 @@
             base_revision=0,
             spec=codec.to_plain(spec),
         )
-        record = announcement.new_record(self._identity.host, [change])
+        record = announcement.new_record(self._core.identity.host, [change])
         try:
-            await announcement.append_record(self._log_port, record)
+            await announcement.append_record(self._core.log_port, record)
         except errors.PortError as error:
             _log.warning("quarantine_not_appended", reason=str(error))
 
     def _is_trusted(self) -> bool:
         return self._freshness.is_trusted(
-            self._clock.now_ms(),
+            self._core.clock.now_ms(),
             self._beats.entry_hosts(),
-            self._identity.host,
+            self._core.identity.host,
         )
 
     def _is_ready(self) -> bool:
-        if self._identity.spec.leaving or not self._is_trusted():
+        if self._core.identity.spec.leaving or not self._is_trusted():
             return False
-        return self._store.config.applied_offset > 0
+        return self._core.store.config.applied_offset > 0
 
     def _dump(self) -> dict[str, Any]:
-        config = self._store.config
-        now_ms = self._clock.now_ms()
+        now_ms = self._core.clock.now_ms()
         return {
-            "host": self._identity.host,
-            "role": objects.ENTRY,
-            "instance": self._identity.spec.instance,
-            "leaving": self._identity.spec.leaving,
-            "applied_offset": config.applied_offset,
+            **self._core.dump(),
             "ready": self._is_ready(),
             "trusted": self._is_trusted(),
             "configuration_age_ms": self._freshness.age_ms(now_ms),
@@ -315,116 +262,105 @@
             },
             "tokens": self._rates.levels(),
             "admissions_asked": self._admission.asked,
-            "heard": [
-                each.host
-                for role in (objects.ENTRY, objects.SIDECAR)
-                for each in self._fleet.heard(role, now_ms)
-            ],
-            "keys": {
-                stored.name: stored.spec.get("withdrawn", False)
-                for stored in config.all_of(objects.KEY)
-            },
-            "suspects": {
-                each.fingerprint: each.crashes
-                for each in self._suspects.all_known(now_ms)
-            },
             "mismatched_frames": self._home_link.mismatched_frames,
         }
 
     def _address_of(self, host: str) -> str | None:
-        if not self._fleet.is_alive(host, self._clock.now_ms()):
+        if not self._core.fleet.is_alive(host, self._core.clock.now_ms()):
             return None
-        process = self._fleet.process(host)
+        process = self._core.fleet.process(host)
         return process.control_address if process else None
 
     def _new_host_watch(self, address: str) -> host_watch.HostWatch:
         return host_watch.HostWatch(
             host_list.HttpHostList(
-                self._client, address, timeout_ms=LOG_TIMEOUT_MS
+                self._core.client,
+                address,
+                timeout_ms=process_core.LOG_TIMEOUT_MS,
             ),
-            fleet=self._fleet,
-            clock=self._clock,
+            fleet=self._core.fleet,
+            clock=self._core.clock,
         )
 
     def _new_beats(self) -> entry_control.EntryControl:
         settings = self._settings
         return entry_control.EntryControl(
-            self._identity,
+            self._core.identity,
             seeds=settings.peers,
             beat_ms=settings.beat_ms,
             timeout_ms=settings.peer_timeout_ms,
-            store=self._store,
-            fleet=self._fleet,
+            store=self._core.store,
+            fleet=self._core.fleet,
             freshness=self._freshness,
             rates=self._rates,
-            suspects=self._suspects,
-            client=self._control,
-            clock=self._clock,
+            suspects=self._core.suspects,
+            client=self._core.control,
+            clock=self._core.clock,
         )
 
     def _new_keeper(self) -> share_keeper.ShareKeeper:
         settings = self._settings
         return share_keeper.ShareKeeper(
-            self._identity,
-            store=self._store,
-            port=self._log_port,
-            fleet=self._fleet,
+            self._core.identity,
+            store=self._core.store,
+            port=self._core.log_port,
+            fleet=self._core.fleet,
             ledger=self._ledger,
             rates=self._rates,
             freshness=self._freshness,
             lease_ms=settings.share_lease_ms,
             beat_ms=settings.beat_ms,
-            clock=self._clock,
+            clock=self._core.clock,
         )
 
     def _new_admission(self) -> admission_module.Admission:
         return admission_module.Admission(
             self._settings.host,
-            config=self._store.config,
+            config=self._core.store.config,
             rates=self._rates,
-            client=self._control,
+            client=self._core.control,
             address_of=self._address_of,
             timeout_ms=self._settings.peer_timeout_ms,
             nursery=self._nursery,
-            clock=self._clock,
+            clock=self._core.clock,
         )
 
     def _new_home_link(self) -> home_link.HomeLink:
         settings = self._settings
         return home_link.HomeLink(
             settings.failure_domain,
-            config=self._store.config,
-            fleet=self._fleet,
-            client=self._client,
+            config=self._core.store.config,
+            fleet=self._core.fleet,
+            client=self._core.client,
             timeout_ms=settings.peer_timeout_ms,
-            clock=self._clock,
+            clock=self._core.clock,
         )
 
     def _new_callers(self) -> callers_api.CallersApi:
         return callers_api.CallersApi(
-            config=self._store.config,
+            config=self._core.store.config,
             admission=self._admission,
-            forwarder=forwarding.Forwarder(self._home_link, self._clock),
-            suspects=self._suspects,
+            forwarder=forwarding.Forwarder(self._home_link, self._core.clock),
+            suspects=self._core.suspects,
             is_trusted=self._is_trusted,
             is_ready=self._is_ready,
             call_timeout_ms=self._settings.call_timeout_ms,
-            metrics=self._metrics,
-            clock=self._clock,
+            metrics=self._core.metrics,
+            clock=self._core.clock,
         )
 
     def _new_reporter(
         self, server: control.ControlServer
     ) -> metrics_report.Reporter:
-        sent = (server.traffic, self._control.traffic)
+        sent = (server.traffic, self._core.control.traffic)
         return metrics_report.Reporter(
-            self._metrics,
+            self._core.metrics,
             gauges={
                 metrics_module.APPLIED_OFFSET: lambda: (
-                    self._store.config.applied_offset
+                    self._core.store.config.applied_offset
                 ),
-                metrics_module.PEERS_LIVE: lambda: self._fleet.count_heard(
-                    self._clock.now_ms()
+                metrics_module.PEERS_LIVE: lambda: self._core.fleet.count_heard(
+                    self._core.clock.now_ms()
                 ),
             },
             totals={
@@ -432,7 +368,9 @@
                 metrics_module.STALE_ANSWERS: lambda: (
                     self._home_link.mismatched_frames
                 ),
-                metrics_module.LOG_ERRORS: lambda: self._log_port.failed_calls,
+                metrics_module.LOG_ERRORS: lambda: (
+                    self._core.log_port.failed_calls
+                ),
                 metrics_module.CONTROL_MESSAGES: lambda: sum(
                     each.messages for each in sent
                 ),
@@ -441,21 +379,3 @@
                 ),
             },
         )
-
-
-def _identity_of(settings: settings_module.EntrySettings) -> daemon.Identity:
-    return daemon.Identity(
-        host=settings.host,
-        spec=objects.ProcessSpec(
-            role=objects.ENTRY,
-            instance=daemon.new_instance(),
-            http_address=settings.http_address,
-            control_address=settings.advertised_control_address
-            or settings.control_address,
-            failure_domain=settings.failure_domain,
-        ),
-    )
-
-
-def _report_error(error: BaseException) -> None:
-    _log.error("handler_failed", reason=repr(error))
--- /dev/null
+++ b/quetzalmill/process_core.py
@@ -0,0 +1,179 @@
+"""The parts that every process of the system has, wired together.
+
+An entry and a sidecar each hold one core: who they are, their copy of the
+configuration, their view of the fleet, and their way to the log and to other
+processes. It also runs what both do alike: announcing, serving HTTP, ending.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+
+from quetzalmill import clock as clock_module
+from quetzalmill import config_store
+from quetzalmill import control
+from quetzalmill import daemon
+from quetzalmill import fleet_view
+from quetzalmill import http_client
+from quetzalmill import http_message
+from quetzalmill import http_server
+from quetzalmill import log_port
+from quetzalmill import logs
+from quetzalmill import metrics as metrics_module
+from quetzalmill import objects
+from quetzalmill import settings as settings_module
+from quetzalmill import suspects as suspects_module
+
+LOG_TIMEOUT_MS = 2_000.0
+"""How long an answer of the log service may take."""
+
+_log = logs.get("process_core")
+
+
+class ProcessCore:
+    """What one process is made of, whatever its role.
+
+    Attributes:
+        identity: This process towards others.
+        nursery: Where its tasks run.
+        clock: The clock that it measures time with.
+        store: Its copy of the configuration.
+        fleet: What it knows of other processes.
+        metrics: Where it counts.
+        suspects: Requests suspected of ending endpoints.
+        client: Its HTTP connections.
+        control: Its control connections.
+        log_port: Its way to the log.
+        stopping: Set when it takes no more connections from callers.
+    """
+
+    def __init__(
+        self,
+        role: str,
+        settings: settings_module.EntrySettings
+        | settings_module.SidecarSettings,
+        nursery: trio.Nursery,
+        *,
+        control_address: str,
+    ) -> None:
+        self.identity = daemon.Identity(
+            host=settings.host,
+            spec=objects.ProcessSpec(
+                role=role,
+                instance=daemon.new_instance(),
+                http_address=settings.http_address,
+                control_address=control_address,
+                failure_domain=settings.failure_domain,
+            ),
+        )
+        self.nursery = nursery
+        self.clock = clock_module.SystemClock()
+        self.store = config_store.ConfigStore()
+        self.fleet = fleet_view.FleetView(
+            self.store.config, timeout_ms=settings.peer_timeout_ms
+        )
+        self.metrics = metrics_module.Metrics(
+            settings.statsd_address, role, settings.host
+        )
+        self.suspects = suspects_module.Suspects()
+        self.client = http_client.HttpClient()
+        self.control = control.ControlClient()
+        self.log_port = log_port.HttpLogPort(
+            self.client, settings.log_address, timeout_ms=LOG_TIMEOUT_MS
+        )
+        self.stopping = trio.Event()
+        self._replaced = trio.Event()
+        self._served = trio.Event()
+        self.store.on_change(self.fleet.configuration_changed)
+        self.store.on_change(self._quarantines_changed)
+
+    def start_announcing(self) -> None:
+        """Announces the process and watches whether another replaces it."""
+        self.nursery.start_soon(
+            daemon.announce,
+            self.identity,
+            self.store,
+            self.log_port,
+            self._replaced,
+        )
+
+    async def announce_leaving(self) -> None:
+        """Tells everyone through the log that the process takes no work."""
+        await daemon.announce_leaving(
+            self.identity, self.log_port, LOG_TIMEOUT_MS
+        )
+
+    async def serve(
+        self,
+        address: str,
+        handler: http_server.Handler,
+        limits: http_message.Limits,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serves HTTP until ``stopping`` is set and every answer is out."""
+        await http_server.serve(
+            address,
+            handler,
+            limits=limits,
+            stopping=self.stopping,
+            on_error=report_error,
+            task_status=task_status,
+        )
+        self._served.set()
+
+    async def stop_serving(self) -> None:
+        """Takes no more connections; returns when every answer is out."""
+        self.stopping.set()
+        await self._served.wait()
+
+    async def until_ended(self, drain: Callable[[], Awaitable[None]]) -> None:
+        """Returns after a signal and ``drain``, or when it was replaced."""
+        role = self.identity.spec.role
+        _log.info("process_started", role=role, host=self.identity.host)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_when_replaced, nursery.cancel_scope)
+            await daemon.wait_for_signal()
+            nursery.cancel_scope.cancel()
+        if not self._replaced.is_set():
+            await drain()
+        _log.info("process_ended", role=role, host=self.identity.host)
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the part of the state dump that every process has."""
+        now_ms = self.clock.now_ms()
+        config = self.store.config
+        return {
+            "host": self.identity.host,
+            "role": self.identity.spec.role,
+            "instance": self.identity.spec.instance,
+            "leaving": self.identity.spec.leaving,
+            "applied_offset": config.applied_offset,
+            "heard": [
+                each.host
+                for role in (objects.ENTRY, objects.SIDECAR)
+                for each in self.fleet.heard(role, now_ms)
+            ],
+            "keys": {
+                stored.name: stored.spec.get("withdrawn", False)
+                for stored in config.all_of(objects.KEY)
+            },
+            "suspects": {
+                each.fingerprint: each.crashes
+                for each in self.suspects.all_known(now_ms)
+            },
+        }
+
+    async def _cancel_when_replaced(self, scope: trio.CancelScope) -> None:
+        await self._replaced.wait()
+        scope.cancel()
+
+    def _quarantines_changed(self) -> None:
+        self.suspects.configuration_changed(
+            self.store.config, self.clock.now_ms()
+        )
+
+
+def report_error(error: BaseException) -> None:
+    """Logs what a handler of requests let escape."""
+    _log.error("handler_failed", reason=repr(error))
--- a/quetzalmill/sidecar.py
+++ b/quetzalmill/sidecar.py
@@ -11,21 +11,15 @@
 import trio
 
 from quetzalmill import call_run
-from quetzalmill import clock as clock_module
 from quetzalmill import commit_pace
-from quetzalmill import config_store
 from quetzalmill import control
 from quetzalmill import daemon
 from quetzalmill import endpoint_port
 from quetzalmill import engine_orders
 from quetzalmill import executor as executor_module
 from quetzalmill import executor_link
-from quetzalmill import fleet_view
 from quetzalmill import home as home_module
-from quetzalmill import http_client
 from quetzalmill import http_message
-from quetzalmill import http_server
-from quetzalmill import log_port
 from quetzalmill import logs
 from quetzalmill import memory_keeper
 from quetzalmill import messages
@@ -33,19 +27,16 @@
 from quetzalmill import metrics_report
 from quetzalmill import objects
 from quetzalmill import placement
+from quetzalmill import process_core
 from quetzalmill import program_id
 from quetzalmill import retry_budget
 from quetzalmill import routing
 from quetzalmill import settings as settings_module
 from quetzalmill import sidecar_api
 from quetzalmill import sidecar_beats
-from quetzalmill import suspects as suspects_module
 from quetzalmill import turn_log
 from quetzalmill import turns
 
-LOG_TIMEOUT_MS = 2_000.0
-"""How long an answer of the log service may take."""
-
 COMMIT_PATIENCE_MS = 1_500.0
 """How long an answer waits for its turn to be in the log."""
 
@@ -80,22 +71,13 @@
     ) -> None:
         self._settings = settings
         self._nursery = nursery
-        self._clock = clock_module.SystemClock()
-        self._identity = _identity_of(settings)
-        self._store = config_store.ConfigStore()
-        self._fleet = fleet_view.FleetView(
-            self._store.config, timeout_ms=settings.peer_timeout_ms
-        )
-        self._metrics = metrics_module.Metrics(
-            settings.statsd_address, objects.SIDECAR, settings.host
-        )
-        self._suspects = suspects_module.Suspects()
-        self._client = http_client.HttpClient()
-        self._control = control.ControlClient()
-        self._log_port = log_port.HttpLogPort(
-            self._client, settings.log_address, timeout_ms=LOG_TIMEOUT_MS
+        self._core = process_core.ProcessCore(
+            objects.SIDECAR,
+            settings,
+            nursery,
+            control_address=settings.control_address,
         )
-        self._endpoint_port = endpoint_port.EndpointPort(self._client)
+        self._endpoint_port = endpoint_port.EndpointPort(self._core.client)
         self._retries = retry_budget.RetryBudget(settings.retry_share)
         self._executor = self._new_executor()
         self._link = self._new_link()
@@ -106,10 +88,10 @@
         self._memory = self._new_memory()
         self._orders = engine_orders.OrderKeeper(
             settings.host,
-            config=self._store.config,
+            config=self._core.store.config,
             port=self._endpoint_port,
             may_order=self._beats.was_answered,
-            clock=self._clock,
+            clock=self._core.clock,
         )
         self._api = sidecar_api.SidecarApi(
             home=self._home,
@@ -118,16 +100,11 @@
             dump=self._dump,
             is_ready=self._is_ready,
         )
-        self._stopping = trio.Event()
-        self._replaced = trio.Event()
-        self._served = trio.Event()
 
     async def start(self) -> None:
         """Starts listening and every regular task."""
         settings = self._settings
-        self._store.on_change(self._fleet.configuration_changed)
-        self._store.on_change(self._quarantines_changed)
-        self._store.on_change(self._executor.configuration_changed)
+        self._core.store.on_change(self._executor.configuration_changed)
         server = control.ControlServer(
             {
                 messages.FENCE: self._executor.fence,
@@ -147,40 +124,21 @@
         ):
             self._nursery.start_soon(task)
         self._nursery.start_soon(self._home.verify_forever, settings.beat_ms)
-        self._nursery.start_soon(
-            daemon.announce,
-            self._identity,
-            self._store,
-            self._log_port,
-            self._replaced,
-        )
-        _log.info("sidecar_started", host=settings.host)
+        self._core.start_announcing()
 
     async def until_ended(self) -> None:
         """Serves until a signal or a newer process ends this one."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._cancel_when_replaced, nursery.cancel_scope)
-            await daemon.wait_for_signal()
-            nursery.cancel_scope.cancel()
-        if not self._replaced.is_set():
-            await self._drain()
-        _log.info("sidecar_ended", host=self._settings.host)
-
-    async def _cancel_when_replaced(self, scope: trio.CancelScope) -> None:
-        await self._replaced.wait()
-        scope.cancel()
+        await self._core.until_ended(self._drain)
 
     async def _leave(self) -> None:
         """Takes nothing new and hands programs over; goes on serving."""
-        if self._identity.spec.leaving:
+        if self._core.identity.spec.leaving:
             return
-        self._identity.leave()
+        self._core.identity.leave()
         self._home.leaving = True
-        _log.info("leaving", host=self._identity.host)
+        _log.info("leaving", host=self._core.identity.host)
         await self._beats.beat_all()
-        await daemon.announce_leaving(
-            self._identity, self._log_port, LOG_TIMEOUT_MS
-        )
+        await self._core.announce_leaving()
         self._nursery.start_soon(self._home.drained)
         await trio.sleep(LEAVING_BEATS * self._settings.beat_ms / 1000.0)
         self._executor.leaving = True
@@ -193,43 +151,34 @@
             await self._home.drained()
             while not self._executor.idle:
                 await trio.sleep(_HOUSEKEEPING_MS / 1000.0)
-            self._stopping.set()
-            await self._served.wait()
+            await self._core.stop_serving()
 
     async def _serve(
         self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
     ) -> None:
         settings = self._settings
-        await http_server.serve(
+        await self._core.serve(
             settings.http_address,
             self._api.handle,
-            limits=http_message.Limits(
+            http_message.Limits(
                 max_header_bytes=settings.max_header_bytes,
                 max_body_bytes=16 * settings.max_body_bytes,
             ),
-            stopping=self._stopping,
-            on_error=_report_error,
-            task_status=task_status,
+            task_status,
         )
-        self._served.set()
 
     async def _housekeeping(self) -> None:
         while True:
             await trio.sleep(_HOUSEKEEPING_MS / 1000.0)
             self._executor.recheck()
-            self._suspects.forget_old(self._clock.now_ms())
+            self._core.suspects.forget_old(self._core.clock.now_ms())
             if self._is_told_to_leave():
                 self._nursery.start_soon(self._leave)
 
     def _is_told_to_leave(self) -> bool:
-        if self._identity.spec.leaving:
+        if self._core.identity.spec.leaving:
             return False
-        return self._fleet.is_leaving(self._identity.host)
-
-    def _quarantines_changed(self) -> None:
-        self._suspects.configuration_changed(
-            self._store.config, self._clock.now_ms()
-        )
+        return self._core.fleet.is_leaving(self._core.identity.host)
 
     def _grant_leases(
         self, request: messages.LeaseRequest
@@ -242,21 +191,16 @@
         self._home.fenced(record)
 
     def _is_gone(self, host: str, instance: str) -> bool:
-        return self._fleet.is_leaving(host) or self._fleet.is_gone(
-            host, instance, self._clock.now_ms()
+        return self._core.fleet.is_leaving(host) or self._core.fleet.is_gone(
+            host, instance, self._core.clock.now_ms()
         )
 
     def _is_ready(self) -> bool:
-        return self._beats.heard_any and not self._identity.spec.leaving
+        return self._beats.heard_any and not self._core.identity.spec.leaving
 
     def _dump(self) -> dict[str, Any]:
-        config = self._store.config
         return {
-            "host": self._identity.host,
-            "role": objects.SIDECAR,
-            "instance": self._identity.spec.instance,
-            "leaving": self._identity.spec.leaving,
-            "applied_offset": config.applied_offset,
+            **self._core.dump(),
             "ready": self._is_ready(),
             "programs": sum(
                 len(family.programs) for family in self._home.families.values()
@@ -275,19 +219,6 @@
                 }
                 for load in self._executor.loads()
             ],
-            "heard": [
-                each.host
-                for role in (objects.ENTRY, objects.SIDECAR)
-                for each in self._fleet.heard(role, self._clock.now_ms())
-            ],
-            "keys": {
-                stored.name: stored.spec.get("withdrawn", False)
-                for stored in config.all_of(objects.KEY)
-            },
-            "suspects": {
-                each.fingerprint: each.crashes
-                for each in self._suspects.all_known(self._clock.now_ms())
-            },
             "mismatched_frames": self._link.mismatched_frames,
         }
 
@@ -296,21 +227,21 @@
         return executor_module.Executor(
             executor_module.Options(
                 host=settings.host,
-                instance=self._identity.spec.instance,
+                instance=self._core.identity.spec.instance,
                 fair_queue=settings.queue_policy == settings_module.FAIR,
                 max_queue=settings.max_queue,
                 limits_memory=settings.limit_policy == settings_module.MEMORY,
                 failure_ms=settings.endpoint_failure_ms,
             ),
-            config=self._store.config,
+            config=self._core.store.config,
             port=self._endpoint_port,
-            known_suspects=self._suspects,
+            known_suspects=self._core.suspects,
             report=self._report_suspect,
             on_start=lambda program: self._memory.started(program),
             on_over=lambda program: self._memory.over(program),
             nursery=self._nursery,
-            metrics=self._metrics,
-            clock=self._clock,
+            metrics=self._core.metrics,
+            clock=self._core.clock,
         )
 
     async def _report_suspect(self, suspect: messages.Suspect) -> None:
@@ -325,50 +256,50 @@
     def _new_link(self) -> executor_link.ExecutorLink:
         return executor_link.ExecutorLink(
             self._settings.host,
-            config=self._store.config,
+            config=self._core.store.config,
             local=self._executor,
-            client=self._client,
-            control_client=self._control,
-            fleet=self._fleet,
+            client=self._core.client,
+            control_client=self._core.control,
+            fleet=self._core.fleet,
             timeout_ms=self._settings.peer_timeout_ms,
         )
 
     def _new_writer(self) -> turn_log.TurnWriter:
         settings = self._settings
         return turn_log.TurnWriter(
-            self._log_port,
-            turns.stream_of(settings.host, self._identity.spec.instance),
+            self._core.log_port,
+            turns.stream_of(settings.host, self._core.identity.spec.instance),
             pace=commit_pace.CommitPace(
                 settings.commit_interval_ms, random.Random()
             ),
             patience_ms=COMMIT_PATIENCE_MS,
             buffer_bytes=settings.commit_buffer_bytes,
             on_fence=self._fenced,
-            metrics=self._metrics,
-            clock=self._clock,
+            metrics=self._core.metrics,
+            clock=self._core.clock,
         )
 
     def _new_runner(self) -> call_run.CallRunner:
         settings = self._settings
         return call_run.CallRunner(
-            config=self._store.config,
+            config=self._core.store.config,
             router=routing.Router(
                 settings.host,
                 settings.failure_domain,
-                config=self._store.config,
-                fleet=self._fleet,
+                config=self._core.store.config,
+                fleet=self._core.fleet,
                 chooser=placement.Placement(
                     placement.Policy(settings.placement_policy),
                     random.Random(),
                 ),
                 report_lag_ms=settings.beat_ms,
-                clock=self._clock,
+                clock=self._core.clock,
             ),
             link=self._link,
             writer=self._writer,
             retries=self._retries,
-            metrics=self._metrics,
-            clock=self._clock,
+            metrics=self._core.metrics,
+            clock=self._core.clock,
         )
 
     def _new_home(self) -> home_module.Home:
@@ -376,35 +307,36 @@
         return home_module.Home(
             home_module.Options(
                 own=program_id.Home(
-                    host=settings.host, instance=self._identity.spec.instance
+                    host=settings.host,
+                    instance=self._core.identity.spec.instance,
                 ),
                 idle_ms=settings.program_idle_ms,
                 call_timeout_ms=settings.call_timeout_ms,
             ),
-            config=self._store.config,
+            config=self._core.store.config,
             runner=self._runner,
             writer=self._writer,
-            port=self._log_port,
+            port=self._core.log_port,
             is_gone=self._is_gone,
             was_silent=lambda: self._beats.was_silent(),
             nursery=self._nursery,
-            metrics=self._metrics,
-            clock=self._clock,
+            metrics=self._core.metrics,
+            clock=self._core.clock,
         )
 
     def _new_beats(self) -> sidecar_beats.SidecarBeats:
         settings = self._settings
         return sidecar_beats.SidecarBeats(
-            self._identity,
+            self._core.identity,
             seeds=settings.entries,
             beat_ms=settings.beat_ms,
             timeout_ms=settings.peer_timeout_ms,
-            store=self._store,
-            fleet=self._fleet,
+            store=self._core.store,
+            fleet=self._core.fleet,
             executor=self._executor,
-            suspects=self._suspects,
-            client=self._control,
-            clock=self._clock,
+            suspects=self._core.suspects,
+            client=self._core.control,
+            clock=self._core.clock,
         )
 
     def _new_memory(self) -> memory_keeper.MemoryKeeper:
@@ -414,21 +346,21 @@
             lease_ms=settings.lease_ms,
             check_ms=settings.memory_check_ms,
             timeout_ms=settings.peer_timeout_ms,
-            config=self._store.config,
-            fleet=self._fleet,
+            config=self._core.store.config,
+            fleet=self._core.fleet,
             home=self._home,
             runner=self._runner,
             port=self._endpoint_port,
-            client=self._control,
-            clock=self._clock,
+            client=self._core.control,
+            clock=self._core.clock,
         )
 
     def _new_reporter(
         self, server: control.ControlServer
     ) -> metrics_report.Reporter:
-        sent = (server.traffic, self._control.traffic)
+        sent = (server.traffic, self._core.control.traffic)
         return metrics_report.Reporter(
-            self._metrics,
+            self._core.metrics,
             gauges={
                 metrics_module.QUEUE_LENGTH: lambda: sum(
                     load.queued for load in self._executor.loads()
@@ -448,10 +380,10 @@
                     self._memory.held_tokens
                 ),
                 metrics_module.APPLIED_OFFSET: lambda: (
-                    self._store.config.applied_offset
+                    self._core.store.config.applied_offset
                 ),
-                metrics_module.PEERS_LIVE: lambda: self._fleet.count_heard(
-                    self._clock.now_ms()
+                metrics_module.PEERS_LIVE: lambda: self._core.fleet.count_heard(
+                    self._core.clock.now_ms()
                 ),
             },
             totals={
@@ -465,7 +397,9 @@
                 metrics_module.LEASES_LAPSED: lambda: (
                     self._memory.leases_lapsed
                 ),
-                metrics_module.LOG_ERRORS: lambda: self._log_port.failed_calls,
+                metrics_module.LOG_ERRORS: lambda: (
+                    self._core.log_port.failed_calls
+                ),
                 metrics_module.CONTROL_MESSAGES: lambda: sum(
                     each.messages for each in sent
                 ),
@@ -474,20 +408,3 @@
                 ),
             },
         )
-
-
-def _identity_of(settings: settings_module.SidecarSettings) -> daemon.Identity:
-    return daemon.Identity(
-        host=settings.host,
-        spec=objects.ProcessSpec(
-            role=objects.SIDECAR,
-            instance=daemon.new_instance(),
-            http_address=settings.http_address,
-            control_address=settings.control_address,
-            failure_domain=settings.failure_domain,
-        ),
-    )
-
-
-def _report_error(error: BaseException) -> None:
-    _log.error("handler_failed", reason=repr(error))
