Start processes with one piece of code for tests and the load tool

Cause: the harness of the tests and the load tool each had their own process, group, free address and waiting. The load tool's now serves both, with the harness's way of drawing ports, which keeps a restarted process's port from being taken; the fault proxy stands with the emulators.

--- a/quetzalmill_load/cluster.py
+++ b/quetzalmill_load/cluster.py
@@ -105,7 +105,8 @@
         self.size = size
         self._policies = policies
         self._seed = seed
-        self.log, self.log_address = group.emulator("log")
+        self.log = group.emulator("log")
+        self.log_address = self.log.address
         self.entries: list[Node] = []
         self.sidecars: list[Node] = []
         self.services: list[str] = []
@@ -276,7 +277,7 @@
             entry.process.wait_ready(entry.settings["http_address"])
 
     def _start_engine(self, index: int) -> dict[str, Any]:
-        _, address = self._group.emulator(
+        address = self._group.emulator(
             "engine",
             f"--seed={self._seed + index}",
             f"--slots={self.size.slots}",
@@ -284,7 +285,7 @@
             f"--prefill-tokens-per-s={self.size.prefill_tokens_per_s}",
             f"--decode-ms={self.size.decode_ms}",
             f"--chunk-tokens={self.size.chunk_tokens}",
-        )
+        ).address
         self.engines.append(address)
         spec = {
             "host": f"engine-host-{index}",
@@ -297,7 +298,7 @@
         return _change("endpoint", f"engine-{index}", spec)
 
     def _start_service(self, index: int) -> dict[str, Any]:
-        _, address = self._group.emulator("service", "--work-ms=20")
+        address = self._group.emulator("service", "--work-ms=20").address
         self.services.append(address)
         spec = {
             "host": f"service-host-{index}",
--- a/quetzalmill_load/demo.py
+++ b/quetzalmill_load/demo.py
@@ -128,10 +128,7 @@
             self._emulate(spec.get("kind", "engine"), spec["address"])
 
     def _emulate(self, kind: str, address: str) -> None:
-        process = self._group.start(
-            kind, "quetzalmill_emulator", kind, "--address", address
-        )
-        process.listening_address()
+        self._group.emulator(kind, address=address)
 
     def _start_entry(self) -> None:
         path = self._file("entry")
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -10,18 +10,13 @@
 import json
 import pathlib
 import random
-import signal
-import socket
-import subprocess
-import sys
-import tempfile
 import time
-import types
-from typing import Any, Self, TypeVar
+from typing import Any, TypeVar
 
 import attrs
 
 from quetzalmill import sse
+from quetzalmill_load import processes
 
 REPOSITORY = pathlib.Path(__file__).resolve().parent.parent
 READY_TIMEOUT_S = 15.0
@@ -79,194 +74,27 @@
         return _decode(self._response.read())
 
 
-class Process:
-    """One process under test.
+Process = processes.Process
 
-    Attributes:
-        name: What the test calls it.
-        address: Where it serves HTTP, once it is ready.
-        pid: Its process id.
-    """
-
-    def __init__(
-        self, name: str, module: str, args: list[str], directory: pathlib.Path
-    ) -> None:
-        self.name = name
-        self.address = ""
-        self._stdout = directory / f"{name}.stdout"
-        self._stderr = directory / f"{name}.stderr"
-        with self._stdout.open("ab") as out, self._stderr.open("ab") as err:
-            self._popen = subprocess.Popen(
-                [sys.executable, "-m", module, *args],
-                cwd=directory,
-                env={"PYTHONPATH": str(REPOSITORY), "PATH": "/usr/bin:/bin"},
-                stdin=subprocess.DEVNULL,
-                stdout=out,
-                stderr=err,
-            )
-        self.pid = self._popen.pid
-
-    @property
-    def running(self) -> bool:
-        """Whether the process has not ended; a frozen one is running."""
-        return self._popen.poll() is None
-
-    @property
-    def exit_code(self) -> int | None:
-        """The exit code; negative for a signal, None while running."""
-        return self._popen.poll()
-
-    def output(self) -> str:
-        """Returns what the process wrote, standard error last."""
-        return self._stdout.read_text() + self._stderr.read_text()
-
-    def wait_ready_line(self, timeout_s: float = READY_TIMEOUT_S) -> None:
-        """Waits for the line that names the address."""
-
-        def read() -> str | None:
-            self._expect_running()
-            for line in self._stdout.read_text().splitlines(keepends=True):
-                if line.startswith(_READY_PREFIX) and line.endswith("\n"):
-                    return line.removeprefix(_READY_PREFIX).split()[0]
-            return None
-
-        self.address = eventually(read, timeout_s, f"{self.name} is ready")
-
-    def wait_ready(
-        self, address: str, timeout_s: float = READY_TIMEOUT_S
-    ) -> None:
-        """Waits until ``/ready`` at the address answers 200."""
-
-        def ready() -> bool:
-            self._expect_running()
-            try:
-                return call(address, "GET", "/ready", timeout_s=2).status == 200
-            except (OSError, http.client.HTTPException):
-                return False
-
-        eventually(ready, timeout_s, f"{self.name} is ready")
-        self.address = address
-
-    def kill(self) -> None:
-        """Ends the process at once, also a frozen one."""
-        self._popen.kill()
-        self._popen.wait(_END_TIMEOUT_S)
-
-    def freeze(self) -> None:
-        """Stops the process until ``wake``."""
-        self._popen.send_signal(signal.SIGSTOP)
-
-    def wake(self) -> None:
-        """Lets a frozen process go on."""
-        self._popen.send_signal(signal.SIGCONT)
-
-    def signal_terminate(self) -> None:
-        """Asks the process to end and returns at once."""
-        self._popen.terminate()
-
-    def wait_end(self, timeout_s: float = _END_TIMEOUT_S) -> int:
-        """Waits for the process to end; returns its exit code."""
-        return self._popen.wait(timeout_s)
-
-    def terminate(self, timeout_s: float = _END_TIMEOUT_S) -> int:
-        """Asks the process to end and waits; returns its exit code."""
-        self.signal_terminate()
-        return self.wait_end(timeout_s)
-
-    def _expect_running(self) -> None:
-        if not self.running:
-            raise AssertionError(
-                f"{self.name} ended with {self.exit_code}:\n{self.output()}"
-            )
-
-
-class Fleet:
-    """The processes of one test; a context manager that ends them all."""
-
-    def __init__(self) -> None:
-        self._files = tempfile.TemporaryDirectory(prefix="quetzalmill-test-")
-        self._processes: list[Process] = []
-        self.directory = pathlib.Path(self._files.name)
 
-    def __enter__(self) -> Self:
-        return self
+class Fleet(processes.Group):
+    """The processes of one test; shows their output when it fails."""
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
-        if error is not None:
+    def __exit__(self, *raised: object) -> None:
+        if raised[0] is not None:
             self._show_output()
-        self.close()
-
-    def start(self, name: str, module: str, *args: str) -> Process:
-        """Starts ``python -m module args``; the caller waits for it."""
-        process = Process(name, module, list(args), self.directory)
-        self._processes.append(process)
-        return process
-
-    def emulator(
-        self, kind: str, *args: str, address: str = "127.0.0.1:0"
-    ) -> Process:
-        """Starts an emulator and waits until it is ready.
-
-        Args:
-            kind: ``log``, ``engine``, ``service`` or ``hosts``.
-            *args: Further options.
-            address: Where it listens; port 0 takes a free port.
-        """
-        name = f"{kind}-{len(self._processes)}"
-        process = self.start(name, _EMULATOR, kind, "--address", address, *args)
-        process.wait_ready_line()
-        return process
-
-    def write(self, name: str, text: str) -> pathlib.Path:
-        """Writes a file, such as settings, and returns its path."""
-        path = self.directory / name
-        path.write_text(text)
-        return path
-
-    def close(self) -> None:
-        """Ends all processes and removes their files."""
-        for process in self._processes:
-            if process.running:
-                process.kill()
-        self._files.cleanup()
+        super().__exit__(*raised)
 
     def _show_output(self) -> None:
-        for process in self._processes:
+        for process in self.processes:
             output = process.output()[-_SHOWN_CHARACTERS:]
             state = process.exit_code
             print(f"--- {process.name} (exit code {state}):\n{output}")
 
 
-def free_port() -> int:
-    """Returns a loopback port that is free and was not returned before.
-
-    It lies below the ports that outgoing connections take, so that none of
-    them holds it while a test starts a killed process again.
-    """
-    while True:
-        port = _draws.randrange(_LOWEST_PORT, _HIGHEST_PORT)
-        if port not in _given_ports and _is_free(port):
-            _given_ports.add(port)
-            return port
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
-
-
 def free_address() -> str:
-    """Returns a free loopback address."""
-    return f"127.0.0.1:{free_port()}"
+    """Returns a free loopback address; see ``processes.free_address``."""
+    return processes.free_address()
 
 
 def call(
--- a/tests/test_fault_pairs.py
+++ b/tests/test_fault_pairs.py
@@ -14,8 +14,8 @@
 import attrs
 
 from quetzalmill import program_id
+from quetzalmill_emulator import fault_proxy
 from tests import deployment
-from tests import fault_proxy
 from tests import harness
 from tests import mixed_traffic
 
--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests import fault_proxy
+from quetzalmill_emulator import fault_proxy
 from tests import harness
 
 _LOST = (OSError, http.client.HTTPException)
--- a/tests/test_rate.py
+++ b/tests/test_rate.py
@@ -14,8 +14,8 @@
 import attrs
 import pytest
 
+from quetzalmill_emulator import fault_proxy
 from tests import deployment
-from tests import fault_proxy
 from tests import harness
 
 ENTRIES = 3
@@ -305,7 +305,7 @@
         with Load(fleet.system) as load:
             story = Story(fleet, load)
             story.tell()
-        outputs = [each.output() for each in processes._processes]
+        outputs = [each.output() for each in processes.processes]
         yield Run(
             admissions={name: _admissions(name, outputs) for name in TEAMS},
             requests=load.requests,
--- a/tests/test_withdrawal.py
+++ b/tests/test_withdrawal.py
@@ -10,8 +10,8 @@
 import pytest
 
 from quetzalmill import keys
+from quetzalmill_emulator import fault_proxy
 from tests import deployment
-from tests import fault_proxy
 from tests import harness
 
 BOUND_S = 15.0
