--- a/quetzalmill/answer.py
+++ b/quetzalmill/answer.py
@@ -1,6 +1,6 @@
 """The answer to a call as it grows, which any number of readers follow."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import attrs
@@ -139,6 +139,31 @@
         self.mismatched += len(frames) - len(matching)
         return matching
 
+    async def read(
+        self,
+        pieces: AsyncIterator[bytes],
+        count_mismatched: Callable[[int], None],
+    ) -> AsyncIterator[messages.Frame]:
+        """Yields the frames of a body to its end.
+
+        Args:
+            pieces: The body.
+            count_mismatched: Is told how many frames were dropped.
+
+        Raises:
+            errors.CodecError: A line is no frame.
+            errors.ConnectionLostError: The answer broke off.
+        """
+        last: messages.Frame | None = None
+        try:
+            async for piece in pieces:
+                for frame in self.feed(piece):
+                    last = frame
+                    yield frame
+        finally:
+            count_mismatched(self.mismatched)
+        self.require_end(last)
+
     def require_end(self, last: messages.Frame | None) -> None:
         """Checks that an answer ended with its last frame.
 
--- a/quetzalmill/call_run.py
+++ b/quetzalmill/call_run.py
@@ -12,6 +12,7 @@
 import trio
 
 from quetzalmill import answer as answer_module
+from quetzalmill import call_preparation
 from quetzalmill import clock as clock_module
 from quetzalmill import codec
 from quetzalmill import completion
@@ -58,27 +59,6 @@
 )
 
 
-@attrs.frozen(kw_only=True)
-class Prepared:
-    """A call made ready for endpoints.
-
-    Attributes:
-        call: The call as the entry sent it.
-        digest: Digest of the request.
-        body: The body for the endpoint.
-        new_messages: The new messages of a model call.
-        prompt_tokens: An estimate of the whole prompt.
-        answer_tokens: The most tokens that are reserved for the answer.
-    """
-
-    call: messages.Call
-    digest: str
-    body: bytes
-    new_messages: list[Any]
-    prompt_tokens: int
-    answer_tokens: int
-
-
 @attrs.frozen(kw_only=True)
 class _Succeeded:
     status: int
@@ -117,7 +97,7 @@
 
     family: programs.Family
     program: programs.Program
-    prepared: Prepared
+    prepared: call_preparation.Prepared
     answer: answer_module.Answer
     started_ms: float
     deadline_ms: float
--- a/quetzalmill/executor_link.py
+++ b/quetzalmill/executor_link.py
@@ -122,7 +122,7 @@
         )
         return reply
 
-    async def _frames(
+    def _frames(
         self,
         response: http_client.StreamedResponse,
         execution: messages.Execution,
@@ -131,15 +131,10 @@
         # A call that runs at most once has one answer for all attempts.
         attempt = execution.attempt if call.idempotent else None
         reader = answer.FrameReader(call.program, call.number, attempt)
-        last: messages.Frame | None = None
-        try:
-            async for piece in response:
-                for frame in reader.feed(piece):
-                    last = frame
-                    yield frame
-        finally:
-            self.mismatched_frames += reader.mismatched
-        reader.require_end(last)
+        return reader.read(response, self._count_mismatched)
+
+    def _count_mismatched(self, frames: int) -> None:
+        self.mismatched_frames += frames
 
 
 def _require_ok(host: str, status: int) -> None:
--- a/quetzalmill/home.py
+++ b/quetzalmill/home.py
@@ -7,19 +7,19 @@
 
 from collections.abc import AsyncIterator, Callable
 import contextlib
-import hashlib
 import secrets
-from typing import Any
 
 import attrs
 import trio
 
 from quetzalmill import answer as answer_module
+from quetzalmill import call_preparation
 from quetzalmill import call_run
 from quetzalmill import clock as clock_module
 from quetzalmill import completion
 from quetzalmill import configuration
 from quetzalmill import errors
+from quetzalmill import home_errors
 from quetzalmill import log_port
 from quetzalmill import messages
 from quetzalmill import metrics as metrics_module
@@ -44,58 +44,6 @@
 REMEMBERED_MOVES = 100_000
 """Root programs whose newer home a process remembers."""
 
-_SERVICE_TOKENS = 0
-
-
-class UnknownProgramError(errors.QuetzalmillError):
-    """The program is not known, or its records have been lost.
-
-    Attributes:
-        ran: Whether the refused call may have run.
-    """
-
-    ran = messages.Ran.NO
-
-
-class MovedError(errors.QuetzalmillError):
-    """Another process is the program's home.
-
-    Attributes:
-        home: That process, None when it is not known here.
-    """
-
-    def __init__(self, home: program_id.Home | None) -> None:
-        super().__init__("the program has another home")
-        self.home = home
-
-
-class RefusedError(errors.QuetzalmillError):
-    """A request is refused and is not run.
-
-    Attributes:
-        ran: Whether an earlier request for the same call may have run it.
-        status: The HTTP status.
-        code: A short error code.
-        retry_after_ms: When to come back, None if that does not help.
-        details: Further fields for the caller.
-    """
-
-    ran = messages.Ran.NO
-
-    def __init__(
-        self,
-        status: int,
-        code: str,
-        message: str,
-        retry_after_ms: float | None = None,
-        details: dict[str, Any] | None = None,
-    ) -> None:
-        super().__init__(message)
-        self.status = status
-        self.code = code
-        self.retry_after_ms = retry_after_ms
-        self.details = details or {}
-
 
 @attrs.define(kw_only=True)
 class Options:
@@ -193,7 +141,7 @@
         """
         self._require_room()
         if self.leaving and not start.parent:
-            raise MovedError(None)
+            raise home_errors.MovedError(None)
         if start.parent:
             family, parent = await self.find(start.parent, take_over=take_over)
             self._require_team(parent, start.team)
@@ -219,7 +167,7 @@
         )
         commit = await self._writer.commit(record)
         if commit is turn_log.Commit.FENCED:
-            raise MovedError(self._moved.get(root))
+            raise home_errors.MovedError(self._moved.get(root))
         if not start.parent:
             self._families[root] = family
         return self.view(family.start(record, self._clock.now_ms()))
@@ -245,7 +193,9 @@
         await self._leave_if_due(family)
         found = family.programs.get(program)
         if found is None:
-            raise UnknownProgramError(f"program {program} is not known")
+            raise home_errors.UnknownProgramError(
+                f"program {program} is not known"
+            )
         family.used_ms = self._clock.now_ms()
         return family, found
 
@@ -265,7 +215,7 @@
                 )
             )
             if commit is turn_log.Commit.FENCED:
-                raise MovedError(self._moved.get(family.root))
+                raise home_errors.MovedError(self._moved.get(family.root))
             self._metrics.time(
                 metrics_module.PROGRAM_MS,
                 self._clock.now_ms() - each.started_ms,
@@ -311,7 +261,7 @@
         """
         if call.single:
             if self.leaving:
-                raise MovedError(None)
+                raise home_errors.MovedError(None)
             family, program = self._single(call)
         else:
             family, program = await self.find(call.program, take_over=take_over)
@@ -330,7 +280,9 @@
         family = self._families.get(program_id.root_of(call.program))
         if family is None or family.lost or self.may_be_fenced():
             return messages.Ran.UNKNOWN
-        if family.may_have_run(call.program, call.number, _digest_of(call)):
+        if family.may_have_run(
+            call.program, call.number, call_preparation.digest_of(call)
+        ):
             return messages.Ran.UNKNOWN
         return messages.Ran.NO
 
@@ -379,7 +331,7 @@
         program: programs.Program,
         call: messages.Call,
     ) -> AsyncIterator[messages.Frame]:
-        prepared = self._prepare(family, program, call)
+        prepared = call_preparation.prepare(family, program, call)
         left_ms = min(call.time_left_ms, self._options.call_timeout_ms)
         deadline_ms = self._clock.now_ms() + left_ms
         while True:
@@ -404,18 +356,20 @@
                 case programs.WaitTurn():
                     await self._wait_for_run(deadline_ms)
                     await self._leave_if_due(family)
-                    prepared = self._prepare(family, program, call)
+                    prepared = call_preparation.prepare(family, program, call)
                 case _:
                     await self._verify_for_refusal()
                     if family.lost:
-                        raise MovedError(self._moved.get(family.root))
-                    raise _refusal(admission)
+                        raise home_errors.MovedError(
+                            self._moved.get(family.root)
+                        )
+                    raise home_errors.refusal_of(admission)
 
     def _start_run(
         self,
         family: programs.Family,
         program: programs.Program,
-        prepared: call_run.Prepared,
+        prepared: call_preparation.Prepared,
         deadline_ms: float,
     ) -> AsyncIterator[messages.Frame]:
         self._require_room()
@@ -424,7 +378,9 @@
         if left_ms is not None:
             deadline_ms = min(deadline_ms, now_ms + left_ms)
         if deadline_ms <= now_ms:
-            raise RefusedError(504, "deadline", "the deadline has passed")
+            raise home_errors.RefusedError(
+                504, "deadline", "the deadline has passed"
+            )
         room_ms = family.time_room_ms(program, now_ms)
         is_budget_bound = room_ms is not None and now_ms + room_ms < deadline_ms
         if room_ms is not None:
@@ -487,7 +443,7 @@
         with trio.move_on_after(max(0.0, left_ms) / 1000.0):
             await self._run_ended.wait()
             return
-        raise RefusedError(
+        raise home_errors.RefusedError(
             504, "deadline", "the call before did not end in time"
         )
 
@@ -511,39 +467,6 @@
         )
         return replayed.follow()
 
-    def _prepare(
-        self,
-        family: programs.Family,
-        program: programs.Program,
-        call: messages.Call,
-    ) -> call_run.Prepared:
-        digest = _digest_of(call)
-        if call.kind is messages.CallKind.SERVICE:
-            return call_run.Prepared(
-                call=call,
-                digest=digest,
-                body=call.body,
-                new_messages=[],
-                prompt_tokens=0,
-                answer_tokens=_SERVICE_TOKENS,
-            )
-        request = completion.parse_request(call.body)
-        room = family.token_room(program)
-        wanted = request.max_tokens
-        if wanted is None:
-            wanted = completion.DEFAULT_ANSWER_TOKENS
-            if room is not None:
-                wanted = max(1, min(wanted, room))
-        prompt = program.prompt(request.messages)
-        return call_run.Prepared(
-            call=call,
-            digest=digest,
-            body=completion.prompt_body(request, prompt, wanted),
-            new_messages=request.messages,
-            prompt_tokens=completion.estimate_tokens(prompt),
-            answer_tokens=wanted,
-        )
-
     def _single(
         self, call: messages.Call
     ) -> tuple[programs.Family, programs.Program]:
@@ -567,10 +490,12 @@
     ) -> programs.Family:
         first_home = program_id.first_home(program)
         if first_home is None:
-            raise UnknownProgramError(f"{program!r} is no program's id")
+            raise home_errors.UnknownProgramError(
+                f"{program!r} is no program's id"
+            )
         moved_to = self._moved.get(root)
         if self.leaving or (moved_to is not None and not take_over):
-            raise MovedError(moved_to)
+            raise home_errors.MovedError(moved_to)
         lock = self._takeovers.setdefault(root, trio.Lock())
         async with lock:
             family = self._families.get(root)
@@ -591,7 +516,7 @@
                 may_fence=may_fence,
             )
         except errors.PortError as error:
-            raise RefusedError(
+            raise home_errors.RefusedError(
                 503,
                 "log_unavailable",
                 "the program's records cannot be read now",
@@ -601,9 +526,11 @@
             self._takeovers.pop(root, None)
         match result:
             case takeover.HeldBy(home=home):
-                raise MovedError(home)
+                raise home_errors.MovedError(home)
             case takeover.NotRecorded():
-                raise UnknownProgramError(f"program {root} is not known")
+                raise home_errors.UnknownProgramError(
+                    f"program {root} is not known"
+                )
             case takeover.Taken(records=records, epoch=epoch):
                 return self._adopt(root, records, epoch)
 
@@ -614,7 +541,9 @@
             root, records, epoch, self._clock.now_ms()
         )
         if not family.programs:
-            raise UnknownProgramError(f"program {root} is not known")
+            raise home_errors.UnknownProgramError(
+                f"program {root} is not known"
+            )
         family.doubt_all_but(self._quiet_epoch(family))
         held = self._families.get(root)
         if held is not None and not held.lost:
@@ -666,7 +595,7 @@
         if self.leaving and not (family.is_busy or family.lost):
             await self._release(family)
         if family.lost:
-            raise MovedError(self._moved.get(family.root))
+            raise home_errors.MovedError(self._moved.get(family.root))
 
     async def verify_forever(self, interval_ms: float) -> None:
         """Looks for fences soon after each silence, while the log answers."""
@@ -697,7 +626,7 @@
 
     def _require_room(self) -> None:
         if self._writer.is_full:
-            raise RefusedError(
+            raise home_errors.RefusedError(
                 503,
                 "history_buffer_full",
                 "the log is down and the buffer of turns is full",
@@ -706,16 +635,18 @@
 
     def _require_team(self, program: programs.Program, team: str) -> None:
         if program.record.team != team:
-            raise RefusedError(
+            raise home_errors.RefusedError(
                 403, "other_team", "the program is of another team"
             )
 
 
 def _require_place(family: programs.Family, parent: programs.Program) -> None:
     if parent.ended:
-        raise _refusal(programs.Ended())
+        raise home_errors.refusal_of(programs.Ended())
     if family.depth(parent) >= programs.MAX_FAMILY_DEPTH:
-        raise RefusedError(422, "too_deep", "too many levels of programs")
+        raise home_errors.RefusedError(
+            422, "too_deep", "too many levels of programs"
+        )
 
 
 def _with_descendants(
@@ -729,30 +660,3 @@
             if other.record.parent == each.record.program
         )
     return found
-
-
-def _digest_of(call: messages.Call) -> str:
-    parts: list[Any] = [call.kind.value, call.target, call.method, call.path]
-    text = "\0".join(parts).encode() + b"\0" + call.body
-    return hashlib.sha256(text).hexdigest()[:32]
-
-
-def _refusal(admission: programs.Admission) -> RefusedError:
-    match admission:
-        case programs.OrderConflict(
-            expected_call=expected, chain=chain, reason=reason
-        ):
-            return RefusedError(
-                409,
-                "order_conflict",
-                f"{reason}; call {expected} is expected",
-                details={"expected_call": expected, "history": chain},
-            )
-        case programs.BudgetSpent(program=program, limit=limit):
-            return RefusedError(
-                402,
-                "budget_spent",
-                f"the budget of program {program} is spent: {limit}",
-            )
-        case _:
-            return RefusedError(404, "program_ended", "the program has ended")
--- a/quetzalmill/home_link.py
+++ b/quetzalmill/home_link.py
@@ -256,7 +256,8 @@
             max_body_bytes=internal_api.MAX_ANSWER_BYTES,
         ) as response:
             if response.status == 200:
-                yield self._frames(response, call)
+                reader = answer.FrameReader(call.program, call.number)
+                yield reader.read(response, self._count_mismatched)
                 return
             yield http_message.Response(
                 status=response.status,
@@ -264,19 +265,8 @@
                 body=await response.read(),
             )
 
-    async def _frames(
-        self, response: http_client.StreamedResponse, call: messages.Call
-    ) -> AsyncIterator[messages.Frame]:
-        reader = answer.FrameReader(call.program, call.number)
-        last: messages.Frame | None = None
-        try:
-            async for piece in response:
-                for frame in reader.feed(piece):
-                    last = frame
-                    yield frame
-        finally:
-            self.mismatched_frames += reader.mismatched
-        reader.require_end(last)
+    def _count_mismatched(self, frames: int) -> None:
+        self.mismatched_frames += frames
 
     def _is_gone(self, home: program_id.Home) -> bool:
         if home in self._ended:
--- a/quetzalmill/sidecar_api.py
+++ b/quetzalmill/sidecar_api.py
@@ -13,6 +13,7 @@
 from quetzalmill import errors
 from quetzalmill import executor as executor_module
 from quetzalmill import home as home_module
+from quetzalmill import home_errors
 from quetzalmill import http_message
 from quetzalmill import http_server
 from quetzalmill import internal_api
@@ -88,8 +89,8 @@
                 await exchange.start_stream(200, {"content-type": _FRAMES_TYPE})
                 await _write(exchange, frames)
         except (
-            home_module.RefusedError,
-            home_module.UnknownProgramError,
+            home_errors.RefusedError,
+            home_errors.UnknownProgramError,
         ) as error:
             error.ran = self._home.ran_of(call)
             raise
@@ -124,7 +125,7 @@
 
     async def _require(self, offset: int) -> None:
         if not await self._catch_up(offset):
-            raise home_module.RefusedError(
+            raise home_errors.RefusedError(
                 503,
                 "configuration_behind",
                 f"the configuration at offset {offset} is not here yet",
@@ -143,13 +144,13 @@
             await _refuse(exchange, 400, "bad_message", str(error))
         except completion.InvalidRequestError as error:
             await _refuse(exchange, 422, "invalid_request", str(error))
-        except home_module.UnknownProgramError as error:
+        except home_errors.UnknownProgramError as error:
             await _refuse(
                 exchange, 404, "program_unknown", str(error), error.ran
             )
-        except home_module.MovedError as error:
+        except home_errors.MovedError as error:
             await exchange.respond(410, codec.to_json(_moved(error)))
-        except home_module.RefusedError as error:
+        except home_errors.RefusedError as error:
             problem = internal_api.Problem(
                 code=error.code,
                 message=str(error),
@@ -183,7 +184,7 @@
     return request.query.get(internal_api.TAKE_OVER) == "1"
 
 
-def _moved(error: home_module.MovedError) -> internal_api.Problem:
+def _moved(error: home_errors.MovedError) -> internal_api.Problem:
     home = error.home
     return internal_api.Problem(
         code="moved",
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -11,6 +11,7 @@
 import trio.testing
 
 from quetzalmill import answer
+from quetzalmill import call_preparation
 from quetzalmill import call_run
 from quetzalmill import clock
 from quetzalmill import configuration
@@ -374,7 +375,7 @@
     under_way = call_run.Run(
         family=family,
         program=family.programs["p"],
-        prepared=call_run.Prepared(
+        prepared=call_preparation.Prepared(
             call=call,
             digest="d",
             body=b"",
