Let a restarted process leave only when it is told itself

Cause: a process asked whether its host leaves. While the log was slow the newest instance known of its host was the one before, which had just left, so the new entry left too and never got ready. A process asks for its own instance now. Ruled out: a lost announcement, since the state dump showed it published, and as leaving.

--- a/quetzalmill/entry.py
+++ b/quetzalmill/entry.py
@@ -152,7 +152,7 @@
     async def _leave_when_told(self) -> None:
         while not self._core.identity.spec.leaving:
             await trio.sleep(_HOUSEKEEPING_MS / 1000.0)
-            if self._core.fleet.is_leaving(self._core.identity.host):
+            if self._core.is_told_to_leave():
                 await self._leave()
 
     async def _drain(self) -> None:
--- a/quetzalmill/fleet_view.py
+++ b/quetzalmill/fleet_view.py
@@ -211,6 +211,16 @@
             return True
         return (host, process.instance) in self._leaving
 
+    def is_told_to_leave(self, host: str, instance: str) -> bool:
+        """Returns whether one instance of a host is to take no new work.
+
+        A process asks this of itself. What is known of the host's instance
+        before it, which may have left just now, does not concern it.
+        """
+        if host in self._listed_leaving:
+            return True
+        return (host, instance) in self._leaving
+
     def takes_work(self, host: str, now_ms: float) -> bool:
         """Returns whether new work may go to a host."""
         return self.is_alive(host, now_ms) and not self.is_leaving(host)
--- a/quetzalmill/process_core.py
+++ b/quetzalmill/process_core.py
@@ -98,6 +98,12 @@
             self._replaced,
         )
 
+    def is_told_to_leave(self) -> bool:
+        """Returns whether this very process is to take no new work."""
+        return self.fleet.is_told_to_leave(
+            self.identity.host, self.identity.spec.instance
+        )
+
     async def announce_leaving(self) -> None:
         """Tells everyone through the log that the process takes no work."""
         await daemon.announce_leaving(
--- a/quetzalmill/sidecar.py
+++ b/quetzalmill/sidecar.py
@@ -178,7 +178,7 @@
     def _is_told_to_leave(self) -> bool:
         if self._core.identity.spec.leaving:
             return False
-        return self._core.fleet.is_leaving(self._core.identity.host)
+        return self._core.is_told_to_leave()
 
     def _grant_leases(
         self, request: messages.LeaseRequest
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -213,3 +213,24 @@
             assert requests_at(system, 0) == before
         assert node.process.running
         assert node.process.terminate(30) == 0
+
+
+class TestRestarted:
+    """A process that follows one that has left does not leave itself."""
+
+    @pytest.mark.parametrize("role", ["entries", "sidecars"])
+    def test_restarted_while_the_log_is_slow(self, role: str) -> None:
+        with deployment.running(entries=2) as running:
+            running.start_sidecar()
+            running.wait_minting()
+            log = running.log_address
+            harness.call(log, "POST", "/faults", {"delay_ms": 400.0})
+            node = getattr(running, role)[0]
+            assert node.process.terminate(30) == 0
+            running.restart(node)
+            harness.call(log, "POST", "/faults", {})
+            running.publish_ok(
+                deployment.change("team", "t", {"rate_per_s": 1, "burst": 1})
+            )
+            assert node.state()["leaving"] is False
+            assert is_ready(node)
