Split addresses with one function, ask of leaving in one place

Cause: control split addresses with a copy of http_message's function, two methods of the fleet's view held the same rule on leaving, and a third method had no caller. Behaviour stays as it was; no test changed.

--- a/quetzalmill/control.py
+++ b/quetzalmill/control.py
@@ -19,6 +19,7 @@
 
 from quetzalmill import codec
 from quetzalmill import errors
+from quetzalmill import http_message
 
 SERVICE = "quetzalmill.Control"
 
@@ -66,7 +67,7 @@
 
     async def start(self, address: str) -> None:
         """Listens on ``address``; must run inside a trio-asyncio loop."""
-        host, port = split_address(address)
+        host, port = http_message.split_address(address)
         server = grpclib.server.Server(
             [self], codec=_MsgpackCodec(self.traffic)
         )
@@ -143,7 +144,7 @@
     def _channel(self, address: str) -> grpclib.client.Channel:
         channel = self._channels.get(address)
         if channel is None:
-            host, port = split_address(address)
+            host, port = http_message.split_address(address)
             channel = grpclib.client.Channel(
                 host, port, codec=_MsgpackCodec(self.traffic)
             )
@@ -151,12 +152,6 @@
         return channel
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Splits ``IP:port`` into its two parts."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 class _MsgpackCodec(grpclib.encoding.base.CodecBase):
     __content_subtype__ = "msgpack"
 
--- a/quetzalmill/fleet_view.py
+++ b/quetzalmill/fleet_view.py
@@ -131,10 +131,6 @@
             if spec.leaving:
                 self._leaving.add((host, spec.instance))
 
-    def note_leaving(self, host: str, instance: str) -> None:
-        """Notes that a process takes no new work; it sticks."""
-        self._leaving.add((host, instance))
-
     def note_host_list(self, listed: dict[str, bool], now_ms: float) -> None:
         """Notes which hosts the host list shows, and whether they leave.
 
@@ -207,9 +203,7 @@
         process = self.process(host)
         if process is None:
             return False
-        if host in self._listed_leaving:
-            return True
-        return (host, process.instance) in self._leaving
+        return self.is_told_to_leave(host, process.instance)
 
     def is_told_to_leave(self, host: str, instance: str) -> bool:
         """Returns whether one instance of a host is to take no new work.
