--- /dev/null
+++ b/quetzalmill/chain_source.py
@@ -0,0 +1,183 @@
+"""Finds the chain of turns that a turn continues.
+
+It looks where it costs least: in memory, then with the peers, then in the
+store through the gateway that owns the partition. Only a reading of the store
+that began after the request came shows that a turn does not exist.
+"""
+
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from quetzalmill import control
+from quetzalmill import conversations
+from quetzalmill import errors
+from quetzalmill import gateway_messages
+from quetzalmill import logs
+from quetzalmill import peers as peers_module
+from quetzalmill import turn_store
+
+PEER_TIMEOUT_MS = 250.0
+"""How long a peer may take to look into its memory; many times the way
+between failure domains."""
+
+OWNER_TIMEOUT_MS = 2_000.0
+"""How long the owner may take to read a partition from the store."""
+
+_log = logs.get("chain_source")
+
+
+@attrs.frozen
+class Found:
+    """The whole chain, oldest turn first."""
+
+    turns: list[conversations.Turn]
+
+
+@attrs.frozen
+class Absent:
+    """The chain surely does not exist."""
+
+
+@attrs.frozen
+class CannotTell:
+    """Nobody could tell whether the chain exists."""
+
+    reason: str
+
+
+class ChainSource:
+    """Finds chains for one gateway.
+
+    Args:
+        cache: The turns that this gateway holds.
+        partitions: The store's turns, by partition.
+        peers: Returns the peers that are heard.
+        owner: Returns the address of a partition's owner.
+        own_address: This gateway's own address.
+        client: The control calls to peers.
+    """
+
+    def __init__(
+        self,
+        cache: conversations.Conversations,
+        partitions: list[turn_store.TurnPartition],
+        peers: Callable[[], list[peers_module.Beat]],
+        owner: Callable[[int], str],
+        own_address: str,
+        client: control.ControlClient,
+    ) -> None:
+        self._cache = cache
+        self._partitions = partitions
+        self._peers = peers
+        self._owner = owner
+        self._own_address = own_address
+        self._client = client
+
+    async def find(
+        self, turn_id: str, part: int
+    ) -> Found | Absent | CannotTell:
+        """Finds the chain that ends with a turn."""
+        turns, missing_id = self._cache.chain(turn_id)
+        if missing_id:
+            await self._ask_peers(missing_id, part)
+            turns, missing_id = self._cache.chain(turn_id)
+        if not missing_id:
+            return Found(turns)
+        return await self._ask_owner(turn_id, part)
+
+    async def answer(
+        self, message: gateway_messages.FetchChain
+    ) -> gateway_messages.ChainReply:
+        """Answers a peer's question."""
+        if message.load:
+            return await self._load(message.turn_id, message.part)
+        turns, missing_id = self._cache.chain(message.turn_id)
+        return gateway_messages.ChainReply(
+            turns=turns, missing_id=missing_id, certain=False
+        )
+
+    async def _ask_peers(self, turn_id: str, part: int) -> None:
+        """Asks all peers at once; returns when one has the whole chain."""
+        message = gateway_messages.FetchChain(
+            turn_id=turn_id, part=part, load=False
+        )
+        async with trio.open_nursery() as nursery:
+            for beat in self._peers():
+                nursery.start_soon(
+                    self._ask_peer, beat.address, message, nursery.cancel_scope
+                )
+
+    async def _ask_peer(
+        self,
+        address: str,
+        message: gateway_messages.FetchChain,
+        scope: trio.CancelScope,
+    ) -> None:
+        try:
+            reply = await self._client.call(
+                address,
+                gateway_messages.FETCH_CHAIN,
+                message,
+                timeout_ms=PEER_TIMEOUT_MS,
+            )
+        except errors.ControlError as error:
+            self._client.drop(address)
+            _log.info("peer_not_asked", peer=address, reason=str(error))
+            return
+        for turn in reply.turns:
+            self._cache.keep(turn)
+        if reply.turns and not reply.missing_id:
+            scope.cancel()
+
+    async def _ask_owner(
+        self, turn_id: str, part: int
+    ) -> Found | Absent | CannotTell:
+        owner = self._owner(part)
+        reply: gateway_messages.ChainReply | None = None
+        if owner != self._own_address:
+            reply = await self._ask_remote_owner(owner, turn_id, part)
+        if reply is None or (reply.missing_id and not reply.certain):
+            reply = await self._load(turn_id, part)
+        if not reply.missing_id:
+            for turn in reply.turns:
+                self._cache.keep(turn)
+            return Found(reply.turns)
+        if reply.certain:
+            return Absent()
+        return CannotTell("the stored turns cannot be read now")
+
+    async def _ask_remote_owner(
+        self, owner: str, turn_id: str, part: int
+    ) -> gateway_messages.ChainReply | None:
+        message = gateway_messages.FetchChain(
+            turn_id=turn_id, part=part, load=True
+        )
+        try:
+            reply: gateway_messages.ChainReply = await self._client.call(
+                owner,
+                gateway_messages.FETCH_CHAIN,
+                message,
+                timeout_ms=OWNER_TIMEOUT_MS,
+            )
+        except errors.ControlError as error:
+            self._client.drop(owner)
+            _log.info("owner_not_asked", peer=owner, reason=str(error))
+            return None
+        return reply
+
+    async def _load(
+        self, turn_id: str, part: int
+    ) -> gateway_messages.ChainReply:
+        try:
+            turns, missing_id = await self._partitions[part].chain(turn_id)
+        except errors.PortError as error:
+            _log.info("turns_not_read", part=part, reason=str(error))
+            turns, missing_id = self._cache.chain(turn_id)
+            return gateway_messages.ChainReply(
+                turns=turns, missing_id=missing_id, certain=False
+            )
+        return gateway_messages.ChainReply(
+            turns=turns, missing_id=missing_id, certain=True
+        )
--- a/quetzalmill/clock.py
+++ b/quetzalmill/clock.py
@@ -15,6 +15,9 @@
     def now_ms(self) -> float:
         """Returns the monotonic time in milliseconds."""
 
+    def unix_ms(self) -> int:
+        """Returns the time of day, which may be wrong and may jump."""
+
 
 class SystemClock:
     """Reads the operating system's monotonic clock."""
@@ -23,6 +26,10 @@
         """Returns the monotonic time in milliseconds."""
         return time.monotonic() * 1000.0
 
+    def unix_ms(self) -> int:
+        """Returns the time of day in whole milliseconds."""
+        return time.time_ns() // 1_000_000
+
 
 class ManualClock:
     """A clock that moves only when told to, for tests."""
@@ -34,6 +41,10 @@
         """Returns the time set so far in milliseconds."""
         return self._now_ms
 
+    def unix_ms(self) -> int:
+        """Returns the time set so far in whole milliseconds."""
+        return int(self._now_ms)
+
     def advance(self, by_ms: float) -> None:
         """Moves the clock forward by ``by_ms`` milliseconds."""
         self._now_ms += by_ms
--- a/quetzalmill/control.py
+++ b/quetzalmill/control.py
@@ -1,12 +1,13 @@
 """Control calls between the project's own processes.
 
 It wraps grpclib with a MessagePack codec, so that control messages are plain
-attrs classes and need no generated code. Handlers are synchronous: they run
-on the process's one loop and decide on state held in memory. No answer to a
-caller travels over control calls.
+attrs classes and need no generated code. Handlers run on the process's one
+loop. Most decide on state held in memory; those that wait for the platform
+are ``async`` functions. No answer to a caller travels over control calls.
 """
 
 from collections.abc import Callable, Mapping
+import inspect
 from typing import Any, TypeVar
 
 import attrs
@@ -42,6 +43,7 @@
 
 
 Handler = Callable[[Any], Any]
+"""Takes a request; returns a reply, or an awaitable of one under trio."""
 
 
 @attrs.define
@@ -135,6 +137,16 @@
                 f"{method.name} to {address} failed: {error!r}"
             ) from error
 
+    def drop(self, address: str) -> None:
+        """Closes the connection to an address; the next call makes a new one.
+
+        A connection may fall silent for good while new ones work, so callers
+        drop it after a call that was not answered.
+        """
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
     def close(self) -> None:
         """Closes every connection."""
         for channel in self._channels.values():
@@ -171,7 +183,12 @@
 def _serve_with(handler: Handler) -> Callable[[Any], Any]:
     async def serve(stream: grpclib.server.Stream[Any, Any]) -> None:
         request = await stream.recv_message()
-        if request is not None:
-            await stream.send_message(handler(request))
+        if request is None:
+            return
+        if inspect.iscoroutinefunction(handler):
+            reply = await trio_asyncio.trio_as_aio(handler)(request)
+        else:
+            reply = handler(request)
+        await stream.send_message(reply)
 
     return serve
--- /dev/null
+++ b/quetzalmill/dispatch.py
@@ -0,0 +1,344 @@
+"""Sends a request to endpoints until one has run it.
+
+Only an endpoint's own word that it did not run a request, or a connection that
+was never made, permits a second send of a request that may run but once.
+"""
+
+import random
+
+import attrs
+import trio
+
+from quetzalmill import clock as clock_module
+from quetzalmill import endpoint_choice
+from quetzalmill import endpoint_pool
+from quetzalmill import errors
+from quetzalmill import gateway_calls
+from quetzalmill import gateway_outcomes as outcomes
+from quetzalmill import http_client
+from quetzalmill import http_message
+from quetzalmill import http_server
+from quetzalmill import logs
+from quetzalmill import route_table
+from quetzalmill import sse
+
+CONNECT_TRIES = 4
+"""Endpoints to which a request may fail to connect before it is refused."""
+
+LEAST_LEFT_MS = 20.0
+"""With less time left than this, no endpoint can answer a request."""
+
+SAFE_PATIENCE_MS = 500.0
+"""How long a request that may be repeated waits for an answer, at least,
+before another endpoint is tried."""
+
+VERIFY_MS = 300.0
+"""How long a connection may take that shows whether an endpoint lives."""
+
+_MISDIRECTED = 421
+
+_log = logs.get("dispatch")
+
+
+@attrs.define(kw_only=True, eq=False)
+class Job:
+    """One request on its way.
+
+    Attributes:
+        call: The caller's request.
+        route: Its route.
+        service: The service chosen for it.
+        team: The team it runs for; empty on a public route.
+        body: What the endpoint gets.
+        deadline_ms: When the caller or the route gives it up.
+        priority: Its rank at the endpoint.
+        tried: Endpoints that it was sent to.
+        sends: Times that an endpoint got it.
+        ran_on: The endpoint that answered last.
+        endpoint_died: Whether an endpoint died while it ran there.
+    """
+
+    call: gateway_calls.Call
+    route: route_table.Route
+    service: route_table.Service
+    team: str
+    body: bytes
+    deadline_ms: float
+    priority: int | None
+    tried: list[str] = attrs.field(factory=list)
+    sends: int = 0
+    ran_on: str = ""
+    endpoint_died: bool = False
+
+
+@attrs.frozen
+class _TryNext:
+    """The request has surely not run here; another endpoint may get it."""
+
+    reason: str
+
+
+@attrs.frozen
+class _Lost:
+    """The request may have run here."""
+
+    reason: str
+    timed_out: bool = False
+
+
+class Dispatcher:
+    """Sends requests to the endpoints of a pool.
+
+    Args:
+        pool: The endpoints.
+        client: The connections to them.
+        dialect: How they are spoken to.
+        clock: The process's clock.
+        failure_domain: Where the gateway stands.
+    """
+
+    def __init__(
+        self,
+        pool: endpoint_pool.EndpointPool,
+        client: http_client.HttpClient,
+        dialect: gateway_calls.Dialect,
+        clock: clock_module.Clock,
+        failure_domain: str,
+    ) -> None:
+        self._pool = pool
+        self._client = client
+        self._dialect = dialect
+        self._clock = clock
+        self._failure_domain = failure_domain
+        self._random = random.Random()
+        self.prefixes = endpoint_choice.PrefixMemory()
+
+    async def run(
+        self, job: Job, exchange: http_server.Exchange
+    ) -> outcomes.Outcome:
+        """Runs a request; passes a stream on as it arrives."""
+        reason = "no endpoint is known"
+        connect_failures = 0
+        while connect_failures < CONNECT_TRIES:
+            left_ms = job.deadline_ms - self._clock.now_ms()
+            if left_ms < LEAST_LEFT_MS:
+                break
+            condition = self._choose(job)
+            if condition is None:
+                break
+            job.tried.append(condition.endpoint.endpoint_id)
+            sends_before = job.sends
+            outcome = await self._try(job, condition, exchange)
+            match outcome:
+                case _TryNext():
+                    reason = outcome.reason
+                    connect_failures += job.sends == sends_before
+                    if job.sends >= job.route.max_attempts:
+                        break
+                case _Lost():
+                    reason = outcome.reason
+                    if not self._may_repeat(job):
+                        return _unknown(outcome)
+                case _:
+                    return outcome
+        if job.sends and job.route.repeat is route_table.Repeat.SAFE:
+            return outcomes.Unknown(status=502, reason=reason)
+        return outcomes.Refused(
+            status=503, reason=reason, retry_after_ms=self._come_back_ms()
+        )
+
+    def _may_repeat(self, job: Job) -> bool:
+        return (
+            job.route.repeat is route_table.Repeat.SAFE
+            and job.sends < job.route.max_attempts
+            and job.deadline_ms - self._clock.now_ms() > LEAST_LEFT_MS
+        )
+
+    def _come_back_ms(self) -> float:
+        return self._random.uniform(100.0, 400.0)
+
+    def _choose(self, job: Job) -> endpoint_pool.Condition | None:
+        now_ms = self._clock.now_ms()
+        usable = self._pool.usable(job.service.name, now_ms)
+        fresh = [
+            each
+            for each in usable
+            if each.endpoint.endpoint_id not in job.tried
+        ]
+        estimates = [
+            endpoint_choice.estimate(
+                each,
+                unread_tokens=self.prefixes.unread_tokens(
+                    each.endpoint.endpoint_id, job.call.prompt_parts
+                ),
+                failure_domain=self._failure_domain,
+                is_engine=job.service.is_engine,
+                now_ms=now_ms,
+            )
+            for each in fresh
+        ]
+        best = endpoint_choice.choose(estimates, self._random)
+        return None if best is None else best.condition
+
+    async def _try(
+        self,
+        job: Job,
+        condition: endpoint_pool.Condition,
+        exchange: http_server.Exchange,
+    ) -> outcomes.Outcome | _TryNext | _Lost:
+        """Sends a request to one endpoint."""
+        condition.running += 1
+        try:
+            return await self._exchange(job, condition, exchange)
+        except errors.ConnectFailedError as error:
+            endpoint_pool.failed(condition, self._clock.now_ms())
+            return _TryNext(str(error))
+        except errors.ResponseTimeoutError as error:
+            return _Lost(str(error), timed_out=True)
+        except errors.HttpError as error:
+            if exchange.disconnected:
+                return outcomes.CallerLeft()
+            await self._verify(job, condition)
+            return _Lost(str(error))
+        finally:
+            condition.running -= 1
+
+    async def _exchange(
+        self,
+        job: Job,
+        condition: endpoint_pool.Condition,
+        exchange: http_server.Exchange,
+    ) -> outcomes.Outcome | _TryNext | _Lost:
+        endpoint = condition.endpoint
+        left_ms = job.deadline_ms - self._clock.now_ms()
+        request = self._dialect.encode_send(
+            job.call,
+            gateway_calls.Send(
+                endpoint_id=endpoint.endpoint_id,
+                team=job.team,
+                left_ms=left_ms,
+                priority=job.priority,
+                body=job.body,
+            ),
+        )
+        patience_ms = left_ms
+        if self._is_first_of_several(job):
+            patience_ms = min(left_ms, max(SAFE_PATIENCE_MS, left_ms / 2))
+        job.sends += 1
+        try:
+            async with self._client.stream(
+                endpoint.address,
+                request,
+                timeout_ms=patience_ms,
+                idle_timeout_ms=left_ms,
+            ) as response:
+                reply = self._dialect.decode_reply(
+                    job.call, response.status, response.headers
+                )
+                self._note_load(condition, reply)
+                return await self._take(job, condition, reply, response, exchange)
+        except errors.ConnectFailedError:
+            job.sends -= 1
+            raise
+
+    def _is_first_of_several(self, job: Job) -> bool:
+        return (
+            job.route.repeat is route_table.Repeat.SAFE
+            and job.sends + 1 < job.route.max_attempts
+        )
+
+    def _note_load(
+        self, condition: endpoint_pool.Condition, reply: gateway_calls.Reply
+    ) -> None:
+        if reply.load is not None:
+            condition.reported_running = reply.load.running
+            condition.reported_waiting = reply.load.waiting
+            condition.reported_ms = self._clock.now_ms()
+
+    async def _take(
+        self,
+        job: Job,
+        condition: endpoint_pool.Condition,
+        reply: gateway_calls.Reply,
+        response: http_client.StreamedResponse,
+        exchange: http_server.Exchange,
+    ) -> outcomes.Outcome | _TryNext | _Lost:
+        if not reply.is_own and not reply.not_run:
+            raise errors.BadMessageError("the answer is for another request")
+        if reply.not_run:
+            await response.read()
+            if reply.status == _MISDIRECTED:
+                endpoint_pool.failed(condition, self._clock.now_ms())
+            return _TryNext(f"the endpoint refused with {reply.status}")
+        if not reply.is_genuine:
+            raise errors.BadMessageError("the answer is not the endpoint's")
+        endpoint_pool.succeeded(condition)
+        job.ran_on = condition.endpoint.endpoint_id
+        self.prefixes.note(job.ran_on, job.call.prompt_parts)
+        is_stream = job.route.repeat is route_table.Repeat.STREAM
+        if is_stream and 200 <= reply.status < 300:
+            streamed = await relay(reply, response, exchange)
+            if not streamed.complete and not exchange.disconnected:
+                await self._verify(job, condition)
+            return streamed
+        body = await response.read()
+        return outcomes.Answered(
+            status=reply.status, headers=reply.headers, body=body
+        )
+
+    async def _verify(
+        self, job: Job, condition: endpoint_pool.Condition
+    ) -> None:
+        """Finds out whether an endpoint that broke off has died."""
+        address = condition.endpoint.address
+        host, port = http_message.split_address(address)
+        try:
+            with trio.fail_after(VERIFY_MS / 1000.0):
+                stream = await trio.open_tcp_stream(host, port)
+                await stream.aclose()
+        except (OSError, trio.TooSlowError) as error:
+            endpoint_pool.failed(condition, self._clock.now_ms())
+            job.endpoint_died = True
+            _log.warning(
+                "endpoint_died",
+                request_id=job.call.request_id,
+                endpoint=condition.endpoint.endpoint_id,
+                reason=repr(error),
+            )
+
+
+async def relay(
+    reply: gateway_calls.Reply,
+    response: http_client.StreamedResponse,
+    exchange: http_server.Exchange,
+) -> outcomes.Streamed:
+    """Passes a stream on, all but its end."""
+    parser = sse.SseParser()
+    collected: list[bytes] = []
+    await exchange.start_stream(reply.status, reply.headers)
+    try:
+        async for piece in response:
+            collected += [
+                event.data.encode() for event in parser.feed(piece)
+            ]
+            await exchange.send(piece)
+    except errors.HttpError as error:
+        _log.info("stream_broke_off", reason=str(error))
+        return outcomes.Streamed(
+            status=reply.status,
+            complete=False,
+            events=len(collected),
+            outputs=tuple(collected),
+        )
+    return outcomes.Streamed(
+        status=reply.status,
+        complete=True,
+        events=len(collected),
+        outputs=tuple(collected),
+    )
+
+
+def _unknown(lost: _Lost) -> outcomes.Unknown:
+    return outcomes.Unknown(
+        status=504 if lost.timed_out else 502, reason=lost.reason
+    )
--- /dev/null
+++ b/quetzalmill/endpoint_pool.py
@@ -0,0 +1,219 @@
+"""The endpoints that a gateway may send to, and what it knows of each.
+
+Everything is keyed by the endpoint's id and start, since an address may pass
+to another service and an id may start anew.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+DOWN_FIRST_MS = 300.0
+"""How long an endpoint is left alone after one failure to connect; about the
+time that a restarted process needs before it listens."""
+
+DOWN_MOST_MS = 2_000.0
+"""The longest that a failing endpoint is left alone between two tries."""
+
+DOUBT_MS = 2_000.0
+"""How long an endpoint stays in use whose entry lapsed while the platform's
+store was away. Entries of living ones are back by then."""
+
+LOAD_NEWS_MS = 1_000.0
+"""How long the load that an endpoint reported stands for its load."""
+
+
+@attrs.frozen(kw_only=True)
+class Endpoint:
+    """One start of one endpoint.
+
+    Attributes:
+        endpoint_id: Its id.
+        service: The service that it belongs to.
+        address: IP address and port.
+        failure_domain: Where it stands.
+        slots: Requests that it runs at once.
+        leaving: Whether it takes no new work.
+        started_unix_ms: When it started; 0 if it does not say.
+        cold_ms: How long it stays slow after its start.
+    """
+
+    endpoint_id: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    leaving: bool
+    started_unix_ms: int
+    cold_ms: float
+
+
+@attrs.define(kw_only=True)
+class Condition:
+    """What a gateway has seen of an endpoint.
+
+    Attributes:
+        endpoint: The endpoint.
+        running: Requests that this gateway has there.
+        peers_running: Requests that the other gateways have there.
+        reported_running: Requests that it said it runs.
+        reported_waiting: Requests that it said wait there.
+        reported_ms: When it said so.
+        failures: Failures to connect or answer since the last success.
+        down_until_ms: Until when it is left alone.
+        slow_ms: The smoothed excess of its answers over what was expected.
+        doubted_ms: When its entry lapsed, or None.
+        cold_until_ms: Until when it is slow after its start.
+    """
+
+    endpoint: Endpoint
+    running: int = 0
+    peers_running: int = 0
+    reported_running: int = 0
+    reported_waiting: int = 0
+    reported_ms: float = float("-inf")
+    failures: int = 0
+    down_until_ms: float = 0.0
+    slow_ms: float = 0.0
+    doubted_ms: float | None = None
+    cold_until_ms: float = 0.0
+
+    def all_running(self) -> int:
+        """Returns the requests there by all that the gateways know."""
+        return self.running + self.peers_running
+
+    def load(self, now_ms: float) -> int:
+        """Returns the requests there, running or waiting, at most."""
+        known = self.all_running()
+        if now_ms - self.reported_ms > LOAD_NEWS_MS:
+            return known
+        return max(known, self.reported_running + self.reported_waiting)
+
+
+class EndpointPool:
+    """The endpoints of all services."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, Condition] = {}
+
+    def get(self, endpoint_id: str) -> Condition | None:
+        """Returns what is known of an endpoint, or None."""
+        return self._by_id.get(endpoint_id)
+
+    def __len__(self) -> int:
+        """Returns how many endpoints are known."""
+        return len(self._by_id)
+
+    def update(self, endpoint: Endpoint, now_ms: float) -> bool:
+        """Takes over an entry; returns whether it changed what is believed."""
+        known = self._by_id.get(endpoint.endpoint_id)
+        if known is None or _is_new_start(known.endpoint, endpoint):
+            self._by_id[endpoint.endpoint_id] = Condition(
+                endpoint=endpoint,
+                cold_until_ms=now_ms + endpoint.cold_ms,
+            )
+            return True
+        changed = attrs.evolve(
+            known.endpoint, cold_ms=endpoint.cold_ms
+        ) != endpoint or known.doubted_ms is not None
+        known.endpoint = endpoint
+        known.doubted_ms = None
+        known.cold_until_ms = now_ms + endpoint.cold_ms
+        return changed
+
+    def remove(
+        self, endpoint_id: str, now_ms: float, *, store_was_away: bool
+    ) -> bool:
+        """Takes over that an entry is gone; returns whether it was known.
+
+        Args:
+            endpoint_id: The endpoint.
+            now_ms: The current time.
+            store_was_away: Whether the entry may have lapsed only because
+                the store could not be reached; it then stays for a while.
+        """
+        known = self._by_id.get(endpoint_id)
+        if known is None:
+            return False
+        if store_was_away and not known.endpoint.leaving:
+            if known.doubted_ms is None:
+                known.doubted_ms = now_ms
+        else:
+            del self._by_id[endpoint_id]
+        return True
+
+    def replace_all(
+        self,
+        endpoints: Iterable[Endpoint],
+        now_ms: float,
+        *,
+        store_was_away: bool,
+    ) -> None:
+        """Takes over a whole list; what it lacks is gone."""
+        listed = {each.endpoint_id: each for each in endpoints}
+        for endpoint in listed.values():
+            self.update(endpoint, now_ms)
+        for endpoint_id in set(self._by_id) - set(listed):
+            self.remove(endpoint_id, now_ms, store_was_away=store_was_away)
+
+    def drop_doubted(self, now_ms: float) -> list[str]:
+        """Removes lapsed entries that did not come back; returns their ids."""
+        gone = [
+            endpoint_id
+            for endpoint_id, known in self._by_id.items()
+            if known.doubted_ms is not None
+            and now_ms - known.doubted_ms > DOUBT_MS
+        ]
+        for endpoint_id in gone:
+            del self._by_id[endpoint_id]
+        return gone
+
+    def extend_doubt(self, now_ms: float) -> None:
+        """Restarts the time of lapsed entries while the store is away."""
+        for known in self._by_id.values():
+            if known.doubted_ms is not None:
+                known.doubted_ms = now_ms
+
+    def usable(self, service: str, now_ms: float) -> list[Condition]:
+        """Returns the endpoints of a service that may get new work."""
+        staying = [
+            known
+            for known in self._by_id.values()
+            if known.endpoint.service == service and not known.endpoint.leaving
+        ]
+        up = [known for known in staying if known.down_until_ms <= now_ms]
+        return up or staying
+
+    def hear_running(self, running: dict[str, int]) -> None:
+        """Takes over what all other gateways run, by endpoint."""
+        for endpoint_id, known in self._by_id.items():
+            known.peers_running = running.get(endpoint_id, 0)
+
+    def running(self) -> dict[str, int]:
+        """Returns what this gateway runs, by endpoint."""
+        return {
+            endpoint_id: known.running
+            for endpoint_id, known in self._by_id.items()
+            if known.running
+        }
+
+
+def failed(known: Condition, now_ms: float) -> None:
+    """Leaves an endpoint alone for a while, longer with each failure."""
+    known.failures += 1
+    wait_ms = DOWN_FIRST_MS * 2.0 ** min(known.failures - 1, 5)
+    known.down_until_ms = now_ms + min(DOWN_MOST_MS, wait_ms)
+
+
+def succeeded(known: Condition) -> None:
+    """Puts an endpoint back into ordinary use."""
+    known.failures = 0
+    known.down_until_ms = 0.0
+
+
+def _is_new_start(old: Endpoint, new: Endpoint) -> bool:
+    return (
+        old.address != new.address
+        or old.service != new.service
+        or old.started_unix_ms != new.started_unix_ms
+    )
--- /dev/null
+++ b/quetzalmill/gateway.py
@@ -0,0 +1,391 @@
+"""One gateway: callers in front, endpoints behind, peers and store beside.
+
+All gateways are alike, and none keeps anything that must last. They agree on
+budgets through the platform's store, on everything else by beats.
+"""
+
+from collections.abc import Awaitable, Callable
+import signal
+from typing import Any
+
+import attrs
+import trio
+import trio_asyncio
+
+from quetzalmill import budget_owner
+from quetzalmill import chain_source
+from quetzalmill import clock as clock_module
+from quetzalmill import codec
+from quetzalmill import control
+from quetzalmill import conversations
+from quetzalmill import daemon
+from quetzalmill import dispatch
+from quetzalmill import errors
+from quetzalmill import gateway_calls
+from quetzalmill import gateway_handler
+from quetzalmill import gateway_messages
+from quetzalmill import gateway_metrics
+from quetzalmill import gateway_state
+from quetzalmill import gateway_turns
+from quetzalmill import http_client
+from quetzalmill import http_message
+from quetzalmill import http_server
+from quetzalmill import keyed_store
+from quetzalmill import logs
+from quetzalmill import peer_link
+from quetzalmill import route_table
+from quetzalmill import turn_keeper
+from quetzalmill import turn_store
+
+READY_PATH = "/ready"
+METRICS_PATH = "/metrics"
+DUMP_PATH = "/state"
+
+CONNECT_TIMEOUT_MS = 400.0
+"""How long a connection to an endpoint may take; several ways there."""
+
+TABLE_TIMEOUT_MS = 500.0
+"""How long a peer may take to hand over its route table."""
+
+TABLE_POLL_MS = 100.0
+"""How often a gateway looks whether a peer has a newer route table."""
+
+_CACHE_PART = 0.25
+_BYTES_PER_MB = 1_048_576
+
+_log = logs.get("gateway")
+
+
+@attrs.frozen(kw_only=True)
+class GatewaySettings:
+    """How one gateway runs.
+
+    Attributes:
+        host: Its host.
+        failure_domain: Where it stands.
+        callers_address: Where callers connect.
+        ready_address: Where it says whether it is ready.
+        peer_address: Where peers send beats and control calls.
+        metrics_address: Where metrics and the state dump are served.
+        seeds: Addresses of peers to start with.
+        parts: Partitions of each topic.
+        memory_mb: The memory that the process may take.
+        grace_ms: The time from SIGTERM to SIGKILL.
+        out_of_rotation_ms: The time after which no new connection comes, once
+            it is not ready.
+    """
+
+    host: str
+    failure_domain: str
+    callers_address: str
+    ready_address: str
+    peer_address: str
+    metrics_address: str
+    seeds: tuple[str, ...]
+    parts: int
+    memory_mb: float
+    grace_ms: float
+    out_of_rotation_ms: float
+
+
+DecodeTable = Callable[[bytes], route_table.RouteTable]
+"""Decodes a route table; raises ``errors.CodecError``."""
+
+
+class Gateway:
+    """Wires one gateway and runs it.
+
+    Args:
+        settings: How it runs.
+        store: The platform's store.
+        dialect: How callers and endpoints are spoken to.
+        decode_table: Decodes the documents that peers hand over.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        store: keyed_store.KeyedStore,
+        dialect: gateway_calls.Dialect,
+        decode_table: DecodeTable,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._dialect = dialect
+        self._decode_table = decode_table
+        self.clock = clock_module.SystemClock()
+        self.metrics = gateway_metrics.GatewayMetrics()
+        self.state = gateway_state.GatewayState(
+            host=settings.host,
+            instance=daemon.new_instance(),
+            address=settings.peer_address,
+            failure_domain=settings.failure_domain,
+            parts=settings.parts,
+            clock=self.clock,
+        )
+        for address in settings.seeds:
+            self.state.peers.add_address(address, self.clock.now_ms())
+        cache_bytes = int(settings.memory_mb * _CACHE_PART * _BYTES_PER_MB)
+        self._cache = conversations.Conversations(cache_bytes)
+        self._control = control.ControlClient()
+        self._client = http_client.HttpClient(
+            connect_timeout_ms=CONNECT_TIMEOUT_MS
+        )
+        self._stopping = trio.Event()
+        self._served = trio.Event()
+
+    async def run(
+        self, follow: list[Callable[["Gateway"], Awaitable[None]]]
+    ) -> None:
+        """Runs until SIGTERM and until every answer is out.
+
+        Args:
+            follow: Tasks that keep configuration and endpoints up to date.
+        """
+        async with (
+            trio_asyncio.open_loop(),
+            trio.open_nursery() as nursery,
+        ):
+            self._wire(nursery)
+            link = peer_link.PeerLink(self.state, self._settings.peer_address)
+            await nursery.start(link.run)
+            server = control.ControlServer(self._control_handlers())
+            await server.start(self._settings.peer_address)
+            nursery.start_soon(self._follow_peer_tables)
+            for task in follow:
+                nursery.start_soon(task, self)
+            await self._serve_all(nursery)
+            _log.info("process_started", host=self.state.host)
+            await self._until_told()
+            await self._drain(link)
+            nursery.cancel_scope.cancel()
+        _log.info("process_ended", host=self.state.host)
+
+    def dump(self) -> dict[str, Any]:
+        """Returns what the gateway believes, without keys."""
+        now_ms = self.clock.now_ms()
+        table = self.state.table
+        return {
+            "host": self.state.host,
+            "instance": self.state.instance,
+            "leaving": self.state.leaving,
+            "ready": self.state.is_ready(),
+            "table_version": None if table is None else table.version,
+            "store_reached": self.state.store_reached(),
+            "peers": [beat.host for beat in self.state.alive_peers()],
+            "heard_part": self.state.peers.heard_part(now_ms),
+            "owned_parts": [
+                part
+                for part in range(self._settings.parts)
+                if self.state.owner(part) == self.state.address
+            ],
+            "turns_held": len(self._cache),
+            "running": self.state.pool.running(),
+            "crashes": {
+                each.fingerprint: each.crashes
+                for each in self.state.crashes.all_known()
+            },
+        }
+
+    def _wire(self, nursery: trio.Nursery) -> None:
+        parts = range(self._settings.parts)
+        answered = self.state.store_answered
+        writers = [
+            turn_store.TurnWriter(part, self._store, nursery, answered)
+            for part in parts
+        ]
+        partitions = [
+            turn_store.TurnPartition(
+                part, self._store, self._cache, self.clock
+            )
+            for part in parts
+        ]
+        self._owners = [
+            budget_owner.BudgetOwner(
+                part, self._store, self.clock, nursery, answered
+            )
+            for part in parts
+        ]
+        self._source = chain_source.ChainSource(
+            self._cache,
+            partitions,
+            self.state.alive_peers,
+            self.state.owner,
+            self.state.address,
+            self._control,
+        )
+        self._keeper = turn_keeper.TurnKeeper(
+            self._cache,
+            writers,
+            self.state.partition_of,
+            self.state.alive_peers,
+            self.state.store_reached,
+            self._control,
+        )
+        turns = gateway_turns.Turns(
+            self.state,
+            self._source,
+            self._keeper,
+            self._owners,
+            self._control,
+            nursery,
+        )
+        dispatcher = dispatch.Dispatcher(
+            self.state.pool,
+            self._client,
+            self._dialect,
+            self.clock,
+            self._settings.failure_domain,
+        )
+        self._handler = gateway_handler.GatewayHandler(
+            self.state, self._dialect, dispatcher, turns, self.metrics
+        )
+
+    def _control_handlers(self) -> dict[control.Method, control.Handler]:
+        return {
+            gateway_messages.RESERVE_TURN: self._reserve,
+            gateway_messages.SETTLE_TURN: self._settle,
+            gateway_messages.FETCH_CHAIN: self._source.answer,
+            gateway_messages.STORE_TURNS: self._keeper.take,
+            gateway_messages.FETCH_TABLE: self._hand_table,
+        }
+
+    async def _reserve(
+        self, message: gateway_messages.ReserveTurn
+    ) -> gateway_messages.ReserveReply:
+        return await self._owners[self._part_of(message.program_id)].reserve(
+            message
+        )
+
+    def _settle(
+        self, message: gateway_messages.SettleTurn
+    ) -> gateway_messages.SettleReply:
+        self._owners[self._part_of(message.program_id)].settle(
+            message.program_id, message.turn_id, message.used_tokens
+        )
+        return gateway_messages.SettleReply()
+
+    def _part_of(self, account: str) -> int:
+        return self.state.partition_of(account.rpartition("/")[2])
+
+    def _hand_table(
+        self, message: gateway_messages.FetchTable
+    ) -> gateway_messages.TableReply:
+        table = self.state.table
+        if table is None or table.version <= message.newer_than:
+            return gateway_messages.TableReply(document=b"")
+        return gateway_messages.TableReply(document=table.document)
+
+    async def _follow_peer_tables(self) -> None:
+        """Fetches the route table of a peer that has a newer one."""
+        while True:
+            await trio.sleep(TABLE_POLL_MS / 1000.0)
+            table = self.state.table
+            own = 0 if table is None else table.version
+            newer = [
+                beat
+                for beat in self.state.alive_peers()
+                if beat.table_version > own
+            ]
+            if newer:
+                best = max(newer, key=lambda beat: beat.table_version)
+                await self._fetch_table(best.address, own)
+
+    async def _fetch_table(self, address: str, newer_than: int) -> None:
+        try:
+            reply: gateway_messages.TableReply = await self._control.call(
+                address,
+                gateway_messages.FETCH_TABLE,
+                gateway_messages.FetchTable(newer_than=newer_than),
+                timeout_ms=TABLE_TIMEOUT_MS,
+            )
+            if reply.document:
+                table = self._decode_table(reply.document)
+                self.state.take_table(table, f"peer {address}")
+        except (errors.ControlError, errors.CodecError) as error:
+            self._control.drop(address)
+            _log.info("table_not_fetched", peer=address, reason=str(error))
+
+    async def _serve_all(self, nursery: trio.Nursery) -> None:
+        settings = self._settings
+        await nursery.start(self._serve_side, settings.ready_address)
+        await nursery.start(self._serve_side, settings.metrics_address)
+        await nursery.start(self._serve_callers)
+
+    async def _serve_callers(
+        self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        await http_server.serve(
+            self._settings.callers_address,
+            self._handler.handle,
+            limits=http_message.Limits(),
+            stopping=self._stopping,
+            on_error=_report_error,
+            task_status=task_status,
+        )
+        self._served.set()
+
+    async def _serve_side(
+        self,
+        address: str,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        await http_server.serve(
+            address,
+            self._answer_side,
+            limits=http_message.Limits(),
+            stopping=trio.Event(),
+            on_error=_report_error,
+            task_status=task_status,
+        )
+
+    async def _answer_side(
+        self, request: http_message.Request, exchange: http_server.Exchange
+    ) -> None:
+        match request.path:
+            case "/ready":
+                ready = self.state.is_ready()
+                await exchange.respond(200 if ready else 503)
+            case "/metrics":
+                self._set_gauges()
+                await exchange.respond(
+                    200, self.metrics.text(), content_type="text/plain"
+                )
+            case "/state":
+                await exchange.respond(200, codec.to_json(self.dump()))
+            case _:
+                await exchange.respond(404)
+
+    def _set_gauges(self) -> None:
+        table = self.state.table
+        self.metrics.set_state(
+            "table_version", 0 if table is None else table.version
+        )
+        self.metrics.set_state("store_reached", self.state.store_reached())
+        self.metrics.set_state("peers", len(self.state.alive_peers()))
+        self.metrics.set_state("endpoints", len(self.state.pool))
+        self.metrics.set_state("turns_held", len(self._cache))
+
+    async def _until_told(self) -> None:
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    return
+                _log.info("settings_reloaded", changed=False)
+
+    async def _drain(self, link: peer_link.PeerLink) -> None:
+        """Leaves the rotation, lets requests end, then returns."""
+        _log.info("process_stopping", running=len(self.state.pool.running()))
+        self.state.leaving = True
+        await link.say_now()
+        settings = self._settings
+        with trio.move_on_after(settings.grace_ms / 1000.0):
+            await trio.sleep(settings.out_of_rotation_ms / 1000.0)
+            self._stopping.set()
+            await self._served.wait()
+
+
+def _report_error(error: BaseException) -> None:
+    _log.error("handler_failed", reason=repr(error))
--- /dev/null
+++ b/quetzalmill/gateway_handler.py
@@ -0,0 +1,385 @@
+"""Serves the requests of callers at one gateway."""
+
+import random
+
+import trio
+
+from quetzalmill import crash_counts
+from quetzalmill import dispatch
+from quetzalmill import errors
+from quetzalmill import gateway_calls
+from quetzalmill import gateway_metrics
+from quetzalmill import gateway_outcomes as outcomes
+from quetzalmill import gateway_state
+from quetzalmill import gateway_turns
+from quetzalmill import http_message
+from quetzalmill import http_server
+from quetzalmill import logs
+from quetzalmill import route_table
+from quetzalmill import turn_keeper
+
+NOT_READY_RETRY_MS = 500.0
+"""When to come back to a gateway that knows no route table yet; starting
+takes about that long."""
+
+CRASHING_RETRY_MS = 60_000.0
+"""When to come back with a request that has ended several endpoints."""
+
+END_RESERVE_MS = 150.0
+"""Time kept back from a turn's run to make its end safe."""
+
+_BASE_PRIORITY = 2
+_HIGHEST_PRIORITY = 0
+_LOWEST_PRIORITY = 9
+
+_log = logs.get("gateway")
+
+
+class GatewayHandler:
+    """Answers each request of a caller.
+
+    Args:
+        state: What the gateway believes.
+        dialect: How callers and endpoints are spoken to.
+        dispatcher: Sends requests to endpoints.
+        turns: Prepares and ends turns.
+        metrics: Where requests are counted.
+    """
+
+    def __init__(
+        self,
+        state: gateway_state.GatewayState,
+        dialect: gateway_calls.Dialect,
+        dispatcher: dispatch.Dispatcher,
+        turns: gateway_turns.Turns,
+        metrics: gateway_metrics.GatewayMetrics,
+    ) -> None:
+        self._state = state
+        self._dialect = dialect
+        self._dispatcher = dispatcher
+        self._turns = turns
+        self._metrics = metrics
+        self._random = random.Random()
+
+    async def handle(
+        self, request: http_message.Request, exchange: http_server.Exchange
+    ) -> None:
+        """Answers one request."""
+        arrived_ms = self._state.clock.now_ms()
+        try:
+            call = self._dialect.decode_call(request)
+        except errors.BadMessageError as error:
+            await _refuse(
+                exchange,
+                outcomes.Refused(status=error.status, reason=str(error)),
+            )
+            return
+        served = _Served(self, call, exchange, arrived_ms)
+        outcome: outcomes.Outcome = outcomes.CallerLeft()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_when_left, exchange, nursery.cancel_scope)
+            outcome = await served.run()
+            await self._answer(exchange, outcome, served)
+            nursery.cancel_scope.cancel()
+        self._record(served, outcome, exchange)
+
+    async def _answer(
+        self,
+        exchange: http_server.Exchange,
+        outcome: outcomes.Outcome,
+        served: "_Served",
+    ) -> None:
+        match outcome:
+            case outcomes.Refused():
+                await _refuse(exchange, outcome)
+            case outcomes.Unknown():
+                body = outcomes.problem_body(outcome.reason, "unknown")
+                await exchange.respond(outcome.status, body)
+            case outcomes.Answered():
+                headers = dict(outcome.headers)
+                content_type = headers.pop("content-type", "")
+                await exchange.respond(
+                    outcome.status, outcome.body, headers, content_type
+                )
+            case outcomes.Streamed(complete=True):
+                if served.end_is_safe:
+                    await exchange.finish()
+                else:
+                    exchange.abort()
+            case _:
+                exchange.abort()
+
+    def _record(
+        self,
+        served: "_Served",
+        outcome: outcomes.Outcome,
+        exchange: http_server.Exchange,
+    ) -> None:
+        """Counts a request and logs its one line."""
+        took_ms = self._state.clock.now_ms() - served.arrived_ms
+        kind, detail = _describe(outcome)
+        if exchange.disconnected and kind not in ("refused", "answered"):
+            kind = "caller_left"
+        job = served.job
+        route = "" if served.route is None else served.route.name
+        self._metrics.request(kind, route, took_ms)
+        table = self._state.table
+        _log.info(
+            "request",
+            request_id=served.call.request_id,
+            outcome=kind,
+            detail=detail,
+            route=route or None,
+            team=served.team or None,
+            program_id=served.call.program_id or None,
+            table=None if table is None else table.version,
+            tried=",".join(job.tried) if job else None,
+            ready_ms=round(served.prepared_ms - served.arrived_ms)
+            if served.prepared_ms
+            else None,
+            load=served.load,
+            took_ms=round(took_ms),
+        )
+
+    # Called by _Served, which holds what belongs to one request.
+
+    @property
+    def state(self) -> gateway_state.GatewayState:
+        """What the gateway believes."""
+        return self._state
+
+    @property
+    def dispatcher(self) -> dispatch.Dispatcher:
+        """Sends requests to endpoints."""
+        return self._dispatcher
+
+    @property
+    def turns(self) -> gateway_turns.Turns:
+        """Prepares and ends turns."""
+        return self._turns
+
+    def pick_service(self, route: route_table.Route) -> str:
+        """Returns one of a route's services by their weights."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [share.weight for share in route.shares]
+        return self._random.choices(route.shares, weights)[0].service
+
+
+class _Served:
+    """One request while it is served."""
+
+    def __init__(
+        self,
+        handler: GatewayHandler,
+        call: gateway_calls.Call,
+        exchange: http_server.Exchange,
+        arrived_ms: float,
+    ) -> None:
+        self._handler = handler
+        self._state = handler.state
+        self.call = call
+        self._exchange = exchange
+        self.arrived_ms = arrived_ms
+        self.prepared_ms = 0.0
+        self.route: route_table.Route | None = None
+        self.team = ""
+        self.job: dispatch.Job | None = None
+        self.end_is_safe = True
+        self.load: int | None = None
+
+    async def run(self) -> outcomes.Outcome:
+        """Runs the request as far as its outcome is known."""
+        refused = self._admit()
+        if refused is not None:
+            return refused
+        assert self.route is not None and self._state.table is not None
+        table = self._state.table
+        service = table.services.get(self._handler.pick_service(self.route))
+        if service is None:
+            return outcomes.Refused(
+                status=503, reason="the route's service is not configured"
+            )
+        if self.route.stateful:
+            return await self._run_turn(service)
+        self.prepared_ms = self._state.clock.now_ms()
+        return await self._run(service, self.call.http.body, 0.0)
+
+    def _admit(self) -> outcomes.Refused | None:
+        """Checks route, key, crashes and rate; returns why not."""
+        table = self._state.table
+        if table is None:
+            return outcomes.Refused(
+                status=503,
+                reason="no route table is known yet",
+                retry_after_ms=NOT_READY_RETRY_MS,
+            )
+        self.route = table.match(self.call.host, self.call.http.path)
+        if self.route is None:
+            return self._deny(404, "no route matches")
+        team = table.team_for(self.call.key) if self.call.key else None
+        if team is None and table.team_of_key and not self.route.public:
+            return self._deny(401, "the key is not known")
+        if team is not None:
+            self.team = team.name
+        if self._state.crashes.is_refused(self._fingerprint()):
+            return outcomes.Refused(
+                status=503,
+                reason="the request has ended several endpoints",
+                retry_after_ms=CRASHING_RETRY_MS,
+            )
+        if team is None:
+            return None
+        admission = self._state.buckets.admit(
+            team.name, self._state.clock.now_ms()
+        )
+        if admission.admitted:
+            return None
+        return outcomes.Refused(
+            status=429,
+            reason=f"the team's rate is used up, level {admission.level:.1f}",
+            retry_after_ms=admission.retry_after_ms,
+        )
+
+    def _deny(self, status: int, reason: str) -> outcomes.Refused:
+        """Denies a request only on the strength of a fresh route table."""
+        if self._state.table_is_fresh():
+            return outcomes.Refused(status=status, reason=reason)
+        return outcomes.Refused(
+            status=503,
+            reason=f"{reason} in a route table that may be out of date",
+            retry_after_ms=NOT_READY_RETRY_MS,
+        )
+
+    async def _run_turn(
+        self, service: route_table.Service
+    ) -> outcomes.Outcome:
+        turns = self._handler.turns
+        prepared = await turns.prepare(self.call, self.team)
+        self.prepared_ms = self._state.clock.now_ms()
+        if isinstance(prepared, outcomes.Refused):
+            return prepared
+        used_tokens = 0
+        try:
+            used_tokens = self.call.most_tokens
+            outcome = await self._run(service, prepared.body, END_RESERVE_MS)
+            match outcome:
+                case outcomes.Streamed():
+                    used_tokens = outcome.events * service.event_tokens
+                    if outcome.complete:
+                        self.end_is_safe = await self._end(outcome)
+                case outcomes.Refused():
+                    used_tokens = 0
+            return outcome
+        finally:
+            turns.settle(self.call, self.team, used_tokens)
+
+    async def _end(self, streamed: outcomes.Streamed) -> bool:
+        safety = await self._handler.turns.end(
+            self.call,
+            self.team,
+            streamed,
+            timeout_ms=max(END_RESERVE_MS, self._left_ms()),
+        )
+        if safety is not turn_keeper.Safety.DURABLE:
+            _log.info(
+                "turn_not_durable",
+                request_id=self.call.request_id,
+                safety=safety.value,
+            )
+        return safety is not turn_keeper.Safety.UNSAFE
+
+    async def _run(
+        self, service: route_table.Service, body: bytes, reserve_ms: float
+    ) -> outcomes.Outcome:
+        assert self.route is not None
+        self.job = dispatch.Job(
+            call=self.call,
+            route=self.route,
+            service=service,
+            team=self.team,
+            body=body,
+            deadline_ms=self._deadline_ms() - reserve_ms,
+            priority=self._priority() if service.is_engine else None,
+        )
+        outcome = await self._handler.dispatcher.run(self.job, self._exchange)
+        self._count_crashes(outcome)
+        return outcome
+
+    def _deadline_ms(self) -> float:
+        assert self.route is not None
+        limit_ms = self.route.timeout_ms
+        if self.call.deadline_ms is not None:
+            limit_ms = min(limit_ms, self.call.deadline_ms)
+        return self.arrived_ms + limit_ms
+
+    def _left_ms(self) -> float:
+        return self._deadline_ms() - self._state.clock.now_ms()
+
+    def _priority(self) -> int:
+        """Returns the rank at an engine; programs under way go first."""
+        assert self.route is not None and self._state.table is not None
+        rank = self.route.priority
+        team = self._state.table.teams.get(self.team)
+        if team is not None and team.priority is not None:
+            rank = team.priority
+        priority = _BASE_PRIORITY + 2 * rank
+        if self.call.previous_turn_id:
+            priority -= 1
+        return max(_HIGHEST_PRIORITY, min(_LOWEST_PRIORITY, priority))
+
+    def _fingerprint(self) -> str:
+        return crash_counts.fingerprint(
+            self.team, self.call.http.target(), self.call.http.body
+        )
+
+    def _count_crashes(self, outcome: outcomes.Outcome) -> None:
+        crashes = self._state.crashes
+        assert self.job is not None
+        if self.job.endpoint_died:
+            count = crashes.crashed(
+                self._fingerprint(), self._state.clock.now_ms()
+            )
+            _log.info(
+                "crash_counted",
+                request_id=self.call.request_id,
+                fingerprint=count.fingerprint,
+                crashes=count.crashes,
+            )
+        elif crashes.all_known():
+            match outcome:
+                case outcomes.Answered() | outcomes.Streamed(complete=True):
+                    crashes.ended_well(self._fingerprint())
+
+
+async def _cancel_when_left(
+    exchange: http_server.Exchange, scope: trio.CancelScope
+) -> None:
+    await exchange.wait_disconnected()
+    scope.cancel()
+
+
+async def _refuse(
+    exchange: http_server.Exchange, refused: outcomes.Refused
+) -> None:
+    headers = {}
+    if refused.retry_after_ms is not None:
+        headers["retry-after"] = outcomes.retry_after(refused.retry_after_ms)
+    body = outcomes.problem_body(refused.reason, "no")
+    await exchange.respond(refused.status, body, headers)
+
+
+def _describe(outcome: outcomes.Outcome) -> tuple[str, str]:
+    match outcome:
+        case outcomes.Refused():
+            return "refused", f"{outcome.status}: {outcome.reason}"
+        case outcomes.Unknown():
+            return "unknown", f"{outcome.status}: {outcome.reason}"
+        case outcomes.Answered():
+            return "answered", str(outcome.status)
+        case outcomes.Streamed(complete=True):
+            return "streamed", f"{outcome.events} events"
+        case outcomes.Streamed():
+            return "broke_off", f"after {outcome.events} events"
+        case _:
+            return "caller_left", ""
--- /dev/null
+++ b/quetzalmill/gateway_messages.py
@@ -0,0 +1,128 @@
+"""Control calls between gateways."""
+
+import attrs
+
+from quetzalmill import control
+from quetzalmill import conversations
+
+
+@attrs.frozen(kw_only=True)
+class ReserveTurn:
+    """Asks a program's owner to reserve tokens for a turn.
+
+    Attributes:
+        program_id: The program, with its team.
+        turn_id: The turn.
+        budget_tokens: What all turns of the program may generate.
+        most_tokens: What this turn may generate.
+    """
+
+    program_id: str
+    turn_id: str
+    budget_tokens: int
+    most_tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class ReserveReply:
+    """Whether a turn may run.
+
+    Attributes:
+        granted: Whether it may.
+        spent: Whether the budget does not hold it; if neither is set, the
+            owner cannot tell now.
+        reason: Why not.
+    """
+
+    granted: bool
+    spent: bool = False
+    reason: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class SettleTurn:
+    """Tells a program's owner what a turn handed out."""
+
+    program_id: str
+    turn_id: str
+    used_tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class SettleReply:
+    """Says that a turn was settled."""
+
+
+@attrs.frozen(kw_only=True)
+class FetchChain:
+    """Asks for a chain of turns.
+
+    Attributes:
+        turn_id: The newest turn.
+        part: The partition that the store keeps the chain in.
+        load: Whether to read the store if the chain is not at hand.
+    """
+
+    turn_id: str
+    part: int
+    load: bool
+
+
+@attrs.frozen(kw_only=True)
+class ChainReply:
+    """A chain, as far as the peer has it.
+
+    Attributes:
+        turns: The turns, oldest first, ending with the newest.
+        missing_id: The turn before them that it lacks; empty if whole.
+        certain: Whether a missing turn surely does not exist.
+    """
+
+    turns: list[conversations.Turn]
+    missing_id: str
+    certain: bool
+
+
+@attrs.frozen(kw_only=True)
+class StoreTurns:
+    """Asks a peer to make turns durable, or else to keep copies."""
+
+    turns: list[conversations.Turn]
+
+
+@attrs.frozen(kw_only=True)
+class StoreReply:
+    """Says what became of the turns; if not durable, they are kept."""
+
+    durable: bool
+
+
+@attrs.frozen(kw_only=True)
+class FetchTable:
+    """Asks for the newest route table."""
+
+    newer_than: int
+
+
+@attrs.frozen(kw_only=True)
+class TableReply:
+    """A route table as the operator wrote it; empty if not newer."""
+
+    document: bytes
+
+
+RESERVE_TURN = control.Method(
+    name="ReserveTurn", request_type=ReserveTurn, reply_type=ReserveReply
+)
+SETTLE_TURN = control.Method(
+    name="SettleTurn", request_type=SettleTurn, reply_type=SettleReply
+)
+FETCH_CHAIN = control.Method(
+    name="FetchChain", request_type=FetchChain, reply_type=ChainReply
+)
+STORE_TURNS = control.Method(
+    name="StoreTurns", request_type=StoreTurns, reply_type=StoreReply
+)
+FETCH_TABLE = control.Method(
+    name="FetchTable", request_type=FetchTable, reply_type=TableReply
+)
--- /dev/null
+++ b/quetzalmill/gateway_metrics.py
@@ -0,0 +1,45 @@
+"""Counters and latency histograms of a gateway, served as text."""
+
+import prometheus_client
+
+LATENCY_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 2.0, 4.0)
+"""Bounds of the latency histograms, from a lookup to a turn's deadline."""
+
+
+class GatewayMetrics:
+    """The metrics of one gateway."""
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._requests = prometheus_client.Counter(
+            "quetzalmill_requests",
+            "Requests of callers by route and outcome.",
+            ["route", "outcome"],
+            registry=self._registry,
+        )
+        self._latency = prometheus_client.Histogram(
+            "quetzalmill_request_seconds",
+            "Time from a request's arrival to the end of its answer.",
+            ["outcome"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._gauges = prometheus_client.Gauge(
+            "quetzalmill_state",
+            "What the gateway believes, by name.",
+            ["name"],
+            registry=self._registry,
+        )
+
+    def request(self, outcome: str, route: str, took_ms: float) -> None:
+        """Counts a request that has ended."""
+        self._requests.labels(route, outcome).inc()
+        self._latency.labels(outcome).observe(took_ms / 1000.0)
+
+    def set_state(self, name: str, value: float) -> None:
+        """Sets what the gateway believes now."""
+        self._gauges.labels(name).set(value)
+
+    def text(self) -> bytes:
+        """Returns all metrics as text."""
+        return prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/quetzalmill/gateway_state.py
@@ -0,0 +1,178 @@
+"""What a gateway believes: configuration, endpoints, peers, rates.
+
+The rings around it feed it news and read its answers; it performs no I/O.
+"""
+
+import hashlib
+
+from quetzalmill import clock as clock_module
+from quetzalmill import crash_counts
+from quetzalmill import endpoint_pool
+from quetzalmill import logs
+from quetzalmill import peers as peers_module
+from quetzalmill import route_table
+from quetzalmill import team_buckets
+
+AWAY_ECHO_MS = 3_000.0
+"""How long after the store's return missing entries may still come back."""
+
+FRESH_MS = 2_500.0
+"""How old the last confirmation of the route table may be for a refusal that
+rests on it."""
+
+_log = logs.get("gateway_state")
+
+
+class GatewayState:
+    """The beliefs of one gateway.
+
+    Args:
+        host: Its host.
+        instance: Differs at each start.
+        address: IP address and port of its beats and control calls.
+        failure_domain: Where it stands.
+        parts: Partitions of each topic.
+        clock: The process's clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        instance: str,
+        address: str,
+        failure_domain: str,
+        parts: int,
+        clock: clock_module.Clock,
+    ) -> None:
+        self.host = host
+        self.instance = instance
+        self.address = address
+        self.failure_domain = failure_domain
+        self.parts = parts
+        self.clock = clock
+        self.table: route_table.RouteTable | None = None
+        self.pool = endpoint_pool.EndpointPool()
+        self.peers = peers_module.PeerTable(address)
+        self.buckets = team_buckets.TeamBuckets()
+        self.crashes = crash_counts.CrashCounts()
+        self.leaving = False
+        self.endpoints_known = False
+        self._confirmed_ms = float("-inf")
+        self._store_failing_ms: float | None = None
+        self._store_back_ms = float("-inf")
+        self._sequence = 0
+
+    def is_ready(self) -> bool:
+        """Returns whether callers may be sent here."""
+        return (
+            self.table is not None and self.endpoints_known and not self.leaving
+        )
+
+    def take_table(self, table: route_table.RouteTable, source: str) -> bool:
+        """Takes over a newer route table; older ones are passed over."""
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        before = 0 if self.table is None else self.table.version
+        self.table = table
+        self.buckets.configure(table.teams, self.clock.now_ms())
+        _log.info(
+            "table_applied",
+            version=table.version,
+            before=before,
+            source=source,
+            routes=len(table.routes),
+            teams=len(table.teams),
+        )
+        return True
+
+    def confirm_table(self) -> None:
+        """Records that the table is the newest that the store has."""
+        self._confirmed_ms = self.clock.now_ms()
+
+    def table_is_fresh(self) -> bool:
+        """Returns whether a refusal may rest on the route table."""
+        return self.clock.now_ms() - self._confirmed_ms <= FRESH_MS
+
+    def store_answered(self, answered: bool) -> None:
+        """Records whether a call to the store was answered."""
+        now_ms = self.clock.now_ms()
+        if answered:
+            if self._store_failing_ms is not None:
+                failing_ms = now_ms - self._store_failing_ms
+                _log.info("store_regained", after_ms=round(failing_ms))
+                self._store_back_ms = now_ms
+            self._store_failing_ms = None
+        elif self._store_failing_ms is None:
+            self._store_failing_ms = now_ms
+            _log.warning("store_lost")
+
+    def store_reached(self) -> bool:
+        """Returns whether the store answers this gateway."""
+        return self._store_failing_ms is None
+
+    def store_was_away(self) -> bool:
+        """Returns whether entries may have lapsed only for want of a store."""
+        since_ms = self.clock.now_ms() - self._store_back_ms
+        return not self.store_reached() or since_ms < AWAY_ECHO_MS
+
+    def beat(self) -> peers_module.Beat:
+        """Returns what this gateway says of itself, with a new number."""
+        self._sequence += 1
+        return peers_module.Beat(
+            host=self.host,
+            instance=self.instance,
+            address=self.address,
+            failure_domain=self.failure_domain,
+            sequence=self._sequence,
+            leaving=self.leaving,
+            store_reached=self.store_reached(),
+            table_version=0 if self.table is None else self.table.version,
+            admitted=self.buckets.admitted(),
+            running=self.pool.running(),
+            crashes=self.crashes.all_known(),
+            known=self.peers.addresses(),
+        )
+
+    def hear(self, beat: peers_module.Beat) -> None:
+        """Takes over a peer's beat."""
+        now_ms = self.clock.now_ms()
+        replaced = self.peers.hear(beat, now_ms)
+        if replaced is not None:
+            self.buckets.forget(replaced)
+            _log.info("peer_restarted", peer=beat.host)
+        self.buckets.hear(beat.instance, beat.admitted, now_ms)
+        for count in beat.crashes:
+            self.crashes.hear(count, now_ms)
+
+    def tick(self) -> None:
+        """Brings up to date what changes with time alone."""
+        now_ms = self.clock.now_ms()
+        for beat in self.peers.forget_old(now_ms):
+            self.buckets.forget(beat.instance)
+            _log.info("peer_gone", peer=beat.host, leaving=beat.leaving)
+        self.buckets.set_heard_part(self.peers.heard_part(now_ms), now_ms)
+        self.pool.hear_running(self.peers.running(now_ms))
+        self.crashes.forget_old(now_ms)
+        if not self.store_reached():
+            self.pool.extend_doubt(now_ms)
+        for endpoint_id in self.pool.drop_doubted(now_ms):
+            _log.info("endpoint_gone", endpoint=endpoint_id, reason="lapsed")
+
+    def alive_peers(self) -> list[peers_module.Beat]:
+        """Returns the peers that are heard."""
+        return self.peers.alive(self.clock.now_ms())
+
+    def owner(self, part: int) -> str:
+        """Returns the address of the gateway that owns a partition."""
+        return self.peers.owner(
+            part,
+            leaving=self.leaving,
+            store_reached=self.store_reached(),
+            now_ms=self.clock.now_ms(),
+        )
+
+    def partition_of(self, program_id: str) -> int:
+        """Returns the partition that holds a program's records."""
+        digest = hashlib.blake2b(program_id.encode(), digest_size=4).digest()
+        return int.from_bytes(digest, "big") % self.parts
--- /dev/null
+++ b/quetzalmill/gateway_turns.py
@@ -0,0 +1,224 @@
+"""Turns of stored conversations: their prompt, their budget, their end."""
+
+from typing import Any
+
+import attrs
+import trio
+
+from quetzalmill import budget_owner
+from quetzalmill import chain_source
+from quetzalmill import control
+from quetzalmill import conversations
+from quetzalmill import errors
+from quetzalmill import gateway_calls
+from quetzalmill import gateway_messages
+from quetzalmill import gateway_state
+from quetzalmill import gateway_outcomes as outcomes
+from quetzalmill import logs
+from quetzalmill import turn_keeper
+
+OWNER_TRIES = 2
+"""Gateways that are asked for one reservation, as the owner may change."""
+
+_BUDGET_SPENT = 402
+_NO_SUCH_TURN = 404
+_COME_BACK_MS = 300.0
+_OWNER_CHANGE_MS = 60.0
+
+_log = logs.get("gateway_turns")
+
+
+@attrs.frozen
+class Prepared:
+    """A turn that may run, with its whole prompt."""
+
+    body: bytes = attrs.field(repr=False)
+
+
+class Turns:
+    """Prepares and ends the turns that reach one gateway.
+
+    Args:
+        state: What the gateway believes.
+        source: Finds chains.
+        keeper: Makes ended turns safe.
+        owners: The budgets of each partition, for when this gateway owns it.
+        client: The control calls to peers.
+        nursery: Where settlements run.
+    """
+
+    def __init__(
+        self,
+        state: gateway_state.GatewayState,
+        source: chain_source.ChainSource,
+        keeper: turn_keeper.TurnKeeper,
+        owners: list[budget_owner.BudgetOwner],
+        client: control.ControlClient,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._state = state
+        self._source = source
+        self._keeper = keeper
+        self._owners = owners
+        self._client = client
+        self._nursery = nursery
+
+    async def prepare(
+        self, call: gateway_calls.Call, team: str
+    ) -> Prepared | outcomes.Refused:
+        """Finds the chain and reserves the budget, both at once."""
+        found: list[Any] = [None]
+        reserved: list[Any] = [None]
+
+        async def find() -> None:
+            found[0] = await self._find(call, team)
+
+        async def reserve() -> None:
+            reserved[0] = await self._reserve(call, team)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(find)
+            nursery.start_soon(reserve)
+        chain, reservation = found[0], reserved[0]
+        if isinstance(chain, outcomes.Refused):
+            if reservation is None:
+                self.settle(call, team, 0)
+            return chain
+        if reservation is not None:
+            assert isinstance(reservation, outcomes.Refused)
+            return reservation
+        return Prepared(conversations.prompt(chain, call.http.body))
+
+    async def end(
+        self,
+        call: gateway_calls.Call,
+        team: str,
+        streamed: outcomes.Streamed,
+        *,
+        timeout_ms: float,
+    ) -> turn_keeper.Safety:
+        """Makes a whole turn safe; its end may then go to the caller."""
+        turn = conversations.Turn(
+            turn_id=call.request_id,
+            team=team,
+            program_id=call.program_id,
+            previous_id=call.previous_turn_id,
+            input=call.http.body,
+            outputs=streamed.outputs,
+            ended_unix_ms=self._state.clock.unix_ms(),
+        )
+        return await self._keeper.make_safe(turn, timeout_ms=timeout_ms)
+
+    def settle(
+        self, call: gateway_calls.Call, team: str, used_tokens: int
+    ) -> None:
+        """Replaces a turn's reservation by what it handed out."""
+        if call.budget_tokens is None:
+            return
+        message = gateway_messages.SettleTurn(
+            program_id=_account(call, team),
+            turn_id=call.request_id,
+            used_tokens=used_tokens,
+        )
+        part = self._state.partition_of(call.program_id)
+        owner = self._state.owner(part)
+        if owner == self._state.address:
+            self._owners[part].settle(
+                message.program_id, message.turn_id, used_tokens
+            )
+        else:
+            self._nursery.start_soon(self._send_settlement, owner, message)
+
+    async def _find(
+        self, call: gateway_calls.Call, team: str
+    ) -> list[conversations.Turn] | outcomes.Refused:
+        if not call.previous_turn_id:
+            return []
+        part = self._state.partition_of(call.program_id)
+        match await self._source.find(call.previous_turn_id, part):
+            case chain_source.Found(turns):
+                if all(turn.team == team for turn in turns):
+                    return turns
+                return outcomes.Refused(
+                    status=_NO_SUCH_TURN, reason="the turn is another team's"
+                )
+            case chain_source.Absent():
+                return outcomes.Refused(
+                    status=_NO_SUCH_TURN, reason="there is no such turn"
+                )
+            case chain_source.CannotTell(reason):
+                return outcomes.Refused(
+                    status=503, reason=reason, retry_after_ms=_COME_BACK_MS
+                )
+
+    async def _reserve(
+        self, call: gateway_calls.Call, team: str
+    ) -> outcomes.Refused | None:
+        """Returns None once the turn's tokens are reserved."""
+        if call.budget_tokens is None:
+            return None
+        message = gateway_messages.ReserveTurn(
+            program_id=_account(call, team),
+            turn_id=call.request_id,
+            budget_tokens=call.budget_tokens,
+            most_tokens=call.most_tokens,
+        )
+        part = self._state.partition_of(call.program_id)
+        reason = ""
+        for _ in range(OWNER_TRIES):
+            owner = self._state.owner(part)
+            reply = await self._ask_owner(owner, part, message)
+            if reply.granted:
+                return None
+            if reply.spent:
+                return outcomes.Refused(
+                    status=_BUDGET_SPENT, reason=reply.reason
+                )
+            reason = reply.reason
+            await trio.sleep(_OWNER_CHANGE_MS / 1000.0)
+        self.settle(call, team, 0)
+        return outcomes.Refused(
+            status=503,
+            reason=f"the budget cannot be reserved: {reason}",
+            retry_after_ms=_COME_BACK_MS,
+        )
+
+    async def _ask_owner(
+        self, owner: str, part: int, message: gateway_messages.ReserveTurn
+    ) -> gateway_messages.ReserveReply:
+        if owner == self._state.address:
+            return await self._owners[part].reserve(message)
+        try:
+            reply: gateway_messages.ReserveReply = await self._client.call(
+                owner,
+                gateway_messages.RESERVE_TURN,
+                message,
+                timeout_ms=budget_owner.RESERVE_TIMEOUT_MS,
+            )
+        except errors.ControlError as error:
+            self._client.drop(owner)
+            return gateway_messages.ReserveReply(
+                granted=False, reason=str(error)
+            )
+        return reply
+
+    async def _send_settlement(
+        self, owner: str, message: gateway_messages.SettleTurn
+    ) -> None:
+        try:
+            await self._client.call(
+                owner,
+                gateway_messages.SETTLE_TURN,
+                message,
+                timeout_ms=budget_owner.RESERVE_TIMEOUT_MS,
+            )
+        except errors.ControlError as error:
+            # The reservation then stands for the most that was handed out.
+            self._client.drop(owner)
+            _log.info(
+                "settlement_lost", turn_id=message.turn_id, reason=str(error)
+            )
+
+
+def _account(call: gateway_calls.Call, team: str) -> str:
+    return f"{team}/{call.program_id}"
--- a/quetzalmill/http_client.py
+++ b/quetzalmill/http_client.py
@@ -332,6 +332,9 @@
         """Prepares for another exchange; returns whether there may be one."""
         if self.http.states != {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
             return False
+        if self.http.trailing_data[0]:
+            # Bytes after a whole response belong to no request.
+            return False
         self.http.start_next_cycle()
         return True
 
@@ -388,7 +391,7 @@
 def _request_headers(
     request: http_message.Request, address: str
 ) -> list[tuple[bytes, bytes]]:
-    headers = [(b"host", address.encode())]
+    headers = [(b"host", (request.host or address).encode())]
     headers += [
         (name.encode(), value.encode("latin-1"))
         for name, value in request.headers.items()
--- a/quetzalmill/http_message.py
+++ b/quetzalmill/http_message.py
@@ -59,6 +59,8 @@
         raw_query: The query as sent; empty to encode ``query``.
         headers: Values by lower-case name; repeated ones joined by commas.
         body: The whole body.
+        host: The host that the request names; empty to name the address that
+            it is sent to.
     """
 
     method: str
@@ -67,6 +69,7 @@
     raw_query: str = ""
     headers: dict[str, str] = attrs.field(factory=dict)
     body: bytes = b""
+    host: str = ""
 
     def target(self) -> str:
         """Returns the path and the encoded query."""
--- /dev/null
+++ b/quetzalmill/keyed_store.py
@@ -0,0 +1,110 @@
+"""The port to the platform's store, in the gateway's own terms.
+
+A topic holds the newest record of each key, in partitions. The platform's
+client stands behind it; tests use a store in memory.
+"""
+
+from typing import Protocol
+
+import attrs
+
+from quetzalmill import errors
+
+
+class FencedError(errors.NotDoneError):
+    """A writer with a higher epoch has taken the partition over."""
+
+
+@attrs.frozen
+class KeyedRecord:
+    """The newest value of a key; None once the key was dropped."""
+
+    key: str
+    value: bytes | None
+
+
+@attrs.frozen
+class Fence:
+    """The writer of a partition; appends of lower epochs are refused."""
+
+    producer: str
+    epoch: int
+
+
+@attrs.frozen(kw_only=True)
+class Records:
+    """Records that were read.
+
+    Attributes:
+        records: In the order of their offsets, or by key in a snapshot.
+        next_offset: Where to read on.
+    """
+
+    records: list[KeyedRecord]
+    next_offset: int
+
+
+class KeyedStore(Protocol):
+    """Reads and writes topics of keyed records.
+
+    Every method raises ``errors.NotDoneError`` when surely nothing was done
+    and ``errors.OutcomeUnknownError`` when a write may have been done or may
+    yet be.
+    """
+
+    async def append(
+        self,
+        topic: str,
+        part: int,
+        records: list[KeyedRecord],
+        *,
+        timeout_ms: float,
+    ) -> None:
+        """Appends records of any writer, all or none."""
+
+    async def claim(
+        self, topic: str, part: int, fence: Fence, *, timeout_ms: float
+    ) -> None:
+        """Shuts out writers of lower epochs.
+
+        Raises:
+            FencedError: A higher epoch was seen already.
+        """
+
+    async def append_fenced(
+        self,
+        topic: str,
+        part: int,
+        records: list[KeyedRecord],
+        fence: Fence,
+        sequence: int,
+        *,
+        timeout_ms: float,
+    ) -> None:
+        """Appends records as the writer that claimed the partition.
+
+        A repeat with the same ``sequence`` has no further effect.
+
+        Raises:
+            FencedError: Another writer has claimed the partition since.
+        """
+
+    async def newest(
+        self, topic: str, part: int, *, timeout_ms: float
+    ) -> Records:
+        """Returns the newest record of each key."""
+
+    async def changes(
+        self,
+        topic: str,
+        part: int,
+        from_offset: int,
+        *,
+        wait_ms: float,
+        timeout_ms: float,
+    ) -> Records:
+        """Returns records from an offset on, waiting for the first.
+
+        Raises:
+            errors.RetentionError: They were deleted; read ``newest`` again.
+        """
--- a/quetzalmill/logs.py
+++ b/quetzalmill/logs.py
@@ -6,7 +6,7 @@
 
 import re
 import sys
-from typing import Any
+from typing import Any, TextIO
 
 import structlog
 
@@ -18,10 +18,11 @@
 _BEARER = re.compile(r"(?i)\b(bearer|basic)\s+[^\s,;\"']+")
 
 
-def configure(level: str = "info") -> None:
+def configure(level: str = "info", stream: TextIO | None = None) -> None:
     """Sets up logging for the whole process.
 
     Args:
+        stream: Where lines go; standard error when left out.
         level: The least severe level that is logged: ``debug``, ``info``,
             ``warning`` or ``error``.
     """
@@ -37,7 +38,7 @@
             ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(_LEVELS[level]),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
         cache_logger_on_first_use=False,
     )
 
--- /dev/null
+++ b/quetzalmill/peers.py
@@ -0,0 +1,172 @@
+"""What the gateways tell each other, and what each makes of it.
+
+Gateways send each other beats: whole statements of what they have admitted
+and run, so that a lost or repeated one does no harm. A peer that is silent
+stays known for a while, because it may be cut off rather than dead.
+"""
+
+import hashlib
+
+import attrs
+
+from quetzalmill import crash_counts
+
+BEAT_MS = 200.0
+"""The time between two beats to each peer."""
+
+SILENT_MS = 900.0
+"""Silence after which a peer gets no work: four beats are missing."""
+
+FORGOTTEN_MS = 15_000.0
+"""Silence after which a peer counts as gone for good. Partitions of single
+machines last seconds; a machine that is off for longer holds no part of any
+team's rate."""
+
+
+@attrs.frozen(kw_only=True)
+class Beat:
+    """What one gateway says of itself.
+
+    Attributes:
+        host: Its host.
+        instance: Differs at each start.
+        address: IP address and port of its beats and control calls.
+        failure_domain: Where it stands.
+        sequence: Grows with each beat of an instance.
+        leaving: Whether it shuts down.
+        store_reached: Whether it reaches the platform's store.
+        table_version: The version of its route table; 0 for none.
+        admitted: Requests admitted since its start, by team.
+        running: Requests that it runs, by endpoint.
+        crashes: Requests that ran when an endpoint died.
+        known: Addresses of the gateways that it knows.
+    """
+
+    host: str
+    instance: str
+    address: str
+    failure_domain: str
+    sequence: int
+    leaving: bool
+    store_reached: bool
+    table_version: int
+    admitted: dict[str, int]
+    running: dict[str, int]
+    crashes: list[crash_counts.CrashCount]
+    known: list[str]
+
+
+@attrs.define
+class _Peer:
+    beat: Beat
+    heard_ms: float
+
+
+class PeerTable:
+    """The other gateways, as far as this one hears them.
+
+    Args:
+        address: This gateway's own address.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._peers: dict[str, _Peer] = {}
+        self._unheard: dict[str, float] = {}
+
+    def add_address(self, address: str, now_ms: float) -> None:
+        """Learns of a gateway that has not been heard."""
+        if address != self._address and address not in self._peers:
+            self._unheard.setdefault(address, now_ms)
+
+    def hear(self, beat: Beat, now_ms: float) -> str | None:
+        """Takes over a beat.
+
+        Returns:
+            The instance that this one replaces, or None.
+        """
+        if beat.address == self._address:
+            return None
+        known = self._peers.get(beat.address)
+        self._unheard.pop(beat.address, None)
+        replaced = None
+        if known is not None and known.beat.instance != beat.instance:
+            replaced = known.beat.instance
+        elif known is not None and known.beat.sequence >= beat.sequence:
+            return None
+        self._peers[beat.address] = _Peer(beat, now_ms)
+        for address in beat.known:
+            self.add_address(address, now_ms)
+        return replaced
+
+    def forget_old(self, now_ms: float) -> list[Beat]:
+        """Drops peers that count as gone; returns their last beats."""
+        for address, since_ms in list(self._unheard.items()):
+            if now_ms - since_ms > FORGOTTEN_MS:
+                del self._unheard[address]
+        gone = []
+        for address, peer in list(self._peers.items()):
+            silent_ms = now_ms - peer.heard_ms
+            limit_ms = SILENT_MS if peer.beat.leaving else FORGOTTEN_MS
+            if silent_ms > limit_ms:
+                gone.append(peer.beat)
+                del self._peers[address]
+        return gone
+
+    def addresses(self) -> list[str]:
+        """Returns all addresses that beats go to."""
+        return [*self._peers, *self._unheard]
+
+    def alive(self, now_ms: float) -> list[Beat]:
+        """Returns the last beats of peers that are heard."""
+        return [
+            peer.beat
+            for peer in self._peers.values()
+            if now_ms - peer.heard_ms <= SILENT_MS
+        ]
+
+    def heard_part(self, now_ms: float) -> float:
+        """Returns the part of all gateways that is heard, this one included."""
+        if not self._peers:
+            return 1.0
+        alive = len(self.alive(now_ms))
+        return (alive + 1) / (len(self._peers) + 1)
+
+    def running(self, now_ms: float) -> dict[str, int]:
+        """Returns what the peers run, by endpoint."""
+        total: dict[str, int] = {}
+        for beat in self.alive(now_ms):
+            for endpoint_id, count in beat.running.items():
+                total[endpoint_id] = total.get(endpoint_id, 0) + count
+        return total
+
+    def owner(
+        self, part: int, *, leaving: bool, store_reached: bool, now_ms: float
+    ) -> str:
+        """Returns the address of the gateway that owns a partition.
+
+        Gateways that reach the store go before those that do not, and those
+        that stay before those that leave. Which of two gateways that both
+        believe to be the owner is the right one is settled by the store.
+
+        Args:
+            part: The partition.
+            leaving: Whether this gateway leaves.
+            store_reached: Whether this gateway reaches the store.
+            now_ms: The current time.
+        """
+        ranked = [(not leaving, store_reached, self._address)]
+        ranked += [
+            (not beat.leaving, beat.store_reached, beat.address)
+            for beat in self.alive(now_ms)
+        ]
+        best = max(ranked, key=lambda each: each[:2])[:2]
+        return max(
+            (each[2] for each in ranked if each[:2] == best),
+            key=lambda address: _weight(part, address),
+        )
+
+
+def _weight(part: int, address: str) -> bytes:
+    text = f"{part}/{address}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- /dev/null
+++ b/quetzalmill/program_budgets.py
@@ -0,0 +1,117 @@
+"""Token budgets of agent programs, as the one owner of a program keeps them.
+
+A turn reserves the most that it may generate before it runs and is settled at
+what it handed out. So that a new owner never grants what an old one already
+did, a program's grants stay below a durable mark. Marks are raised in steps of
+several turns, which makes a durable write rare.
+"""
+
+import attrs
+
+MARK_STEP_TURNS = 4
+"""Turns by which a durable mark runs ahead of the grants."""
+
+
+@attrs.define(kw_only=True)
+class Program:
+    """The account of one program.
+
+    Attributes:
+        budget_tokens: What all its turns may generate.
+        spent_tokens: What settled turns handed out.
+        reserved: The most that unsettled turns may hand out, by turn.
+        durable_tokens: The mark that a new owner would take as spent.
+        touched_ms: When it was last used.
+    """
+
+    budget_tokens: int
+    spent_tokens: int = 0
+    reserved: dict[str, int] = attrs.field(factory=dict)
+    durable_tokens: int = 0
+    touched_ms: float = 0.0
+
+    @property
+    def granted_tokens(self) -> int:
+        """What was handed out or may be, at most."""
+        return self.spent_tokens + sum(self.reserved.values())
+
+
+@attrs.frozen
+class Granted:
+    """The turn may run once ``mark_tokens`` is durable; None if it is."""
+
+    mark_tokens: int | None
+
+
+@attrs.frozen
+class Spent:
+    """The budget does not hold the turn."""
+
+    granted_tokens: int
+    budget_tokens: int
+
+
+class BudgetLedger:
+    """The accounts of the programs of one partition."""
+
+    def __init__(self) -> None:
+        self.programs: dict[str, Program] = {}
+
+    def load(self, program_id: str, mark_tokens: int, now_ms: float) -> None:
+        """Takes over what an earlier owner made durable."""
+        self.programs[program_id] = Program(
+            budget_tokens=mark_tokens,
+            spent_tokens=mark_tokens,
+            durable_tokens=mark_tokens,
+            touched_ms=now_ms,
+        )
+
+    def reserve(
+        self,
+        program_id: str,
+        turn_id: str,
+        *,
+        budget_tokens: int,
+        most_tokens: int,
+        now_ms: float,
+    ) -> Granted | Spent:
+        """Reserves a turn's most tokens, or says that the budget is spent."""
+        program = self.programs.get(program_id)
+        if program is None:
+            program = Program(budget_tokens=budget_tokens)
+            self.programs[program_id] = program
+        program.budget_tokens = budget_tokens
+        program.touched_ms = now_ms
+        if turn_id not in program.reserved:
+            granted = program.granted_tokens
+            if granted + most_tokens > budget_tokens:
+                return Spent(granted, budget_tokens)
+            program.reserved[turn_id] = most_tokens
+        if program.granted_tokens <= program.durable_tokens:
+            return Granted(None)
+        ahead = program.granted_tokens + most_tokens * (MARK_STEP_TURNS - 1)
+        return Granted(min(budget_tokens, ahead))
+
+    def made_durable(self, program_id: str, mark_tokens: int) -> None:
+        """Records that a mark is durable."""
+        program = self.programs.get(program_id)
+        if program is not None:
+            program.durable_tokens = max(program.durable_tokens, mark_tokens)
+
+    def settle(self, program_id: str, turn_id: str, used_tokens: int) -> None:
+        """Replaces a reservation by what the turn handed out."""
+        program = self.programs.get(program_id)
+        if program is not None and turn_id in program.reserved:
+            del program.reserved[turn_id]
+            program.spent_tokens += used_tokens
+
+    def forget_idle(self, idle_ms: float, now_ms: float) -> list[str]:
+        """Drops programs unused for ``idle_ms``; returns their ids."""
+        old = [
+            program_id
+            for program_id, program in self.programs.items()
+            if not program.reserved and now_ms - program.touched_ms > idle_ms
+        ]
+        for program_id in old:
+            del self.programs[program_id]
+        return old
--- /dev/null
+++ b/quetzalmill/route_table.py
@@ -0,0 +1,152 @@
+"""The desired state of a gateway: routes, services, teams and their keys.
+
+The platform's operator publishes it whole, with a version. It is decoded at
+the boundary into the types here; nothing in it changes afterwards.
+"""
+
+import enum
+
+import attrs
+
+
+class Repeat(enum.Enum):
+    """What may be repeated of a request.
+
+    SAFE may run any number of times, UNSAFE and STREAM at most once.
+    """
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+@attrs.frozen(kw_only=True)
+class Share:
+    """A service and its weight among those of one route."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """Where requests of one host and path prefix go.
+
+    Attributes:
+        name: The route's name.
+        host: The host that a request must name.
+        path_prefix: What the path must begin with.
+        repeat: What may be repeated.
+        timeout_ms: The longest time that a request is kept waiting.
+        target_latency_ms: The time within which an answer is on time.
+        priority: The rank, 0 first.
+        shares: The services that serve it.
+        max_attempts: Endpoints that may run one request.
+        public: Whether no key is needed.
+        stateful: Whether requests continue stored conversations.
+        retention_ms: How long a turn can be continued.
+        gap_ms: The longest pause between events that is on time.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    repeat: Repeat
+    timeout_ms: float
+    target_latency_ms: float
+    priority: int
+    shares: tuple[Share, ...]
+    max_attempts: int
+    public: bool
+    stateful: bool
+    retention_ms: float
+    gap_ms: float
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """A kind of endpoint.
+
+    Attributes:
+        name: The service's name.
+        max_connections: Connections that one endpoint takes from all callers.
+        slots: Requests that a model engine batches; 0 for a plain service.
+        memory_tokens: The engine's KV cache; 0 for a plain service.
+        event_tokens: Tokens in one event of an engine's stream.
+    """
+
+    name: str
+    max_connections: int
+    slots: int
+    memory_tokens: int
+    event_tokens: int
+
+    @property
+    def is_engine(self) -> bool:
+        """Whether its endpoints run a language model."""
+        return self.memory_tokens > 0
+
+
+@attrs.frozen(kw_only=True)
+class Team:
+    """A team that callers belong to.
+
+    Attributes:
+        name: The team's name.
+        priority: Goes before the priority of routes; None to leave it.
+        rate_per_s: Requests a second over all gateways; 0 for no limit.
+        burst: Requests that it may send at once beyond the rate.
+    """
+
+    name: str
+    priority: int | None
+    rate_per_s: float
+    burst: float
+
+
+@attrs.frozen(kw_only=True)
+class CallerLimits:
+    """What a caller's connection may take."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 10_000.0
+    idle_timeout_ms: float = 60_000.0
+
+
+@attrs.frozen(kw_only=True)
+class RouteTable:
+    """One version of the desired state.
+
+    Attributes:
+        version: Grows with each change.
+        routes: All routes.
+        services: Services by name.
+        teams: Teams by name.
+        team_of_key: The team's name by key.
+        limits: What callers may send.
+        document: The bytes that it was decoded from, to hand to peers.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    teams: dict[str, Team]
+    team_of_key: dict[str, str] = attrs.field(repr=False)
+    limits: CallerLimits
+    document: bytes = attrs.field(repr=False)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix, or None."""
+        best: Route | None = None
+        for route in self.routes:
+            if route.host != host or not path.startswith(route.path_prefix):
+                continue
+            if best is None or len(route.path_prefix) > len(best.path_prefix):
+                best = route
+        return best
+
+    def team_for(self, key: str) -> Team | None:
+        """Returns the team that holds a key, or None."""
+        name = self.team_of_key.get(key)
+        return None if name is None else self.teams.get(name)
--- /dev/null
+++ b/quetzalmill/turn_keeper.py
@@ -0,0 +1,158 @@
+"""Makes a turn safe before its end goes to the caller.
+
+A turn is safe once the store has it. While the store is away, copies on two
+other gateways stand in for it until one of the holders gets it stored: a
+caller's conversation then goes on, and only the loss of all holders at once,
+within the store's absence, would lose the turn.
+"""
+
+from collections.abc import Callable
+import enum
+
+import trio
+
+from quetzalmill import control
+from quetzalmill import conversations
+from quetzalmill import errors
+from quetzalmill import gateway_messages
+from quetzalmill import logs
+from quetzalmill import peers as peers_module
+from quetzalmill import turn_store
+
+STORE_PATIENCE_MS = 120.0
+"""How long a write may take before peers are asked to help; many times the
+store's usual answer, and short against a turn's objective."""
+
+PEER_TIMEOUT_MS = 400.0
+"""How long a peer may take to store a turn or to keep a copy."""
+
+COPIES = 2
+"""Gateways that must hold a turn that is not durable yet."""
+
+_log = logs.get("turn_keeper")
+
+
+class Safety(enum.Enum):
+    """How a turn was made safe."""
+
+    DURABLE = "durable"
+    COPIED = "copied"
+    UNSAFE = "unsafe"
+
+
+class TurnKeeper:
+    """Makes turns safe for one gateway.
+
+    Args:
+        cache: The turns that this gateway holds.
+        writers: The writers of the store's partitions.
+        partition_of: Returns the partition of a program.
+        peers: Returns the peers that are heard.
+        store_reached: Returns whether this gateway reaches the store.
+        client: The control calls to peers.
+    """
+
+    def __init__(
+        self,
+        cache: conversations.Conversations,
+        writers: list[turn_store.TurnWriter],
+        partition_of: Callable[[str], int],
+        peers: Callable[[], list[peers_module.Beat]],
+        store_reached: Callable[[], bool],
+        client: control.ControlClient,
+    ) -> None:
+        self._cache = cache
+        self._writers = writers
+        self._partition_of = partition_of
+        self._peers = peers
+        self._store_reached = store_reached
+        self._client = client
+
+    async def make_safe(
+        self, turn: conversations.Turn, *, timeout_ms: float
+    ) -> Safety:
+        """Returns when a turn is safe, or after ``timeout_ms``."""
+        self._cache.keep(turn)
+        done = self._put(turn)
+        with trio.move_on_after(timeout_ms / 1000.0):
+            if self._store_reached():
+                with trio.move_on_after(STORE_PATIENCE_MS / 1000.0):
+                    await done.wait()
+                    return Safety.DURABLE
+            return await self._with_peers(turn, done)
+        return Safety.UNSAFE
+
+    async def take(
+        self, message: gateway_messages.StoreTurns
+    ) -> gateway_messages.StoreReply:
+        """Stores a peer's turns, or keeps copies if the store is away."""
+        waiting = []
+        for turn in message.turns:
+            self._cache.keep(turn)
+            waiting.append(self._put(turn))
+        if not self._store_reached():
+            return gateway_messages.StoreReply(durable=False)
+        with trio.move_on_after(STORE_PATIENCE_MS / 1000.0):
+            for done in waiting:
+                await done.wait()
+            return gateway_messages.StoreReply(durable=True)
+        return gateway_messages.StoreReply(durable=False)
+
+    def _put(self, turn: conversations.Turn) -> trio.Event:
+        return self._writers[self._partition_of(turn.program_id)].put(turn)
+
+    async def _with_peers(
+        self, turn: conversations.Turn, done: trio.Event
+    ) -> Safety:
+        """Asks peers one after the other until the turn is safe."""
+        safe = trio.Event()
+        result = [Safety.DURABLE]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_set_when, done, safe)
+            nursery.start_soon(self._ask_peers, turn, safe, result)
+            await safe.wait()
+            nursery.cancel_scope.cancel()
+        return result[0]
+
+    async def _ask_peers(
+        self,
+        turn: conversations.Turn,
+        safe: trio.Event,
+        result: list[Safety],
+    ) -> None:
+        copies = 0
+        able_first = sorted(
+            (beat for beat in self._peers() if not beat.leaving),
+            key=lambda beat: not beat.store_reached,
+        )
+        for beat in able_first:
+            durable = await self._ask_peer(beat.address, turn)
+            if durable is None:
+                continue
+            copies += 1
+            if durable or copies >= COPIES:
+                result[0] = Safety.DURABLE if durable else Safety.COPIED
+                safe.set()
+                return
+
+    async def _ask_peer(
+        self, address: str, turn: conversations.Turn
+    ) -> bool | None:
+        """Returns whether a peer stored a turn; None if it did not answer."""
+        try:
+            reply: gateway_messages.StoreReply = await self._client.call(
+                address,
+                gateway_messages.STORE_TURNS,
+                gateway_messages.StoreTurns(turns=[turn]),
+                timeout_ms=PEER_TIMEOUT_MS,
+            )
+        except errors.ControlError as error:
+            self._client.drop(address)
+            _log.info("peer_kept_no_turn", peer=address, reason=str(error))
+            return None
+        return reply.durable
+
+
+async def _set_when(done: trio.Event, safe: trio.Event) -> None:
+    await done.wait()
+    safe.set()
--- /dev/null
+++ b/quetzalmill/turn_store.py
@@ -0,0 +1,224 @@
+"""Turns in the platform's store: writing them and reading partitions whole.
+
+The record of a turn never changes, so anyone may write it and a second copy
+does no harm.
+"""
+
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from quetzalmill import clock as clock_module
+from quetzalmill import codec
+from quetzalmill import conversations
+from quetzalmill import errors
+from quetzalmill import keyed_store
+from quetzalmill import logs
+
+TOPIC = "turns"
+"""The topic that holds a record for each turn."""
+
+WRITE_TIMEOUT_MS = 400.0
+"""How long the store may take for one write before it is sent again."""
+
+READ_TIMEOUT_MS = 1_500.0
+"""How long reading one page may take; a page holds up to a megabyte."""
+
+_RETRY_MS = 100.0
+_MAX_BATCH_BYTES = 1_000_000
+
+_log = logs.get("turn_store")
+
+
+@attrs.define(eq=False)
+class _Waiting:
+    turn: conversations.Turn
+    done: trio.Event = attrs.field(factory=trio.Event)
+
+
+class TurnWriter:
+    """Writes turns of one partition, those that wait in one call.
+
+    What was handed to it is written in the end, however long the store is
+    away, unless the process ends.
+    """
+
+    def __init__(
+        self,
+        part: int,
+        store: keyed_store.KeyedStore,
+        nursery: trio.Nursery,
+        store_answered: Callable[[bool], None],
+    ) -> None:
+        self._part = part
+        self._store = store
+        self._nursery = nursery
+        self._store_answered = store_answered
+        self._waiting: list[_Waiting] = []
+        self._writing = False
+
+    def put(self, turn: conversations.Turn) -> trio.Event:
+        """Queues a turn; the event is set once it is durable."""
+        waiting = _Waiting(turn)
+        self._waiting.append(waiting)
+        if not self._writing:
+            self._writing = True
+            self._nursery.start_soon(self._write_all)
+        return waiting.done
+
+    @property
+    def waiting(self) -> int:
+        """How many turns are not durable yet."""
+        return len(self._waiting)
+
+    async def _write_all(self) -> None:
+        try:
+            while self._waiting:
+                batch = self._next_batch()
+                if await self._write(batch):
+                    del self._waiting[: len(batch)]
+                    for each in batch:
+                        each.done.set()
+                else:
+                    await trio.sleep(_RETRY_MS / 1000.0)
+        finally:
+            self._writing = False
+
+    def _next_batch(self) -> list[_Waiting]:
+        batch: list[_Waiting] = []
+        batch_bytes = 0
+        for each in self._waiting:
+            batch_bytes += each.turn.size_bytes()
+            if batch and batch_bytes > _MAX_BATCH_BYTES:
+                break
+            batch.append(each)
+        return batch
+
+    async def _write(self, batch: list[_Waiting]) -> bool:
+        records = [
+            keyed_store.KeyedRecord(
+                each.turn.turn_id, codec.to_msgpack(each.turn)
+            )
+            for each in batch
+        ]
+        try:
+            await self._store.append(
+                TOPIC, self._part, records, timeout_ms=WRITE_TIMEOUT_MS
+            )
+        except errors.PortError as error:
+            self._store_answered(False)
+            _log.warning(
+                "turn_write_repeated",
+                part=self._part,
+                turns=len(batch),
+                reason=str(error),
+            )
+            return False
+        self._store_answered(True)
+        return True
+
+
+class TurnPartition:
+    """Reads one partition of turns and keeps up with it.
+
+    Args:
+        part: The partition.
+        store: The platform's store.
+        cache: Where the turns that are read go.
+        clock: The process's clock.
+    """
+
+    def __init__(
+        self,
+        part: int,
+        store: keyed_store.KeyedStore,
+        cache: conversations.Conversations,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._part = part
+        self._store = store
+        self._cache = cache
+        self._clock = clock
+        self._next_offset: int | None = None
+        self._evicted_before = 0
+        self._read_ms = float("-inf")
+        self._reading = trio.Lock()
+
+    async def chain(self, turn_id: str) -> tuple[list[conversations.Turn], str]:
+        """Returns a chain out of all that the store holds now.
+
+        Returns:
+            The turns, oldest first, and the id of the first one that does
+            not exist; empty if the chain is whole.
+
+        Raises:
+            errors.PortError: The store did not answer.
+        """
+        await self._refresh(self._clock.now_ms())
+        turns, missing_id = self._cache.chain(turn_id)
+        if not missing_id or self._cache.evicted == self._evicted_before:
+            return turns, missing_id
+        # The cache dropped turns since the whole partition was read.
+        self._next_offset = None
+        found = await self._read_whole()
+        by_id = {turn.turn_id: turn for turn in found}
+        return conversations.follow(turn_id, by_id.get)
+
+    async def _refresh(self, asked_ms: float) -> None:
+        """Reads what the partition held at ``asked_ms``, if not done since."""
+        async with self._reading:
+            if self._read_ms >= asked_ms:
+                return
+            started_ms = self._clock.now_ms()
+            if self._next_offset is None or not await self._read_on():
+                await self._read_whole()
+            self._read_ms = started_ms
+
+    async def _read_on(self) -> bool:
+        """Reads what came since; returns whether the store still had it."""
+        assert self._next_offset is not None
+        try:
+            found = await self._store.changes(
+                TOPIC,
+                self._part,
+                self._next_offset,
+                wait_ms=0.0,
+                timeout_ms=READ_TIMEOUT_MS,
+            )
+        except errors.RetentionError as error:
+            _log.info(
+                "partition_read_again", part=self._part, reason=str(error)
+            )
+            return False
+        self._keep(found)
+        return True
+
+    async def _read_whole(self) -> list[conversations.Turn]:
+        self._evicted_before = self._cache.evicted
+        found = await self._store.newest(
+            TOPIC, self._part, timeout_ms=READ_TIMEOUT_MS
+        )
+        return self._keep(found)
+
+    def _keep(self, found: keyed_store.Records) -> list[conversations.Turn]:
+        turns = [
+            turn
+            for record in found.records
+            if (turn := _decode(record)) is not None
+        ]
+        for turn in turns:
+            if self._cache.get(turn.turn_id) is None:
+                self._cache.keep(turn)
+        self._next_offset = found.next_offset
+        return turns
+
+
+def _decode(record: keyed_store.KeyedRecord) -> conversations.Turn | None:
+    if record.value is None:
+        return None
+    try:
+        return codec.from_msgpack(record.value, conversations.Turn)
+    except errors.CodecError as error:
+        _log.warning("turn_unreadable", turn_id=record.key, reason=str(error))
+        return None
