--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -6,7 +6,7 @@
 knowledge is refused at its next write and then reads everything again.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 import trio
@@ -32,6 +32,7 @@
 _RETRY_MS = 50.0
 _EPOCH_STEP = 60_000
 _CLAIM_TRIES = 4
+_REMEMBERED_HOLDERS = 20_000
 
 _log = logs.get("budget_owner")
 
@@ -82,22 +83,44 @@
         self._pending: list[_Pending] = []
         self._writing = False
         self._last_epoch = 0
+        self._holders: dict[str, str] = {}
 
-    async def reserve(
+    def reserve(
+        self, message: gateway_messages.ReserveTurn
+    ) -> (
+        gateway_messages.ReserveReply
+        | Awaitable[gateway_messages.ReserveReply]
+    ):
+        """Reserves tokens for a turn; the reply is durable.
+
+        It comes at once where no write is needed.
+        """
+        if self._term is not None:
+            outcome = self._reserve_in(self._term, message)
+            if not isinstance(outcome, int):
+                return outcome
+        return self._reserve_in_time(message)
+
+    async def _reserve_in_time(
         self, message: gateway_messages.ReserveTurn
     ) -> gateway_messages.ReserveReply:
-        """Reserves tokens for a turn; the reply is durable."""
         try:
             with trio.fail_after(RESERVE_TIMEOUT_MS / 1000.0):
                 return await self._reserve(message)
         except trio.TooSlowError:
-            self.settle(message.program_id, message.turn_id, 0)
+            self.settle(message.program_id, message.turn_id, 0, "")
             return _cannot_tell("the store did not answer in time")
         except errors.PortError as error:
             return _cannot_tell(str(error))
 
-    def settle(self, program_id: str, turn_id: str, used_tokens: int) -> None:
+    def settle(
+        self, program_id: str, turn_id: str, used_tokens: int, holder: str
+    ) -> None:
         """Replaces a reservation by what the turn handed out."""
+        if holder:
+            self._holders[turn_id] = holder
+            if len(self._holders) > _REMEMBERED_HOLDERS:
+                del self._holders[next(iter(self._holders))]
         if self._term is not None:
             self._term.ledger.settle(program_id, turn_id, used_tokens)
 
@@ -114,6 +137,21 @@
         self, message: gateway_messages.ReserveTurn
     ) -> gateway_messages.ReserveReply:
         term = await self._hold()
+        outcome = self._reserve_in(term, message)
+        if not isinstance(outcome, int):
+            return outcome
+        pending = _Pending(message.program_id, outcome)
+        self._pending.append(pending)
+        self._start_writing()
+        await pending.done.wait()
+        if pending.error is not None:
+            raise pending.error
+        return self._granted(message)
+
+    def _reserve_in(
+        self, term: _Term, message: gateway_messages.ReserveTurn
+    ) -> gateway_messages.ReserveReply | int:
+        """Returns the reply, or the mark that must be durable before it."""
         outcome = term.ledger.reserve(
             message.program_id,
             message.turn_id,
@@ -130,14 +168,16 @@
                     f"{outcome.budget_tokens} tokens are granted",
                 )
             case program_budgets.Granted(None):
-                return gateway_messages.ReserveReply(granted=True)
-        pending = _Pending(message.program_id, outcome.mark_tokens)
-        self._pending.append(pending)
-        self._start_writing()
-        await pending.done.wait()
-        if pending.error is not None:
-            raise pending.error
-        return gateway_messages.ReserveReply(granted=True)
+                return self._granted(message)
+            case program_budgets.Granted(int(mark_tokens)):
+                return mark_tokens
+
+    def _granted(
+        self, message: gateway_messages.ReserveTurn
+    ) -> gateway_messages.ReserveReply:
+        return gateway_messages.ReserveReply(
+            granted=True, holder=self._holders.get(message.previous_id, "")
+        )
 
     async def _hold(self) -> _Term:
         """Returns the current term, claiming the partition if need be."""
--- a/quetzalmill/chain_source.py
+++ b/quetzalmill/chain_source.py
@@ -5,7 +5,7 @@
 that began after the request came shows that a turn does not exist.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 import trio
@@ -75,11 +75,25 @@
         self._own_address = own_address
         self._client = client
 
+    def find_here(self, turn_id: str) -> Found | None:
+        """Finds the chain that ends with a turn in memory."""
+        turns, missing_id = self._cache.chain(turn_id)
+        return None if missing_id else Found(turns)
+
     async def find(
-        self, turn_id: str, part: int
+        self, turn_id: str, part: int, holder: str
     ) -> Found | Absent | CannotTell:
-        """Finds the chain that ends with a turn."""
+        """Finds the chain that ends with a turn.
+
+        Args:
+            turn_id: The turn.
+            part: The partition that holds the chain.
+            holder: The address of a peer that holds it; empty if unknown.
+        """
         turns, missing_id = self._cache.chain(turn_id)
+        if missing_id and holder and holder != self._own_address:
+            await self._ask_one(holder, missing_id, part)
+            turns, missing_id = self._cache.chain(turn_id)
         if missing_id:
             await self._ask_peers(missing_id, part)
             turns, missing_id = self._cache.chain(turn_id)
@@ -87,17 +101,25 @@
             return Found(turns)
         return await self._ask_owner(turn_id, part)
 
-    async def answer(
+    def answer(
         self, message: gateway_messages.FetchChain
-    ) -> gateway_messages.ChainReply:
+    ) -> (
+        gateway_messages.ChainReply | Awaitable[gateway_messages.ChainReply]
+    ):
         """Answers a peer's question."""
         if message.load:
-            return await self._load(message.turn_id, message.part)
+            return self._load(message.turn_id, message.part)
         turns, missing_id = self._cache.chain(message.turn_id)
         return gateway_messages.ChainReply(
             turns=turns, missing_id=missing_id, certain=False
         )
 
+    async def _ask_one(self, address: str, turn_id: str, part: int) -> None:
+        message = gateway_messages.FetchChain(
+            turn_id=turn_id, part=part, load=False
+        )
+        await self._ask_peer(address, message, trio.CancelScope())
+
     async def _ask_peers(self, turn_id: str, part: int) -> None:
         """Asks all peers at once; returns when one has the whole chain."""
         message = gateway_messages.FetchChain(
--- a/quetzalmill/control.py
+++ b/quetzalmill/control.py
@@ -3,10 +3,10 @@
 It wraps grpclib with a MessagePack codec, so that control messages are plain
 attrs classes and need no generated code. Handlers run on the process's one
 loop. Most decide on state held in memory; those that wait for the platform
-are ``async`` functions. No answer to a caller travels over control calls.
+return an awaitable. No answer to a caller travels over control calls.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 import inspect
 from typing import Any, TypeVar
 
@@ -185,10 +185,13 @@
         request = await stream.recv_message()
         if request is None:
             return
-        if inspect.iscoroutinefunction(handler):
-            reply = await trio_asyncio.trio_as_aio(handler)(request)
-        else:
-            reply = handler(request)
+        reply = handler(request)
+        if inspect.isawaitable(reply):
+            reply = await trio_asyncio.trio_as_aio(_wait_for)(reply)
         await stream.send_message(reply)
 
     return serve
+
+
+async def _wait_for(awaitable: Awaitable[Any]) -> Any:
+    return await awaitable
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -250,18 +250,23 @@
             gateway_messages.FETCH_TABLE: self._hand_table,
         }
 
-    async def _reserve(
+    def _reserve(
         self, message: gateway_messages.ReserveTurn
-    ) -> gateway_messages.ReserveReply:
-        return await self._owners[self._part_of(message.program_id)].reserve(
-            message
-        )
+    ) -> (
+        gateway_messages.ReserveReply
+        | Awaitable[gateway_messages.ReserveReply]
+    ):
+        part = self._part_of(message.program_id)
+        return self._owners[part].reserve(message)
 
     def _settle(
         self, message: gateway_messages.SettleTurn
     ) -> gateway_messages.SettleReply:
         self._owners[self._part_of(message.program_id)].settle(
-            message.program_id, message.turn_id, message.used_tokens
+            message.program_id,
+            message.turn_id,
+            message.used_tokens,
+            message.holder,
         )
         return gateway_messages.SettleReply()
 
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -260,6 +260,7 @@
         if isinstance(prepared, outcomes.Refused):
             return prepared
         used_tokens = 0
+        is_whole = False
         try:
             used_tokens = self.call.most_tokens
             outcome = await self._run(service, prepared.body, END_RESERVE_MS)
@@ -268,11 +269,14 @@
                     used_tokens = outcome.events * service.event_tokens
                     if outcome.complete:
                         self.end_is_safe = await self._end(outcome)
+                        is_whole = self.end_is_safe
                 case outcomes.Refused():
                     used_tokens = 0
             return outcome
         finally:
-            turns.settle(self.call, self.team, used_tokens)
+            turns.settle(
+                self.call, self.team, used_tokens, is_whole=is_whole
+            )
 
     async def _end(self, streamed: outcomes.Streamed) -> bool:
         safety = await self._handler.turns.end(
--- a/quetzalmill/gateway_messages.py
+++ b/quetzalmill/gateway_messages.py
@@ -15,12 +15,14 @@
         turn_id: The turn.
         budget_tokens: What all turns of the program may generate.
         most_tokens: What this turn may generate.
+        previous_id: The turn that it continues, if the asker lacks it.
     """
 
     program_id: str
     turn_id: str
     budget_tokens: int
     most_tokens: int
+    previous_id: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -32,20 +34,32 @@
         spent: Whether the budget does not hold it; if neither is set, the
             owner cannot tell now.
         reason: Why not.
+        holder: The address of a gateway that holds the previous turn; empty
+            if the owner knows none.
     """
 
     granted: bool
     spent: bool = False
     reason: str = ""
+    holder: str = ""
 
 
 @attrs.frozen(kw_only=True)
 class SettleTurn:
-    """Tells a program's owner what a turn handed out."""
+    """Tells a program's owner what a turn handed out.
+
+    Attributes:
+        program_id: The program, with its team.
+        turn_id: The turn.
+        used_tokens: What it handed out.
+        holder: The address of the gateway that holds the turn; empty if it
+            did not end whole.
+    """
 
     program_id: str
     turn_id: str
     used_tokens: int
+    holder: str
 
 
 @attrs.frozen(kw_only=True)
--- a/quetzalmill/gateway_turns.py
+++ b/quetzalmill/gateway_turns.py
@@ -1,7 +1,5 @@
 """Turns of stored conversations: their prompt, their budget, their end."""
 
-from typing import Any
-
 import attrs
 import trio
 
@@ -66,28 +64,18 @@
     async def prepare(
         self, call: gateway_calls.Call, team: str
     ) -> Prepared | outcomes.Refused:
-        """Finds the chain and reserves the budget, both at once."""
-        found: list[Any] = [None]
-        reserved: list[Any] = [None]
-
-        async def find() -> None:
-            found[0] = await self._find(call, team)
-
-        async def reserve() -> None:
-            reserved[0] = await self._reserve(call, team)
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(find)
-            nursery.start_soon(reserve)
-        chain, reservation = found[0], reserved[0]
-        if isinstance(chain, outcomes.Refused):
-            if reservation is None:
-                self.settle(call, team, 0)
-            return chain
-        if reservation is not None:
-            assert isinstance(reservation, outcomes.Refused)
-            return reservation
-        return Prepared(conversations.prompt(chain, call.http.body))
+        """Reserves the budget and finds the chain."""
+        chain = None
+        if call.previous_turn_id:
+            chain = self._source.find_here(call.previous_turn_id)
+        reserved = await self._reserve(call, team, lacks_chain=chain is None)
+        if isinstance(reserved, outcomes.Refused):
+            return reserved
+        found = await self._find(call, team, chain, reserved.holder)
+        if isinstance(found, outcomes.Refused):
+            self.settle(call, team, 0)
+            return found
+        return Prepared(conversations.prompt(found, call.http.body))
 
     async def end(
         self,
@@ -110,7 +98,12 @@
         return await self._keeper.make_safe(turn, timeout_ms=timeout_ms)
 
     def settle(
-        self, call: gateway_calls.Call, team: str, used_tokens: int
+        self,
+        call: gateway_calls.Call,
+        team: str,
+        used_tokens: int,
+        *,
+        is_whole: bool = False,
     ) -> None:
         """Replaces a turn's reservation by what it handed out."""
         if call.budget_tokens is None:
@@ -119,23 +112,33 @@
             program_id=_account(call, team),
             turn_id=call.request_id,
             used_tokens=used_tokens,
+            holder=self._state.address if is_whole else "",
         )
         part = self._state.partition_of(call.program_id)
         owner = self._state.owner(part)
         if owner == self._state.address:
             self._owners[part].settle(
-                message.program_id, message.turn_id, used_tokens
+                message.program_id,
+                message.turn_id,
+                used_tokens,
+                message.holder,
             )
         else:
             self._nursery.start_soon(self._send_settlement, owner, message)
 
     async def _find(
-        self, call: gateway_calls.Call, team: str
+        self,
+        call: gateway_calls.Call,
+        team: str,
+        chain: chain_source.Found | None,
+        holder: str,
     ) -> list[conversations.Turn] | outcomes.Refused:
         if not call.previous_turn_id:
             return []
         part = self._state.partition_of(call.program_id)
-        match await self._source.find(call.previous_turn_id, part):
+        match chain or await self._source.find(
+            call.previous_turn_id, part, holder
+        ):
             case chain_source.Found(turns):
                 if all(turn.team == team for turn in turns):
                     return turns
@@ -152,16 +155,17 @@
                 )
 
     async def _reserve(
-        self, call: gateway_calls.Call, team: str
-    ) -> outcomes.Refused | None:
-        """Returns None once the turn's tokens are reserved."""
+        self, call: gateway_calls.Call, team: str, *, lacks_chain: bool
+    ) -> outcomes.Refused | gateway_messages.ReserveReply:
+        """Returns the owner's reply once the turn's tokens are reserved."""
         if call.budget_tokens is None:
-            return None
+            return gateway_messages.ReserveReply(granted=True)
         message = gateway_messages.ReserveTurn(
             program_id=_account(call, team),
             turn_id=call.request_id,
             budget_tokens=call.budget_tokens,
             most_tokens=call.most_tokens,
+            previous_id=call.previous_turn_id if lacks_chain else "",
         )
         part = self._state.partition_of(call.program_id)
         reason = ""
@@ -169,7 +173,7 @@
             owner = self._state.owner(part)
             reply = await self._ask_owner(owner, part, message)
             if reply.granted:
-                return None
+                return reply
             if reply.spent:
                 return outcomes.Refused(
                     status=_BUDGET_SPENT, reason=reply.reason
@@ -187,7 +191,10 @@
         self, owner: str, part: int, message: gateway_messages.ReserveTurn
     ) -> gateway_messages.ReserveReply:
         if owner == self._state.address:
-            return await self._owners[part].reserve(message)
+            own = self._owners[part].reserve(message)
+            if isinstance(own, gateway_messages.ReserveReply):
+                return own
+            return await own
         try:
             reply: gateway_messages.ReserveReply = await self._client.call(
                 owner,
