Keep a team's turns in one partition, and outlive a dropped control channel

A team's turns share a partition now, since a turn can be continued by its team alone. The channel closes quietly, and the loop's reports are logged.

--- a/quetzalmill/control.py
+++ b/quetzalmill/control.py
@@ -157,13 +157,21 @@
         channel = self._channels.get(address)
         if channel is None:
             host, port = http_message.split_address(address)
-            channel = grpclib.client.Channel(
+            channel = _Channel(
                 host, port, codec=_MsgpackCodec(self.traffic)
             )
             self._channels[address] = channel
         return channel
 
 
+class _Channel(grpclib.client.Channel):
+    """A channel that may be dropped while it still connects."""
+
+    def __del__(self) -> None:
+        # The base class reports such a channel as an error of the program.
+        self.close()
+
+
 class _MsgpackCodec(grpclib.encoding.base.CodecBase):
     __content_subtype__ = "msgpack"
 
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -143,9 +143,10 @@
             follow: Tasks that keep configuration and endpoints up to date.
         """
         async with (
-            trio_asyncio.open_loop(),
+            trio_asyncio.open_loop() as loop,
             trio.open_nursery() as nursery,
         ):
+            loop.set_exception_handler(_report_loop_error)
             self._wire(nursery)
             link = peer_link.PeerLink(self.state, self._settings.peer_address)
             await nursery.start(link.run)
@@ -392,5 +393,15 @@
             await self._served.wait()
 
 
+def _report_loop_error(loop: Any, context: dict[str, Any]) -> None:
+    """Logs what a control connection's own task let escape."""
+    del loop
+    _log.error(
+        "control_connection_failed",
+        reason=context.get("message"),
+        error=repr(context.get("exception")),
+    )
+
+
 def _report_error(error: BaseException) -> None:
     _log.error("handler_failed", reason=repr(error))
--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -172,7 +172,7 @@
             now_ms=self.clock.now_ms(),
         )
 
-    def partition_of(self, program_id: str) -> int:
-        """Returns the partition that holds a program's records."""
-        digest = hashlib.blake2b(program_id.encode(), digest_size=4).digest()
+    def partition_of(self, name: str) -> int:
+        """Returns the partition of a program's budget or a team's turns."""
+        digest = hashlib.blake2b(name.encode(), digest_size=4).digest()
         return int.from_bytes(digest, "big") % self.parts
--- a/quetzalmill/gateway_turns.py
+++ b/quetzalmill/gateway_turns.py
@@ -135,7 +135,8 @@
     ) -> list[conversations.Turn] | outcomes.Refused:
         if not call.previous_turn_id:
             return []
-        part = self._state.partition_of(call.program_id)
+        # A program may go on from a turn of an earlier one of its team.
+        part = self._state.partition_of(team)
         match chain or await self._source.find(
             call.previous_turn_id, part, holder
         ):
--- a/quetzalmill/turn_keeper.py
+++ b/quetzalmill/turn_keeper.py
@@ -46,7 +46,7 @@
     Args:
         cache: The turns that this gateway holds.
         writers: The writers of the store's partitions.
-        partition_of: Returns the partition of a program.
+        partition_of: Returns the partition that holds a team's turns.
         peers: Returns the peers that are heard.
         store_reached: Returns whether this gateway reaches the store.
         client: The control calls to peers.
@@ -99,7 +99,7 @@
         return gateway_messages.StoreReply(durable=False)
 
     def _put(self, turn: conversations.Turn) -> trio.Event:
-        return self._writers[self._partition_of(turn.program_id)].put(turn)
+        return self._writers[self._partition_of(turn.team)].put(turn)
 
     async def _with_peers(
         self, turn: conversations.Turn, done: trio.Event
