Make what peers know of budgets count, and number a term's writes rightly

Cause 2: epochs grew by a fixed step when refused, so two gateways could hold the same one. Cause 3: a new owner charged the mark, up to four turns ahead, so programs got 402 after each change of owner. Cause 4: while the store was away, no new program could reserve. Now: numbers from 1, epochs unique to a claimant and above the one that the store names, marks in quarters of the budget, exact accounts from the owner before, copies of marks on two peers while the store is away, made durable at the next claim.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -4,13 +4,20 @@
 its partition with an epoch, and grants nothing beyond the marks that the store
 has taken from it under that epoch. A gateway that was replaced without its
 knowledge is refused at its next write and then reads everything again.
+
+A new owner asks the one before for its accounts, which are exact; only if that
+one is gone does it charge the marks. While the store is away, copies of a mark
+on two peers stand in for it: no other gateway can claim the partition then,
+and the next owner asks for the copies.
 """
 
 from collections.abc import Awaitable, Callable
+import secrets
 
 import attrs
 import trio
 
+from quetzalmill import budget_peers
 from quetzalmill import clock as clock_module
 from quetzalmill import errors
 from quetzalmill import gateway_messages
@@ -21,6 +28,13 @@
 TOPIC = "budgets"
 """The topic that holds a mark for each program."""
 
+EPOCH_KEY = "\x00epoch"
+"""The key of the record that names the last owner's epoch; no program's id
+begins with a null character."""
+
+STORE_PATIENCE_MS = 150.0
+"""How long a write may take before copies on peers are made as well."""
+
 WRITE_TIMEOUT_MS = 400.0
 """How long the store may take for one write before it is sent again; many
 times its usual answer of a few milliseconds."""
@@ -29,8 +43,9 @@
 """How long a turn waits for its reservation; what is left of its deadline
 must still hold the turn."""
 
-_RETRY_MS = 50.0
-_EPOCH_STEP = 60_000
+_RETRY_FIRST_MS = 50.0
+_RETRY_MOST_MS = 800.0
+_INSTANCE_BITS = 16
 _CLAIM_TRIES = 4
 _REMEMBERED_HOLDERS = 20_000
 
@@ -51,7 +66,7 @@
 
     fence: keyed_store.Fence
     ledger: program_budgets.BudgetLedger
-    sequence: int = 0
+    sequence: int = 1
 
 
 class BudgetOwner:
@@ -62,7 +77,9 @@
         store: The platform's store.
         clock: The process's clock.
         nursery: Where writes run.
+        peers: Asks the other gateways.
         store_answered: Is told whether the store answered.
+        store_reached: Returns whether the store answers this gateway.
     """
 
     def __init__(
@@ -71,18 +88,23 @@
         store: keyed_store.KeyedStore,
         clock: clock_module.Clock,
         nursery: trio.Nursery,
+        peers: budget_peers.BudgetPeers,
         store_answered: Callable[[bool], None],
+        store_reached: Callable[[], bool],
     ) -> None:
         self._part = part
         self._store = store
         self._clock = clock
         self._nursery = nursery
+        self._peers = peers
         self._store_answered = store_answered
+        self._store_reached = store_reached
         self._term: _Term | None = None
         self._claiming = trio.Lock()
         self._pending: list[_Pending] = []
         self._writing = False
-        self._last_epoch = 0
+        self._last_term_number = 0
+        self._instance_number = secrets.randbits(_INSTANCE_BITS)
         self._holders: dict[str, str] = {}
 
     def reserve(
@@ -143,10 +165,44 @@
         pending = _Pending(message.program_id, outcome)
         self._pending.append(pending)
         self._start_writing()
+        await self._wait_until_safe(pending)
+        return self._granted(message)
+
+    async def _wait_until_safe(self, pending: _Pending) -> None:
+        """Returns once a mark is durable, or copied while the store is away.
+
+        Raises:
+            errors.PortError: The partition was lost.
+        """
+        if self._store_reached():
+            with trio.move_on_after(STORE_PATIENCE_MS / 1000.0):
+                await pending.done.wait()
+        if not pending.done.is_set():
+            marks = {pending.program_id: pending.mark_tokens}
+            if await self._peers.copy_marks(self._part, marks):
+                _log.info(
+                    "mark_copied",
+                    part=self._part,
+                    program_id=pending.program_id,
+                    mark_tokens=pending.mark_tokens,
+                )
+                return
         await pending.done.wait()
         if pending.error is not None:
             raise pending.error
-        return self._granted(message)
+
+    def hand_over(self) -> tuple[int, dict[str, program_budgets.Account]]:
+        """Stops owning the partition.
+
+        Returns:
+            The epoch under which it was owned, 0 if it was not, and the
+            accounts.
+        """
+        term = self._term
+        if term is None:
+            return 0, {}
+        self._lose(term, keyed_store.FencedError("handed over to a peer"))
+        return term.fence.epoch, term.ledger.accounts()
 
     def _reserve_in(
         self, term: _Term, message: gateway_messages.ReserveTurn
@@ -191,19 +247,49 @@
         found = await self._store.newest(
             TOPIC, self._part, timeout_ms=2 * WRITE_TIMEOUT_MS
         )
+        marks = {
+            record.key: int(record.value)
+            for record in found.records
+            if record.value is not None
+        }
+        last_epoch = marks.pop(EPOCH_KEY, 0)
+        replies = await self._peers.hand_over(self._part)
         ledger = program_budgets.BudgetLedger()
         now_ms = self._clock.now_ms()
-        for record in found.records:
-            if record.value is not None:
-                ledger.load(record.key, int(record.value), now_ms)
+        for program_id, mark_tokens in marks.items():
+            ledger.load(program_id, mark_tokens, now_ms)
+        for reply in replies:
+            for program_id, mark_tokens in reply.marks.items():
+                ledger.charge(program_id, mark_tokens, now_ms)
+        exact = [reply for reply in replies if reply.epoch == last_epoch]
+        if last_epoch and exact:
+            ledger.take_over(exact[0].accounts, now_ms)
+        term = _Term(fence, ledger)
+        await self._open(term)
         _log.info(
             "partition_claimed",
             topic=TOPIC,
             part=self._part,
             epoch=fence.epoch,
+            last_epoch=last_epoch,
+            exact=bool(last_epoch and exact),
             programs=len(ledger.programs),
         )
-        return _Term(fence, ledger)
+        return term
+
+    async def _open(self, term: _Term) -> None:
+        """Makes durable what only peers knew, together with the epoch."""
+        behind = term.ledger.behind()
+        marks = {EPOCH_KEY: term.fence.epoch, **behind}
+        await self._write_once(
+            term,
+            [
+                keyed_store.KeyedRecord(key, str(value).encode())
+                for key, value in marks.items()
+            ],
+        )
+        for program_id, mark_tokens in behind.items():
+            term.ledger.made_durable(program_id, mark_tokens)
 
     async def _shut_out_others(self) -> keyed_store.Fence:
         """Claims the partition with an epoch higher than any before.
@@ -211,21 +297,29 @@
         The time of day only makes a first guess that is likely high enough;
         the store refuses a guess that is not.
         """
-        epoch = max(self._clock.unix_ms(), self._last_epoch + 1)
+        term_number = max(self._clock.unix_ms(), self._last_term_number + 1)
         for _ in range(_CLAIM_TRIES):
-            fence = keyed_store.Fence(TOPIC, epoch)
+            fence = keyed_store.Fence(TOPIC, self._epoch(term_number))
             try:
                 await self._store.claim(
                     TOPIC, self._part, fence, timeout_ms=WRITE_TIMEOUT_MS
                 )
-                self._last_epoch = epoch
+                self._last_term_number = term_number
                 return fence
-            except keyed_store.FencedError:
-                epoch += _EPOCH_STEP
+            except keyed_store.FencedError as error:
+                seen = error.epoch >> _INSTANCE_BITS
+                term_number = max(term_number, seen) + 1
             except errors.OutcomeUnknownError:
-                epoch += 1
+                term_number += 1
         raise errors.NotDoneError(f"partition {self._part} cannot be claimed")
 
+    def _epoch(self, term_number: int) -> int:
+        """Returns an epoch that no other gateway uses.
+
+        Two gateways with one epoch would not shut each other out.
+        """
+        return term_number << _INSTANCE_BITS | self._instance_number
+
     def _start_writing(self) -> None:
         if self._pending and not self._writing:
             self._writing = True
@@ -274,16 +368,10 @@
         The store takes a repeat with the same sequence number only once, so
         a lost answer does no harm.
         """
+        wait_ms = _RETRY_FIRST_MS
         while True:
             try:
-                await self._store.append_fenced(
-                    TOPIC,
-                    self._part,
-                    records,
-                    term.fence,
-                    term.sequence,
-                    timeout_ms=WRITE_TIMEOUT_MS,
-                )
+                return await self._write_once(term, records)
             except keyed_store.FencedError:
                 raise
             except errors.PortError as error:
@@ -291,11 +379,22 @@
                 _log.warning(
                     "budget_write_repeated", part=self._part, reason=str(error)
                 )
-                await trio.sleep(_RETRY_MS / 1000.0)
-                continue
-            self._store_answered(True)
-            term.sequence += 1
-            return
+            await trio.sleep(wait_ms / 1000.0)
+            wait_ms = min(2.0 * wait_ms, _RETRY_MOST_MS)
+
+    async def _write_once(
+        self, term: _Term, records: list[keyed_store.KeyedRecord]
+    ) -> None:
+        await self._store.append_fenced(
+            TOPIC,
+            self._part,
+            records,
+            term.fence,
+            term.sequence,
+            timeout_ms=WRITE_TIMEOUT_MS,
+        )
+        self._store_answered(True)
+        term.sequence += 1
 
     def _lose(self, term: _Term, error: errors.PortError) -> None:
         _log.warning("partition_lost", part=self._part, reason=str(error))
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -13,6 +13,7 @@
 import trio_asyncio
 
 from quetzalmill import budget_owner
+from quetzalmill import budget_peers
 from quetzalmill import chain_source
 from quetzalmill import clock as clock_module
 from quetzalmill import codec
@@ -127,6 +128,7 @@
             self.state.peers.add_address(address, self.clock.now_ms())
         cache_bytes = int(settings.memory_mb * _CACHE_PART * _BYTES_PER_MB)
         self._cache = conversations.Conversations(cache_bytes)
+        self._kept_marks = budget_peers.KeptMarks()
         self._control = control.ControlClient()
         self._client = http_client.HttpClient(
             connect_timeout_ms=CONNECT_TIMEOUT_MS
@@ -203,7 +205,13 @@
         ]
         self._owners = [
             budget_owner.BudgetOwner(
-                part, self._store, self.clock, nursery, answered
+                part,
+                self._store,
+                self.clock,
+                nursery,
+                budget_peers.BudgetPeers(self.state.alive_peers, self._control),
+                answered,
+                self.state.store_reached,
             )
             for part in parts
         ]
@@ -246,6 +254,8 @@
         return {
             gateway_messages.RESERVE_TURN: self._reserve,
             gateway_messages.SETTLE_TURN: self._settle,
+            gateway_messages.HAND_OVER: self._hand_over,
+            gateway_messages.KEEP_MARKS: self._keep_marks,
             gateway_messages.FETCH_CHAIN: self._source.answer,
             gateway_messages.STORE_TURNS: self._keeper.take,
             gateway_messages.FETCH_TABLE: self._hand_table,
@@ -271,6 +281,22 @@
         )
         return gateway_messages.SettleReply()
 
+    def _hand_over(
+        self, message: gateway_messages.HandOver
+    ) -> gateway_messages.HandOverReply:
+        epoch, accounts = self._owners[message.part].hand_over()
+        return gateway_messages.HandOverReply(
+            epoch=epoch,
+            accounts=accounts,
+            marks=self._kept_marks.of_part(message.part),
+        )
+
+    def _keep_marks(
+        self, message: gateway_messages.KeepMarks
+    ) -> gateway_messages.KeepReply:
+        self._kept_marks.keep(message.part, message.marks)
+        return gateway_messages.KeepReply()
+
     def _part_of(self, account: str) -> int:
         return self.state.partition_of(account.rpartition("/")[2])
 
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -81,6 +81,9 @@
             outcome = await served.run()
             await self._answer(exchange, outcome, served)
             nursery.cancel_scope.cancel()
+        if not exchange.started:
+            # The caller has left, so there is nobody to answer.
+            exchange.abort()
         self._record(served, outcome, exchange)
 
     async def _answer(
--- a/quetzalmill/gateway_messages.py
+++ b/quetzalmill/gateway_messages.py
@@ -4,6 +4,7 @@
 
 from quetzalmill import control
 from quetzalmill import conversations
+from quetzalmill import program_budgets
 
 
 @attrs.frozen(kw_only=True)
@@ -67,6 +68,44 @@
     """Says that a turn was settled."""
 
 
+@attrs.frozen(kw_only=True)
+class HandOver:
+    """Asks for all that a peer knows of a partition's budgets.
+
+    A peer that still believes itself the owner stops being it.
+    """
+
+    part: int
+
+
+@attrs.frozen(kw_only=True)
+class HandOverReply:
+    """What a peer knows of a partition's budgets.
+
+    Attributes:
+        epoch: The epoch under which it owned the partition; 0 if it did not.
+        accounts: The accounts, by program.
+        marks: The marks that it keeps copies of, by program.
+    """
+
+    epoch: int
+    accounts: dict[str, program_budgets.Account]
+    marks: dict[str, int]
+
+
+@attrs.frozen(kw_only=True)
+class KeepMarks:
+    """Asks a peer to keep marks that the store cannot take now."""
+
+    part: int
+    marks: dict[str, int]
+
+
+@attrs.frozen(kw_only=True)
+class KeepReply:
+    """Says that the marks are kept."""
+
+
 @attrs.frozen(kw_only=True)
 class FetchChain:
     """Asks for a chain of turns.
@@ -131,6 +170,12 @@
 SETTLE_TURN = control.Method(
     name="SettleTurn", request_type=SettleTurn, reply_type=SettleReply
 )
+HAND_OVER = control.Method(
+    name="HandOver", request_type=HandOver, reply_type=HandOverReply
+)
+KEEP_MARKS = control.Method(
+    name="KeepMarks", request_type=KeepMarks, reply_type=KeepReply
+)
 FETCH_CHAIN = control.Method(
     name="FetchChain", request_type=FetchChain, reply_type=ChainReply
 )
--- a/quetzalmill/keyed_store.py
+++ b/quetzalmill/keyed_store.py
@@ -12,7 +12,15 @@
 
 
 class FencedError(errors.NotDoneError):
-    """A writer with a higher epoch has taken the partition over."""
+    """Another writer has taken the partition over.
+
+    Attributes:
+        epoch: The highest epoch that the store has seen, if it says so.
+    """
+
+    def __init__(self, message: str, epoch: int = 0) -> None:
+        super().__init__(message)
+        self.epoch = epoch
 
 
 @attrs.frozen
@@ -83,7 +91,8 @@
     ) -> None:
         """Appends records as the writer that claimed the partition.
 
-        A repeat with the same ``sequence`` has no further effect.
+        Numbers of one term begin at 1 and grow by one. A repeat with the
+        same ``sequence`` has no further effect.
 
         Raises:
             FencedError: Another writer has claimed the partition since.
--- a/quetzalmill/program_budgets.py
+++ b/quetzalmill/program_budgets.py
@@ -2,14 +2,15 @@
 
 A turn reserves the most that it may generate before it runs and is settled at
 what it handed out. So that a new owner never grants what an old one already
-did, a program's grants stay below a durable mark. Marks are raised in steps of
-several turns, which makes a durable write rare.
+did, a program's grants stay below a durable mark. A mark runs ahead of the
+grants by a part of the budget, so that few turns wait for a durable write and
+a new owner that knows no more than the mark charges little too much.
 """
 
 import attrs
 
-MARK_STEP_TURNS = 4
-"""Turns by which a durable mark runs ahead of the grants."""
+MARKS_IN_BUDGET = 4
+"""Steps in which the durable mark of a program goes through its budget."""
 
 
 @attrs.define(kw_only=True)
@@ -51,12 +52,49 @@
     budget_tokens: int
 
 
+@attrs.frozen(kw_only=True)
+class Account:
+    """A program's account on its way from one owner to the next.
+
+    Attributes:
+        spent_tokens: What settled turns handed out.
+        reserved: The most that unsettled turns may hand out, by turn.
+        durable_tokens: The mark that is durable.
+    """
+
+    spent_tokens: int
+    reserved: dict[str, int]
+    durable_tokens: int
+
+
 class BudgetLedger:
     """The accounts of the programs of one partition."""
 
     def __init__(self) -> None:
         self.programs: dict[str, Program] = {}
 
+    def accounts(self) -> dict[str, Account]:
+        """Returns all accounts, to hand them over."""
+        return {
+            program_id: Account(
+                spent_tokens=program.spent_tokens,
+                reserved=dict(program.reserved),
+                durable_tokens=program.durable_tokens,
+            )
+            for program_id, program in self.programs.items()
+        }
+
+    def take_over(self, accounts: dict[str, Account], now_ms: float) -> None:
+        """Takes over what the owner before knew exactly."""
+        for program_id, account in accounts.items():
+            self.programs[program_id] = Program(
+                budget_tokens=account.durable_tokens,
+                spent_tokens=account.spent_tokens,
+                reserved=dict(account.reserved),
+                durable_tokens=account.durable_tokens,
+                touched_ms=now_ms,
+            )
+
     def load(self, program_id: str, mark_tokens: int, now_ms: float) -> None:
         """Takes over what an earlier owner made durable."""
         self.programs[program_id] = Program(
@@ -66,6 +104,22 @@
             touched_ms=now_ms,
         )
 
+    def charge(self, program_id: str, mark_tokens: int, now_ms: float) -> None:
+        """Charges a mark that an earlier owner could not make durable."""
+        program = self.programs.get(program_id)
+        if program is None:
+            program = Program(budget_tokens=mark_tokens, touched_ms=now_ms)
+            self.programs[program_id] = program
+        program.spent_tokens = max(program.spent_tokens, mark_tokens)
+
+    def behind(self) -> dict[str, int]:
+        """Returns what was granted beyond the durable marks, by program."""
+        return {
+            program_id: program.granted_tokens
+            for program_id, program in self.programs.items()
+            if program.granted_tokens > program.durable_tokens
+        }
+
     def reserve(
         self,
         program_id: str,
@@ -89,8 +143,11 @@
             program.reserved[turn_id] = most_tokens
         if program.granted_tokens <= program.durable_tokens:
             return Granted(None)
-        ahead = program.granted_tokens + most_tokens * (MARK_STEP_TURNS - 1)
-        return Granted(min(budget_tokens, ahead))
+        step = max(1, budget_tokens // MARKS_IN_BUDGET)
+        steps = -(-program.granted_tokens // step)
+        return Granted(
+            max(program.granted_tokens, min(budget_tokens, steps * step))
+        )
 
     def made_durable(self, program_id: str, mark_tokens: int) -> None:
         """Records that a mark is durable."""
--- a/quetzalmill/turn_store.py
+++ b/quetzalmill/turn_store.py
@@ -25,7 +25,8 @@
 READ_TIMEOUT_MS = 1_500.0
 """How long reading one page may take; a page holds up to a megabyte."""
 
-_RETRY_MS = 100.0
+_RETRY_FIRST_MS = 100.0
+_RETRY_MOST_MS = 1_000.0
 _MAX_BATCH_BYTES = 1_000_000
 
 _log = logs.get("turn_store")
@@ -73,6 +74,7 @@
         return len(self._waiting)
 
     async def _write_all(self) -> None:
+        wait_ms = _RETRY_FIRST_MS
         try:
             while self._waiting:
                 batch = self._next_batch()
@@ -80,8 +82,10 @@
                     del self._waiting[: len(batch)]
                     for each in batch:
                         each.done.set()
+                    wait_ms = _RETRY_FIRST_MS
                 else:
-                    await trio.sleep(_RETRY_MS / 1000.0)
+                    await trio.sleep(wait_ms / 1000.0)
+                    wait_ms = min(2.0 * wait_ms, _RETRY_MOST_MS)
         finally:
             self._writing = False
 
