Test gateways as processes on an emulated platform, and let few peers suffice

The emulated store and endpoints speak the published protocol and fail as told. Found by the test of an outage, red first: with one peer left alive, a turn waited for a second copy that nobody could keep. As many copies as peers are left now suffice. Gateways also announce themselves in the store, since seeds may be stale.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -86,7 +86,7 @@
         self,
         part: int,
         store: keyed_store.KeyedStore,
-        clock: clock_module.Clock,
+        clock: clock_module.WallClock,
         nursery: trio.Nursery,
         peers: budget_peers.BudgetPeers,
         store_answered: Callable[[bool], None],
@@ -110,8 +110,7 @@
     def reserve(
         self, message: gateway_messages.ReserveTurn
     ) -> (
-        gateway_messages.ReserveReply
-        | Awaitable[gateway_messages.ReserveReply]
+        gateway_messages.ReserveReply | Awaitable[gateway_messages.ReserveReply]
     ):
         """Reserves tokens for a turn; the reply is durable.
 
@@ -215,18 +214,16 @@
             most_tokens=message.most_tokens,
             now_ms=self._clock.now_ms(),
         )
-        match outcome:
-            case program_budgets.Spent():
-                return gateway_messages.ReserveReply(
-                    granted=False,
-                    spent=True,
-                    reason=f"{outcome.granted_tokens} of "
-                    f"{outcome.budget_tokens} tokens are granted",
-                )
-            case program_budgets.Granted(None):
-                return self._granted(message)
-            case program_budgets.Granted(int(mark_tokens)):
-                return mark_tokens
+        if isinstance(outcome, program_budgets.Spent):
+            return gateway_messages.ReserveReply(
+                granted=False,
+                spent=True,
+                reason=f"{outcome.granted_tokens} of "
+                f"{outcome.budget_tokens} tokens are granted",
+            )
+        if outcome.mark_tokens is None:
+            return self._granted(message)
+        return outcome.mark_tokens
 
     def _granted(
         self, message: gateway_messages.ReserveTurn
--- a/quetzalmill/budget_peers.py
+++ b/quetzalmill/budget_peers.py
@@ -15,7 +15,7 @@
 from quetzalmill import peers as peers_module
 
 COPIES = 2
-"""Peers that must hold a mark that is not durable yet."""
+"""Peers that must hold a mark that is not durable yet, if so many are left."""
 
 PEER_TIMEOUT_MS = 250.0
 """How long a peer may take to answer from memory; many times the way between
@@ -90,14 +90,13 @@
         """Returns whether enough peers keep copies of marks."""
         message = gateway_messages.KeepMarks(part=part, marks=marks)
         copies = 0
-        for beat in self._peers():
-            if beat.leaving:
-                continue
+        staying = [beat for beat in self._peers() if not beat.leaving]
+        for beat in staying:
             reply = await self._call(
                 beat.address, gateway_messages.KEEP_MARKS, message
             )
             copies += reply is not None
-            if copies >= COPIES:
+            if copies >= min(COPIES, len(staying)):
                 return True
         return False
 
--- a/quetzalmill/chain_source.py
+++ b/quetzalmill/chain_source.py
@@ -103,9 +103,7 @@
 
     def answer(
         self, message: gateway_messages.FetchChain
-    ) -> (
-        gateway_messages.ChainReply | Awaitable[gateway_messages.ChainReply]
-    ):
+    ) -> gateway_messages.ChainReply | Awaitable[gateway_messages.ChainReply]:
         """Answers a peer's question."""
         if message.load:
             return self._load(message.turn_id, message.part)
--- a/quetzalmill/clock.py
+++ b/quetzalmill/clock.py
@@ -15,6 +15,10 @@
     def now_ms(self) -> float:
         """Returns the monotonic time in milliseconds."""
 
+
+class WallClock(Clock, Protocol):
+    """Tells the time of day as well; no decision may rest on it."""
+
     def unix_ms(self) -> int:
         """Returns the time of day, which may be wrong and may jump."""
 
--- a/quetzalmill/control.py
+++ b/quetzalmill/control.py
@@ -157,9 +157,7 @@
         channel = self._channels.get(address)
         if channel is None:
             host, port = http_message.split_address(address)
-            channel = _Channel(
-                host, port, codec=_MsgpackCodec(self.traffic)
-            )
+            channel = _Channel(host, port, codec=_MsgpackCodec(self.traffic))
             self._channels[address] = channel
         return channel
 
--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -236,7 +236,9 @@
                     job.call, response.status, response.headers
                 )
                 self._note_load(condition, reply)
-                return await self._take(job, condition, reply, response, exchange)
+                return await self._take(
+                    job, condition, reply, response, exchange
+                )
         except errors.ConnectFailedError:
             job.sends -= 1
             raise
@@ -318,9 +320,7 @@
     await exchange.start_stream(reply.status, reply.headers)
     try:
         async for piece in response:
-            collected += [
-                event.data.encode() for event in parser.feed(piece)
-            ]
+            collected += [event.data.encode() for event in parser.feed(piece)]
             await exchange.send(piece)
     except errors.HttpError as error:
         _log.info("stream_broke_off", reason=str(error))
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -113,9 +113,10 @@
                 cold_until_ms=now_ms + endpoint.cold_ms,
             )
             return True
-        changed = attrs.evolve(
-            known.endpoint, cold_ms=endpoint.cold_ms
-        ) != endpoint or known.doubted_ms is not None
+        changed = (
+            attrs.evolve(known.endpoint, cold_ms=endpoint.cold_ms) != endpoint
+            or known.doubted_ms is not None
+        )
         known.endpoint = endpoint
         known.doubted_ms = None
         known.cold_until_ms = now_ms + endpoint.cold_ms
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -33,6 +33,7 @@
 from quetzalmill import http_server
 from quetzalmill import keyed_store
 from quetzalmill import logs
+from quetzalmill import members
 from quetzalmill import peer_link
 from quetzalmill import route_table
 from quetzalmill import turn_keeper
@@ -133,6 +134,14 @@
         self._client = http_client.HttpClient(
             connect_timeout_ms=CONNECT_TIMEOUT_MS
         )
+        self._members = members.Members(
+            store,
+            settings.host,
+            settings.peer_address,
+            lambda address: self.state.peers.add_address(
+                address, self.clock.now_ms()
+            ),
+        )
         self._stopping = trio.Event()
         self._served = trio.Event()
 
@@ -155,6 +164,7 @@
             server = control.ControlServer(self._control_handlers())
             await server.start(self._settings.peer_address)
             nursery.start_soon(self._follow_peer_tables)
+            nursery.start_soon(self._members.run)
             for task in follow:
                 nursery.start_soon(task, self)
             await self._serve_all(nursery)
@@ -198,9 +208,7 @@
             for part in parts
         ]
         partitions = [
-            turn_store.TurnPartition(
-                part, self._store, self._cache, self.clock
-            )
+            turn_store.TurnPartition(part, self._store, self._cache, self.clock)
             for part in parts
         ]
         self._owners = [
@@ -264,8 +272,7 @@
     def _reserve(
         self, message: gateway_messages.ReserveTurn
     ) -> (
-        gateway_messages.ReserveReply
-        | Awaitable[gateway_messages.ReserveReply]
+        gateway_messages.ReserveReply | Awaitable[gateway_messages.ReserveReply]
     ):
         part = self._part_of(message.program_id)
         return self._owners[part].reserve(message)
@@ -417,6 +424,7 @@
             await trio.sleep(settings.out_of_rotation_ms / 1000.0)
             self._stopping.set()
             await self._served.wait()
+            await self._members.leave()
 
 
 def _report_loop_error(loop: Any, context: dict[str, Any]) -> None:
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -77,7 +77,9 @@
         served = _Served(self, call, exchange, arrived_ms)
         outcome: outcomes.Outcome = outcomes.CallerLeft()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_when_left, exchange, nursery.cancel_scope)
+            nursery.start_soon(
+                _cancel_when_left, exchange, nursery.cancel_scope
+            )
             outcome = await served.run()
             await self._answer(exchange, outcome, served)
             nursery.cancel_scope.cancel()
@@ -254,9 +256,7 @@
             retry_after_ms=NOT_READY_RETRY_MS,
         )
 
-    async def _run_turn(
-        self, service: route_table.Service
-    ) -> outcomes.Outcome:
+    async def _run_turn(self, service: route_table.Service) -> outcomes.Outcome:
         turns = self._handler.turns
         prepared = await turns.prepare(self.call, self.team)
         self.prepared_ms = self._state.clock.now_ms()
@@ -277,9 +277,7 @@
                     used_tokens = 0
             return outcome
         finally:
-            turns.settle(
-                self.call, self.team, used_tokens, is_whole=is_whole
-            )
+            turns.settle(self.call, self.team, used_tokens, is_whole=is_whole)
 
     async def _end(self, streamed: outcomes.Streamed) -> bool:
         safety = await self._handler.turns.end(
--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -43,7 +43,7 @@
         address: str,
         failure_domain: str,
         parts: int,
-        clock: clock_module.Clock,
+        clock: clock_module.WallClock,
     ) -> None:
         self.host = host
         self.instance = instance
--- a/quetzalmill/gateway_turns.py
+++ b/quetzalmill/gateway_turns.py
@@ -10,8 +10,8 @@
 from quetzalmill import errors
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_messages
-from quetzalmill import gateway_state
 from quetzalmill import gateway_outcomes as outcomes
+from quetzalmill import gateway_state
 from quetzalmill import logs
 from quetzalmill import turn_keeper
 
--- a/quetzalmill/peer_link.py
+++ b/quetzalmill/peer_link.py
@@ -24,9 +24,7 @@
         address: IP address and port to listen on.
     """
 
-    def __init__(
-        self, state: gateway_state.GatewayState, address: str
-    ) -> None:
+    def __init__(self, state: gateway_state.GatewayState, address: str) -> None:
         self._state = state
         self._address = address
         self._socket = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -71,4 +69,3 @@
                 _log.warning("beat_unreadable", reason=str(error))
             else:
                 self._state.hear(beat)
-
--- a/quetzalmill/team_buckets.py
+++ b/quetzalmill/team_buckets.py
@@ -53,8 +53,8 @@
         self, teams: dict[str, route_table.Team], now_ms: float
     ) -> None:
         """Takes over new rates; a lower burst cuts what a bucket holds."""
-        for bucket_name, bucket in self._buckets.items():
-            self._fill(bucket_name, bucket, now_ms)
+        for filled_name, filled in self._buckets.items():
+            self._fill(filled_name, filled, now_ms)
         self._teams = teams
         for name, team in teams.items():
             bucket = self._buckets.get(name)
--- a/quetzalmill/turn_keeper.py
+++ b/quetzalmill/turn_keeper.py
@@ -27,7 +27,7 @@
 """How long a peer may take to store a turn or to keep a copy."""
 
 COPIES = 2
-"""Gateways that must hold a turn that is not durable yet."""
+"""Peers that must hold a turn that is not durable yet, if so many are left."""
 
 _log = logs.get("turn_keeper")
 
@@ -130,7 +130,7 @@
             if durable is None:
                 continue
             copies += 1
-            if durable or copies >= COPIES:
+            if durable or copies >= min(COPIES, len(able_first)):
                 result[0] = Safety.DURABLE if durable else Safety.COPIED
                 safe.set()
                 return
--- /dev/null
+++ b/quetzalmill_emulator/platform_endpoint.py
@@ -0,0 +1,131 @@
+"""Stands in for a replica on the users' platform: an engine or a service.
+
+It runs requests as their pages publish it, keeps what it ran for tests to
+look at, and fails as it is told.
+"""
+
+import enum
+
+import attrs
+import trio
+
+from quetzalmill import http_message
+from quetzalmill import http_server
+
+
+class Fault(enum.Enum):
+    """What an endpoint does wrong with its next requests."""
+
+    SHED = "shed"
+    LOSE_ANSWER = "lose answer"
+    FORGED = "forged"
+    CROSSED = "crossed"
+    CUT_STREAM = "cut stream"
+
+
+@attrs.frozen(kw_only=True)
+class Run:
+    """A request that ran.
+
+    Attributes:
+        request_id: The caller's attempt.
+        team: The team that it ran for.
+        body: What it was given.
+        headers: All its headers.
+    """
+
+    request_id: str
+    team: str
+    body: bytes
+    headers: dict[str, str]
+
+
+class PlatformEndpoint:
+    """One endpoint, as a handler of an HTTP server.
+
+    Args:
+        endpoint_id: Its id.
+        events: Events of a stream; none makes it a plain service.
+        pause_ms: The pause before the answer and between events.
+
+    Attributes:
+        faults: What happens to the next requests, one each.
+        runs: The requests that ran.
+        left: Requests whose caller left while they ran.
+    """
+
+    def __init__(
+        self, endpoint_id: str, events: int = 0, pause_ms: float = 5.0
+    ) -> None:
+        self._id = endpoint_id
+        self._events = events
+        self._pause_s = pause_ms / 1000.0
+        self.faults: list[Fault] = []
+        self.runs: list[Run] = []
+        self.left = 0
+
+    async def handle(
+        self, request: http_message.Request, exchange: http_server.Exchange
+    ) -> None:
+        """Answers one request."""
+        headers = request.headers
+        if headers.get("expect-instance") != self._id:
+            await exchange.respond(421, headers={"Instance-Id": self._id})
+            return
+        fault = self.faults.pop(0) if self.faults else None
+        if fault is Fault.SHED:
+            await exchange.respond(503, headers={"Not-Executed": "1"})
+            return
+        self.runs.append(
+            Run(
+                request_id=headers.get("attempt-id", ""),
+                team=headers.get("tenant", ""),
+                body=request.body,
+                headers=headers,
+            )
+        )
+        await trio.sleep(self._pause_s)
+        if fault is Fault.LOSE_ANSWER:
+            exchange.abort()
+            return
+        answer = self._answer_headers(headers.get("attempt-id", ""), fault)
+        if self._events:
+            await self._stream(exchange, answer, fault)
+        else:
+            await exchange.respond(
+                200, f"done by {self._id}".encode(), answer, "text/plain"
+            )
+
+    def _answer_headers(
+        self, request_id: str, fault: Fault | None
+    ) -> dict[str, str]:
+        answer = {
+            "Attempt-Id": request_id,
+            "Response-Signature": f"signed-{self._id}",
+            "Server-Load": "1,0,8",
+        }
+        if fault is Fault.FORGED:
+            del answer["Response-Signature"]
+        if fault is Fault.CROSSED:
+            answer["Attempt-Id"] = "another"
+        return answer
+
+    async def _stream(
+        self,
+        exchange: http_server.Exchange,
+        answer: dict[str, str],
+        fault: Fault | None,
+    ) -> None:
+        await exchange.start_stream(
+            200, {**answer, "Content-Type": "text/event-stream"}
+        )
+        for number in range(1, self._events + 1):
+            if fault is Fault.CUT_STREAM and number == self._events:
+                exchange.abort()
+                return
+            if exchange.disconnected:
+                self.left += 1
+                return
+            await exchange.send(f"id: {number}\ndata: e{number}\n\n".encode())
+            await trio.sleep(self._pause_s)
+        await exchange.finish()
--- /dev/null
+++ b/tests/platform_cluster.py
@@ -0,0 +1,319 @@
+"""Runs gateways as processes on the emulated platform, for tests."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+import contextlib
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+from typing import Any
+
+import attrs
+import trio
+
+from quetzalmill import errors
+from quetzalmill import http_client
+from quetzalmill import http_message
+from quetzalmill import http_server
+from quetzalmill_emulator import platform_endpoint
+from quetzalmill_emulator import platform_store
+from tests import harness
+
+HOST = "desk.example"
+KEY = "key-of-weddings"
+START_TIMEOUT_S = 20.0
+_ROOT = pathlib.Path(__file__).parent.parent
+_LIMITS = http_message.Limits()
+
+
+def desired_state(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Returns a desired state with a turn, a lookup and a booking route."""
+    route = {
+        "host": HOST,
+        "timeoutMs": 4000,
+        "targetLatencyMs": 250,
+        "priority": 1,
+        "maxAttempts": 2,
+        "public": False,
+    }
+    turns = {
+        **route,
+        "name": "chat",
+        "pathPrefix": "/chat/",
+        "kind": "stream",
+        "service": "llm",
+        "stateful": True,
+        "retentionS": 60.0,
+    }
+    return {
+        "version": version,
+        "routes": [
+            turns,
+            {
+                **route,
+                "name": "lookup",
+                "pathPrefix": "/lookup/",
+                "kind": "safe",
+                "service": "app",
+            },
+            {
+                **route,
+                "name": "book",
+                "pathPrefix": "/book/",
+                "kind": "unsafe",
+                "service": "app",
+            },
+        ],
+        "services": [
+            {
+                "name": "llm",
+                "maxConns": 50,
+                "engine": {"slots": 8, "kvTokens": 9000, "chunkTokens": 9},
+            },
+            {"name": "app", "maxConns": 50},
+        ],
+        "limits": {},
+        "tenants": [
+            {
+                "name": "weddings",
+                "apiKeys": [KEY],
+                "ratePerS": 1000,
+                "burst": 1000,
+            },
+            {
+                "name": "rallies",
+                "apiKeys": ["key-of-rallies"],
+                "ratePerS": 1000,
+                "burst": 1000,
+            },
+        ],
+        **changes,
+    }
+
+
+@attrs.define(kw_only=True)
+class Gateway:
+    """One gateway process."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+    callers: str
+    ready: str
+    metrics: str
+    log_path: pathlib.Path
+
+    def log(self) -> str:
+        """Returns what it has logged."""
+        return self.log_path.read_text()
+
+
+class Cluster:
+    """A platform with endpoints and gateways."""
+
+    def __init__(self, nursery: trio.Nursery, path: pathlib.Path) -> None:
+        self._nursery = nursery
+        self._path = path
+        self.store = platform_store.PlatformStore()
+        self.store_address = ""
+        self.endpoints: dict[str, platform_endpoint.PlatformEndpoint] = {}
+        self.gateways: list[Gateway] = []
+        self.client = http_client.HttpClient()
+        self._next_id = 0
+        self._ports = [_free_port() for _ in range(3)]
+
+    async def start_store(self) -> None:
+        """Starts the store with a desired state in it."""
+        self.store_address = await self._serve(self.store.handle)
+        self.store.put("keyed.op", "config", desired_state())
+
+    async def add_endpoint(
+        self, endpoint_id: str, service: str, events: int = 0
+    ) -> platform_endpoint.PlatformEndpoint:
+        """Starts an endpoint and enters it in the store."""
+        endpoint = platform_endpoint.PlatformEndpoint(endpoint_id, events)
+        address = await self._serve(endpoint.handle)
+        self.endpoints[endpoint_id] = endpoint
+        self.store.put(
+            "keyed.servers",
+            endpoint_id,
+            {
+                "service": service,
+                "addr": address,
+                "zone": "a",
+                "slots": 8,
+                "state": "ready",
+                "coldLeftMs": 0,
+                "callSeq": 1,
+                "born": 1,
+            },
+        )
+        return endpoint
+
+    async def add_gateway(self) -> Gateway:
+        """Starts a gateway and waits until it is ready."""
+        name = f"front-{len(self.gateways)}"
+        # Machines differ in their address; ports are alike on all of them.
+        ip = f"127.0.0.{len(self.gateways) + 2}"
+        ports = self._ports
+        settings = self._path / f"{name}.toml"
+        settings.write_text(self._settings(name, ip))
+        log_path = self._path / f"{name}.log"
+        with log_path.open("wb") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "quetzalmill_platform"],
+                cwd=_ROOT,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env={
+                    **os.environ,
+                    "PYTHONPATH": f"{_ROOT}:{_ROOT / 'platform'}",
+                    "QUETZALMILL_BOOT": str(settings),
+                },
+            )
+        gateway = Gateway(
+            name=name,
+            process=process,
+            callers=f"{ip}:{ports[0]}",
+            ready=f"{ip}:{ports[1]}",
+            metrics=f"{ip}:{ports[2] + 1}",
+            log_path=log_path,
+        )
+        self.gateways.append(gateway)
+        await self.until(lambda: self._is_ready(gateway))
+        return gateway
+
+    async def call(
+        self,
+        gateway: Gateway,
+        path: str,
+        *,
+        method: str = "POST",
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        key: str = KEY,
+    ) -> tuple[str, http_message.Response]:
+        """Sends a request; returns its id and the answer."""
+        self._next_id += 1
+        request_id = f"{self._next_id:016x}"
+        all_headers = {"Attempt-Id": request_id, "Deadline-Ms": "4000"}
+        if key:
+            all_headers["Authorization"] = f"Token {key}"
+        response = await self.client.request(
+            gateway.callers,
+            http_message.Request(
+                method=method,
+                path=path,
+                host=HOST,
+                headers={**all_headers, **(headers or {})},
+                body=body,
+            ),
+            timeout_ms=6_000.0,
+            fresh_connection=True,
+        )
+        return request_id, response
+
+    async def turn(
+        self,
+        gateway: Gateway,
+        text: bytes,
+        previous: str = "",
+        *,
+        budget: int = 1_000,
+        program: str = "p1",
+        key: str = KEY,
+    ) -> tuple[str, http_message.Response]:
+        """Sends a turn of a conversation."""
+        headers = {
+            "Program-Id": program,
+            "Session-Id": "s1",
+            "Program-Deadline-Ms": "5000",
+            "Token-Budget": str(budget),
+            "Token-Usage": "10,50",
+        }
+        if previous:
+            headers["Previous-Turn"] = previous
+        return await self.call(
+            gateway, "/chat/1", body=text, headers=headers, key=key
+        )
+
+    async def until(self, check: Callable[[], Awaitable[bool]]) -> None:
+        """Waits until a check holds."""
+        with trio.fail_after(START_TIMEOUT_S):
+            while not await check():
+                await trio.sleep(0.05)
+
+    def stop(self, gateway: Gateway, number: int = signal.SIGKILL) -> None:
+        """Sends a signal to a gateway."""
+        gateway.process.send_signal(number)
+
+    async def _is_ready(self, gateway: Gateway) -> bool:
+        assert gateway.process.poll() is None, gateway.log()
+        try:
+            response = await self.client.request(
+                gateway.ready,
+                http_message.Request(method="GET", path="/ready"),
+                timeout_ms=500.0,
+                fresh_connection=True,
+            )
+        except errors.HttpError:
+            return False
+        return response.status == 200
+
+    async def _serve(self, handler: http_server.Handler) -> str:
+        port = _free_port()
+
+        async def serve(
+            task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+        ) -> None:
+            await http_server.serve(
+                f"127.0.0.1:{port}",
+                handler,
+                limits=_LIMITS,
+                stopping=trio.Event(),
+                task_status=task_status,
+            )
+
+        await self._nursery.start(serve)
+        return f"127.0.0.1:{port}"
+
+    def _settings(self, name: str, ip: str) -> str:
+        ports = self._ports
+        seeds = [f'"{gateway.callers}"' for gateway in self.gateways]
+        return f"""
+node = "{name}"
+ip = "{ip}"
+zone = "a"
+internalPorts = [{ports[2]}, {ports[2] + 1}]
+seeds = [{", ".join(seeds)}]
+[listen]
+front = "{ip}:{ports[0]}"
+ready = "{ip}:{ports[1]}"
+[limits]
+memoryMb = 170
+[bounds]
+graceS = 8
+[platform]
+addr = "{self.store_address}"
+parts = 4
+"""
+
+
+def _free_port() -> int:
+    return int(harness.free_address().rpartition(":")[2])
+
+
+@contextlib.asynccontextmanager
+async def run(path: pathlib.Path) -> AsyncIterator[Cluster]:
+    """Runs a platform; ends what was started when the block ends."""
+    async with trio.open_nursery() as nursery:
+        cluster = Cluster(nursery, path)
+        try:
+            await cluster.start_store()
+            yield cluster
+        finally:
+            for gateway in cluster.gateways:
+                gateway.process.kill()
+                gateway.process.wait()
+            await cluster.client.aclose()
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,271 @@
+"""Tests of program budgets: the accounts and their owner in the store."""
+
+from collections.abc import Awaitable, Callable
+import random
+
+import attrs
+import pytest
+import trio
+import trio.testing
+
+from quetzalmill import budget_owner
+from quetzalmill import budget_peers
+from quetzalmill import clock as clock_module
+from quetzalmill import gateway_messages
+from quetzalmill import program_budgets
+from tests import memory_store
+
+
+class TestBudgetLedger:
+    """The accounts of programs."""
+
+    def test_turns_are_granted_up_to_the_budget(self) -> None:
+        ledger = program_budgets.BudgetLedger()
+        granted = 0
+        for turn in range(10):
+            outcome = ledger.reserve(
+                "p", str(turn), budget_tokens=100, most_tokens=30, now_ms=0.0
+            )
+            granted += isinstance(outcome, program_budgets.Granted)
+        assert granted == 3
+
+    def test_settling_frees_what_was_not_used(self) -> None:
+        ledger = program_budgets.BudgetLedger()
+        _reserve(ledger, "1", most_tokens=100)
+        assert isinstance(_reserve(ledger, "2"), program_budgets.Spent)
+        ledger.settle("p", "1", 10)
+        assert isinstance(_reserve(ledger, "2"), program_budgets.Granted)
+
+    def test_repeated_question_reserves_once(self) -> None:
+        ledger = program_budgets.BudgetLedger()
+        for _ in range(9):
+            assert isinstance(_reserve(ledger, "1"), program_budgets.Granted)
+        assert ledger.programs["p"].granted_tokens == 30
+
+    def test_mark_is_never_below_the_grants_nor_above_the_budget(self) -> None:
+        ledger = program_budgets.BudgetLedger()
+        for turn in range(3):
+            outcome = _reserve(ledger, str(turn))
+            assert isinstance(outcome, program_budgets.Granted)
+            if outcome.mark_tokens is not None:
+                ledger.made_durable("p", outcome.mark_tokens)
+            program = ledger.programs["p"]
+            assert program.granted_tokens <= program.durable_tokens <= 100
+
+    def test_idle_program_is_forgotten(self) -> None:
+        ledger = program_budgets.BudgetLedger()
+        _reserve(ledger, "1")
+        assert ledger.forget_idle(10.0, 100.0) == []
+        ledger.settle("p", "1", 5)
+        assert ledger.forget_idle(10.0, 100.0) == ["p"]
+
+
+def _reserve(
+    ledger: program_budgets.BudgetLedger, turn_id: str, most_tokens: int = 30
+) -> program_budgets.Granted | program_budgets.Spent:
+    return ledger.reserve(
+        "p", turn_id, budget_tokens=100, most_tokens=most_tokens, now_ms=0.0
+    )
+
+
+class _Peers(budget_peers.BudgetPeers):
+    """Stands in for the other gateways."""
+
+    def __init__(self) -> None:
+        self.others: list[budget_owner.BudgetOwner] = []
+        self.kept = budget_peers.KeptMarks()
+        self.reached = True
+
+    async def hand_over(
+        self, part: int
+    ) -> list[gateway_messages.HandOverReply]:
+        await trio.lowlevel.checkpoint()
+        replies = []
+        for other in self.others:
+            epoch, accounts = other.hand_over()
+            replies.append(
+                gateway_messages.HandOverReply(
+                    epoch=epoch,
+                    accounts=accounts,
+                    marks=self.kept.of_part(part),
+                )
+            )
+        return replies
+
+    async def copy_marks(self, part: int, marks: dict[str, int]) -> bool:
+        await trio.lowlevel.checkpoint()
+        if self.reached:
+            self.kept.keep(part, marks)
+        return self.reached
+
+
+@attrs.define
+class _Gateways:
+    store: memory_store.MemoryStore
+    peers: _Peers
+    nursery: trio.Nursery
+
+    def owner(self) -> budget_owner.BudgetOwner:
+        """Returns the owner that one more gateway would be."""
+        return budget_owner.BudgetOwner(
+            0,
+            self.store,
+            clock_module.SystemClock(),
+            self.nursery,
+            self.peers,
+            lambda answered: None,
+            lambda: not self.store.down,
+        )
+
+
+async def _ask(
+    owner: budget_owner.BudgetOwner, turn_id: str, most_tokens: int = 30
+) -> gateway_messages.ReserveReply:
+    reply = owner.reserve(
+        gateway_messages.ReserveTurn(
+            program_id="t/p",
+            turn_id=turn_id,
+            budget_tokens=100,
+            most_tokens=most_tokens,
+        )
+    )
+    if isinstance(reply, gateway_messages.ReserveReply):
+        return reply
+    return await reply
+
+
+def _run(case: Callable[[_Gateways], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            await case(_Gateways(memory_store.MemoryStore(), _Peers(), nursery))
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class TestBudgetOwner:
+    """One owner after the other, and the store between them."""
+
+    def test_first_mark_of_a_term_is_appended(self) -> None:
+        """A claim and the first write after it must not share a number."""
+
+        async def case(gateways: _Gateways) -> None:
+            assert (await _ask(gateways.owner(), "1")).granted
+            mark = gateways.store.value("budgets", 0, "t/p")
+            assert mark is not None and int(mark) >= 30
+
+        _run(case)
+
+    def test_owner_after_a_crash_charges_the_mark(self) -> None:
+        async def case(gateways: _Gateways) -> None:
+            assert (await _ask(gateways.owner(), "1", 90)).granted
+            reply = await _ask(gateways.owner(), "2", 20)
+            assert reply.spent and not reply.granted
+
+        _run(case)
+
+    def test_living_owner_hands_over_exact_accounts(self) -> None:
+        async def case(gateways: _Gateways) -> None:
+            first = gateways.owner()
+            assert (await _ask(first, "1", 90)).granted
+            first.settle("t/p", "1", 10, "")
+            gateways.peers.others = [first]
+            assert (await _ask(gateways.owner(), "2", 80)).granted
+
+        _run(case)
+
+    def test_accounts_of_an_older_owner_do_not_count(self) -> None:
+        async def case(gateways: _Gateways) -> None:
+            oldest = gateways.owner()
+            assert (await _ask(oldest, "1", 10)).granted
+            crashed = gateways.owner()
+            assert (await _ask(crashed, "2", 60)).granted
+            gateways.peers.others = [oldest]
+            assert not (await _ask(gateways.owner(), "3", 40)).granted
+
+        _run(case)
+
+    def test_deposed_owner_grants_nothing_beyond_its_marks(self) -> None:
+        async def case(gateways: _Gateways) -> None:
+            first, second = gateways.owner(), gateways.owner()
+            granted = 0
+            for turn in range(20):
+                for owner in (first, second):
+                    reply = await _ask(owner, f"{id(owner)}-{turn}", 10)
+                    granted += 10 * reply.granted
+            assert granted <= 100
+
+        _run(case)
+
+    def test_lost_answer_neither_loses_nor_doubles(self) -> None:
+        async def case(gateways: _Gateways) -> None:
+            owner = gateways.owner()
+            assert (await _ask(owner, "1", 10)).granted
+            gateways.store.lost_answers = 3
+            assert (await _ask(owner, "2", 60)).granted
+            mark = gateways.store.value("budgets", 0, "t/p")
+            assert mark is not None and int(mark) >= 70
+
+        _run(case)
+
+    def test_outage_is_bridged_by_copies(self) -> None:
+        async def case(gateways: _Gateways) -> None:
+            owner = gateways.owner()
+            assert (await _ask(owner, "1", 10)).granted
+            gateways.store.down = True
+            assert (await _ask(owner, "2", 80)).granted
+            assert gateways.peers.kept.of_part(0)["t/p"] >= 90
+
+        _run(case)
+
+    def test_copied_marks_are_durable_after_the_next_claim(self) -> None:
+        async def case(gateways: _Gateways) -> None:
+            owner = gateways.owner()
+            assert (await _ask(owner, "1", 10)).granted
+            gateways.peers.kept.keep(0, {"t/p": 90})
+            bystander = gateways.owner()
+            gateways.peers.others = [bystander]
+            assert not (await _ask(gateways.owner(), "2", 20)).granted
+            mark = gateways.store.value("budgets", 0, "t/p")
+            assert mark is not None and int(mark) >= 90
+
+        _run(case)
+
+    def test_outage_without_peers_grants_nothing(self) -> None:
+        async def case(gateways: _Gateways) -> None:
+            owner = gateways.owner()
+            assert (await _ask(owner, "1", 10)).granted
+            gateways.store.down = True
+            gateways.peers.reached = False
+            reply = await _ask(owner, "2", 80)
+            assert not reply.granted and not reply.spent
+
+        _run(case)
+
+    @pytest.mark.parametrize("seed", range(20))
+    def test_random_faults_never_overspend(self, seed: int) -> None:
+        """Owners come, crash and hand over at random, answers get lost."""
+        choice = random.Random(seed)
+
+        async def case(gateways: _Gateways) -> None:
+            owners = [gateways.owner() for _ in range(3)]
+            granted = 0
+            for turn in range(60):
+                gateways.store.lost_answers = choice.randrange(2)
+                gateways.store.down = choice.random() < 0.1
+                slot = choice.randrange(3)
+                if choice.random() < 0.15:
+                    owners[slot] = gateways.owner()
+                gateways.peers.others = [
+                    owner
+                    for owner in owners
+                    if owner is not owners[slot] and choice.random() < 0.7
+                ]
+                reply = await _ask(owners[slot], str(turn), 10)
+                used = choice.choice([0, 5, 10]) if reply.granted else 0
+                granted += used
+                if reply.granted:
+                    owners[slot].settle("t/p", str(turn), used, "")
+            assert granted <= 100
+
+        _run(case)
--- /dev/null
+++ b/tests/test_platform_gateway.py
@@ -0,0 +1,333 @@
+"""Tests of whole gateways as processes on the emulated platform."""
+
+from collections.abc import Awaitable, Callable
+import pathlib
+import signal
+
+import pytest
+import trio
+
+from quetzalmill import errors
+from quetzalmill import http_message
+from quetzalmill_emulator import platform_endpoint
+from tests import platform_cluster
+
+_Fault = platform_endpoint.Fault
+Case = Callable[[platform_cluster.Cluster], Awaitable[None]]
+
+
+def _run(path: pathlib.Path, case: Case) -> None:
+    async def run() -> None:
+        async with platform_cluster.run(path) as cluster:
+            await case(cluster)
+
+    trio.run(run)
+
+
+class TestRequests:
+    """Requests to plain services."""
+
+    def test_lookup_is_answered_whole(self, tmp_path: pathlib.Path) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            app = await cluster.add_endpoint("app-1", "app")
+            gateway = await cluster.add_gateway()
+            request_id, response = await cluster.call(
+                gateway, "/lookup/7?x=1", method="GET"
+            )
+            assert response.status == 200
+            assert response.body == b"done by app-1"
+            assert response.headers["response-signature"] == "signed-app-1"
+            assert app.runs[0].request_id == request_id
+            assert app.runs[0].team == "weddings"
+            assert "authorization" not in app.runs[0].headers
+            assert app.runs[0].headers["host"] == platform_cluster.HOST
+
+        _run(tmp_path, case)
+
+    @pytest.mark.parametrize(
+        ("path", "key", "status"),
+        [
+            ("/nowhere/1", platform_cluster.KEY, 404),
+            ("/lookup/1", "unknown", 401),
+            ("/lookup/1", "", 401),
+        ],
+    )
+    def test_denied(
+        self, tmp_path: pathlib.Path, path: str, key: str, status: int
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            app = await cluster.add_endpoint("app-1", "app")
+            gateway = await cluster.add_gateway()
+            _, response = await cluster.call(gateway, path, key=key)
+            assert response.status == status
+            assert not app.runs
+
+        _run(tmp_path, case)
+
+    @pytest.mark.parametrize(
+        ("path", "faults", "status", "runs"),
+        [
+            ("/lookup/1", [_Fault.SHED], 200, 1),
+            ("/book/1", [_Fault.SHED], 200, 1),
+            ("/lookup/1", [_Fault.LOSE_ANSWER], 200, 2),
+            ("/book/1", [_Fault.LOSE_ANSWER], 502, 1),
+            ("/lookup/1", [_Fault.FORGED], 200, 2),
+            ("/book/1", [_Fault.FORGED], 502, 1),
+            ("/lookup/1", [_Fault.CROSSED], 200, 2),
+            ("/book/1", [_Fault.CROSSED], 502, 1),
+        ],
+    )
+    def test_faulty_endpoint(
+        self,
+        tmp_path: pathlib.Path,
+        path: str,
+        faults: list[platform_endpoint.Fault],
+        status: int,
+        runs: int,
+    ) -> None:
+        """A booking runs at most once; a refusal says that none ran."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            apps = [
+                await cluster.add_endpoint(f"app-{number}", "app")
+                for number in range(2)
+            ]
+            for app in apps:
+                app.faults = list(faults)
+            gateway = await cluster.add_gateway()
+            # Whichever endpoint is chosen first is faulty, the other is not.
+            first_calls = _clear_other_on_first_use(apps)
+            _, response = await cluster.call(gateway, path)
+            assert first_calls is apps
+            assert response.status == status
+            assert sum(len(app.runs) for app in apps) == runs
+
+        _run(tmp_path, case)
+
+    def test_refusal_by_all_says_when_to_come_back(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            app = await cluster.add_endpoint("app-1", "app")
+            app.faults = [_Fault.SHED] * 8
+            gateway = await cluster.add_gateway()
+            _, response = await cluster.call(gateway, "/book/1")
+            assert response.status == 503
+            assert float(response.headers["retry-after"]) > 0
+            assert not app.runs
+
+        _run(tmp_path, case)
+
+    def test_new_desired_state_is_in_force(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("app-1", "app")
+            gateway = await cluster.add_gateway()
+            state = platform_cluster.desired_state(2, tenants=[])
+            state["tenants"] = [
+                {"name": "weddings", "apiKeys": ["new"], "ratePerS": 0}
+            ]
+            cluster.store.put("keyed.op", "config", state)
+
+            async def is_denied() -> bool:
+                _, response = await cluster.call(gateway, "/lookup/1")
+                return response.status == 401
+
+            await cluster.until(is_denied)
+            _, response = await cluster.call(gateway, "/lookup/1", key="new")
+            assert response.status == 200
+
+        _run(tmp_path, case)
+
+    def test_state_and_metrics_are_shown(self, tmp_path: pathlib.Path) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("app-1", "app")
+            gateway = await cluster.add_gateway()
+            request_id, _ = await cluster.call(gateway, "/lookup/1")
+            for path, text in (
+                ("/metrics", b"quetzalmill_requests_total"),
+                ("/state", b'"table_version":1'),
+            ):
+                response = await cluster.client.request(
+                    gateway.metrics,
+                    http_message.Request(method="GET", path=path),
+                    timeout_ms=2_000.0,
+                )
+                assert text in response.body
+            assert f"request_id={request_id}" in gateway.log()
+            assert platform_cluster.KEY not in gateway.log()
+
+        _run(tmp_path, case)
+
+
+class TestTurns:
+    """Conversations that the system keeps."""
+
+    def test_chain_reaches_the_engine_whole(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=2)
+            gateway = await cluster.add_gateway()
+            first, response = await cluster.turn(gateway, b"hello")
+            assert response.status == 200
+            assert response.body.endswith(b"data: e2\n\n")
+            second, _ = await cluster.turn(gateway, b"more", first)
+            await cluster.turn(gateway, b"side", first)
+            await cluster.turn(gateway, b"last", second)
+            assert [run.body for run in engine.runs] == [
+                b"hello",
+                b"helloe1\ne2\nmore",
+                b"helloe1\ne2\nside",
+                b"helloe1\ne2\nmoree1\ne2\nlast",
+            ]
+
+        _run(tmp_path, case)
+
+    def test_chain_goes_on_at_another_gateway(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=1)
+            one = await cluster.add_gateway()
+            other = await cluster.add_gateway()
+            first, _ = await cluster.turn(one, b"hello")
+            _, response = await cluster.turn(other, b"more", first)
+            assert response.status == 200
+            assert engine.runs[-1].body == b"helloe1\nmore"
+
+        _run(tmp_path, case)
+
+    @pytest.mark.parametrize("program", ["p1", "another"])
+    def test_chain_outlives_all_gateways(
+        self, tmp_path: pathlib.Path, program: str
+    ) -> None:
+        """Another program of the team may go on from an earlier turn."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=1)
+            gateway = await cluster.add_gateway()
+            first, _ = await cluster.turn(gateway, b"hello")
+            cluster.stop(gateway)
+            fresh = await cluster.add_gateway()
+            _, response = await cluster.turn(
+                fresh, b"more", first, program=program
+            )
+            assert response.status == 200
+            assert engine.runs[-1].body == b"helloe1\nmore"
+
+        _run(tmp_path, case)
+
+    @pytest.mark.parametrize("key", [platform_cluster.KEY, "key-of-rallies"])
+    def test_turn_that_is_not_the_teams(
+        self, tmp_path: pathlib.Path, key: str
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=1)
+            gateway = await cluster.add_gateway()
+            first, _ = await cluster.turn(gateway, b"hello")
+            previous = first if key != platform_cluster.KEY else "0" * 16
+            _, response = await cluster.turn(
+                gateway, b"more", previous, key=key
+            )
+            assert response.status == 404
+            assert len(engine.runs) == 1
+
+        _run(tmp_path, case)
+
+    def test_unsure_is_not_absent(self, tmp_path: pathlib.Path) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("llm-1", "llm", events=1)
+            gateway = await cluster.add_gateway()
+            await cluster.turn(gateway, b"hello")
+            cluster.store.down = True
+            _, response = await cluster.turn(gateway, b"more", "f" * 16)
+            assert response.status == 503
+
+        _run(tmp_path, case)
+
+    def test_budget_holds_over_a_restart(self, tmp_path: pathlib.Path) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=5)
+            statuses = []
+            for _ in range(3):
+                gateway = await cluster.add_gateway()
+                for _ in range(3):
+                    _, response = await cluster.turn(
+                        gateway, b"loop", budget=150
+                    )
+                    statuses.append(response.status)
+                cluster.stop(gateway)
+            # A turn hands out five events of nine tokens.
+            assert len(engine.runs) * 45 <= 150 + 50
+            assert statuses.count(402) == 9 - len(engine.runs)
+
+        _run(tmp_path, case)
+
+    def test_cut_stream_does_not_look_complete(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=3)
+            engine.faults = [_Fault.CUT_STREAM]
+            gateway = await cluster.add_gateway()
+            with pytest.raises(errors.HttpError):
+                await cluster.turn(gateway, b"hello")
+            assert len(engine.runs) == 1
+
+        _run(tmp_path, case)
+
+    def test_outage_of_the_store_is_bridged_by_peers(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=1)
+            gateways = [await cluster.add_gateway() for _ in range(3)]
+            first, _ = await cluster.turn(gateways[0], b"hello")
+            cluster.store.down = True
+            second, response = await cluster.turn(gateways[1], b"more", first)
+            assert response.status == 200
+            cluster.stop(gateways[1])
+            _, response = await cluster.turn(gateways[2], b"last", second)
+            assert response.status == 200
+            assert engine.runs[-1].body == b"helloe1\nmoree1\nlast"
+
+        _run(tmp_path, case)
+
+
+class TestShutdown:
+    """SIGTERM under way."""
+
+    def test_running_turn_ends_whole(self, tmp_path: pathlib.Path) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("llm-1", "llm", events=40)
+            gateway = await cluster.add_gateway()
+            answers = []
+
+            async def send() -> None:
+                answers.append(await cluster.turn(gateway, b"hello"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send)
+                await trio.sleep(0.1)
+                cluster.stop(gateway, signal.SIGTERM)
+            assert answers[0][1].body.endswith(b"data: e40\n\n")
+
+            async def has_ended() -> bool:
+                return gateway.process.poll() is not None
+
+            await cluster.until(has_ended)
+            assert gateway.process.returncode == 0
+
+        _run(tmp_path, case)
+
+
+def _clear_other_on_first_use(
+    apps: list[platform_endpoint.PlatformEndpoint],
+) -> list[platform_endpoint.PlatformEndpoint]:
+    """Makes the endpoints share one list of faults."""
+    shared = apps[0].faults
+    for app in apps:
+        app.faults = shared
+    return apps
