Count the holders of copies also when nobody is left to ask

Found by the test of an outage, red before: once the only peer left held its copy, nobody was asked any more and the count was never looked at, so a turn ended unsafe after 4 s.

--- a/quetzalmill/copies.py
+++ b/quetzalmill/copies.py
@@ -37,13 +37,12 @@
         staying = [beat for beat in peers() if not beat.leaving]
         staying.sort(key=lambda beat: not beat.store_reached)
         for beat in staying:
-            if beat.address in holders:
-                continue
-            kept = await ask(beat.address)
-            if kept is Kept.DURABLE:
-                return kept
-            if kept is Kept.COPIED:
-                holders.add(beat.address)
+            if beat.address not in holders:
+                kept = await ask(beat.address)
+                if kept is Kept.DURABLE:
+                    return kept
+                if kept is Kept.COPIED:
+                    holders.add(beat.address)
             if holders and len(holders) >= min(COPIES, len(staying)):
                 return Kept.COPIED
         await trio.sleep(ROUND_MS / 1000.0)
