Copy a turn's whole chain while the store is away

Found by the test of an outage, red before: a turn that was copied to peers could not be continued there once its gateway had died, since its earlier turns lay in the store alone. The copy now brings them along.

--- a/quetzalmill/gateway_messages.py
+++ b/quetzalmill/gateway_messages.py
@@ -138,14 +138,21 @@
 
 @attrs.frozen(kw_only=True)
 class StoreTurns:
-    """Asks a peer to make turns durable, or else to keep copies."""
+    """Asks a peer to make a turn durable, or else to keep a copy.
 
-    turns: list[conversations.Turn]
+    Attributes:
+        turn: The turn.
+        before: The turns that it continues. They are stored already, but
+            while the store is away nobody could read them there.
+    """
+
+    turn: conversations.Turn
+    before: list[conversations.Turn]
 
 
 @attrs.frozen(kw_only=True)
 class StoreReply:
-    """Says what became of the turns; if not durable, they are kept."""
+    """Says what became of the turn; if not durable, it is kept."""
 
     durable: bool
 
--- a/quetzalmill/turn_keeper.py
+++ b/quetzalmill/turn_keeper.py
@@ -83,16 +83,14 @@
     async def take(
         self, message: gateway_messages.StoreTurns
     ) -> gateway_messages.StoreReply:
-        """Stores a peer's turns, or keeps copies if the store is away."""
-        waiting = []
-        for turn in message.turns:
+        """Stores a peer's turn, or keeps a copy if the store is away."""
+        for turn in (*message.before, message.turn):
             self._cache.keep(turn)
-            waiting.append(self._put(turn))
+        done = self._put(message.turn)
         if not self._store_reached():
             return gateway_messages.StoreReply(durable=False)
         with trio.move_on_after(STORE_PATIENCE_MS / 1000.0):
-            for done in waiting:
-                await done.wait()
+            await done.wait()
             return gateway_messages.StoreReply(durable=True)
         return gateway_messages.StoreReply(durable=False)
 
@@ -123,11 +121,12 @@
     async def _ask_peer(
         self, address: str, turn: conversations.Turn
     ) -> copies.Kept:
+        before, _ = self._cache.chain(turn.previous_id)
         try:
             reply: gateway_messages.StoreReply = await self._client.call(
                 address,
                 gateway_messages.STORE_TURNS,
-                gateway_messages.StoreTurns(turns=[turn]),
+                gateway_messages.StoreTurns(turn=turn, before=before),
                 timeout_ms=PEER_TIMEOUT_MS,
             )
         except errors.ControlError as error:
