Doubt a vanished entry only after an outage of the store itself

Ruled out: late news (all gateways read the removal within 15 ms). Doubt now needs an outage of 700 ms during which no peer reached the store. Test red before.

--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -13,6 +13,14 @@
 from quetzalmill import route_table
 from quetzalmill import team_buckets
 
+OUTAGE_MS = 700.0
+"""How long calls must fail for an outage; one refused call is none, and
+entries lapse only after several heartbeats."""
+
+LOCAL_AFTER_MS = 600.0
+"""How long after this gateway lost the store a peer that still reaches it
+shows that only the way there is lost; three beats."""
+
 AWAY_ECHO_MS = 3_000.0
 """How long after the store's return missing entries may still come back."""
 
@@ -62,6 +70,7 @@
         self._confirmed_ms = float("-inf")
         self._store_failing_ms: float | None = None
         self._store_back_ms = float("-inf")
+        self._outage_is_local = False
         self._sequence = 0
 
     def is_ready(self) -> bool:
@@ -102,10 +111,12 @@
             if self._store_failing_ms is not None:
                 failing_ms = now_ms - self._store_failing_ms
                 _log.info("store_regained", after_ms=round(failing_ms))
-                self._store_back_ms = now_ms
+                if failing_ms >= OUTAGE_MS and not self._outage_is_local:
+                    self._store_back_ms = now_ms
             self._store_failing_ms = None
         elif self._store_failing_ms is None:
             self._store_failing_ms = now_ms
+            self._outage_is_local = False
             _log.warning("store_lost")
 
     def store_reached(self) -> bool:
@@ -113,9 +124,12 @@
         return self._store_failing_ms is None
 
     def store_was_away(self) -> bool:
-        """Returns whether entries may have lapsed only for want of a store."""
+        """Returns whether entries may have lapsed only for want of a store.
+
+        They do not while some gateway reaches it, since endpoints do too.
+        """
         since_ms = self.clock.now_ms() - self._store_back_ms
-        return not self.store_reached() or since_ms < AWAY_ECHO_MS
+        return since_ms < AWAY_ECHO_MS
 
     def beat(self) -> peers_module.Beat:
         """Returns what this gateway says of itself, with a new number."""
@@ -156,8 +170,12 @@
         self.buckets.set_heard_part(self.peers.heard_part(now_ms), now_ms)
         self.pool.hear_running(self.peers.running(now_ms))
         self.crashes.forget_old(now_ms)
-        if not self.store_reached():
+        if self._store_failing_ms is not None:
             self.pool.extend_doubt(now_ms)
+            if now_ms - self._store_failing_ms > LOCAL_AFTER_MS and any(
+                beat.store_reached for beat in self.alive_peers()
+            ):
+                self._outage_is_local = True
         for endpoint_id in self.pool.drop_doubted(now_ms):
             _log.info("endpoint_gone", endpoint=endpoint_id, reason="lapsed")
 
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -441,12 +441,21 @@
         clock.advance(gateway_state.FRESH_MS + 1.0)
         assert not state.table_is_fresh()
 
-    def test_entries_are_doubted_for_a_while_after_an_outage(self) -> None:
+    @pytest.mark.parametrize(
+        ("failing_ms", "peer_reaches_it", "doubted"),
+        [(3_000.0, False, True), (3_000.0, True, False), (100.0, False, False)],
+    )
+    def test_entries_are_doubted_after_an_outage_of_the_store_itself(
+        self, failing_ms: float, peer_reaches_it: bool, doubted: bool
+    ) -> None:
+        """A leaving endpoint got work 2072 ms after its entry went, at a
+        gateway that alone had lost the store for some seconds."""
         state, clock = self._state()
-        assert not state.store_was_away()
         state.store_answered(False)
-        assert state.store_was_away()
+        clock.advance(failing_ms)
+        state.hear(_beat("b:1", store_reached=peer_reaches_it))
+        state.tick()
         state.store_answered(True)
-        assert state.store_was_away()
+        assert state.store_was_away() == doubted
         clock.advance(gateway_state.AWAY_ECHO_MS + 1.0)
         assert not state.store_was_away()
