Let a turn's end wait for the store, also through an outage

Turns whose ends had gone out with copies on two peers were gone with the peers. Ruled out: reading of the partitions (nothing unreadable, no page failed), turns of other programs. A turn's end now waits until it is durable; a gateway that alone lost the store has a peer write for it; while no gateway reaches the store, turns are refused at once with when to come back. Copies of turns and of marks are removed. Tests: an outage under a running turn and the loss of all gateways; both red with copies, green now.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -6,9 +6,8 @@
 knowledge is refused at its next write and then reads everything again.
 
 A new owner asks the one before for its accounts, which are exact; only if that
-one is gone does it charge the marks. While the store is away, copies of a mark
-on two peers stand in for it: no other gateway can claim the partition then,
-and the next owner asks for the copies.
+one is gone does it charge the marks. While the store is away, an owner grants
+no more than its marks; they must outlive the loss of all gateways.
 """
 
 from collections.abc import Awaitable, Callable
@@ -32,9 +31,6 @@
 """The key of the record that names the last owner's epoch; no program's id
 begins with a null character."""
 
-STORE_PATIENCE_MS = 150.0
-"""How long a write may take before copies on peers are made as well."""
-
 WRITE_TIMEOUT_MS = 400.0
 """How long the store may take for one write before it is sent again; many
 times its usual answer of a few milliseconds."""
@@ -167,36 +163,10 @@
         pending = _Pending(message.program_id, outcome)
         self._pending.append(pending)
         self._start_writing()
-        await self._wait_until_safe(pending)
-        return self._granted(message)
-
-    async def _wait_until_safe(self, pending: _Pending) -> None:
-        """Returns once a mark is durable, or copied while the store is away.
-
-        Raises:
-            errors.PortError: The partition was lost.
-        """
-        if self._store_reached():
-            with trio.move_on_after(STORE_PATIENCE_MS / 1000.0):
-                await pending.done.wait()
-        if not pending.done.is_set():
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._copy, pending, nursery.cancel_scope)
-                await pending.done.wait()
-                nursery.cancel_scope.cancel()
+        await pending.done.wait()
         if pending.error is not None:
             raise pending.error
-
-    async def _copy(self, pending: _Pending, scope: trio.CancelScope) -> None:
-        marks = {pending.program_id: pending.mark_tokens}
-        await self._peers.copy_marks(self._part, marks)
-        _log.info(
-            "mark_copied",
-            part=self._part,
-            program_id=pending.program_id,
-            mark_tokens=pending.mark_tokens,
-        )
-        scope.cancel()
+        return self._granted(message)
 
     def hand_over(self) -> tuple[int, dict[str, program_budgets.Account]]:
         """Stops owning the partition.
@@ -266,9 +236,6 @@
         now_ms = self._clock.now_ms()
         for program_id, mark_tokens in marks.items():
             ledger.load(program_id, mark_tokens, now_ms)
-        for reply in replies:
-            for program_id, mark_tokens in reply.marks.items():
-                ledger.charge(program_id, mark_tokens, now_ms)
         exact = [reply for reply in replies if reply.epoch == last_epoch]
         if last_epoch and exact:
             ledger.take_over(exact[0].accounts, now_ms)
@@ -286,7 +253,7 @@
         return term
 
     async def _open(self, term: _Term) -> None:
-        """Makes durable what only peers knew, together with the epoch."""
+        """Makes durable what was granted, together with the epoch."""
         behind = term.ledger.behind()
         marks = {EPOCH_KEY: term.fence.epoch, **behind}
         await self._write_once(
--- a/quetzalmill/budget_peers.py
+++ b/quetzalmill/budget_peers.py
@@ -1,15 +1,10 @@
-"""What gateways do for the owner of a partition of budgets.
-
-They keep copies of marks that the store cannot take for the moment, and a
-former owner hands its accounts to the next.
-"""
+"""Asks the other gateways for the accounts of a partition of budgets."""
 
 from collections.abc import Callable
 
 import trio
 
 from quetzalmill import control
-from quetzalmill import copies
 from quetzalmill import errors
 from quetzalmill import gateway_messages
 from quetzalmill import logs
@@ -19,35 +14,9 @@
 """How long a peer may take to answer from memory; many times the way between
 failure domains."""
 
-_MOST_KEPT = 50_000
-
 _log = logs.get("budget_peers")
 
 
-class KeptMarks:
-    """Copies of marks, kept for the owners of partitions."""
-
-    def __init__(self) -> None:
-        self._marks: dict[tuple[int, str], int] = {}
-
-    def keep(self, part: int, marks: dict[str, int]) -> None:
-        """Keeps marks; a program's highest one stands."""
-        for program_id, mark_tokens in marks.items():
-            key = (part, program_id)
-            known = self._marks.pop(key, 0)
-            self._marks[key] = max(known, mark_tokens)
-        while len(self._marks) > _MOST_KEPT:
-            del self._marks[next(iter(self._marks))]
-
-    def of_part(self, part: int) -> dict[str, int]:
-        """Returns the marks of one partition."""
-        return {
-            program_id: mark_tokens
-            for (each, program_id), mark_tokens in self._marks.items()
-            if each == part
-        }
-
-
 class BudgetPeers:
     """Asks peers on behalf of an owner.
 
@@ -84,18 +53,6 @@
                 nursery.start_soon(ask, beat.address)
         return replies
 
-    async def copy_marks(self, part: int, marks: dict[str, int]) -> None:
-        """Returns once enough peers keep copies of marks."""
-        message = gateway_messages.KeepMarks(part=part, marks=marks)
-
-        async def ask(address: str) -> copies.Kept:
-            reply = await self._call(
-                address, gateway_messages.KEEP_MARKS, message
-            )
-            return copies.Kept.NOT if reply is None else copies.Kept.COPIED
-
-        await copies.keep(self._peers, ask)
-
     async def _call(
         self, address: str, method: control.Method, message: object
     ) -> object | None:
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -129,7 +129,6 @@
             self.state.peers.add_address(address, self.clock.now_ms())
         cache_bytes = int(settings.memory_mb * _CACHE_PART * _BYTES_PER_MB)
         self._cache = conversations.Conversations(cache_bytes)
-        self._kept_marks = budget_peers.KeptMarks()
         self._control = control.ControlClient()
         self._client = http_client.HttpClient(
             connect_timeout_ms=CONNECT_TIMEOUT_MS
@@ -264,9 +263,8 @@
             gateway_messages.RESERVE_TURN: self._reserve,
             gateway_messages.SETTLE_TURN: self._settle,
             gateway_messages.HAND_OVER: self._hand_over,
-            gateway_messages.KEEP_MARKS: self._keep_marks,
             gateway_messages.FETCH_CHAIN: self._source.answer,
-            gateway_messages.STORE_TURNS: self._keeper.take,
+            gateway_messages.STORE_TURN: self._keeper.take,
             gateway_messages.FETCH_TABLE: self._hand_table,
         }
 
@@ -293,17 +291,7 @@
         self, message: gateway_messages.HandOver
     ) -> gateway_messages.HandOverReply:
         epoch, accounts = self._owners[message.part].hand_over()
-        return gateway_messages.HandOverReply(
-            epoch=epoch,
-            accounts=accounts,
-            marks=self._kept_marks.of_part(message.part),
-        )
-
-    def _keep_marks(
-        self, message: gateway_messages.KeepMarks
-    ) -> gateway_messages.KeepReply:
-        self._kept_marks.keep(message.part, message.marks)
-        return gateway_messages.KeepReply()
+        return gateway_messages.HandOverReply(epoch=epoch, accounts=accounts)
 
     def _part_of(self, account: str) -> int:
         return self.state.partition_of(account.rpartition("/")[2])
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -16,7 +16,6 @@
 from quetzalmill import http_server
 from quetzalmill import logs
 from quetzalmill import route_table
-from quetzalmill import turn_keeper
 
 NOT_READY_RETRY_MS = 500.0
 """When to come back to a gateway that knows no route table yet; starting
@@ -26,7 +25,7 @@
 """When to come back with a request that has ended several endpoints."""
 
 END_RESERVE_MS = 150.0
-"""Time kept back from a turn's run to make its end safe."""
+"""Time kept back from a turn's run to make its end durable."""
 
 _BASE_PRIORITY = 2
 _HIGHEST_PRIORITY = 0
@@ -107,7 +106,7 @@
                     outcome.status, outcome.body, headers, content_type
                 )
             case outcomes.Streamed(complete=True):
-                if served.end_is_safe:
+                if served.end_is_durable:
                     await exchange.finish()
                 else:
                     exchange.abort()
@@ -123,6 +122,8 @@
         """Counts a request and logs its one line."""
         took_ms = self._state.clock.now_ms() - served.arrived_ms
         kind, detail = _describe(outcome)
+        if kind == "streamed" and not served.end_is_durable:
+            kind = "not_durable"
         if exchange.disconnected and kind not in ("refused", "answered"):
             kind = "caller_left"
         job = served.job
@@ -191,7 +192,7 @@
         self.route: route_table.Route | None = None
         self.team = ""
         self.job: dispatch.Job | None = None
-        self.end_is_safe = True
+        self.end_is_durable = True
 
     async def run(self) -> outcomes.Outcome:
         """Runs the request as far as its outcome is known."""
@@ -276,8 +277,8 @@
                 case outcomes.Streamed():
                     used_tokens = outcome.events * service.event_tokens
                     if outcome.complete:
-                        self.end_is_safe = await self._end(outcome)
-                        is_whole = self.end_is_safe
+                        self.end_is_durable = await self._end(outcome)
+                        is_whole = self.end_is_durable
                 case outcomes.Refused():
                     used_tokens = 0
             return outcome
@@ -285,20 +286,13 @@
             turns.settle(self.call, self.team, used_tokens, is_whole=is_whole)
 
     async def _end(self, streamed: outcomes.Streamed) -> bool:
-        safety = await self._handler.turns.end(
+        return await self._handler.turns.end(
             self.call,
             self.team,
             streamed,
             "" if self.job is None else self.job.ran_on,
             timeout_ms=max(END_RESERVE_MS, self._left_ms()),
         )
-        if safety is not turn_keeper.Safety.DURABLE:
-            _log.info(
-                "turn_not_durable",
-                request_id=self.call.request_id,
-                safety=safety.value,
-            )
-        return safety is not turn_keeper.Safety.UNSAFE
 
     async def _run(
         self, service: route_table.Service, body: bytes, reserve_ms: float
--- a/quetzalmill/gateway_messages.py
+++ b/quetzalmill/gateway_messages.py
@@ -70,7 +70,7 @@
 
 @attrs.frozen(kw_only=True)
 class HandOver:
-    """Asks for all that a peer knows of a partition's budgets.
+    """Asks a former owner of a partition for its accounts.
 
     A peer that still believes itself the owner stops being it.
     """
@@ -80,30 +80,15 @@
 
 @attrs.frozen(kw_only=True)
 class HandOverReply:
-    """What a peer knows of a partition's budgets.
+    """The accounts of a former owner.
 
     Attributes:
         epoch: The epoch under which it owned the partition; 0 if it did not.
         accounts: The accounts, by program.
-        marks: The marks that it keeps copies of, by program.
     """
 
     epoch: int
     accounts: dict[str, program_budgets.Account]
-    marks: dict[str, int]
-
-
-@attrs.frozen(kw_only=True)
-class KeepMarks:
-    """Asks a peer to keep marks that the store cannot take now."""
-
-    part: int
-    marks: dict[str, int]
-
-
-@attrs.frozen(kw_only=True)
-class KeepReply:
-    """Says that the marks are kept."""
 
 
 @attrs.frozen(kw_only=True)
@@ -137,22 +122,15 @@
 
 
 @attrs.frozen(kw_only=True)
-class StoreTurns:
-    """Asks a peer to make a turn durable, or else to keep a copy.
-
-    Attributes:
-        turn: The turn.
-        before: The turns that it continues. They are stored already, but
-            while the store is away nobody could read them there.
-    """
+class StoreTurn:
+    """Asks a peer to make a turn durable."""
 
     turn: conversations.Turn
-    before: list[conversations.Turn]
 
 
 @attrs.frozen(kw_only=True)
 class StoreReply:
-    """Says what became of the turn; if not durable, it is kept."""
+    """Says whether the turn is durable."""
 
     durable: bool
 
@@ -180,14 +158,11 @@
 HAND_OVER = control.Method(
     name="HandOver", request_type=HandOver, reply_type=HandOverReply
 )
-KEEP_MARKS = control.Method(
-    name="KeepMarks", request_type=KeepMarks, reply_type=KeepReply
-)
 FETCH_CHAIN = control.Method(
     name="FetchChain", request_type=FetchChain, reply_type=ChainReply
 )
-STORE_TURNS = control.Method(
-    name="StoreTurns", request_type=StoreTurns, reply_type=StoreReply
+STORE_TURN = control.Method(
+    name="StoreTurn", request_type=StoreTurn, reply_type=StoreReply
 )
 FETCH_TABLE = control.Method(
     name="FetchTable", request_type=FetchTable, reply_type=TableReply
--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -123,6 +123,12 @@
         """Returns whether the store answers this gateway."""
         return self._store_failing_ms is None
 
+    def store_is_away(self) -> bool:
+        """Returns whether no gateway that is heard reaches the store."""
+        return not self.store_reached() and not any(
+            beat.store_reached for beat in self.alive_peers()
+        )
+
     def store_was_away(self) -> bool:
         """Returns whether entries may have lapsed only for want of a store.
 
--- a/quetzalmill/gateway_turns.py
+++ b/quetzalmill/gateway_turns.py
@@ -1,5 +1,7 @@
 """Turns of stored conversations: their prompt, their budget, their end."""
 
+import random
+
 import attrs
 import trio
 
@@ -18,6 +20,7 @@
 _BUDGET_SPENT = 402
 _NO_SUCH_TURN = 404
 _COME_BACK_MS = 300.0
+_STORE_BACK_MS = (700.0, 1_200.0)
 _OWNER_CHANGE_MS = 30.0
 
 _log = logs.get("gateway_turns")
@@ -63,11 +66,22 @@
         self._owners = owners
         self._client = client
         self._nursery = nursery
+        self._random = random.Random()
 
     async def prepare(
         self, call: gateway_calls.Call, team: str
     ) -> Prepared | outcomes.Refused:
-        """Reserves the budget and finds the chain."""
+        """Reserves the budget and finds the chain.
+
+        While no gateway reaches the store, a turn could not end, so it is
+        refused before it costs an engine's time and the program's tokens.
+        """
+        if self._state.store_is_away():
+            return outcomes.Refused(
+                status=503,
+                reason="the store that keeps turns is away",
+                retry_after_ms=self._random.uniform(*_STORE_BACK_MS),
+            )
         chain = None
         if call.previous_turn_id:
             chain = self._source.find_here(call.previous_turn_id)
@@ -91,8 +105,8 @@
         ran_on: str,
         *,
         timeout_ms: float,
-    ) -> turn_keeper.Safety:
-        """Makes a whole turn safe; its end may then go to the caller."""
+    ) -> bool:
+        """Returns whether a whole turn is durable, so that it may end."""
         turn = conversations.Turn(
             turn_id=call.request_id,
             team=team,
@@ -103,7 +117,7 @@
             ended_unix_ms=self._state.clock.unix_ms(),
             ran_on=ran_on,
         )
-        return await self._keeper.make_safe(turn, timeout_ms=timeout_ms)
+        return await self._keeper.make_durable(turn, timeout_ms=timeout_ms)
 
     def settle(
         self,
--- a/quetzalmill/program_budgets.py
+++ b/quetzalmill/program_budgets.py
@@ -104,14 +104,6 @@
             touched_ms=now_ms,
         )
 
-    def charge(self, program_id: str, mark_tokens: int, now_ms: float) -> None:
-        """Charges a mark that an earlier owner could not make durable."""
-        program = self.programs.get(program_id)
-        if program is None:
-            program = Program(budget_tokens=mark_tokens, touched_ms=now_ms)
-            self.programs[program_id] = program
-        program.spent_tokens = max(program.spent_tokens, mark_tokens)
-
     def behind(self) -> dict[str, int]:
         """Returns what was granted beyond the durable marks, by program."""
         return {
--- a/quetzalmill/turn_keeper.py
+++ b/quetzalmill/turn_keeper.py
@@ -1,19 +1,17 @@
-"""Makes a turn safe before its end goes to the caller.
+"""Makes a turn durable before its end goes to the caller.
 
-A turn is safe once the store has it. While the store is away, copies on two
-other gateways stand in for it until one of the holders gets it stored: a
-caller's conversation then goes on, and only the loss of all holders at once,
-within the store's absence, would lose the turn.
+A turn counts from the end of its answer, and it must outlive the loss of all
+gateways at once. So its end waits for the store, however long that takes;
+copies on peers do not replace it. A gateway that alone cannot reach the store
+has a peer write for it.
 """
 
 from collections.abc import Callable
-import enum
 
 import trio
 
 from quetzalmill import control
 from quetzalmill import conversations
-from quetzalmill import copies
 from quetzalmill import errors
 from quetzalmill import gateway_messages
 from quetzalmill import logs
@@ -24,22 +22,20 @@
 """How long a write may take before peers are asked to help; many times the
 store's usual answer, and short against a turn's objective."""
 
-PEER_TIMEOUT_MS = 400.0
-"""How long a peer may take to store a turn or to keep a copy."""
-
-_log = logs.get("turn_keeper")
+PEER_WRITE_MS = 300.0
+"""How long a peer tries to write a turn before it says that it could not."""
 
+PEER_TIMEOUT_MS = 400.0
+"""How long a peer may take to answer; it covers its try."""
 
-class Safety(enum.Enum):
-    """How a turn was made safe."""
+ROUND_MS = 100.0
+"""The pause before peers are asked again."""
 
-    DURABLE = "durable"
-    COPIED = "copied"
-    UNSAFE = "unsafe"
+_log = logs.get("turn_keeper")
 
 
 class TurnKeeper:
-    """Makes turns safe for one gateway.
+    """Makes turns durable for one gateway.
 
     Args:
         cache: The turns that this gateway holds.
@@ -66,71 +62,67 @@
         self._store_reached = store_reached
         self._client = client
 
-    async def make_safe(
+    async def make_durable(
         self, turn: conversations.Turn, *, timeout_ms: float
-    ) -> Safety:
-        """Returns when a turn is safe, or after ``timeout_ms``."""
-        self._cache.keep(turn)
+    ) -> bool:
+        """Returns whether a turn became durable within ``timeout_ms``."""
         done = self._put(turn)
         with trio.move_on_after(timeout_ms / 1000.0):
             if self._store_reached():
                 with trio.move_on_after(STORE_PATIENCE_MS / 1000.0):
                     await done.wait()
-                    return Safety.DURABLE
-            return await self._with_peers(turn, done)
-        return Safety.UNSAFE
+            if not done.is_set():
+                await self._with_peers(turn, done)
+            self._cache.keep(turn)
+            return True
+        return False
 
     async def take(
-        self, message: gateway_messages.StoreTurns
+        self, message: gateway_messages.StoreTurn
     ) -> gateway_messages.StoreReply:
-        """Stores a peer's turn, or keeps a copy if the store is away."""
-        for turn in (*message.before, message.turn):
-            self._cache.keep(turn)
-        done = self._put(message.turn)
+        """Writes a peer's turn."""
         if not self._store_reached():
             return gateway_messages.StoreReply(durable=False)
-        with trio.move_on_after(STORE_PATIENCE_MS / 1000.0):
+        done = self._put(message.turn)
+        with trio.move_on_after(PEER_WRITE_MS / 1000.0):
             await done.wait()
-            return gateway_messages.StoreReply(durable=True)
-        return gateway_messages.StoreReply(durable=False)
+        return gateway_messages.StoreReply(durable=done.is_set())
 
     def _put(self, turn: conversations.Turn) -> trio.Event:
         return self._writers[self._partition_of(turn.team)].put(turn)
 
     async def _with_peers(
         self, turn: conversations.Turn, done: trio.Event
-    ) -> Safety:
-        """Asks peers until the turn is safe; its own write goes on."""
-        result = Safety.DURABLE
-
-        async def copy(scope: trio.CancelScope) -> None:
-            nonlocal result
-            kept = await copies.keep(
-                self._peers, lambda address: self._ask_peer(address, turn)
-            )
-            if kept is copies.Kept.COPIED:
-                result = Safety.COPIED
-            scope.cancel()
-
+    ) -> None:
+        """Returns once the own write or that of a peer is done."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(copy, nursery.cancel_scope)
+            nursery.start_soon(self._ask_peers, turn, nursery.cancel_scope)
             await done.wait()
             nursery.cancel_scope.cancel()
-        return result
 
-    async def _ask_peer(
-        self, address: str, turn: conversations.Turn
-    ) -> copies.Kept:
-        before, _ = self._cache.chain(turn.previous_id)
+    async def _ask_peers(
+        self, turn: conversations.Turn, scope: trio.CancelScope
+    ) -> None:
+        while True:
+            for beat in self._peers():
+                if beat.store_reached and await self._ask_peer(
+                    beat.address, turn
+                ):
+                    scope.cancel()
+                    return
+            await trio.sleep(ROUND_MS / 1000.0)
+
+    async def _ask_peer(self, address: str, turn: conversations.Turn) -> bool:
+        """Returns whether a peer made a turn durable."""
         try:
             reply: gateway_messages.StoreReply = await self._client.call(
                 address,
-                gateway_messages.STORE_TURNS,
-                gateway_messages.StoreTurns(turn=turn, before=before),
+                gateway_messages.STORE_TURN,
+                gateway_messages.StoreTurn(turn=turn),
                 timeout_ms=PEER_TIMEOUT_MS,
             )
         except errors.ControlError as error:
             self._client.drop(address)
-            _log.info("peer_kept_no_turn", peer=address, reason=str(error))
-            return copies.Kept.NOT
-        return copies.Kept.DURABLE if reply.durable else copies.Kept.COPIED
+            _log.info("peer_wrote_no_turn", peer=address, reason=str(error))
+            return False
+        return reply.durable
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -18,6 +18,7 @@
 from quetzalmill import http_server
 from quetzalmill_emulator import platform_endpoint
 from quetzalmill_emulator import platform_store
+from quetzalmill_platform import boot
 from tests import harness
 
 HOST = "desk.example"
@@ -116,6 +117,8 @@
         self._path = path
         self.store = platform_store.PlatformStore()
         self.store_address = ""
+        self.store_apart_address = ""
+        self.store_apart_down = False
         self.endpoints: dict[str, platform_endpoint.PlatformEndpoint] = {}
         self.gateways: list[Gateway] = []
         self.client = http_client.HttpClient()
@@ -125,6 +128,7 @@
     async def start_store(self) -> None:
         """Starts the store with a desired state in it."""
         self.store_address = await self._serve(self.store.handle)
+        self.store_apart_address = await self._serve(self._serve_apart)
         self.store.put("keyed.op", "config", desired_state())
 
     async def add_endpoint(
@@ -150,14 +154,19 @@
         )
         return endpoint
 
-    async def add_gateway(self) -> Gateway:
-        """Starts a gateway and waits until it is ready."""
+    async def add_gateway(self, *, apart: bool = False) -> Gateway:
+        """Starts a gateway and waits until it is ready.
+
+        Args:
+            apart: Whether it reaches the store by a way of its own, which
+                ``store_apart_down`` cuts.
+        """
         name = f"front-{len(self.gateways)}"
         # Machines differ in their address; ports are alike on all of them.
         ip = f"127.0.0.{len(self.gateways) + 2}"
         ports = self._ports
         settings = self._path / f"{name}.toml"
-        settings.write_text(self._settings(name, ip))
+        settings.write_text(self._settings(name, ip, apart))
         log_path = self._path / f"{name}.log"
         with log_path.open("wb") as log:
             process = subprocess.Popen(
@@ -176,7 +185,7 @@
             process=process,
             callers=f"{ip}:{ports[0]}",
             ready=f"{ip}:{ports[1]}",
-            metrics=f"{ip}:{ports[2] + 1}",
+            metrics=f"{ip}:{boot.METRICS_PORT}",
             log_path=log_path,
         )
         self.gateways.append(gateway)
@@ -260,6 +269,14 @@
             return False
         return response.status == 200
 
+    async def _serve_apart(
+        self, request: http_message.Request, exchange: http_server.Exchange
+    ) -> None:
+        if self.store_apart_down:
+            await exchange.respond(503)
+        else:
+            await self.store.handle(request, exchange)
+
     async def _serve(self, handler: http_server.Handler) -> str:
         port = _free_port()
 
@@ -277,8 +294,9 @@
         await self._nursery.start(serve)
         return f"127.0.0.1:{port}"
 
-    def _settings(self, name: str, ip: str) -> str:
+    def _settings(self, name: str, ip: str, apart: bool) -> str:
         ports = self._ports
+        store = self.store_apart_address if apart else self.store_address
         seeds = [f'"{gateway.callers}"' for gateway in self.gateways]
         return f"""
 node = "{name}"
@@ -294,7 +312,7 @@
 [bounds]
 graceS = 8
 [platform]
-addr = "{self.store_address}"
+addr = "{store}"
 parts = 4
 """
 
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -73,8 +73,6 @@
 
     def __init__(self) -> None:
         self.others: list[budget_owner.BudgetOwner] = []
-        self.kept = budget_peers.KeptMarks()
-        self.reached = True
 
     async def hand_over(
         self, part: int
@@ -84,20 +82,10 @@
         for other in self.others:
             epoch, accounts = other.hand_over()
             replies.append(
-                gateway_messages.HandOverReply(
-                    epoch=epoch,
-                    accounts=accounts,
-                    marks=self.kept.of_part(part),
-                )
+                gateway_messages.HandOverReply(epoch=epoch, accounts=accounts)
             )
         return replies
 
-    async def copy_marks(self, part: int, marks: dict[str, int]) -> None:
-        await trio.lowlevel.checkpoint()
-        if not self.reached:
-            await trio.sleep_forever()
-        self.kept.keep(part, marks)
-
 
 @attrs.define
 class _Gateways:
@@ -209,36 +197,13 @@
 
         _run(case)
 
-    def test_outage_is_bridged_by_copies(self) -> None:
-        async def case(gateways: _Gateways) -> None:
-            owner = gateways.owner()
-            assert (await _ask(owner, "1", 10)).granted
-            gateways.store.down = True
-            assert (await _ask(owner, "2", 80)).granted
-            assert gateways.peers.kept.of_part(0)["t/p"] >= 90
-
-        _run(case)
-
-    def test_copied_marks_are_durable_after_the_next_claim(self) -> None:
-        async def case(gateways: _Gateways) -> None:
-            owner = gateways.owner()
-            assert (await _ask(owner, "1", 10)).granted
-            gateways.peers.kept.keep(0, {"t/p": 90})
-            bystander = gateways.owner()
-            gateways.peers.others = [bystander]
-            assert not (await _ask(gateways.owner(), "2", 20)).granted
-            mark = gateways.store.value("budgets", 0, "t/p")
-            assert mark is not None and int(mark) >= 90
-
-        _run(case)
-
-    def test_outage_without_peers_grants_nothing(self) -> None:
+    def test_outage_grants_only_within_the_mark(self) -> None:
         async def case(gateways: _Gateways) -> None:
             owner = gateways.owner()
             assert (await _ask(owner, "1", 10)).granted
             gateways.store.down = True
-            gateways.peers.reached = False
-            reply = await _ask(owner, "2", 80)
+            assert (await _ask(owner, "2", 15)).granted
+            reply = await _ask(owner, "3", 60)
             assert not reply.granted and not reply.spent
 
         _run(case)
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -448,8 +448,7 @@
     def test_entries_are_doubted_after_an_outage_of_the_store_itself(
         self, failing_ms: float, peer_reaches_it: bool, doubted: bool
     ) -> None:
-        """A leaving endpoint got work 2072 ms after its entry went, at a
-        gateway that alone had lost the store for some seconds."""
+        """A gateway that alone lost the store must not keep what left."""
         state, clock = self._state()
         state.store_answered(False)
         clock.advance(failing_ms)
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -1,6 +1,7 @@
 """Tests of whole gateways as processes on the emulated platform."""
 
 from collections.abc import Awaitable, Callable
+import contextlib
 import pathlib
 import signal
 
@@ -278,26 +279,85 @@
 
         _run(tmp_path, case)
 
-    def test_outage_of_the_store_is_bridged_by_peers(
+    def test_turn_that_ended_outlives_an_outage_and_all_gateways(
         self, tmp_path: pathlib.Path
     ) -> None:
+        """The store goes away under a running turn, then all power fails.
+
+        An end that goes out while the store is away would be lost.
+        """
+
         async def case(cluster: platform_cluster.Cluster) -> None:
-            engine = await cluster.add_endpoint("llm-1", "llm", events=1)
+            await cluster.add_endpoint("llm-1", "llm", events=30)
             gateways = [await cluster.add_gateway() for _ in range(3)]
-            first, _ = await cluster.turn(gateways[0], b"hello")
-            # The owner of the program's budget stays alive.
-            others = [
-                gateway
-                for gateway in gateways
-                if "partition_claimed" not in gateway.log()
-            ]
-            cluster.store.down = True
-            second, response = await cluster.turn(others[0], b"more", first)
+            ended: list[str] = []
+
+            async def send(gateway: platform_cluster.Gateway) -> None:
+                with contextlib.suppress(errors.HttpError):
+                    turn_id, response = await cluster.turn(gateway, b"hello")
+                    if response.status == 200:
+                        ended.append(turn_id)
+
+            async with trio.open_nursery() as nursery:
+                for gateway in gateways:
+                    nursery.start_soon(send, gateway)
+                await trio.sleep(0.1)
+                cluster.store.down = True
+                await trio.sleep(1.5)
+                for gateway in gateways:
+                    cluster.stop(gateway)
+            cluster.store.down = False
+            fresh = await cluster.add_gateway()
+            for turn_id in ended:
+                _, response = await cluster.turn(fresh, b"more", turn_id)
+                assert response.status == 200
+
+        _run(tmp_path, case)
+
+    def test_end_waits_for_the_store(self, tmp_path: pathlib.Path) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("llm-1", "llm", events=30)
+            gateway = await cluster.add_gateway()
+            answers: list[tuple[str, http_message.Response]] = []
+
+            async def send() -> None:
+                answers.append(await cluster.turn(gateway, b"hello"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send)
+                await trio.sleep(0.1)
+                cluster.store.down = True
+                await trio.sleep(0.8)
+                assert not answers
+                _, refused = await cluster.turn(gateway, b"hello")
+                assert refused.status == 503
+                assert float(refused.headers["retry-after"]) > 0
+                cluster.store.down = False
+            assert answers[0][1].status == 200
+
+        _run(tmp_path, case)
+
+    def test_peer_writes_for_a_gateway_that_lost_the_store(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("llm-1", "llm", events=1)
+            await cluster.add_gateway()
+            cut = await cluster.add_gateway(apart=True)
+            await cluster.turn(cut, b"hello")
+            cluster.store_apart_down = True
+
+            async def knows_that_it_is_cut() -> bool:
+                return "store_lost" in cut.log()
+
+            await cluster.until(knows_that_it_is_cut)
+            first, response = await cluster.turn(cut, b"hello")
             assert response.status == 200
-            cluster.stop(others[0])
-            _, response = await cluster.turn(others[1], b"last", second)
+            cluster.stop(cut)
+            _, response = await cluster.turn(
+                cluster.gateways[0], b"more", first
+            )
             assert response.status == 200
-            assert engine.runs[-1].body == b"helloe1\nmoree1\nlast"
 
         _run(tmp_path, case)
 
