--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -102,6 +102,7 @@
         store: The platform's store.
         dialect: How callers and endpoints are spoken to.
         decode_table: Decodes the documents that peers hand over.
+        reload: Reads the settings again; raises ``errors.SettingsError``.
     """
 
     def __init__(
@@ -110,11 +111,13 @@
         store: keyed_store.KeyedStore,
         dialect: gateway_calls.Dialect,
         decode_table: DecodeTable,
+        reload: Callable[[], GatewaySettings],
     ) -> None:
         self._settings = settings
         self._store = store
         self._dialect = dialect
         self._decode_table = decode_table
+        self._reload = reload
         self.clock = clock_module.SystemClock()
         self.metrics = gateway_metrics.GatewayMetrics()
         self.state = gateway_state.GatewayState(
@@ -401,7 +404,23 @@
             async for number in signals:
                 if number != signal.SIGHUP:
                     return
-                _log.info("settings_reloaded", changed=False)
+                self._take_settings()
+
+    def _take_settings(self) -> None:
+        """Learns new seeds; what else changed takes effect at a restart."""
+        try:
+            settings = self._reload()
+        except errors.SettingsError as error:
+            _log.error("settings_not_reloaded", reason=str(error))
+            return
+        for address in settings.seeds:
+            self.state.peers.add_address(address, self.clock.now_ms())
+        changed = [
+            name
+            for name, value in attrs.asdict(settings).items()
+            if value != attrs.asdict(self._settings)[name]
+        ]
+        _log.info("settings_reloaded", changed=",".join(changed) or None)
 
     async def _drain(self, link: peer_link.PeerLink) -> None:
         """Leaves the rotation, lets requests end, then returns."""
--- a/quetzalmill/logs.py
+++ b/quetzalmill/logs.py
@@ -10,6 +10,8 @@
 
 import structlog
 
+from quetzalmill import log_limits
+
 MASK = "***"
 
 _LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
@@ -30,6 +32,7 @@
         processors=[
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
+            log_limits.VolumeLimit(),
             structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
             structlog.processors.format_exc_info,
             _mask_secrets,
--- /dev/null
+++ b/tests/test_log_limits.py
@@ -0,0 +1,55 @@
+"""Tests of the bounds of logging."""
+
+import os
+
+import pytest
+import structlog
+
+from quetzalmill import log_limits
+
+
+class TestVolumeLimit:
+    """Events that come too often."""
+
+    def test_flood_is_cut_and_counted(self) -> None:
+        limit = log_limits.VolumeLimit()
+        passed = 0
+        for _ in range(10_000):
+            try:
+                limit(None, "info", {"event": "request"})
+            except structlog.DropEvent:
+                continue
+            passed += 1
+        assert passed < 2 * log_limits.BURST_LINES
+        assert limit(None, "info", {"event": "other"}) == {"event": "other"}
+
+    def test_next_line_says_how_many_were_left_out(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        now_s = [0.0]
+        monkeypatch.setattr(
+            "quetzalmill.log_limits.time.monotonic", lambda: now_s[0]
+        )
+        limit = log_limits.VolumeLimit()
+        for _ in range(int(log_limits.BURST_LINES)):
+            limit(None, "info", {"event": "request"})
+        for _ in range(3):
+            with pytest.raises(structlog.DropEvent):
+                limit(None, "info", {"event": "request"})
+        now_s[0] = 1.0
+        assert limit(None, "info", {"event": "request"})["left_out"] == 3
+
+
+class TestUnblockedStream:
+    """A reader that does not read."""
+
+    def test_full_pipe_does_not_block(self) -> None:
+        reader, writer = os.pipe()
+        with os.fdopen(reader, "rb"), os.fdopen(writer, "w") as stream:
+            unblocked = log_limits.UnblockedStream(stream)
+            for _ in range(2_000):
+                unblocked.write("x" * 200 + "\n")
+                unblocked.flush()
+            assert unblocked.lost_lines > 0
+            os.read(reader, 1_000_000)
+            stream.flush()
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -388,6 +388,23 @@
 
         _run(tmp_path, case)
 
+    def test_changed_settings_interrupt_nothing(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("app-1", "app")
+            gateway = await cluster.add_gateway()
+            cluster.stop(gateway, signal.SIGHUP)
+
+            async def has_reloaded() -> bool:
+                return "settings_reloaded" in gateway.log()
+
+            await cluster.until(has_reloaded)
+            _, response = await cluster.call(gateway, "/lookup/1")
+            assert response.status == 200
+
+        _run(tmp_path, case)
+
 
 def _clear_other_on_first_use(
     apps: list[platform_endpoint.PlatformEndpoint],
--- /dev/null
+++ b/tests/test_platform_words.py
@@ -0,0 +1,272 @@
+"""Tests of what turns the platform's words into the product's types."""
+
+import pathlib
+from typing import Any
+
+import msgspec
+import pytest
+
+from quetzalmill import errors
+from quetzalmill import gateway_calls
+from quetzalmill import http_message
+from quetzalmill_platform import boot
+from quetzalmill_platform import desired_state
+from quetzalmill_platform import front
+from quetzalmill_platform import registry
+from quetzalmill_platform import wire
+from tests import platform_cluster
+
+_DIALECT = wire.PlatformDialect()
+
+
+def _request(**headers: str) -> http_message.Request:
+    return http_message.Request(
+        method="POST",
+        path="/chat/1",
+        headers={
+            name.replace("_", "-"): value for name, value in headers.items()
+        },
+        body=b"hello",
+    )
+
+
+class TestDialect:
+    """Headers of callers and endpoints."""
+
+    def test_turn(self) -> None:
+        call = _DIALECT.decode_call(
+            _request(
+                attempt_id="a1",
+                deadline_ms="4000",
+                authorization="Token k1",
+                program_id="p1",
+                program_deadline_ms="5200",
+                token_budget="2304",
+                token_usage="1840,288",
+                previous_turn="a0",
+                prompt_prefix="5c:800,91:410",
+            )
+        )
+        assert call.request_id == "a1"
+        assert call.key == "k1"
+        assert call.deadline_ms == 4000.0
+        assert call.budget_tokens == 2304
+        assert (call.prompt_tokens, call.most_tokens) == (1840, 288)
+        assert call.previous_turn_id == "a0"
+        assert call.prompt_parts == (
+            gateway_calls.PromptPart("5c", 800),
+            gateway_calls.PromptPart("91", 410),
+        )
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            {"deadline_ms": "soon"},
+            {"deadline_ms": "-1"},
+            {"deadline_ms": "nan"},
+            {"token_budget": "inf"},
+            {"token_usage": "1"},
+            {"token_usage": "1,-2"},
+        ],
+    )
+    def test_malformed_header(self, headers: dict[str, str]) -> None:
+        with pytest.raises(errors.BadMessageError):
+            _DIALECT.decode_call(_request(**headers))
+
+    def test_caller_cannot_set_what_is_the_systems(self) -> None:
+        call = _DIALECT.decode_call(
+            _request(
+                attempt_id="a1",
+                authorization="Token k1",
+                tenant="other",
+                hold="h",
+                pin_ms="9",
+                kv_backup="x",
+                kv_from="y",
+                request_priority="0",
+                expect_instance="e9",
+                x_custom="kept",
+            )
+        )
+        sent = _DIALECT.encode_send(
+            call,
+            gateway_calls.Send(
+                endpoint_id="e1",
+                team="weddings",
+                left_ms=1234.5,
+                priority=3,
+                body=b"prompt",
+            ),
+        )
+        assert sent.headers == {
+            "attempt-id": "a1",
+            "x-custom": "kept",
+            "expect-instance": "e1",
+            "deadline-ms": "1234",
+            "tenant": "weddings",
+            "request-priority": "3",
+        }
+        assert sent.body == b"prompt"
+
+    @pytest.mark.parametrize(
+        ("status", "headers", "is_own", "is_genuine", "not_run"),
+        [
+            (
+                200,
+                {"attempt-id": "a1", "response-signature": "s"},
+                True,
+                True,
+                False,
+            ),
+            (200, {"attempt-id": "a2"}, False, False, False),
+            (503, {"not-executed": "1"}, False, False, True),
+            (421, {}, False, False, True),
+            (503, {}, False, False, False),
+        ],
+    )
+    def test_reply(
+        self,
+        status: int,
+        headers: dict[str, str],
+        is_own: bool,
+        is_genuine: bool,
+        not_run: bool,
+    ) -> None:
+        call = _DIALECT.decode_call(_request(attempt_id="a1"))
+        reply = _DIALECT.decode_reply(call, status, headers)
+        assert reply.is_own == is_own
+        assert reply.is_genuine == is_genuine
+        assert reply.not_run == not_run
+
+
+class TestDesiredState:
+    """What the operator writes."""
+
+    def test_whole(self) -> None:
+        document = msgspec.json.encode(platform_cluster.desired_state(7))
+        table = desired_state.decode(document)
+        assert table.version == 7
+        assert len(table.routes) == 3
+        assert table.services["llm"].is_engine
+        assert table.team_of_key["key-of-rallies"] == "rallies"
+        assert table.document == document
+
+    def test_wrong_entry_is_left_out(self) -> None:
+        state = platform_cluster.desired_state()
+        state["routes"][0]["kind"] = "unheard of"
+        del state["routes"][1]["host"]
+        table = desired_state.decode(msgspec.json.encode(state))
+        assert [route.name for route in table.routes] == ["book"]
+
+    @pytest.mark.parametrize("document", [b"", b"[]", b"{}", b"\xff", b"7"])
+    def test_not_a_desired_state(self, document: bytes) -> None:
+        with pytest.raises(errors.CodecError):
+            desired_state.decode(document)
+
+
+class TestRegistry:
+    """What endpoints write of themselves."""
+
+    _ENTRY: dict[str, Any] = {
+        "service": "llm",
+        "addr": "10.0.0.9:80",
+        "zone": "a",
+        "slots": 24,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "born": 17,
+    }
+
+    def test_whole(self) -> None:
+        endpoint = registry.decode("e1", msgspec.json.encode(self._ENTRY))
+        assert endpoint.endpoint_id == "e1"
+        assert endpoint.started_unix_ms == 17
+        assert not endpoint.leaving
+
+    def test_leaving(self) -> None:
+        entry = {**self._ENTRY, "state": "draining"}
+        assert registry.decode("e1", msgspec.json.encode(entry)).leaving
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "unheard of"},
+            {"state": 7},
+            {"state": []},
+            {"addr": "nowhere"},
+            {"addr": None},
+            {"service": 3},
+            {"slots": "many"},
+        ],
+    )
+    def test_foreign_entry(self, change: dict[str, Any]) -> None:
+        value = msgspec.json.encode({**self._ENTRY, **change})
+        with pytest.raises(errors.CodecError):
+            registry.decode("e1", value)
+
+    @pytest.mark.parametrize("value", [b"\xff\x00", b"[]", b"null", b"{}"])
+    def test_not_an_entry(self, value: bytes) -> None:
+        with pytest.raises(errors.CodecError):
+            registry.decode("e1", value)
+
+
+class TestSettings:
+    """The settings file of the platform."""
+
+    _GOOD = """
+node = "front-1"
+ip = "10.1.0.11"
+zone = "a"
+internalPorts = [7780, 7795]
+seeds = ["10.2.0.34:8367"]
+[listen]
+front = "10.1.0.11:8368"
+ready = "10.1.0.11:8369"
+[limits]
+memoryMb = 170
+[bounds]
+graceS = 8
+[platform]
+addr = "10.200.1.7:8362"
+parts = 12
+"""
+
+    def _load(self, path: pathlib.Path, text: str) -> boot.Boot:
+        file = path / "boot.toml"
+        file.write_text(text)
+        return boot.load(str(file))
+
+    def test_good(self, tmp_path: pathlib.Path) -> None:
+        loaded = self._load(tmp_path, self._GOOD)
+        assert loaded.gateway.seeds == ("10.2.0.34:7780",)
+        assert loaded.gateway.peer_address == "10.1.0.11:7780"
+        assert loaded.store_address == "10.200.1.7:8362"
+
+    @pytest.mark.parametrize(
+        ("good", "bad", "name"),
+        [
+            ('ip = "10.1.0.11"', "ip = 7", "ip"),
+            ("parts = 12", "parts = 0", "platform.parts"),
+            ("memoryMb = 170", "memoryMb = true", "limits.memoryMb"),
+            ("[7780, 7795]", "[7795, 7780]", "internalPorts"),
+            ('"10.1.0.11:8368"', '"front"', "listen.front"),
+            ('["10.2.0.34:8367"]', '"all"', "seeds"),
+        ],
+    )
+    def test_wrong_field_names_itself(
+        self, tmp_path: pathlib.Path, good: str, bad: str, name: str
+    ) -> None:
+        with pytest.raises(errors.SettingsError) as raised:
+            self._load(tmp_path, self._GOOD.replace(good, bad))
+        assert len(raised.value.problems) == 1
+        assert f"{name} is " in raised.value.problems[0]
+        assert "must be" in raised.value.problems[0]
+
+    def test_exit_code(
+        self, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        file = tmp_path / "boot.toml"
+        monkeypatch.setenv("QUETZALMILL_BOOT", str(file))
+        assert front.main(["check"]) == 2
+        file.write_text(self._GOOD)
+        assert front.main(["check"]) == 0
