Charge one turn less than a mark, once, when an owner knows no more

A turn may generate 290 of a budget of 580 and uses about 45; the mark holds the 290, so an owner that only knew the mark refused the program's next turn. Ruled out: lost turns (the chains were found). The rule leaves the most of one turn above the budget; the first owner that knows only the mark takes that off, and the mark says so. Marks come in eighths of the budget and never fall.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -51,7 +51,7 @@
 @attrs.define(eq=False)
 class _Pending:
     program_id: str
-    mark_tokens: int
+    mark: program_budgets.Mark | None
     done: trio.Event = attrs.field(factory=trio.Event)
     error: errors.QuetzalmillError | None = None
 
@@ -117,7 +117,7 @@
         """
         if self._term is not None:
             outcome = self._reserve_in(self._term, message)
-            if not isinstance(outcome, int):
+            if isinstance(outcome, gateway_messages.ReserveReply):
                 return outcome
         return self._reserve_in_time(message)
 
@@ -150,7 +150,7 @@
         if term is None:
             return
         old = term.ledger.forget_idle(idle_ms, self._clock.now_ms())
-        self._pending += [_Pending(program_id, -1) for program_id in old]
+        self._pending += [_Pending(program_id, None) for program_id in old]
         self._start_writing()
 
     async def _reserve(
@@ -158,7 +158,7 @@
     ) -> gateway_messages.ReserveReply:
         term = await self._hold()
         outcome = self._reserve_in(term, message)
-        if not isinstance(outcome, int):
+        if isinstance(outcome, gateway_messages.ReserveReply):
             return outcome
         pending = _Pending(message.program_id, outcome)
         self._pending.append(pending)
@@ -183,7 +183,7 @@
 
     def _reserve_in(
         self, term: _Term, message: gateway_messages.ReserveTurn
-    ) -> gateway_messages.ReserveReply | int:
+    ) -> gateway_messages.ReserveReply | program_budgets.Mark:
         """Returns the reply, or the mark that must be durable before it."""
         outcome = term.ledger.reserve(
             message.program_id,
@@ -199,9 +199,9 @@
                 reason=f"{outcome.granted_tokens} of "
                 f"{outcome.budget_tokens} tokens are granted",
             )
-        if outcome.mark_tokens is None:
+        if outcome.mark is None:
             return self._granted(message)
-        return outcome.mark_tokens
+        return outcome.mark
 
     def _granted(
         self, message: gateway_messages.ReserveTurn
@@ -225,17 +225,17 @@
         found = await self._store.newest(
             TOPIC, self._part, timeout_ms=2 * WRITE_TIMEOUT_MS
         )
-        marks = {
-            record.key: int(record.value)
+        values = {
+            record.key: record.value
             for record in found.records
             if record.value is not None
         }
-        last_epoch = marks.pop(EPOCH_KEY, 0)
+        last_epoch = int(values.pop(EPOCH_KEY, b"0"))
         replies = await self._peers.hand_over(self._part)
         ledger = program_budgets.BudgetLedger()
         now_ms = self._clock.now_ms()
-        for program_id, mark_tokens in marks.items():
-            ledger.load(program_id, mark_tokens, now_ms)
+        for program_id, value in values.items():
+            ledger.load(program_id, program_budgets.decode_mark(value), now_ms)
         exact = [reply for reply in replies if reply.epoch == last_epoch]
         if last_epoch and exact:
             ledger.take_over(exact[0].accounts, now_ms)
@@ -255,16 +255,19 @@
     async def _open(self, term: _Term) -> None:
         """Makes durable what was granted, together with the epoch."""
         behind = term.ledger.behind()
-        marks = {EPOCH_KEY: term.fence.epoch, **behind}
+        epoch = str(term.fence.epoch).encode()
         await self._write_once(
             term,
             [
-                keyed_store.KeyedRecord(key, str(value).encode())
-                for key, value in marks.items()
+                keyed_store.KeyedRecord(EPOCH_KEY, epoch),
+                *(
+                    keyed_store.KeyedRecord(program_id, mark.encode())
+                    for program_id, mark in behind.items()
+                ),
             ],
         )
-        for program_id, mark_tokens in behind.items():
-            term.ledger.made_durable(program_id, mark_tokens)
+        for program_id, mark in behind.items():
+            term.ledger.made_durable(program_id, mark)
 
     async def _shut_out_others(self) -> keyed_store.Fence:
         """Claims the partition with an epoch higher than any before.
@@ -314,14 +317,11 @@
             self._pending = []
 
     async def _write(self, term: _Term, batch: list[_Pending]) -> None:
-        marks: dict[str, int] = {}
-        for each in batch:
-            marks[each.program_id] = max(
-                each.mark_tokens, marks.get(each.program_id, -1)
-            )
+        # Of several marks of a program the last one is the highest.
+        marks = {each.program_id: each.mark for each in batch}
         records = [
             keyed_store.KeyedRecord(
-                program_id, str(mark).encode() if mark >= 0 else None
+                program_id, None if mark is None else mark.encode()
             )
             for program_id, mark in marks.items()
         ]
@@ -332,7 +332,8 @@
             _fail(batch, error)
             return
         for program_id, mark in marks.items():
-            term.ledger.made_durable(program_id, mark)
+            if mark is not None:
+                term.ledger.made_durable(program_id, mark)
         for each in batch:
             each.done.set()
 
--- a/quetzalmill/program_budgets.py
+++ b/quetzalmill/program_budgets.py
@@ -3,13 +3,21 @@
 A turn reserves the most that it may generate before it runs and is settled at
 what it handed out. So that a new owner never grants what an old one already
 did, a program's grants stay below a durable mark. A mark runs ahead of the
-grants by a part of the budget, so that few turns wait for a durable write and
-a new owner that knows no more than the mark charges little too much.
+grants by a part of the budget, so that not each turn waits for a durable write
+and a new owner that knows no more than the mark charges little too much.
+
+The mark holds the most of a turn that may be under way, which is far more than
+turns use. A budget may be exceeded by the most of one turn, so the first owner
+that knows only the mark charges that much less. It notes so in the mark, since
+doing it twice would exceed the budget by two turns.
 """
 
 import attrs
 
-MARKS_IN_BUDGET = 4
+_SLACK = "-"
+"""Ends a mark from which an owner has charged one turn less."""
+
+MARKS_IN_BUDGET = 8
 """Steps in which the durable mark of a program goes through its budget."""
 
 
@@ -23,6 +31,10 @@
         reserved: The most that unsettled turns may hand out, by turn.
         durable_tokens: The mark that a new owner would take as spent.
         touched_ms: When it was last used.
+        is_estimated: Whether ``spent_tokens`` is only a mark, from which the
+            most of one turn may be taken.
+        slack_used: Whether that was done, by this owner or one before.
+        slack_is_durable: Whether the store's mark says so.
     """
 
     budget_tokens: int
@@ -30,6 +42,9 @@
     reserved: dict[str, int] = attrs.field(factory=dict)
     durable_tokens: int = 0
     touched_ms: float = 0.0
+    is_estimated: bool = False
+    slack_used: bool = False
+    slack_is_durable: bool = False
 
     @property
     def granted_tokens(self) -> int:
@@ -37,11 +52,34 @@
         return self.spent_tokens + sum(self.reserved.values())
 
 
+@attrs.frozen
+class Mark:
+    """What the store holds of a program.
+
+    Attributes:
+        tokens: What may have been handed out, at most.
+        slack_used: Whether an owner has charged one turn less than a mark.
+    """
+
+    tokens: int
+    slack_used: bool
+
+    def encode(self) -> bytes:
+        """Returns the mark as the store holds it."""
+        return f"{self.tokens}{_SLACK if self.slack_used else ''}".encode()
+
+
+def decode_mark(value: bytes) -> Mark:
+    """Returns a mark that the store holds."""
+    text = value.decode()
+    return Mark(int(text.removesuffix(_SLACK)), text.endswith(_SLACK))
+
+
 @attrs.frozen
 class Granted:
-    """The turn may run once ``mark_tokens`` is durable; None if it is."""
+    """The turn may run once ``mark`` is durable; None if it is."""
 
-    mark_tokens: int | None
+    mark: Mark | None
 
 
 @attrs.frozen
@@ -60,11 +98,17 @@
         spent_tokens: What settled turns handed out.
         reserved: The most that unsettled turns may hand out, by turn.
         durable_tokens: The mark that is durable.
+        is_estimated: Whether ``spent_tokens`` is only a mark.
+        slack_used: Whether one turn less than a mark was charged.
+        slack_is_durable: Whether the store's mark says so.
     """
 
     spent_tokens: int
     reserved: dict[str, int]
     durable_tokens: int
+    is_estimated: bool
+    slack_used: bool
+    slack_is_durable: bool
 
 
 class BudgetLedger:
@@ -80,6 +124,9 @@
                 spent_tokens=program.spent_tokens,
                 reserved=dict(program.reserved),
                 durable_tokens=program.durable_tokens,
+                is_estimated=program.is_estimated,
+                slack_used=program.slack_used,
+                slack_is_durable=program.slack_is_durable,
             )
             for program_id, program in self.programs.items()
         }
@@ -93,23 +140,32 @@
                 reserved=dict(account.reserved),
                 durable_tokens=account.durable_tokens,
                 touched_ms=now_ms,
+                is_estimated=account.is_estimated,
+                slack_used=account.slack_used,
+                slack_is_durable=account.slack_is_durable,
             )
 
-    def load(self, program_id: str, mark_tokens: int, now_ms: float) -> None:
+    def load(self, program_id: str, mark: Mark, now_ms: float) -> None:
         """Takes over what an earlier owner made durable."""
         self.programs[program_id] = Program(
-            budget_tokens=mark_tokens,
-            spent_tokens=mark_tokens,
-            durable_tokens=mark_tokens,
+            budget_tokens=mark.tokens,
+            spent_tokens=mark.tokens,
+            durable_tokens=mark.tokens,
             touched_ms=now_ms,
+            is_estimated=True,
+            slack_used=mark.slack_used,
+            slack_is_durable=mark.slack_used,
         )
 
-    def behind(self) -> dict[str, int]:
-        """Returns what was granted beyond the durable marks, by program."""
+    def behind(self) -> dict[str, Mark]:
+        """Returns the marks of programs whose durable ones fall short."""
         return {
-            program_id: program.granted_tokens
+            program_id: Mark(
+                max(program.granted_tokens, program.durable_tokens),
+                program.slack_used,
+            )
             for program_id, program in self.programs.items()
-            if program.granted_tokens > program.durable_tokens
+            if _falls_short(program)
         }
 
     def reserve(
@@ -128,24 +184,32 @@
             self.programs[program_id] = program
         program.budget_tokens = budget_tokens
         program.touched_ms = now_ms
+        if program.is_estimated and not program.slack_used:
+            program.spent_tokens = max(0, program.spent_tokens - most_tokens)
+            program.slack_used = True
+        program.is_estimated = False
         if turn_id not in program.reserved:
             granted = program.granted_tokens
             if granted + most_tokens > budget_tokens:
                 return Spent(granted, budget_tokens)
             program.reserved[turn_id] = most_tokens
-        if program.granted_tokens <= program.durable_tokens:
+        if not _falls_short(program):
             return Granted(None)
         step = max(1, budget_tokens // MARKS_IN_BUDGET)
         steps = -(-program.granted_tokens // step)
+        ahead_tokens = max(
+            program.granted_tokens, min(budget_tokens, steps * step)
+        )
         return Granted(
-            max(program.granted_tokens, min(budget_tokens, steps * step))
+            Mark(max(ahead_tokens, program.durable_tokens), program.slack_used)
         )
 
-    def made_durable(self, program_id: str, mark_tokens: int) -> None:
+    def made_durable(self, program_id: str, mark: Mark) -> None:
         """Records that a mark is durable."""
         program = self.programs.get(program_id)
         if program is not None:
-            program.durable_tokens = max(program.durable_tokens, mark_tokens)
+            program.durable_tokens = max(program.durable_tokens, mark.tokens)
+            program.slack_is_durable |= mark.slack_used
 
     def settle(self, program_id: str, turn_id: str, used_tokens: int) -> None:
         """Replaces a reservation by what the turn handed out."""
@@ -164,3 +228,11 @@
         for program_id in old:
             del self.programs[program_id]
         return old
+
+
+def _falls_short(program: Program) -> bool:
+    """Returns whether a new owner would charge a program too little."""
+    return (
+        program.granted_tokens > program.durable_tokens
+        or program.slack_used != program.slack_is_durable
+    )
