Never let a program's durable mark fall

A second mark could be computed lower than one that was still on its way, when a turn was settled in between; the owner then took the higher one for durable while the store held the lower.

--- a/quetzalmill/program_budgets.py
+++ b/quetzalmill/program_budgets.py
@@ -30,6 +30,8 @@
         spent_tokens: What settled turns handed out.
         reserved: The most that unsettled turns may hand out, by turn.
         durable_tokens: The mark that a new owner would take as spent.
+        asked_tokens: The highest mark that was to be made durable; marks
+            never fall, as one may still be on its way.
         touched_ms: When it was last used.
         is_estimated: Whether ``spent_tokens`` is only a mark, from which the
             most of one turn may be taken.
@@ -41,6 +43,7 @@
     spent_tokens: int = 0
     reserved: dict[str, int] = attrs.field(factory=dict)
     durable_tokens: int = 0
+    asked_tokens: int = 0
     touched_ms: float = 0.0
     is_estimated: bool = False
     slack_used: bool = False
@@ -200,9 +203,10 @@
         ahead_tokens = max(
             program.granted_tokens, min(budget_tokens, steps * step)
         )
-        return Granted(
-            Mark(max(ahead_tokens, program.durable_tokens), program.slack_used)
+        program.asked_tokens = max(
+            ahead_tokens, program.durable_tokens, program.asked_tokens
         )
+        return Granted(Mark(program.asked_tokens, program.slack_used))
 
     def made_durable(self, program_id: str, mark: Mark) -> None:
         """Records that a mark is durable."""
