--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -587,3 +587,41 @@
         parser = sse.SseParser(max_event_bytes=100)
         with pytest.raises(errors.BadMessageError):
             parser.feed(data)
+
+
+class TestExtraBytes:
+    """A server that sends more than the answer to a request."""
+
+    def test_connection_is_not_used_again(self) -> None:
+        connections = 0
+
+        async def serve(stream: trio.SocketStream) -> None:
+            nonlocal connections
+            connections += 1
+            number = connections
+            async with stream:
+                while await stream.receive_some(4096):
+                    answer = (
+                        f"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{number}"
+                    )
+                    answer = f"{head}1\r\n\r\n{number}{head}5\r\n\r\nwrong"
+                    await stream.send_all(answer.encode())
+
+        async def run() -> list[bytes]:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            port = listeners[0].socket.getsockname()[1]
+            client = http_client.HttpClient()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+                bodies = []
+                for _ in range(3):
+                    response = await client.request(
+                        f"127.0.0.1:{port}",
+                        http_message.Request(method="GET", path="/"),
+                        timeout_ms=2_000.0,
+                    )
+                    bodies.append(response.body)
+                nursery.cancel_scope.cancel()
+            return bodies
+
+        assert trio.run(run) == [b"1", b"2", b"3"]
