--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -601,9 +601,7 @@
             number = connections
             async with stream:
                 while await stream.receive_some(4096):
-                    answer = (
-                        f"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{number}"
-                    )
+                    head = "HTTP/1.1 200 OK\r\ncontent-length: "
                     answer = f"{head}1\r\n\r\n{number}{head}5\r\n\r\nwrong"
                     await stream.send_all(answer.encode())
 
