--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -39,10 +39,6 @@
 from quetzalmill import turn_keeper
 from quetzalmill import turn_store
 
-READY_PATH = "/ready"
-METRICS_PATH = "/metrics"
-DUMP_PATH = "/state"
-
 CONNECT_TIMEOUT_MS = 400.0
 """How long a connection to an endpoint may take; several ways there."""
 
