--- a/quetzalmill_emulator/platform_store.py
+++ b/quetzalmill_emulator/platform_store.py
@@ -126,8 +126,12 @@
             with trio.move_on_after(wait_s):
                 await partition.changed.wait()
         body = _OFFSETS.pack(len(partition.records), partition.first)
+        most_bytes = int(request.query.get("maxKb", "1024")) * 1024
         for content in partition.records[offset:]:
-            body += _LENGTH.pack(len(content)) + content
+            record = _LENGTH.pack(len(content)) + content
+            if len(body) > _OFFSETS.size and len(body + record) > most_bytes:
+                break
+            body += record
         await exchange.respond(200, body)
 
     def _newest(self, request: http_message.Request) -> dict[str, Any]:
