Ask for a key while any team exists; make a deadline test certain

An answer that arrives in the same turn of the loop as its deadline is delivered, as it should be, so the test's answer of a few milliseconds raced with a delayed process. It now asks for 2,000 tokens, nine seconds of decoding; the claim is the same.

Second, found by reading: with every key withdrawn, requests without a key were admitted, since the check asked whether any key exists rather than any team. Test red first in both cases (200 for 401).

--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -224,7 +224,7 @@
         if self.route is None:
             return self._deny(404, "no route matches")
         team = table.team_for(self.call.key) if self.call.key else None
-        if team is None and table.team_of_key and not self.route.public:
+        if team is None and table.teams and not self.route.public:
             return self._deny(401, "the key is not known")
         if team is not None:
             self.team = team.name
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -291,9 +291,11 @@
     @pytest.mark.parametrize("limit", ["calls", "tokens", "time_ms"])
     def test_spent_budget(self, system: "System", limit: str) -> None:
         one = talk.Talk(system.running, budget={limit: 1})
-        first = one.send(1, "first", 1)
-        if limit == "time_ms":
-            assert not first.done
+        # An answer that is ready at its deadline is delivered, so the one
+        # that shall be cut takes seconds, whatever delays the processes.
+        tokens = 2_000 if limit == "time_ms" else 1
+        first = one.send(1, "first", tokens)
+        assert first.done == (limit != "time_ms")
         reply = one.request(
             "POST",
             COMPLETIONS,
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -141,6 +141,23 @@
 
         _run(tmp_path, case)
 
+    @pytest.mark.parametrize("key", [platform_cluster.KEY, ""])
+    def test_nothing_runs_once_every_key_is_withdrawn(
+        self, tmp_path: pathlib.Path, key: str
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            app = await cluster.add_endpoint("app-1", "app")
+            state = platform_cluster.desired_state(2)
+            for team in state["tenants"]:
+                team["apiKeys"] = []
+            cluster.store.put("keyed.op", "config", state)
+            gateway = await cluster.add_gateway()
+            _, response = await cluster.call(gateway, "/lookup/1", key=key)
+            assert response.status == 401
+            assert not app.runs
+
+        _run(tmp_path, case)
+
     def test_state_and_metrics_are_shown(self, tmp_path: pathlib.Path) -> None:
         async def case(cluster: platform_cluster.Cluster) -> None:
             await cluster.add_endpoint("app-1", "app")
