Remove turns and budgets from the store after their retention

Cause: nothing ever removed a turn or a budget mark, so the store's 400 MB were full in an estimated half hour at the sites' load, after which no turn could end. Now the owner of a partition reads it four times in a retention and drops what it first saw a retention and a minute before; a young turn keeps its chain.

Ruled out: ages by the time of day (it may jump), and reservations that keep a program for ever (a lost settlement left one).

--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -36,6 +36,7 @@
 from quetzalmill import members
 from quetzalmill import peer_link
 from quetzalmill import route_table
+from quetzalmill import turn_expiry
 from quetzalmill import turn_keeper
 from quetzalmill import turn_store
 
@@ -163,6 +164,10 @@
             await server.start(self._settings.peer_address)
             nursery.start_soon(self._follow_peer_tables)
             nursery.start_soon(self._members.run)
+            expiry = turn_expiry.TurnExpiry(
+                self.state, self._store, self._owners
+            )
+            nursery.start_soon(expiry.run)
             for task in follow:
                 nursery.start_soon(task, self)
             await self._serve_all(nursery)
--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -66,6 +66,7 @@
         self.crashes = crash_counts.CrashCounts()
         self.holds: set[int] = set()
         self.leaving = False
+        self.retention_ms = 0.0
         self.endpoints_known = False
         self._confirmed_ms = float("-inf")
         self._store_failing_ms: float | None = None
@@ -85,6 +86,10 @@
             return False
         before = 0 if self.table is None else self.table.version
         self.table = table
+        # Turns of a route that is gone are kept as they were promised to be.
+        self.retention_ms = max(
+            [self.retention_ms, *(each.retention_ms for each in table.routes)]
+        )
         self.buckets.configure(table.teams, self.clock.now_ms())
         _log.info(
             "table_applied",
--- a/quetzalmill/keyed_store.py
+++ b/quetzalmill/keyed_store.py
@@ -4,6 +4,7 @@
 client stands behind it; tests use a store in memory.
 """
 
+from collections.abc import AsyncIterator
 from typing import Protocol
 
 import attrs
@@ -103,6 +104,11 @@
     ) -> Records:
         """Returns the newest record of each key."""
 
+    def newest_pages(
+        self, topic: str, part: int, *, timeout_ms: float
+    ) -> AsyncIterator[list[KeyedRecord]]:
+        """Yields what ``newest`` returns in pages, for what is too large."""
+
     async def changes(
         self,
         topic: str,
--- a/quetzalmill/program_budgets.py
+++ b/quetzalmill/program_budgets.py
@@ -223,11 +223,15 @@
             program.spent_tokens += used_tokens
 
     def forget_idle(self, idle_ms: float, now_ms: float) -> list[str]:
-        """Drops programs unused for ``idle_ms``; returns their ids."""
+        """Drops programs unused for ``idle_ms``; returns their ids.
+
+        No turn lasts that long, so what is still reserved belongs to turns
+        whose settlement was lost.
+        """
         old = [
             program_id
             for program_id, program in self.programs.items()
-            if not program.reserved and now_ms - program.touched_ms > idle_ms
+            if now_ms - program.touched_ms > idle_ms
         ]
         for program_id in old:
             del self.programs[program_id]
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -1,5 +1,7 @@
 """A store of keyed records in memory, with faults, for tests of gateways."""
 
+from collections.abc import AsyncIterator
+
 import attrs
 import trio
 
@@ -106,6 +108,14 @@
             next_offset=len(log),
         )
 
+    async def newest_pages(
+        self, topic: str, part: int, *, timeout_ms: float
+    ) -> AsyncIterator[list[keyed_store.KeyedRecord]]:
+        """Yields the newest record of each key, each on its own page."""
+        found = await self.newest(topic, part, timeout_ms=timeout_ms)
+        for record in found.records:
+            yield [record]
+
     async def changes(
         self,
         topic: str,
