Charge a team's rate where a request runs, not where it arrives

Now the rate is looked at on arrival and charged just before the request goes to an endpoint; a second refusal there is settled as not run. Ruled out: giving tokens back after a refusal, since the counters that travel may only grow.

--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -234,11 +234,17 @@
                 reason="the request has ended several endpoints",
                 retry_after_ms=CRASHING_RETRY_MS,
             )
-        if team is None:
+        # The token is taken where the request runs, since one that does not
+        # run must not keep others of its team from running.
+        return self._check_rate(take=False)
+
+    def _check_rate(self, *, take: bool) -> outcomes.Refused | None:
+        """Checks the team's rate, and uses it if asked to."""
+        if not self.team:
             return None
-        admission = self._state.buckets.admit(
-            team.name, self._state.clock.now_ms()
-        )
+        buckets = self._state.buckets
+        check = buckets.admit if take else buckets.look
+        admission = check(self.team, self._state.clock.now_ms())
         if admission.admitted:
             return None
         return outcomes.Refused(
@@ -298,6 +304,9 @@
         self, service: route_table.Service, body: bytes, reserve_ms: float
     ) -> outcomes.Outcome:
         assert self.route is not None
+        refused = self._check_rate(take=True)
+        if refused is not None:
+            return refused
         self.job = dispatch.Job(
             call=self.call,
             route=self.route,
--- a/quetzalmill/team_buckets.py
+++ b/quetzalmill/team_buckets.py
@@ -73,24 +73,30 @@
                 self._fill(name, bucket, now_ms)
             self._heard_part = part
 
-    def admit(self, name: str, now_ms: float) -> Admission:
-        """Takes one token from a team's bucket, if it holds one."""
-        team = self._teams.get(name)
-        if team is None or team.rate_per_s <= 0:
+    def look(self, name: str, now_ms: float) -> Admission:
+        """Returns what ``admit`` would, and takes nothing."""
+        if not self._is_limited(name):
             return Admission(admitted=True, level=0.0)
         bucket = self._buckets[name]
         self._fill(name, bucket, now_ms)
         if bucket.level >= 1.0:
-            bucket.level -= 1.0
-            bucket.admitted += 1
             return Admission(admitted=True, level=bucket.level)
-        wait_ms = (
-            (1.0 - bucket.level) / (team.rate_per_s * self._heard_part) * 1000.0
-        )
+        gained_per_s = self._teams[name].rate_per_s * self._heard_part
         return Admission(
-            admitted=False, level=bucket.level, retry_after_ms=wait_ms
+            admitted=False,
+            level=bucket.level,
+            retry_after_ms=(1.0 - bucket.level) / gained_per_s * 1000.0,
         )
 
+    def admit(self, name: str, now_ms: float) -> Admission:
+        """Takes one token from a team's bucket, if it holds one."""
+        found = self.look(name, now_ms)
+        if found.admitted and self._is_limited(name):
+            bucket = self._buckets[name]
+            bucket.level -= 1.0
+            bucket.admitted += 1
+        return found
+
     def admitted(self) -> dict[str, int]:
         """Returns how many requests this gateway admitted, by team."""
         return {
@@ -118,6 +124,10 @@
         for key in [key for key in self._heard if key[0] == instance]:
             del self._heard[key]
 
+    def _is_limited(self, name: str) -> bool:
+        team = self._teams.get(name)
+        return team is not None and team.rate_per_s > 0
+
     def _fill(self, name: str, bucket: _Bucket, now_ms: float) -> None:
         team = self._teams.get(name)
         elapsed_s = max(0.0, now_ms - bucket.filled_ms) / 1000.0
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -190,6 +190,14 @@
         )
         assert admitted == 1
 
+    def test_time_without_a_limit_leaves_no_debt(self) -> None:
+        buckets = team_buckets.TeamBuckets()
+        buckets.configure(_table(rate_per_s=0.0).teams, 0.0)
+        for _ in range(500):
+            assert buckets.admit("weddings", 0.0).admitted
+        buckets.configure(_table(rate_per_s=10.0).teams, 0.0)
+        assert buckets.admit("weddings", 1_000.0).admitted
+
     def test_refusal_says_when_to_come_back(self) -> None:
         buckets = self._buckets(1)[0]
         while buckets.admit("weddings", 0.0).admitted:
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -283,6 +283,25 @@
 
         _run(tmp_path, case)
 
+    def test_turns_that_do_not_run_use_up_no_rate(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """A program that loops on a spent budget, beside others of its team."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("app-1", "app")
+            state = platform_cluster.desired_state(2)
+            state["tenants"][0].update(ratePerS=0.1, burst=40)
+            cluster.store.put("keyed.op", "config", state)
+            gateway = await cluster.add_gateway()
+            for _ in range(20):
+                _, response = await cluster.turn(gateway, b"loop", budget=10)
+                assert response.status == 402
+            _, response = await cluster.call(gateway, "/lookup/1")
+            assert response.status == 200
+
+        _run(tmp_path, case)
+
     def test_cut_stream_does_not_look_complete(
         self, tmp_path: pathlib.Path
     ) -> None:
