Open the callers' address before saying ready

Cause: a run of the gateways' tests in a loop failed once: connection refused at the first request after 200 from the ready address. The ready address was opened first, so callers could be sent to a port that was not open yet. Test red first: the order of the addresses that are opened.

--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -340,10 +340,11 @@
             _log.info("table_not_fetched", peer=address, reason=str(error))
 
     async def _serve_all(self, nursery: trio.Nursery) -> None:
+        """Opens the address that says ready last; callers come at once."""
         settings = self._settings
-        await nursery.start(self._serve_side, settings.ready_address)
-        await nursery.start(self._serve_side, settings.metrics_address)
         await nursery.start(self._serve_callers)
+        await nursery.start(self._serve_side, settings.metrics_address)
+        await nursery.start(self._serve_side, settings.ready_address)
 
     async def _serve_callers(
         self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
