Let requests wait for their team's rate, programs under way first

Load pattern: a team asks for somewhat more than its rate, or in clumps. Plain buckets refuse at random; an agent program needs a dozen requests and ends with the first that is refused for good, so most of the rate went to programs that never ended. Now requests wait up to a quarter of their time, programs under way before new ones, and a program begins only if a second bucket of its team holds what a whole program takes. Peers are taken to go on at their last rate between beats. Who would wait too long hears at once when to come back, each another moment.

Also: the store is swept at most once a minute (retention here is one).

--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -16,6 +16,7 @@
 from quetzalmill import http_server
 from quetzalmill import logs
 from quetzalmill import route_table
+from quetzalmill import team_buckets
 
 NOT_READY_RETRY_MS = 500.0
 """When to come back to a gateway that knows no route table yet; starting
@@ -24,6 +25,14 @@
 CRASHING_RETRY_MS = 60_000.0
 """When to come back with a request that has ended several endpoints."""
 
+RATE_PATIENCE_PART = 0.25
+"""The part of the time left that a request may wait for its team's rate; less
+than the third after which callers no longer come back."""
+
+START_PATIENCE_MS = 250.0
+"""The longest wait of a program's first turn. Its time runs already, and once
+begun it takes from its team's rate whether it ends in time or not."""
+
 END_RESERVE_MS = 150.0
 """Time kept back from a turn's run to make its end durable."""
 
@@ -236,23 +245,35 @@
             )
         # The token is taken where the request runs, since one that does not
         # run must not keep others of its team from running.
-        return self._check_rate(take=False)
-
-    def _check_rate(self, *, take: bool) -> outcomes.Refused | None:
-        """Checks the team's rate, and uses it if asked to."""
-        if not self.team:
-            return None
-        buckets = self._state.buckets
-        check = buckets.admit if take else buckets.look
-        admission = check(self.team, self._state.clock.now_ms())
-        if admission.admitted:
-            return None
-        return outcomes.Refused(
-            status=429,
-            reason=f"the team's rate is used up, level {admission.level:.1f}",
-            retry_after_ms=admission.retry_after_ms,
+        return _beyond_rate(
+            self._state.lines.look(
+                self.team,
+                is_start=self._is_start(),
+                patience_ms=self._rate_patience_ms(),
+            )
+        )
+
+    async def _take_rate(self) -> outcomes.Refused | None:
+        """Takes a token of the team's rate; returns why there is none."""
+        return _beyond_rate(
+            await self._state.lines.enter(
+                self.team,
+                is_start=self._is_start(),
+                patience_ms=self._rate_patience_ms(),
+            )
         )
 
+    def _is_start(self) -> bool:
+        """Returns whether the request begins a program."""
+        assert self.route is not None
+        return self.route.stateful and not self.call.previous_turn_id
+
+    def _rate_patience_ms(self) -> float:
+        patience_ms = max(0.0, RATE_PATIENCE_PART * self._left_ms())
+        if self._is_start():
+            return min(patience_ms, START_PATIENCE_MS)
+        return patience_ms
+
     def _deny(self, status: int, reason: str) -> outcomes.Refused:
         """Denies a request only on the strength of a fresh route table."""
         if self._state.table_is_fresh():
@@ -304,7 +325,7 @@
         self, service: route_table.Service, body: bytes, reserve_ms: float
     ) -> outcomes.Outcome:
         assert self.route is not None
-        refused = self._check_rate(take=True)
+        refused = await self._take_rate()
         if refused is not None:
             return refused
         self.job = dispatch.Job(
@@ -383,6 +404,18 @@
     await exchange.respond(refused.status, body, headers)
 
 
+def _beyond_rate(
+    admission: team_buckets.Admission,
+) -> outcomes.Refused | None:
+    if admission.admitted:
+        return None
+    return outcomes.Refused(
+        status=429,
+        reason=f"the team's rate is used up, level {admission.level:.1f}",
+        retry_after_ms=admission.retry_after_ms,
+    )
+
+
 def _describe(outcome: outcomes.Outcome) -> tuple[str, str]:
     match outcome:
         case outcomes.Refused():
--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -10,6 +10,7 @@
 from quetzalmill import endpoint_pool
 from quetzalmill import logs
 from quetzalmill import peers as peers_module
+from quetzalmill import rate_lines
 from quetzalmill import route_table
 from quetzalmill import team_buckets
 
@@ -67,6 +68,10 @@
         self.pool = endpoint_pool.EndpointPool()
         self.peers = peers_module.PeerTable(address)
         self.buckets = team_buckets.TeamBuckets()
+        self.starts = team_buckets.TeamBuckets(rate_lines.PROGRAM_MS)
+        self.lines = rate_lines.RateLines(
+            self.buckets, self.starts, clock, self._waiting_at_peers
+        )
         self.crashes = crash_counts.CrashCounts()
         self.holds: set[int] = set()
         self.leaving = False
@@ -95,7 +100,8 @@
         self.retention_ms = max(
             [self.retention_ms, *(each.retention_ms for each in table.routes)]
         )
-        self.buckets.configure(table.teams, self.clock.now_ms())
+        for buckets in (self.buckets, self.starts):
+            buckets.configure(table.teams, self.clock.now_ms())
         _log.info(
             "table_applied",
             version=table.version,
@@ -169,6 +175,8 @@
             crashes=self.crashes.all_known(),
             known=self.peers.addresses(),
             holds=sorted(self.holds),
+            waiting=self.lines.waiting(),
+            begun=self.starts.admitted(),
         )
 
     def hear(self, beat: peers_module.Beat) -> None:
@@ -176,9 +184,10 @@
         now_ms = self.clock.now_ms()
         replaced = self.peers.hear(beat, now_ms)
         if replaced is not None:
-            self.buckets.forget(replaced)
+            self._forget_use(replaced)
             _log.info("peer_restarted", peer=beat.host)
         self.buckets.hear(beat.instance, beat.admitted, now_ms)
+        self.starts.hear(beat.instance, beat.begun, now_ms)
         for count in beat.crashes:
             self.crashes.hear(count, now_ms)
 
@@ -186,9 +195,11 @@
         """Brings up to date what changes with time alone."""
         now_ms = self.clock.now_ms()
         for beat in self.peers.forget_old(now_ms):
-            self.buckets.forget(beat.instance)
+            self._forget_use(beat.instance)
             _log.info("peer_gone", peer=beat.host, leaving=beat.leaving)
-        self.buckets.set_heard_part(self.peers.heard_part(now_ms), now_ms)
+        heard_part = self.peers.heard_part(now_ms)
+        for buckets in (self.buckets, self.starts):
+            buckets.set_heard_part(heard_part, now_ms)
         self.pool.hear_running(self.peers.running(now_ms))
         self.crashes.forget_old(now_ms)
         if self._store_failing_ms is not None:
@@ -204,6 +215,13 @@
         """Returns the peers that are heard."""
         return self.peers.alive(self.clock.now_ms())
 
+    def _forget_use(self, instance: str) -> None:
+        for buckets in (self.buckets, self.starts):
+            buckets.forget(instance)
+
+    def _waiting_at_peers(self, team: str) -> int:
+        return sum(beat.waiting.get(team, 0) for beat in self.alive_peers())
+
     def owner(self, part: int) -> str:
         """Returns the address of the gateway that owns a partition."""
         return self.peers.owner(
--- a/quetzalmill/peers.py
+++ b/quetzalmill/peers.py
@@ -41,6 +41,9 @@
         crashes: Requests that ran when an endpoint died.
         known: Addresses of the gateways that it knows.
         holds: Partitions of budgets that it has claimed.
+        waiting: Requests of programs under way that wait for their team's
+            rate, by team.
+        begun: Requests that programs begun since its start take, by team.
     """
 
     host: str
@@ -56,6 +59,8 @@
     crashes: list[crash_counts.CrashCount]
     known: list[str]
     holds: list[int]
+    waiting: dict[str, int] = attrs.field(factory=dict)
+    begun: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.define
--- a/quetzalmill/team_buckets.py
+++ b/quetzalmill/team_buckets.py
@@ -2,8 +2,10 @@
 
 Each gateway debits its copy of a team's bucket by what it admits itself and
 by what its peers say they admitted. The counters that travel only grow, so a
-lost or repeated message does no harm. News is a beat late, so a bucket may go
-below zero; the debt is paid before anything more is admitted.
+lost or repeated message does no harm. Between two messages a peer is taken to
+go on at its last rate; otherwise each gateway would hand out what is gained
+meanwhile, all of it. A bucket may still go below zero; the debt is paid before
+anything more is admitted.
 
 A gateway that does not hear from a peer cannot know what that peer admits. It
 then uses only the part of each bucket that those it hears stand for.
@@ -18,6 +20,36 @@
 its predecessor admitted in the seconds before."""
 
 
+_NEWS_WEIGHT = 0.4
+"""The weight of the last message in a peer's rate; about three beats count."""
+
+_GUESS_MS = 600.0
+"""The longest time for which a silent peer is taken to go on: three beats.
+After that the part of those that are not heard covers it."""
+
+
+@attrs.define
+class _PeerUse:
+    """What one peer admits for one team."""
+
+    count: int
+    heard_ms: float
+    rate_per_ms: float = 0.0
+
+    def guess(self, now_ms: float) -> float:
+        """Returns what it has probably admitted since it was heard."""
+        elapsed_ms = min(max(0.0, now_ms - self.heard_ms), _GUESS_MS)
+        return self.rate_per_ms * elapsed_ms
+
+    def hear(self, count: int, now_ms: float) -> None:
+        """Takes over its counter."""
+        elapsed_ms = max(1.0, now_ms - self.heard_ms)
+        rate_per_ms = max(0, count - self.count) / elapsed_ms
+        self.rate_per_ms += _NEWS_WEIGHT * (rate_per_ms - self.rate_per_ms)
+        self.count = max(count, self.count)
+        self.heard_ms = now_ms
+
+
 @attrs.define
 class _Bucket:
     level: float
@@ -41,12 +73,18 @@
 
 
 class TeamBuckets:
-    """The buckets of all teams with a rate."""
+    """The buckets of all teams with a rate.
+
+    Args:
+        horizon_ms: A bucket holds what its team gains in this time besides
+            its burst.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, horizon_ms: float = 0.0) -> None:
+        self._horizon_ms = horizon_ms
         self._teams: dict[str, route_table.Team] = {}
         self._buckets: dict[str, _Bucket] = {}
-        self._heard: dict[tuple[str, str], int] = {}
+        self._peers: dict[str, dict[str, _PeerUse]] = {}
         self._heard_part = 1.0
 
     def configure(
@@ -59,10 +97,10 @@
         for name, team in teams.items():
             bucket = self._buckets.get(name)
             if bucket is None:
-                level = team.burst * START_PART
+                level = self._cap(team) * START_PART
                 self._buckets[name] = _Bucket(level, now_ms)
             else:
-                bucket.level = min(bucket.level, team.burst)
+                bucket.level = min(bucket.level, self._cap(team))
         for name in set(self._buckets) - set(teams):
             del self._buckets[name]
 
@@ -75,28 +113,53 @@
 
     def look(self, name: str, now_ms: float) -> Admission:
         """Returns what ``admit`` would, and takes nothing."""
-        if not self._is_limited(name):
+        if not self.is_limited(name):
             return Admission(admitted=True, level=0.0)
-        bucket = self._buckets[name]
-        self._fill(name, bucket, now_ms)
-        if bucket.level >= 1.0:
-            return Admission(admitted=True, level=bucket.level)
-        gained_per_s = self._teams[name].rate_per_s * self._heard_part
+        wait_ms = self.wait_ms(name, 1, now_ms)
         return Admission(
-            admitted=False,
-            level=bucket.level,
-            retry_after_ms=(1.0 - bucket.level) / gained_per_s * 1000.0,
+            admitted=wait_ms <= 0.0,
+            level=self._buckets[name].level,
+            retry_after_ms=wait_ms,
         )
 
+    def wait_ms(self, name: str, tokens: int, now_ms: float) -> float:
+        """Returns when a limited team's bucket will hold ``tokens``.
+
+        A bucket that is smaller than that only has to be full.
+        """
+        bucket = self._buckets[name]
+        self._fill(name, bucket, now_ms)
+        tokens = min(tokens, int(self.capacity(name)))
+        level = bucket.level - self._guess(name, now_ms)
+        return max(0.0, (tokens - level) * self.interval_ms(name))
+
+    def capacity(self, name: str) -> float:
+        """Returns what a limited team's bucket holds when it is full."""
+        return self._full(self._teams[name])
+
+    def interval_ms(self, name: str) -> float:
+        """Returns the time in which a limited team's bucket gains a token."""
+        return 1000.0 / (self._teams[name].rate_per_s * self._heard_part)
+
+    def is_limited(self, name: str) -> bool:
+        """Returns whether a team has a rate."""
+        team = self._teams.get(name)
+        return team is not None and team.rate_per_s > 0
+
     def admit(self, name: str, now_ms: float) -> Admission:
         """Takes one token from a team's bucket, if it holds one."""
         found = self.look(name, now_ms)
-        if found.admitted and self._is_limited(name):
-            bucket = self._buckets[name]
-            bucket.level -= 1.0
-            bucket.admitted += 1
+        if found.admitted:
+            self.take(name, 1)
         return found
 
+    def take(self, name: str, tokens: int) -> None:
+        """Takes tokens from a limited team's bucket, whatever it holds."""
+        if self.is_limited(name):
+            bucket = self._buckets[name]
+            bucket.level -= tokens
+            bucket.admitted += tokens
+
     def admitted(self) -> dict[str, int]:
         """Returns how many requests this gateway admitted, by team."""
         return {
@@ -110,23 +173,37 @@
     ) -> None:
         """Debits what a peer says it admitted since it was last heard."""
         for name, count in admitted.items():
-            before = self._heard.get((instance, name), 0)
-            if count <= before:
-                continue
-            self._heard[instance, name] = count
+            uses = self._peers.setdefault(name, {})
+            use = uses.get(instance)
+            if use is None:
+                # Its rate is not known before it has been heard twice.
+                use = uses[instance] = _PeerUse(0, now_ms)
+                added = count
+                use.count = count
+            else:
+                added = max(0, count - use.count)
+                use.hear(count, now_ms)
             bucket = self._buckets.get(name)
             if bucket is not None:
                 self._fill(name, bucket, now_ms)
-                bucket.level -= count - before
+                bucket.level -= added
 
     def forget(self, instance: str) -> None:
         """Drops the counters of a peer that is gone for good."""
-        for key in [key for key in self._heard if key[0] == instance]:
-            del self._heard[key]
+        for uses in self._peers.values():
+            uses.pop(instance, None)
 
-    def _is_limited(self, name: str) -> bool:
-        team = self._teams.get(name)
-        return team is not None and team.rate_per_s > 0
+    def _guess(self, name: str, now_ms: float) -> float:
+        """Returns what peers have probably admitted since they were heard."""
+        uses = self._peers.get(name, {})
+        return sum(use.guess(now_ms) for use in uses.values())
+
+    def _full(self, team: route_table.Team) -> float:
+        """Returns what a bucket holds at most, by the part that is heard."""
+        return max(self._cap(team) * self._heard_part, 1.0)
+
+    def _cap(self, team: route_table.Team) -> float:
+        return team.burst + team.rate_per_s * self._horizon_ms / 1000.0
 
     def _fill(self, name: str, bucket: _Bucket, now_ms: float) -> None:
         team = self._teams.get(name)
@@ -135,7 +212,7 @@
         if team is None:
             return
         # A level above a cap that has just shrunk drains by use only.
-        cap = max(team.burst * self._heard_part, 1.0)
+        cap = self._full(team)
         if bucket.level < cap:
             gained = team.rate_per_s * self._heard_part * elapsed_s
             bucket.level = min(cap, bucket.level + gained)
--- a/quetzalmill/turn_expiry.py
+++ b/quetzalmill/turn_expiry.py
@@ -26,8 +26,9 @@
 """Readings of a partition in one retention; each turn is read about as often
 and stays that part of the retention longer."""
 
-LEAST_SWEEP_MS = 15_000.0
-"""The least pause between two readings, whatever the retention."""
+LEAST_SWEEP_MS = 60_000.0
+"""The least pause between two readings; as long as the margin, so that short
+retentions do not make the store hand out its contents over and over."""
 
 _READ_TIMEOUT_MS = 1_500.0
 _WRITE_TIMEOUT_MS = 1_000.0
--- /dev/null
+++ b/tests/test_rate_lines.py
@@ -0,0 +1,250 @@
+"""Tests of waiting for a team's rate, by the load patterns it is made for."""
+
+from collections.abc import Awaitable, Callable
+import random
+
+import attrs
+import pytest
+import trio
+import trio.testing
+
+from quetzalmill import rate_lines
+from quetzalmill import route_table
+from quetzalmill import team_buckets
+
+_TEAM = "weddings"
+_GATEWAYS = 4
+_BEAT_S = 0.2
+_DEADLINE_MS = 4_000.0
+_REQUESTS = 12
+_PATIENCE_MS = 1_000.0
+_START_PATIENCE_MS = 250.0
+
+
+class _TrioClock:
+    """Follows trio's clock, which jumps ahead while nothing runs."""
+
+    def now_ms(self) -> float:
+        """Returns trio's time in milliseconds."""
+        return trio.current_time() * 1000.0
+
+
+@attrs.define
+class _Gateways:
+    """Several gateways that tell each other what they admit."""
+
+    nursery: trio.Nursery
+    buckets: list[team_buckets.TeamBuckets]
+    starts: list[team_buckets.TeamBuckets]
+    lines: list[rate_lines.RateLines]
+    told: list[dict[str, int]]
+    ran_s: list[float] = attrs.field(factory=list)
+
+    async def send_beats(self, own: int) -> None:
+        """Sends one gateway's beats for ever; beats are not in step."""
+        await trio.sleep(_BEAT_S * own / _GATEWAYS)
+        while True:
+            await trio.sleep(_BEAT_S)
+            now_ms = trio.current_time() * 1000.0
+            self.told[own] = self.lines[own].waiting()
+            for other in range(_GATEWAYS):
+                if other != own:
+                    for kind in (self.buckets, self.starts):
+                        admitted = kind[own].admitted()
+                        kind[other].hear(str(own), admitted, now_ms)
+
+
+def _run(
+    case: Callable[[_Gateways], Awaitable[None]],
+    *,
+    rate_per_s: float,
+    burst: float,
+) -> None:
+    async def run() -> None:
+        clock = _TrioClock()
+        buckets = [team_buckets.TeamBuckets() for _ in range(_GATEWAYS)]
+        starts = [
+            team_buckets.TeamBuckets(rate_lines.PROGRAM_MS)
+            for _ in range(_GATEWAYS)
+        ]
+        told: list[dict[str, int]] = [{} for _ in range(_GATEWAYS)]
+        team = route_table.Team(
+            name=_TEAM, priority=None, rate_per_s=rate_per_s, burst=burst
+        )
+        for each in (*buckets, *starts):
+            each.configure({_TEAM: team}, clock.now_ms())
+
+        def at_peers(own: int) -> Callable[[str], int]:
+            return lambda name: sum(
+                counts.get(name, 0)
+                for other, counts in enumerate(told)
+                if other != own
+            )
+
+        lines = [
+            rate_lines.RateLines(
+                buckets[number], starts[number], clock, at_peers(number)
+            )
+            for number in range(_GATEWAYS)
+        ]
+
+        async with trio.open_nursery() as nursery:
+            gateways = _Gateways(nursery, buckets, starts, lines, told)
+            for number in range(_GATEWAYS):
+                nursery.start_soon(gateways.send_beats, number)
+            await trio.sleep(10.0)
+            await case(gateways)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+async def _request(
+    gateways: _Gateways, choice: random.Random, *, is_start: bool
+) -> bool:
+    """Makes one request as callers do: one retry when told to come back."""
+    for _ in range(2):
+        line = choice.choice(gateways.lines)
+        admission = await line.enter(
+            _TEAM,
+            is_start=is_start,
+            patience_ms=_START_PATIENCE_MS if is_start else _PATIENCE_MS,
+        )
+        if admission.admitted:
+            gateways.ran_s.append(trio.current_time())
+            await trio.sleep(0.1)
+            return True
+        wait_ms = min(admission.retry_after_ms, _DEADLINE_MS / 3.0)
+        await trio.sleep(wait_ms / 1000.0)
+    return False
+
+
+class TestOverload:
+    """Programs that need several times their team's rate."""
+
+    @pytest.mark.parametrize("seed", range(4))
+    @pytest.mark.parametrize("times", [1.2, 3.0])
+    @pytest.mark.parametrize(
+        ("rate_per_s", "burst"), [(20.0, 20.0), (80.0, 80.0)]
+    )
+    def test_programs_that_begin_end_whole(
+        self, seed: int, times: float, rate_per_s: float, burst: float
+    ) -> None:
+        """Some times the rate for 20 s: most of the rate's share ends whole.
+
+        Plain buckets bring a tenth to a quarter of it to the end at three
+        times the rate.
+        """
+        choice = random.Random(seed)
+        duration_s = 20.0
+        whole: list[float] = []
+
+        async def case(gateways: _Gateways) -> None:
+            async def program() -> None:
+                started_s = trio.current_time()
+                for number in range(_REQUESTS):
+                    is_start = number == 0
+                    if not await _request(gateways, choice, is_start=is_start):
+                        return
+                whole.append(trio.current_time() - started_s)
+
+            end_s = trio.current_time() + duration_s
+            while trio.current_time() < end_s:
+                gateways.nursery.start_soon(program)
+                starts_per_s = times * rate_per_s / _REQUESTS
+                await trio.sleep(choice.expovariate(starts_per_s))
+            await trio.sleep(10.0)
+
+        _run(case, rate_per_s=rate_per_s, burst=burst)
+        owed = (rate_per_s * duration_s + burst) / _REQUESTS
+        # A program takes 1.2 s alone; callers allow about twice as much.
+        in_time = sum(each < 2.4 for each in whole)
+        # The users' target for the worst load.
+        assert in_time >= 0.58 * owed
+
+    def test_flood_stays_within_rate_and_burst(self) -> None:
+        rate_per_s, burst = 20.0, 20.0
+        choice = random.Random(1)
+        ran_s: list[float] = []
+
+        async def case(gateways: _Gateways) -> None:
+            gateways.ran_s = ran_s
+
+            async def ask() -> None:
+                await _request(gateways, choice, is_start=choice.random() < 0.3)
+
+            for _ in range(2_000):
+                gateways.nursery.start_soon(ask)
+                await trio.sleep(0.005)
+
+        _run(case, rate_per_s=rate_per_s, burst=burst)
+        for start_s in ran_s:
+            window = [ran for ran in ran_s if 0.0 <= ran - start_s < 5.0]
+            assert len(window) <= (rate_per_s * 5.0 + burst) * 1.1 + 20
+
+
+class TestClumps:
+    """Load below the rate that comes in clumps."""
+
+    def test_short_wait_instead_of_a_refusal(self) -> None:
+        async def case(gateways: _Gateways) -> None:
+            line = gateways.lines[0]
+            admitted: list[bool] = []
+
+            async def ask() -> None:
+                found = await line.enter(
+                    _TEAM, is_start=False, patience_ms=_PATIENCE_MS
+                )
+                admitted.append(found.admitted)
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(20):
+                    nursery.start_soon(ask)
+            assert admitted == [True] * 20
+
+        _run(case, rate_per_s=20.0, burst=10.0)
+
+
+class TestReturning:
+    """What those hear who would wait too long."""
+
+    def test_each_is_told_another_moment(self) -> None:
+        async def case(gateways: _Gateways) -> None:
+            line = gateways.lines[0]
+            told = []
+            for _ in range(40):
+                found = await line.enter(_TEAM, is_start=False, patience_ms=0.0)
+                if not found.admitted:
+                    told.append(found.retry_after_ms)
+            assert len(told) == 30
+            gaps = [
+                after - before
+                for before, after in zip(told, told[1:], strict=False)
+            ]
+            # A token comes each 50 ms.
+            assert min(gaps) >= 49.0
+
+        _run(case, rate_per_s=20.0, burst=10.0)
+
+    def test_program_under_way_goes_before_a_new_one(self) -> None:
+        async def case(gateways: _Gateways) -> None:
+            line = gateways.lines[0]
+            order: list[str] = []
+
+            async def ask(name: str, is_start: bool) -> None:
+                await line.enter(
+                    _TEAM, is_start=is_start, patience_ms=_PATIENCE_MS
+                )
+                order.append(name)
+
+            while (
+                await line.enter(_TEAM, is_start=False, patience_ms=0.0)
+            ).admitted:
+                pass
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask, "new", True)
+                await trio.sleep(0.001)
+                nursery.start_soon(ask, "under way", False)
+            assert order == ["under way", "new"]
+
+        _run(case, rate_per_s=20.0, burst=10.0)
