Answer 503, not 502, when every endpoint said that it did not run

Cause, read in the code: a request that may be repeated and that every endpoint refused as not run was answered 502, which promises nothing; its caller could have known that it had not run and when to come back. 502 now needs a send whose outcome is unknown. Test red first (502 for 503 on a look-up). The chosen endpoint's unread tokens are no longer computed twice.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -123,6 +123,7 @@
         """Runs a request; passes a stream on as it arrives."""
         reason = "no endpoint is known"
         connect_failures = 0
+        was_lost = False
         while connect_failures < CONNECT_TRIES:
             left_ms = job.deadline_ms - self._clock.now_ms()
             if left_ms < LEAST_LEFT_MS:
@@ -141,11 +142,12 @@
                         break
                 case _Lost():
                     reason = outcome.reason
+                    was_lost = True
                     if not self._may_repeat(job):
                         return _unknown(outcome)
                 case _:
                     return outcome
-        if job.sends and job.route.repeat is route_table.Repeat.SAFE:
+        if was_lost:
             return outcomes.Unknown(status=502, reason=reason)
         return outcomes.Refused(
             status=503, reason=reason, retry_after_ms=self._come_back_ms()
@@ -184,12 +186,9 @@
         best = endpoint_choice.choose(estimates, self._random)
         if best is None:
             return None
-        chosen = best.condition
-        job.load = chosen.load(now_ms)
-        job.unread_tokens = self.prefixes.unread_tokens(
-            chosen.endpoint.endpoint_id, job.call.prompt_parts
-        )
-        return chosen
+        job.load = best.condition.load(now_ms)
+        job.unread_tokens = best.unread_tokens
+        return best.condition
 
     async def _try(
         self,
--- a/quetzalmill/endpoint_choice.py
+++ b/quetzalmill/endpoint_choice.py
@@ -72,10 +72,17 @@
 
 @attrs.frozen(kw_only=True)
 class Estimate:
-    """An endpoint and what a request would take there beyond its own work."""
+    """An endpoint and what a request would take there beyond its own work.
+
+    Attributes:
+        condition: The endpoint.
+        extra_ms: What it would take.
+        unread_tokens: Prompt tokens that the endpoint has not read.
+    """
 
     condition: endpoint_pool.Condition
     extra_ms: float
+    unread_tokens: int
 
 
 def estimate(
@@ -101,7 +108,9 @@
     extra_ms += FAILURE_MS * condition.failures + condition.slow_ms
     if condition.cold_until_ms > now_ms:
         extra_ms += COLD_MS
-    return Estimate(condition=condition, extra_ms=extra_ms)
+    return Estimate(
+        condition=condition, extra_ms=extra_ms, unread_tokens=unread_tokens
+    )
 
 
 def choose(
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -105,14 +105,15 @@
 
         _run(tmp_path, case)
 
+    @pytest.mark.parametrize("path", ["/book/1", "/lookup/1"])
     def test_refusal_by_all_says_when_to_come_back(
-        self, tmp_path: pathlib.Path
+        self, tmp_path: pathlib.Path, path: str
     ) -> None:
         async def case(cluster: platform_cluster.Cluster) -> None:
             app = await cluster.add_endpoint("app-1", "app")
             app.faults = [_Fault.SHED] * 8
             gateway = await cluster.add_gateway()
-            _, response = await cluster.call(gateway, "/book/1")
+            _, response = await cluster.call(gateway, path)
             assert response.status == 503
             assert float(response.headers["retry-after"]) > 0
             assert not app.runs
