Hold callers to the limits of the desired state

Cause, read in the code: the operator's limits on what a caller may send and how long a connection may idle were decoded and read by nothing; the server's own defaults held, so a body over 4 MiB was refused where the operator allows it, and longer idle times were cut at 60 s. A connection now takes the limits in force when it opens. Tests red first in both directions.

--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -355,6 +355,7 @@
             limits=http_message.Limits(),
             stopping=self._stopping,
             on_error=_report_error,
+            limits_now=self.state.caller_limits,
             task_status=task_status,
         )
         self._served.set()
--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -8,6 +8,7 @@
 from quetzalmill import clock as clock_module
 from quetzalmill import crash_counts
 from quetzalmill import endpoint_pool
+from quetzalmill import http_message
 from quetzalmill import logs
 from quetzalmill import peers as peers_module
 from quetzalmill import rate_lines
@@ -112,6 +113,18 @@
         )
         return True
 
+    def caller_limits(self) -> http_message.Limits:
+        """Returns what a caller's connection may take."""
+        if self.table is None:
+            return http_message.Limits()
+        limits = self.table.limits
+        return http_message.Limits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_timeout_ms=limits.header_timeout_ms,
+            idle_timeout_ms=limits.idle_timeout_ms,
+        )
+
     def confirm_table(self) -> None:
         """Records that the table is the newest that the store has."""
         self._confirmed_ms = self.clock.now_ms()
--- a/quetzalmill/http_server.py
+++ b/quetzalmill/http_server.py
@@ -57,6 +57,7 @@
     limits: http_message.Limits,
     stopping: trio.Event,
     on_error: ErrorHook = _ignore_error,
+    limits_now: Callable[[], http_message.Limits] | None = None,
     task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves until ``stopping`` is set and all running exchanges ended.
@@ -67,10 +68,14 @@
         limits: What one connection may take.
         stopping: Ends accepting and idle connections once it is set.
         on_error: Is told what a handler let escape.
+        limits_now: Returns what a connection that opens now may take, if
+            that changes; ``limits`` still says how many may be open.
         task_status: Reports the port that the server listens on.
     """
     listener = await _listen(address)
-    server = _Server(handler, limits, stopping, on_error)
+    server = _Server(
+        handler, limits, stopping, on_error, limits_now or (lambda: limits)
+    )
     with listener:
         task_status.started(listener.getsockname()[1])
         await server.run(listener)
@@ -177,9 +182,10 @@
         limits: http_message.Limits,
         stopping: trio.Event,
         on_error: ErrorHook,
+        limits_now: Callable[[], http_message.Limits],
     ) -> None:
         self.handler = handler
-        self.limits = limits
+        self.limits_now = limits_now
         self.stopping = stopping
         self.on_error = on_error
         self._capacity = trio.Semaphore(limits.max_connections)
@@ -243,7 +249,7 @@
     def __init__(self, stream: trio.SocketStream, server: _Server) -> None:
         self._stream = stream
         self._server = server
-        self._limits = server.limits
+        self._limits = server.limits_now()
         self._served = 0
         self._at_end = False
         self._http = h11.Connection(
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -25,7 +25,7 @@
 KEY = "key-of-weddings"
 START_TIMEOUT_S = 20.0
 _ROOT = pathlib.Path(__file__).parent.parent
-_LIMITS = http_message.Limits()
+_LIMITS = http_message.Limits(max_body_bytes=8_000_000)
 
 
 def desired_state(version: int = 1, **changes: Any) -> dict[str, Any]:
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -159,6 +159,31 @@
 
         _run(tmp_path, case)
 
+    @pytest.mark.parametrize(
+        ("max_body_bytes", "body_bytes", "status"),
+        [(1_000, 1_000, 200), (1_000, 1_001, 413), (6_000_000, 5_000_000, 200)],
+    )
+    def test_limits_of_the_desired_state_hold(
+        self,
+        tmp_path: pathlib.Path,
+        max_body_bytes: int,
+        body_bytes: int,
+        status: int,
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("app-1", "app")
+            state = platform_cluster.desired_state(
+                2, limits={"maxBodyBytes": max_body_bytes}
+            )
+            cluster.store.put("keyed.op", "config", state)
+            gateway = await cluster.add_gateway()
+            _, response = await cluster.call(
+                gateway, "/lookup/1", body=b"x" * body_bytes
+            )
+            assert response.status == status
+
+        _run(tmp_path, case)
+
     def test_state_and_metrics_are_shown(self, tmp_path: pathlib.Path) -> None:
         async def case(cluster: platform_cluster.Cluster) -> None:
             await cluster.add_endpoint("app-1", "app")
