--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,17 +1,26 @@
-"""Reads KNOWN-RED.txt: faults that are known, printed and passed over.
+"""What all tests share: logging, and the faults that are known.
 
-Each entry has a line ``test: <node id>``. Just these tests may fail; all of
+KNOWN-RED.txt lists faults that are printed and passed over. Each entry has a line ``test: <node id>``. Just these tests may fail; all of
 them still run, and each is named at the end of the run with its verdict.
 """
 
+from collections.abc import Iterator
 import pathlib
 
 import pytest
+import structlog
 
 _KNOWN_RED = pathlib.Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 _PREFIX = "test: "
 
 
+@pytest.fixture(autouse=True)
+def _logging_of_one_test() -> Iterator[None]:
+    """Undoes a test's set-up of logging, whose stream ends with the test."""
+    yield
+    structlog.reset_defaults()
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Marks the tests that are listed as known to fail."""
     known = _known_red()
