Give a turn's reservation back when its caller leaves early

After the loss of all hosts a program's first turn searched its chain for two seconds, its caller left, and the reservation of 290 of 500 tokens stayed for ever: every later turn of that program, 30 tries, got 402 with no token handed out. The settlement stood behind the preparation, so a cancellation in it passed it by.

Now a cancelled preparation settles at zero, and an owner that is told so before the reservation reached it refuses that turn's reservation. Ruled out: owners that charge marks twice (the ledgers of these programs began empty, after the claims).

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -44,6 +44,7 @@
 _INSTANCE_BITS = 16
 _CLAIM_TRIES = 4
 _REMEMBERED_HOLDERS = 20_000
+_REMEMBERED_GIVEN_UP = 2_000
 
 _log = logs.get("budget_owner")
 
@@ -109,6 +110,7 @@
         self._last_term_number = 0
         self._instance_number = secrets.randbits(_INSTANCE_BITS)
         self._holders: dict[str, str] = {}
+        self._given_up: dict[str, None] = {}
 
     def reserve(
         self, message: gateway_messages.ReserveTurn
@@ -145,6 +147,10 @@
             self._holders[turn_id] = holder
             if len(self._holders) > _REMEMBERED_HOLDERS:
                 del self._holders[next(iter(self._holders))]
+        if used_tokens == 0:
+            self._given_up[turn_id] = None
+            if len(self._given_up) > _REMEMBERED_GIVEN_UP:
+                del self._given_up[next(iter(self._given_up))]
         if self._term is not None:
             self._term.ledger.settle(program_id, turn_id, used_tokens)
 
@@ -189,6 +195,9 @@
         self, term: _Term, message: gateway_messages.ReserveTurn
     ) -> gateway_messages.ReserveReply | program_budgets.Mark:
         """Returns the reply, or the mark that must be durable before it."""
+        if message.turn_id in self._given_up:
+            # Its caller left while this gateway was claiming the partition.
+            return _cannot_tell("the turn was given up before")
         outcome = term.ledger.reserve(
             message.program_id,
             message.turn_id,
--- a/quetzalmill/gateway_turns.py
+++ b/quetzalmill/gateway_turns.py
@@ -82,6 +82,16 @@
                 reason="the store that keeps turns is away",
                 retry_after_ms=self._random.uniform(*_STORE_BACK_MS),
             )
+        try:
+            return await self._prepare(call, team)
+        except trio.Cancelled:
+            # The caller has left; its program's next turn needs the tokens.
+            self.settle(call, team, 0)
+            raise
+
+    async def _prepare(
+        self, call: gateway_calls.Call, team: str
+    ) -> Prepared | outcomes.Refused:
         chain = None
         if call.previous_turn_id:
             chain = self._source.find_here(call.previous_turn_id)
--- /dev/null
+++ b/tests/test_gateway_turns.py
@@ -0,0 +1,137 @@
+"""Tests of preparing turns at one gateway."""
+
+import unittest.mock
+
+import attrs
+import trio
+import trio.testing
+
+from quetzalmill import budget_owner
+from quetzalmill import budget_peers
+from quetzalmill import chain_source
+from quetzalmill import clock as clock_module
+from quetzalmill import control
+from quetzalmill import gateway_calls
+from quetzalmill import gateway_messages
+from quetzalmill import gateway_state
+from quetzalmill import gateway_turns
+from quetzalmill import http_message
+from tests import memory_store
+
+_CALL = gateway_calls.Call(
+    request_id="t1",
+    host="desk.example",
+    key="k",
+    deadline_ms=4_000.0,
+    program_id="p",
+    program_left_ms=5_000.0,
+    budget_tokens=60,
+    previous_turn_id="before",
+    prompt_parts=(),
+    prompt_tokens=10,
+    most_tokens=50,
+    http=http_message.Request(method="POST", path="/chat/1", body=b"hello"),
+)
+
+
+class _NoPeers(budget_peers.BudgetPeers):
+    """Stands in for a gateway that is alone."""
+
+    def __init__(self) -> None:
+        super().__init__(list, control.ControlClient())
+
+
+class _SlowSource:
+    """Never finds a chain."""
+
+    def find_here(self, turn_id: str) -> None:
+        """Finds nothing."""
+
+    async def find(self, *_: object) -> chain_source.Found:
+        """Searches for ever."""
+        await trio.sleep_forever()
+        raise AssertionError
+
+
+def _owner(
+    state: gateway_state.GatewayState, nursery: trio.Nursery
+) -> budget_owner.BudgetOwner:
+    return budget_owner.BudgetOwner(
+        0,
+        memory_store.MemoryStore(),
+        clock_module.SystemClock(),
+        nursery,
+        _NoPeers(),
+        state.store_answered,
+        state.store_reached,
+        state.holds,
+        lambda: 0.0,
+    )
+
+
+class TestCallerLeaves:
+    """A caller that gives a turn up before it runs."""
+
+    def test_reservation_is_given_back(self) -> None:
+        """Else the program's next turns would find its budget spent."""
+
+        async def run() -> None:
+            state = gateway_state.GatewayState(
+                host="h",
+                instance="i",
+                address="10.0.0.1:1",
+                failure_domain="a",
+                parts=1,
+                clock=clock_module.SystemClock(),
+            )
+            async with trio.open_nursery() as nursery:
+                turns = gateway_turns.Turns(
+                    state,
+                    _SlowSource(),  # type: ignore[arg-type]
+                    unittest.mock.Mock(),
+                    [_owner(state, nursery)],
+                    unittest.mock.Mock(),
+                    nursery,
+                )
+                with trio.move_on_after(2.0) as scope:
+                    await turns.prepare(_CALL, "weddings")
+                assert scope.cancelled_caught
+                again = attrs.evolve(
+                    _CALL, request_id="t2", previous_turn_id=""
+                )
+                prepared = await turns.prepare(again, "weddings")
+                assert isinstance(prepared, gateway_turns.Prepared)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_reservation_that_comes_after_it_was_given_up(self) -> None:
+        """The owner is still claiming its partition when the caller leaves."""
+
+        async def run() -> None:
+            state = gateway_state.GatewayState(
+                host="h",
+                instance="i",
+                address="10.0.0.1:1",
+                failure_domain="a",
+                parts=1,
+                clock=clock_module.SystemClock(),
+            )
+            async with trio.open_nursery() as nursery:
+                owner = _owner(state, nursery)
+                owner.settle("weddings/p", "t1", 0, "")
+                for turn_id, granted in (("t1", False), ("t2", True)):
+                    reply = owner.reserve(
+                        gateway_messages.ReserveTurn(
+                            program_id="weddings/p",
+                            turn_id=turn_id,
+                            budget_tokens=60,
+                            most_tokens=50,
+                        )
+                    )
+                    if not isinstance(reply, gateway_messages.ReserveReply):
+                        reply = await reply
+                    assert reply.granted == granted
+                nursery.cancel_scope.cancel()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
