--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,8 @@
 """What all tests share: logging, and the faults that are known.
 
-KNOWN-RED.txt lists faults that are printed and passed over. Each entry has a line ``test: <node id>``. Just these tests may fail; all of
-them still run, and each is named at the end of the run with its verdict.
+KNOWN-RED.txt lists faults that are printed and passed over. Each entry has a
+line ``test: <node id>``. Just these tests may fail; all of them still run, and
+each is named at the end of the run with its verdict.
 """
 
 from collections.abc import Iterator
