Let the reading of a partition outlive the request that began it

After the loss of all hosts the hot teams' partition held 2,276 turns; a page of 500 took 400 ms to read, the whole over 2 s. The request that held the lock was left by its caller after 2 s, the reading was cancelled with it, and the next request began at the first page: 15 pages read in 11 s, never the last. The reading is now shielded, so it ends once and the others go on from there.

Ruled out: silent control connections (no call to the owner was refused or timed out), evictions from the cache (none). Seen with debug lines on the lock and on each page. Test red first: twenty callers of two seconds' patience and a reading of 2.5 s; none of them got its chain.

--- a/quetzalmill/turn_store.py
+++ b/quetzalmill/turn_store.py
@@ -175,8 +175,11 @@
             if self._read_ms >= asked_ms:
                 return
             started_ms = self._clock.now_ms()
-            if self._next_offset is None or not await self._read_on():
-                await self._read_whole()
+            # Many wait for this reading. If it ended with the patience of the
+            # one that began it, the next would begin anew, for ever.
+            with trio.CancelScope(shield=True):
+                if self._next_offset is None or not await self._read_on():
+                    await self._read_whole()
             self._read_ms = started_ms
 
     async def _read_on(self) -> bool:
