Do not charge a restarted gateway for its peers' past

Cause: a gateway that hears a peer for the first time debited all that the peer had admitted since its start. A bucket of 80 a second that heard of 1,000 refused everything for 12 s.

Now the first message of an instance sets where its counters stand; teams that it names later are charged from nothing. Failed try: taking each team's first counter as the past loses what peers admit right after (red in test_rate_lines).

--- a/quetzalmill/team_buckets.py
+++ b/quetzalmill/team_buckets.py
@@ -85,6 +85,7 @@
         self._teams: dict[str, route_table.Team] = {}
         self._buckets: dict[str, _Bucket] = {}
         self._peers: dict[str, dict[str, _PeerUse]] = {}
+        self._instances: set[str] = set()
         self._heard_part = 1.0
 
     def configure(
@@ -172,14 +173,16 @@
         self, instance: str, admitted: dict[str, int], now_ms: float
     ) -> None:
         """Debits what a peer says it admitted since it was last heard."""
+        # What an instance admitted before it was first heard is the past: it
+        # began to run just now, or this gateway did (``START_PART``).
+        is_first = instance not in self._instances
+        self._instances.add(instance)
         for name, count in admitted.items():
             uses = self._peers.setdefault(name, {})
             use = uses.get(instance)
             if use is None:
-                # Its rate is not known before it has been heard twice.
-                use = uses[instance] = _PeerUse(0, now_ms)
-                added = count
-                use.count = count
+                added = 0 if is_first else count
+                uses[instance] = _PeerUse(count, now_ms)
             else:
                 added = max(0, count - use.count)
                 use.hear(count, now_ms)
@@ -190,6 +193,7 @@
 
     def forget(self, instance: str) -> None:
         """Drops the counters of a peer that is gone for good."""
+        self._instances.discard(instance)
         for uses in self._peers.values():
             uses.pop(instance, None)
 
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -169,6 +169,8 @@
     def test_repeated_news_counts_once(self) -> None:
         first, second = self._buckets(2)
         second.admit("weddings", 0.0)
+        first.hear("two", second.admitted(), 0.0)
+        second.admit("weddings", 0.0)
         before = first.admit("weddings", 0.0).level
         for _ in range(5):
             first.hear("two", second.admitted(), 0.0)
@@ -190,6 +192,14 @@
         )
         assert admitted == 1
 
+    def test_restarted_gateway_owes_nothing_for_the_past(self) -> None:
+        """Its peers have admitted thousands since they started."""
+        first, second = self._buckets(2)
+        for step in range(3_000):
+            second.admit("weddings", step * 200.0)
+        first.hear("two", second.admitted(), 1_000.0)
+        assert first.admit("weddings", 1_000.0).admitted
+
     def test_time_without_a_limit_leaves_no_debt(self) -> None:
         buckets = team_buckets.TeamBuckets()
         buckets.configure(_table(rate_per_s=0.0).teams, 0.0)
