--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Awaitable, Callable
 import secrets
+from typing import TypeVar
 
 import attrs
 import trio
@@ -46,6 +47,8 @@
 _REMEMBERED_HOLDERS = 20_000
 _REMEMBERED_GIVEN_UP = 2_000
 
+_Value = TypeVar("_Value")
+
 _log = logs.get("budget_owner")
 
 
@@ -144,13 +147,9 @@
     ) -> None:
         """Replaces a reservation by what the turn handed out."""
         if holder:
-            self._holders[turn_id] = holder
-            if len(self._holders) > _REMEMBERED_HOLDERS:
-                del self._holders[next(iter(self._holders))]
+            _remember(self._holders, turn_id, holder, _REMEMBERED_HOLDERS)
         if used_tokens == 0:
-            self._given_up[turn_id] = None
-            if len(self._given_up) > _REMEMBERED_GIVEN_UP:
-                del self._given_up[next(iter(self._given_up))]
+            _remember(self._given_up, turn_id, None, _REMEMBERED_GIVEN_UP)
         if self._term is not None:
             self._term.ledger.settle(program_id, turn_id, used_tokens)
 
@@ -394,6 +393,15 @@
             self._held.discard(self._part)
 
 
+def _remember(
+    known: dict[str, _Value], turn_id: str, value: _Value, most: int
+) -> None:
+    """Keeps a value for a turn; the oldest goes where there are too many."""
+    known[turn_id] = value
+    if len(known) > most:
+        del known[next(iter(known))]
+
+
 def _fail(batch: list[_Pending], error: errors.PortError) -> None:
     for each in batch:
         each.error = error
--- a/quetzalmill/budget_peers.py
+++ b/quetzalmill/budget_peers.py
@@ -40,28 +40,20 @@
         replies: list[gateway_messages.HandOverReply] = []
 
         async def ask(address: str) -> None:
-            reply = await self._call(
-                address,
-                gateway_messages.HAND_OVER,
-                gateway_messages.HandOver(part=part),
-            )
-            if isinstance(reply, gateway_messages.HandOverReply):
+            try:
+                reply: gateway_messages.HandOverReply = await self._client.call(
+                    address,
+                    gateway_messages.HAND_OVER,
+                    gateway_messages.HandOver(part=part),
+                    timeout_ms=PEER_TIMEOUT_MS,
+                )
+            except errors.ControlError as error:
+                self._client.drop(address)
+                _log.info("peer_not_asked", peer=address, reason=str(error))
+            else:
                 replies.append(reply)
 
         async with trio.open_nursery() as nursery:
             for beat in self._peers():
                 nursery.start_soon(ask, beat.address)
         return replies
-
-    async def _call(
-        self, address: str, method: control.Method, message: object
-    ) -> object | None:
-        try:
-            reply: object = await self._client.call(
-                address, method, message, timeout_ms=PEER_TIMEOUT_MS
-            )
-        except errors.ControlError as error:
-            self._client.drop(address)
-            _log.info("peer_not_asked", peer=address, reason=str(error))
-            return None
-        return reply
--- a/quetzalmill/endpoint_choice.py
+++ b/quetzalmill/endpoint_choice.py
@@ -105,7 +105,7 @@
     extra_ms += unread_tokens / PREFILL_TOKENS_PER_MS * delayed
     if condition.endpoint.failure_domain != failure_domain:
         extra_ms += CROSS_DOMAIN_MS
-    extra_ms += FAILURE_MS * condition.failures + condition.slow_ms
+    extra_ms += FAILURE_MS * condition.failures
     if condition.cold_until_ms > now_ms:
         extra_ms += COLD_MS
     return Estimate(
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -61,7 +61,6 @@
         reported_ms: When it said so.
         failures: Failures to connect or answer since the last success.
         down_until_ms: Until when it is left alone.
-        slow_ms: The smoothed excess of its answers over what was expected.
         doubted_ms: When its entry lapsed, or None.
         cold_until_ms: Until when it is slow after its start.
     """
@@ -74,7 +73,6 @@
     reported_ms: float = float("-inf")
     failures: int = 0
     down_until_ms: float = 0.0
-    slow_ms: float = 0.0
     doubted_ms: float | None = None
     cold_until_ms: float = 0.0
 
--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -117,13 +117,7 @@
         """Returns what a caller's connection may take."""
         if self.table is None:
             return http_message.Limits()
-        limits = self.table.limits
-        return http_message.Limits(
-            max_header_bytes=limits.max_header_bytes,
-            max_body_bytes=limits.max_body_bytes,
-            header_timeout_ms=limits.header_timeout_ms,
-            idle_timeout_ms=limits.idle_timeout_ms,
-        )
+        return self.table.limits
 
     def confirm_table(self) -> None:
         """Records that the table is the newest that the store has."""
--- a/quetzalmill/rate_lines.py
+++ b/quetzalmill/rate_lines.py
@@ -114,7 +114,7 @@
         is_soon = wait_ms <= patience_ms
         return team_buckets.Admission(
             admitted=is_soon,
-            level=self._buckets.look(team, now_ms).level,
+            level=self._buckets.level(team),
             retry_after_ms=0.0 if is_soon else self._return_in(team, wait_ms),
         )
 
--- a/quetzalmill/route_table.py
+++ b/quetzalmill/route_table.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from quetzalmill import http_message
+
 
 class Repeat(enum.Enum):
     """What may be repeated of a request.
@@ -104,16 +106,6 @@
     burst: float
 
 
-@attrs.frozen(kw_only=True)
-class CallerLimits:
-    """What a caller's connection may take."""
-
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 10_000.0
-    idle_timeout_ms: float = 60_000.0
-
-
 @attrs.frozen(kw_only=True)
 class RouteTable:
     """One version of the desired state.
@@ -124,7 +116,7 @@
         services: Services by name.
         teams: Teams by name.
         team_of_key: The team's name by key.
-        limits: What callers may send.
+        limits: What a caller's connection may take.
         document: The bytes that it was decoded from, to hand to peers.
     """
 
@@ -133,7 +125,7 @@
     services: dict[str, Service]
     teams: dict[str, Team]
     team_of_key: dict[str, str] = attrs.field(repr=False)
-    limits: CallerLimits
+    limits: http_message.Limits
     document: bytes = attrs.field(repr=False)
 
     def match(self, host: str, path: str) -> Route | None:
--- a/quetzalmill/team_buckets.py
+++ b/quetzalmill/team_buckets.py
@@ -19,7 +19,6 @@
 """The part of a burst that a process begins with, since it cannot know what
 its predecessor admitted in the seconds before."""
 
-
 _NEWS_WEIGHT = 0.4
 """The weight of the last message in a peer's rate; about three beats count."""
 
@@ -119,7 +118,7 @@
         wait_ms = self.wait_ms(name, 1, now_ms)
         return Admission(
             admitted=wait_ms <= 0.0,
-            level=self._buckets[name].level,
+            level=self.level(name),
             retry_after_ms=wait_ms,
         )
 
@@ -134,6 +133,10 @@
         level = bucket.level - self._guess(name, now_ms)
         return max(0.0, (tokens - level) * self.interval_ms(name))
 
+    def level(self, name: str) -> float:
+        """Returns what a limited team's bucket held when last looked at."""
+        return self._buckets[name].level
+
     def capacity(self, name: str) -> float:
         """Returns what a limited team's bucket holds when it is full."""
         return self._full(self._teams[name])
--- a/quetzalmill/turn_expiry.py
+++ b/quetzalmill/turn_expiry.py
@@ -10,8 +10,6 @@
 import trio
 
 from quetzalmill import budget_owner
-from quetzalmill import codec
-from quetzalmill import conversations
 from quetzalmill import errors
 from quetzalmill import gateway_state
 from quetzalmill import keyed_store
@@ -154,9 +152,5 @@
 
     A record that cannot be read continues nothing and goes when it is old.
     """
-    try:
-        turn = codec.from_msgpack(record.value or b"", conversations.Turn)
-    except errors.CodecError as error:
-        _log.warning("turn_unreadable", turn_id=record.key, reason=str(error))
-        return ""
-    return turn.previous_id
+    turn = turn_store.decode(record)
+    return "" if turn is None else turn.previous_id
--- a/quetzalmill/turn_store.py
+++ b/quetzalmill/turn_store.py
@@ -212,7 +212,7 @@
         turns = [
             turn
             for record in found.records
-            if (turn := _decode(record)) is not None
+            if (turn := decode(record)) is not None
         ]
         for turn in turns:
             if self._cache.get(turn.turn_id) is None:
@@ -221,7 +221,8 @@
         return turns
 
 
-def _decode(record: keyed_store.KeyedRecord) -> conversations.Turn | None:
+def decode(record: keyed_store.KeyedRecord) -> conversations.Turn | None:
+    """Returns a record's turn; None if it was dropped or cannot be read."""
     if record.value is None:
         return None
     try:
--- /dev/null
+++ b/tests/lone_gateway.py
@@ -0,0 +1,48 @@
+"""The beliefs and the budgets of a gateway without peers, for tests."""
+
+import trio
+
+from quetzalmill import budget_owner
+from quetzalmill import budget_peers
+from quetzalmill import clock as clock_module
+from quetzalmill import control
+from quetzalmill import gateway_state
+from tests import memory_store
+
+
+class _NoPeers(budget_peers.BudgetPeers):
+    """Stands in for the peers of a gateway that is alone."""
+
+    def __init__(self) -> None:
+        super().__init__(list, control.ControlClient())
+
+
+def state(clock: clock_module.WallClock) -> gateway_state.GatewayState:
+    """Returns the beliefs of a gateway with one partition."""
+    return gateway_state.GatewayState(
+        host="h",
+        instance="i",
+        address="10.0.0.1:1",
+        failure_domain="a",
+        parts=1,
+        clock=clock,
+    )
+
+
+def owner(
+    beliefs: gateway_state.GatewayState,
+    store: memory_store.MemoryStore,
+    nursery: trio.Nursery,
+) -> budget_owner.BudgetOwner:
+    """Returns the owner of the gateway's one partition."""
+    return budget_owner.BudgetOwner(
+        0,
+        store,
+        beliefs.clock,
+        nursery,
+        _NoPeers(),
+        beliefs.store_answered,
+        beliefs.store_reached,
+        beliefs.holds,
+        lambda: 0.0,
+    )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -17,6 +17,7 @@
 from quetzalmill import rate_limit
 from quetzalmill import shares
 from quetzalmill import team_rates
+from tests import trio_clock
 
 TEAM = "keepers"
 RATE_PER_S = 10.0
@@ -25,14 +26,6 @@
 LEASE_MS = 1e9
 
 
-class TrioClock:
-    """Reads trio's clock, which the tests turn."""
-
-    def now_ms(self) -> float:
-        """Returns trio's time in milliseconds."""
-        return trio.current_time() * 1000.0
-
-
 @attrs.define
 class Peers:
     """The other holders, each with a bucket and a delay of its answers.
@@ -72,7 +65,7 @@
                 filled_ms=0.0,
             ),
         )
-        now_ms = TrioClock().now_ms()
+        now_ms = trio_clock.TrioClock().now_ms()
         return messages.AdmitReply(
             granted=bucket.take(message.wanted, now_ms),
             retry_after_ms=bucket.next_token_ms(now_ms),
@@ -119,7 +112,7 @@
                 address_of=lambda host: host,
                 timeout_ms=1_500.0,
                 nursery=nursery,
-                clock=TrioClock(),
+                clock=trio_clock.TrioClock(),
             )
             await check(entry)
             nursery.cancel_scope.cancel()
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -11,6 +11,7 @@
 from quetzalmill import endpoint_pool
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_state
+from quetzalmill import http_message
 from quetzalmill import peers as peers_module
 from quetzalmill import route_table
 from quetzalmill import team_buckets
@@ -51,7 +52,7 @@
             )
         },
         team_of_key={"k1": "weddings"},
-        limits=route_table.CallerLimits(),
+        limits=http_message.Limits(),
         document=b"{}",
     )
 
--- a/tests/test_gateway_turns.py
+++ b/tests/test_gateway_turns.py
@@ -6,16 +6,13 @@
 import trio
 import trio.testing
 
-from quetzalmill import budget_owner
-from quetzalmill import budget_peers
 from quetzalmill import chain_source
 from quetzalmill import clock as clock_module
-from quetzalmill import control
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_messages
-from quetzalmill import gateway_state
 from quetzalmill import gateway_turns
 from quetzalmill import http_message
+from tests import lone_gateway
 from tests import memory_store
 
 _CALL = gateway_calls.Call(
@@ -34,13 +31,6 @@
 )
 
 
-class _NoPeers(budget_peers.BudgetPeers):
-    """Stands in for a gateway that is alone."""
-
-    def __init__(self) -> None:
-        super().__init__(list, control.ControlClient())
-
-
 class _SlowSource:
     """Never finds a chain."""
 
@@ -53,22 +43,6 @@
         raise AssertionError
 
 
-def _owner(
-    state: gateway_state.GatewayState, nursery: trio.Nursery
-) -> budget_owner.BudgetOwner:
-    return budget_owner.BudgetOwner(
-        0,
-        memory_store.MemoryStore(),
-        clock_module.SystemClock(),
-        nursery,
-        _NoPeers(),
-        state.store_answered,
-        state.store_reached,
-        state.holds,
-        lambda: 0.0,
-    )
-
-
 class TestCallerLeaves:
     """A caller that gives a turn up before it runs."""
 
@@ -76,20 +50,14 @@
         """Else the program's next turns would find its budget spent."""
 
         async def run() -> None:
-            state = gateway_state.GatewayState(
-                host="h",
-                instance="i",
-                address="10.0.0.1:1",
-                failure_domain="a",
-                parts=1,
-                clock=clock_module.SystemClock(),
-            )
+            state = lone_gateway.state(clock_module.SystemClock())
+            store = memory_store.MemoryStore()
             async with trio.open_nursery() as nursery:
                 turns = gateway_turns.Turns(
                     state,
                     _SlowSource(),  # type: ignore[arg-type]
                     unittest.mock.Mock(),
-                    [_owner(state, nursery)],
+                    [lone_gateway.owner(state, store, nursery)],
                     unittest.mock.Mock(),
                     nursery,
                 )
@@ -109,16 +77,10 @@
         """The owner is still claiming its partition when the caller leaves."""
 
         async def run() -> None:
-            state = gateway_state.GatewayState(
-                host="h",
-                instance="i",
-                address="10.0.0.1:1",
-                failure_domain="a",
-                parts=1,
-                clock=clock_module.SystemClock(),
-            )
+            state = lone_gateway.state(clock_module.SystemClock())
+            store = memory_store.MemoryStore()
             async with trio.open_nursery() as nursery:
-                owner = _owner(state, nursery)
+                owner = lone_gateway.owner(state, store, nursery)
                 owner.settle("weddings/p", "t1", 0, "")
                 for turn_id, granted in (("t1", False), ("t2", True)):
                     reply = owner.reserve(
--- a/tests/test_rate_lines.py
+++ b/tests/test_rate_lines.py
@@ -11,6 +11,7 @@
 from quetzalmill import rate_lines
 from quetzalmill import route_table
 from quetzalmill import team_buckets
+from tests import trio_clock
 
 _TEAM = "weddings"
 _GATEWAYS = 4
@@ -21,14 +22,6 @@
 _START_PATIENCE_MS = 250.0
 
 
-class _TrioClock:
-    """Follows trio's clock, which jumps ahead while nothing runs."""
-
-    def now_ms(self) -> float:
-        """Returns trio's time in milliseconds."""
-        return trio.current_time() * 1000.0
-
-
 @attrs.define
 class _Gateways:
     """Several gateways that tell each other what they admit."""
@@ -61,7 +54,7 @@
     burst: float,
 ) -> None:
     async def run() -> None:
-        clock = _TrioClock()
+        clock = trio_clock.TrioClock()
         buckets = [team_buckets.TeamBuckets() for _ in range(_GATEWAYS)]
         starts = [
             team_buckets.TeamBuckets(rate_lines.PROGRAM_MS)
--- a/tests/test_turn_expiry.py
+++ b/tests/test_turn_expiry.py
@@ -8,15 +8,15 @@
 import trio.testing
 
 from quetzalmill import budget_owner
-from quetzalmill import budget_peers
 from quetzalmill import codec
-from quetzalmill import control
 from quetzalmill import conversations
 from quetzalmill import gateway_messages
 from quetzalmill import gateway_state
 from quetzalmill import keyed_store
 from quetzalmill import turn_expiry
+from tests import lone_gateway
 from tests import memory_store
+from tests import trio_clock
 
 _RETENTION_MS = 300_000.0
 _KEEP_MS = _RETENTION_MS + turn_expiry.MARGIN_MS
@@ -69,25 +69,6 @@
         assert set(ages.expired(_KEEP_MS, sweeps[-1][0])) == expired
 
 
-class _NoPeers(budget_peers.BudgetPeers):
-    """Stands in for a gateway that is alone."""
-
-    def __init__(self) -> None:
-        super().__init__(list, control.ControlClient())
-
-
-class _TrioClock:
-    """Follows trio's clock, which jumps ahead while nothing runs."""
-
-    def now_ms(self) -> float:
-        """Returns trio's time in milliseconds."""
-        return trio.current_time() * 1000.0
-
-    def unix_ms(self) -> int:
-        """Returns a time of day that stands still."""
-        return 1
-
-
 @attrs.define
 class _Gateway:
     store: memory_store.MemoryStore
@@ -118,27 +99,9 @@
     async def run() -> None:
         async with trio.open_nursery() as nursery:
             store = memory_store.MemoryStore()
-            clock = _TrioClock()
-            state = gateway_state.GatewayState(
-                host="h",
-                instance="i",
-                address="10.0.0.1:1",
-                failure_domain="a",
-                parts=1,
-                clock=clock,
-            )
+            state = lone_gateway.state(trio_clock.TrioClock())
             state.retention_ms = _RETENTION_MS
-            owner = budget_owner.BudgetOwner(
-                0,
-                store,
-                clock,
-                nursery,
-                _NoPeers(),
-                state.store_answered,
-                state.store_reached,
-                state.holds,
-                lambda: 0.0,
-            )
+            owner = lone_gateway.owner(state, store, nursery)
             expiry = turn_expiry.TurnExpiry(state, store, [owner])
             nursery.start_soon(expiry.run)
             await case(_Gateway(store, state, owner, expiry))
