Notice connections that fall silent, by probes and a bound on unacknowledged bytes

Cause: a kept connection to an endpoint or to the store may fall silent for good while new ones work. Requests on it waited for their whole deadline, and idle ones were used again. Ruled out: a shorter timeout of answers; a busy endpoint is slow, not silent.

--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 import contextlib
 import json
+import socket
 
 import pytest
 import trio
@@ -568,6 +569,56 @@
         trio.run(main)
 
 
+class TestSilence:
+    """Connections whose peer takes bytes no more and does not say so."""
+
+    def test_peer_that_takes_no_bytes_ends_the_connection(self) -> None:
+        """Bytes that stay in the way stand in for a network that drops them.
+
+        Loopback loses no packets, so the probes of a quiet connection show
+        only in its options.
+        """
+
+        async def script(stream: trio.SocketStream) -> None:
+            await trio.sleep_forever()
+
+        async def main() -> None:
+            client = http_client.HttpClient()
+            request = http_message.Request(
+                method="POST", path="/", body=bytes(32_000_000)
+            )
+            async with _scripted(script) as address:
+                with pytest.raises(errors.ConnectionLostError):
+                    await client.request(
+                        address, request, timeout_ms=4 * _TIMEOUT_MS
+                    )
+
+        trio.run(main)
+
+    def test_quiet_connection_is_probed(self) -> None:
+        async def main() -> None:
+            with trio.socket.socket() as connecting:
+                http_client.detect_silence(connecting)
+                assert connecting.getsockopt(
+                    socket.SOL_SOCKET, socket.SO_KEEPALIVE
+                )
+                probes = [
+                    connecting.getsockopt(socket.IPPROTO_TCP, option)
+                    for option in (
+                        socket.TCP_KEEPIDLE,
+                        socket.TCP_KEEPINTVL,
+                        socket.TCP_KEEPCNT,
+                    )
+                ]
+            assert probes == [
+                http_client.PROBE_AFTER_S,
+                http_client.PROBE_AFTER_S,
+                http_client.PROBES,
+            ]
+
+        trio.run(main)
+
+
 class TestSseParser:
     """The parser of server-sent events."""
 
