--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -175,6 +175,7 @@
             await self._until_told()
             await self._drain(link)
             nursery.cancel_scope.cancel()
+            self._control.close()
         _log.info("process_ended", host=self.state.host)
 
     def dump(self) -> dict[str, Any]:
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -451,6 +451,31 @@
 
         _run(tmp_path, case)
 
+    def test_connections_to_peers_end_before_the_loop(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """A shutdown logs no errors of connections that outlive the loop."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("llm-1", "llm", events=2)
+            gateway = await cluster.add_gateway()
+            await cluster.add_gateway()
+            # Of a few programs, some have their budgets at the other gateway.
+            for number in range(8):
+                _, response = await cluster.turn(
+                    gateway, b"hello", program=f"p{number}"
+                )
+                assert response.status == 200
+            cluster.stop(gateway, signal.SIGTERM)
+
+            async def has_ended() -> bool:
+                return gateway.process.poll() is not None
+
+            await cluster.until(has_ended)
+            assert "Traceback" not in gateway.log()
+
+        _run(tmp_path, case)
+
     def test_changed_settings_interrupt_nothing(
         self, tmp_path: pathlib.Path
     ) -> None:
