Add a fault soak of real gateways, judged by what callers and endpoints see

Gateways run as processes; store, endpoints and callers are stand-ins in the soak's process, and links between them lead through the fault proxy. A seed draws faults that overlap: kills, pauses, planned stops and reloads of gateways, outages and lost answers of the store, dropped history, cut, delayed and reset links, endpoints that fail or leave, withdrawn keys. Judged are at most once, true refusals, whole and own answers, prompts, known turns, budgets, rates, keys, draining, planned stops and recovery.

The cluster of gateways moves from the tests to quetzalmill_load, since both use it; clusters at one time no longer share addresses. Each check has a record that breaks it alone in tests/test_soak.py.

--- a/quetzalmill_emulator/platform_endpoint.py
+++ b/quetzalmill_emulator/platform_endpoint.py
@@ -32,12 +32,16 @@
         team: The team that it ran for.
         body: What it was given.
         headers: All its headers.
+        endpoint_id: Where it ran.
+        started_s: When it began, by the loop's clock.
     """
 
     request_id: str
     team: str
     body: bytes
     headers: dict[str, str]
+    endpoint_id: str
+    started_s: float
 
 
 class PlatformEndpoint:
@@ -52,6 +56,8 @@
         faults: What happens to the next requests, one each.
         runs: The requests that ran.
         left: Requests whose caller left while they ran.
+        names_request: Whether the data of events names the request, so that
+            mixed streams show.
     """
 
     def __init__(
@@ -63,6 +69,7 @@
         self.faults: list[Fault] = []
         self.runs: list[Run] = []
         self.left = 0
+        self.names_request = False
 
     async def handle(
         self, request: http_message.Request, exchange: http_server.Exchange
@@ -82,6 +89,8 @@
                 team=headers.get("tenant", ""),
                 body=request.body,
                 headers=headers,
+                endpoint_id=self._id,
+                started_s=trio.current_time(),
             )
         )
         await trio.sleep(self._pause_s)
@@ -116,6 +125,7 @@
         answer: dict[str, str],
         fault: Fault | None,
     ) -> None:
+        name = answer["Attempt-Id"] + "-" if self.names_request else ""
         await exchange.start_stream(
             200, {**answer, "Content-Type": "text/event-stream"}
         )
@@ -126,6 +136,7 @@
             if exchange.disconnected:
                 self.left += 1
                 return
-            await exchange.send(f"id: {number}\ndata: e{number}\n\n".encode())
+            event = f"id: {number}\ndata: {name}e{number}\n\n"
+            await exchange.send(event.encode())
             await trio.sleep(self._pause_s)
         await exchange.finish()
--- a/tests/platform_cluster.py
+++ b/quetzalmill_load/platform_cluster.py
@@ -1,4 +1,4 @@
-"""Runs gateways as processes on the emulated platform, for tests."""
+"""Runs gateways as processes on the emulated platform, on loopback."""
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 import contextlib
@@ -18,12 +18,18 @@
 from quetzalmill import http_server
 from quetzalmill_emulator import platform_endpoint
 from quetzalmill_emulator import platform_store
+from quetzalmill_load import processes
 from quetzalmill_platform import boot
-from tests import harness
 
 HOST = "desk.example"
 KEY = "key-of-weddings"
 START_TIMEOUT_S = 20.0
+EVENT_TOKENS = 9
+"""Tokens that an engine says it puts into one event."""
+
+_ADDRESS_BLOCKS = 250
+"""Loopback networks, so that clusters at one time do not share addresses."""
+
 _ROOT = pathlib.Path(__file__).parent.parent
 _LIMITS = http_message.Limits(max_body_bytes=8_000_000)
 
@@ -70,7 +76,11 @@
             {
                 "name": "llm",
                 "maxConns": 50,
-                "engine": {"slots": 8, "kvTokens": 9000, "chunkTokens": 9},
+                "engine": {
+                    "slots": 8,
+                    "kvTokens": 9000,
+                    "chunkTokens": EVENT_TOKENS,
+                },
             },
             {"name": "app", "maxConns": 50},
         ],
@@ -102,6 +112,7 @@
     callers: str
     ready: str
     metrics: str
+    settings_path: pathlib.Path
     log_path: pathlib.Path
 
     def log(self) -> str:
@@ -120,9 +131,12 @@
         self.store_apart_address = ""
         self.store_apart_down = False
         self.endpoints: dict[str, platform_endpoint.PlatformEndpoint] = {}
+        self.entries: dict[str, dict[str, Any]] = {}
         self.gateways: list[Gateway] = []
         self.client = http_client.HttpClient()
         self._next_id = 0
+        block, rest = divmod(os.getpid(), _ADDRESS_BLOCKS)
+        self._network = f"127.{1 + block % _ADDRESS_BLOCKS}.{1 + rest}"
         self._ports = [_free_port() for _ in range(3)]
 
     async def start_store(self) -> None:
@@ -132,66 +146,78 @@
         self.store.put("keyed.op", "config", desired_state())
 
     async def add_endpoint(
-        self, endpoint_id: str, service: str, events: int = 0
+        self,
+        endpoint_id: str,
+        service: str,
+        events: int = 0,
+        *,
+        way: Callable[[str, str], Awaitable[str]] | None = None,
     ) -> platform_endpoint.PlatformEndpoint:
-        """Starts an endpoint and enters it in the store."""
+        """Starts an endpoint and enters it in the store.
+
+        Args:
+            endpoint_id: Its id.
+            service: Its service.
+            events: Events of a stream; none makes it a plain service.
+            way: Returns the address at which others reach an endpoint, by its
+                id and own address; the own one when left out.
+        """
         endpoint = platform_endpoint.PlatformEndpoint(endpoint_id, events)
         address = await self._serve(endpoint.handle)
+        if way is not None:
+            address = await way(endpoint_id, address)
         self.endpoints[endpoint_id] = endpoint
-        self.store.put(
-            "keyed.servers",
-            endpoint_id,
-            {
-                "service": service,
-                "addr": address,
-                "zone": "a",
-                "slots": 8,
-                "state": "ready",
-                "coldLeftMs": 0,
-                "callSeq": 1,
-                "born": 1,
-            },
-        )
+        entry = {
+            "service": service,
+            "addr": address,
+            "zone": "a",
+            "slots": 8,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "callSeq": 1,
+            "born": 1,
+        }
+        self.entries[endpoint_id] = entry
+        self.store.put("keyed.servers", endpoint_id, entry)
         return endpoint
 
-    async def add_gateway(self, *, apart: bool = False) -> Gateway:
+    async def add_gateway(
+        self, *, apart: bool = False, store_address: str = ""
+    ) -> Gateway:
         """Starts a gateway and waits until it is ready.
 
         Args:
             apart: Whether it reaches the store by a way of its own, which
                 ``store_apart_down`` cuts.
+            store_address: Where it reaches the store, if neither that way nor
+                the usual one.
         """
         name = f"front-{len(self.gateways)}"
         # Machines differ in their address; ports are alike on all of them.
-        ip = f"127.0.0.{len(self.gateways) + 2}"
+        ip = f"{self._network}.{len(self.gateways) + 2}"
         ports = self._ports
+        usual = self.store_apart_address if apart else self.store_address
         settings = self._path / f"{name}.toml"
-        settings.write_text(self._settings(name, ip, apart))
+        settings.write_text(self._settings(name, ip, store_address or usual))
         log_path = self._path / f"{name}.log"
-        with log_path.open("wb") as log:
-            process = subprocess.Popen(
-                [sys.executable, "-m", "quetzalmill_platform"],
-                cwd=_ROOT,
-                stdout=log,
-                stderr=subprocess.STDOUT,
-                env={
-                    **os.environ,
-                    "PYTHONPATH": f"{_ROOT}:{_ROOT / 'platform'}",
-                    "QUETZALMILL_BOOT": str(settings),
-                },
-            )
         gateway = Gateway(
             name=name,
-            process=process,
+            process=_start(settings, log_path),
             callers=f"{ip}:{ports[0]}",
             ready=f"{ip}:{ports[1]}",
             metrics=f"{ip}:{boot.METRICS_PORT}",
+            settings_path=settings,
             log_path=log_path,
         )
         self.gateways.append(gateway)
-        await self.until(lambda: self._is_ready(gateway))
+        await self.until(lambda: self.is_ready(gateway))
         return gateway
 
+    def start_again(self, gateway: Gateway) -> None:
+        """Starts a gateway whose process has ended; its log goes on."""
+        gateway.process.wait()
+        gateway.process = _start(gateway.settings_path, gateway.log_path)
+
     async def call(
         self,
         gateway: Gateway,
@@ -256,7 +282,8 @@
         """Sends a signal to a gateway."""
         gateway.process.send_signal(number)
 
-    async def _is_ready(self, gateway: Gateway) -> bool:
+    async def is_ready(self, gateway: Gateway) -> bool:
+        """Returns whether a gateway says that it is ready."""
         assert gateway.process.poll() is None, gateway.log()
         try:
             response = await self.client.request(
@@ -294,9 +321,8 @@
         await self._nursery.start(serve)
         return f"127.0.0.1:{port}"
 
-    def _settings(self, name: str, ip: str, apart: bool) -> str:
+    def _settings(self, name: str, ip: str, store: str) -> str:
         ports = self._ports
-        store = self.store_apart_address if apart else self.store_address
         seeds = [f'"{gateway.callers}"' for gateway in self.gateways]
         return f"""
 node = "{name}"
@@ -317,8 +343,25 @@
 """
 
 
+def _start(
+    settings: pathlib.Path, log_path: pathlib.Path
+) -> subprocess.Popen[bytes]:
+    with log_path.open("ab") as log:
+        return subprocess.Popen(
+            [sys.executable, "-m", "quetzalmill_platform"],
+            cwd=_ROOT,
+            stdout=log,
+            stderr=subprocess.STDOUT,
+            env={
+                **os.environ,
+                "PYTHONPATH": f"{_ROOT}:{_ROOT / 'platform'}",
+                boot.SETTINGS_VARIABLE: str(settings),
+            },
+        )
+
+
 def _free_port() -> int:
-    return int(harness.free_address().rpartition(":")[2])
+    return int(processes.free_address().rpartition(":")[2])
 
 
 @contextlib.asynccontextmanager
--- /dev/null
+++ b/quetzalmill_soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real gateways under faults from outside them."""
--- /dev/null
+++ b/quetzalmill_soak/checks.py
@@ -0,0 +1,244 @@
+"""Judges a run by what callers and endpoints saw of it."""
+
+from collections.abc import Iterable
+import itertools
+import re
+
+import attrs
+
+from quetzalmill_emulator import platform_endpoint
+from quetzalmill_load import platform_cluster
+from quetzalmill_soak import record as record_module
+
+NOT_RUN = frozenset({402, 408, 421, 429, 503})
+"""Statuses which promise that a request has not run and never will."""
+
+TURN_UNKNOWN = frozenset({404, 410})
+"""Statuses which say that there is no such turn."""
+
+EVENTS = 4
+"""Events of each engine's stream."""
+
+APPLY_S = 2.0
+"""The users' bound on the time in which a desired state is in force."""
+
+STRETCH_S = 5.0
+"""The users' bound on what an unstable store adds to that."""
+
+SETTLE_S = 3.0
+"""The users' time without a disturbance after which bounds hold again."""
+
+DRAIN_S = 2.0
+"""The users' time after which a leaving endpoint gets no new work."""
+
+RATE_WINDOW_S = 5.0
+RATE_OVER = 0.1
+RATE_SLACK = 20
+"""The users' bounds on what a team may get beyond its rate."""
+
+Runs = dict[str, list[platform_endpoint.Run]]
+"""The runs of each request, by its id."""
+
+
+@attrs.frozen(kw_only=True)
+class Rate:
+    """A team's rate and burst."""
+
+    per_s: float
+    burst: float
+
+
+def judge(
+    record: record_module.Record,
+    runs: Iterable[platform_endpoint.Run],
+    budgets: dict[str, tuple[int, int]],
+    rates: dict[str, Rate],
+) -> list[str]:
+    """Returns a line for each broken promise.
+
+    Args:
+        record: What callers saw.
+        runs: All that endpoints ran.
+        budgets: The budget of each program and the most tokens of one turn.
+        rates: The rate of each limited team.
+    """
+    by_id: Runs = {}
+    for run in runs:
+        by_id.setdefault(run.request_id, []).append(run)
+    sent = {attempt.request_id: attempt for attempt in record.attempts}
+    broken = [
+        f"a run of a request that nobody sent: {request_id}"
+        for request_id in by_id
+        if request_id not in sent
+    ]
+    for attempt in record.attempts:
+        ran = by_id.get(attempt.request_id, [])
+        for promise in (_at_most_once, _not_run, _own_answer, _prompt):
+            if problem := promise(attempt, ran):
+                broken.append(f"{problem}: {attempt} ran {ran}")
+        for rule in (_known_turn, _not_cut, _withdrawn, _drained):
+            if problem := rule(attempt, ran, record):
+                broken.append(f"{problem}: {attempt} ran {ran}")
+    broken += _budgets(record, budgets)
+    for team, rate in rates.items():
+        broken += _rate(team, rate, by_id)
+    return broken
+
+
+def outputs(answer: bytes) -> tuple[bytes, ...]:
+    """Returns the data of a stream's events."""
+    return tuple(
+        line[len(b"data: ") :]
+        for line in answer.split(b"\n")
+        if line.startswith(b"data: ")
+    )
+
+
+def _at_most_once(
+    attempt: record_module.Attempt, ran: list[platform_endpoint.Run]
+) -> str:
+    if attempt.kind != "lookup" and len(ran) > 1:
+        return "ran more than once"
+    return ""
+
+
+def _not_run(
+    attempt: record_module.Attempt, ran: list[platform_endpoint.Run]
+) -> str:
+    # A lookup may run at one endpoint and be refused by another.
+    if attempt.kind != "lookup" and attempt.status in NOT_RUN and ran:
+        return "refused as not run, but ran"
+    return ""
+
+
+def _own_answer(
+    attempt: record_module.Attempt, ran: list[platform_endpoint.Run]
+) -> str:
+    if attempt.status != 200:
+        return ""
+    signed = attempt.headers.get("response-signature", "")
+    if signed not in {f"signed-{run.endpoint_id}" for run in ran}:
+        return "an answer that is not of an endpoint that ran it"
+    if attempt.kind != "turn":
+        whole = b"done by " + signed.removeprefix("signed-").encode()
+        return "" if attempt.answer == whole else "an answer that is not whole"
+    numbers = re.findall(rb"^id: (\d+)$", attempt.answer, re.MULTILINE)
+    if [int(number) for number in numbers] != list(range(1, len(numbers) + 1)):
+        return "events are missing or stand twice"
+    own = attempt.request_id.encode()
+    if len(numbers) != EVENTS or not all(
+        data.startswith(own) for data in outputs(attempt.answer)
+    ):
+        return "a stream that looks complete and is not its own"
+    return ""
+
+
+def _prompt(
+    attempt: record_module.Attempt, ran: list[platform_endpoint.Run]
+) -> str:
+    if any(run.body != attempt.body for run in ran):
+        return "ran with another body"
+    if any(run.team != attempt.team for run in ran):
+        return "ran for another team"
+    if any("authorization" in run.headers for run in ran):
+        return "an endpoint saw the key"
+    return ""
+
+
+def _known_turn(
+    attempt: record_module.Attempt,
+    ran: list[platform_endpoint.Run],
+    record: record_module.Record,
+) -> str:
+    del ran, record
+    if attempt.continues and attempt.status in TURN_UNKNOWN:
+        return "a turn that ended whole is unknown"
+    return ""
+
+
+def _not_cut(
+    attempt: record_module.Attempt,
+    ran: list[platform_endpoint.Run],
+    record: record_module.Record,
+) -> str:
+    """A planned stop alone cuts no request that was passed on."""
+    if attempt.status is not None or not ran:
+        return ""
+    if record.disturbed(
+        attempt.gateway,
+        attempt.sent_s - SETTLE_S,
+        attempt.ended_s,
+        besides="StopGateway",
+    ):
+        return ""
+    return "cut without any fault but a planned stop"
+
+
+def _withdrawn(
+    attempt: record_module.Attempt,
+    ran: list[platform_endpoint.Run],
+    record: record_module.Record,
+) -> str:
+    at_s = record.withdrawn.get(attempt.key)
+    if at_s is None or not ran or attempt.sent_s < at_s + APPLY_S:
+        return ""
+    disturbed = record.disturbed(
+        attempt.gateway, attempt.sent_s - SETTLE_S, attempt.ended_s
+    )
+    if disturbed and attempt.sent_s < at_s + APPLY_S + STRETCH_S + SETTLE_S:
+        return ""
+    return "ran with a key that was withdrawn" if not disturbed else ""
+
+
+def _drained(
+    attempt: record_module.Attempt,
+    ran: list[platform_endpoint.Run],
+    record: record_module.Record,
+) -> str:
+    for run in ran:
+        for left_s, back_s in record.left.get(run.endpoint_id, []):
+            late = attempt.sent_s > left_s + DRAIN_S and (
+                run.started_s < back_s
+            )
+            if late and not record.disturbed(
+                attempt.gateway, left_s - SETTLE_S, run.started_s
+            ):
+                return f"ran at an endpoint that left at {left_s:.2f}"
+    return ""
+
+
+def _budgets(
+    record: record_module.Record, budgets: dict[str, tuple[int, int]]
+) -> list[str]:
+    broken = []
+    for program_id, (budget, most) in budgets.items():
+        events = sum(
+            len(outputs(attempt.answer))
+            for attempt in record.attempts
+            if attempt.kind == "turn" and attempt.program_id == program_id
+        )
+        tokens = events * platform_cluster.EVENT_TOKENS
+        if tokens > budget + most:
+            broken.append(
+                f"program {program_id} got {tokens} tokens of {budget}"
+            )
+    return broken
+
+
+def _rate(team: str, rate: Rate, by_id: Runs) -> list[str]:
+    times_s = sorted(
+        run.started_s
+        for run in itertools.chain.from_iterable(by_id.values())
+        if run.team == team
+    )
+    allowed = (rate.per_s * RATE_WINDOW_S + rate.burst) * (1.0 + RATE_OVER)
+    first = 0
+    for last, at_s in enumerate(times_s):
+        while times_s[first] < at_s - RATE_WINDOW_S:
+            first += 1
+        if last - first + 1 > allowed + RATE_SLACK:
+            return [
+                f"team {team} had {last - first + 1} runs within "
+                f"{RATE_WINDOW_S:.0f} s of {at_s:.2f}, not {allowed:.0f}"
+            ]
+    return []
--- /dev/null
+++ b/quetzalmill_soak/world.py
@@ -0,0 +1,264 @@
+"""The system under soak: gateways as processes, all else as stand-ins.
+
+Faults come from outside the gateways: by signals, by the links of a proxy and
+by the stand-ins of the store and of the endpoints.
+"""
+
+from collections.abc import AsyncIterator
+import contextlib
+import copy
+import pathlib
+import signal
+
+import trio
+
+from quetzalmill_emulator import fault_proxy
+from quetzalmill_emulator import platform_endpoint
+from quetzalmill_load import platform_cluster
+from quetzalmill_soak import checks
+from quetzalmill_soak import record as record_module
+from quetzalmill_soak import schedule
+
+LIMITED_TEAM = "rallies"
+LIMITED_RATE = checks.Rate(per_s=25.0, burst=25.0)
+"""The rate of one of the two teams; its callers ask for more."""
+
+_ENDED_WITHIN_S = 12.0
+
+
+class World:
+    """One system and what is done to it.
+
+    Attributes:
+        cluster: The gateways and the stand-ins.
+        record: What is done to it.
+        keys: The key of each team, as it is issued now.
+    """
+
+    def __init__(
+        self,
+        cluster: platform_cluster.Cluster,
+        proxy: fault_proxy.FaultProxy,
+        size: schedule.Size,
+    ) -> None:
+        self.cluster = cluster
+        self.record = record_module.Record()
+        self.keys = {
+            "weddings": platform_cluster.KEY,
+            LIMITED_TEAM: "key-of-rallies",
+        }
+        self._proxy = proxy
+        self._size = size
+        self._version = 1
+        self._endpoints: list[str] = []
+        self._lost_until_s = 0.0
+
+    async def start(self) -> None:
+        """Starts everything and waits until it serves."""
+        self._publish()
+        for service, count in (
+            ("llm", self._size.engines),
+            ("app", self._size.services),
+        ):
+            for number in range(count):
+                await self._add_endpoint(service, number)
+        for number in range(self._size.gateways):
+            link = await self._link(
+                f"store-{number}", self.cluster.store_address
+            )
+            await self.cluster.add_gateway(store_address=link)
+
+    async def apply(self, fault: schedule.Fault) -> None:
+        """Brings a fault about and ends it."""
+        match fault:
+            case schedule.KillGateway(gateway=number, for_s=for_s):
+                async with self._disturbed(fault, number):
+                    await self._kill([number], for_s)
+            case schedule.KillAll(for_s=for_s):
+                async with self._disturbed(fault, None):
+                    everyone = list(range(self._size.gateways))
+                    await self._kill(everyone, for_s)
+            case schedule.PauseGateway(gateway=number, for_s=for_s):
+                async with self._disturbed(fault, number):
+                    self._signal(number, signal.SIGSTOP)
+                    await trio.sleep(for_s)
+                    self._signal(number, signal.SIGCONT)
+            case schedule.StopGateway(gateway=number):
+                async with self._disturbed(fault, number):
+                    await self._stop(number)
+            case schedule.ReloadGateway(gateway=number):
+                self._signal(number, signal.SIGHUP)
+            case schedule.ReplaceKey():
+                self._replace_key()
+            case schedule.EndpointFails(endpoint=number, how=how, count=count):
+                name = self._endpoints[number]
+                endpoint = self.cluster.endpoints[name]
+                endpoint.faults += [platform_endpoint.Fault(how)] * count
+                async with self._disturbed(fault, None):
+                    await trio.sleep(1.0)
+            case schedule.EndpointLeaves(endpoint=number, for_s=for_s):
+                await self._leave(self._endpoints[number], for_s)
+            case _:
+                async with self._disturbed(fault, None):
+                    await self._apply_outside(fault)
+
+    async def _apply_outside(self, fault: schedule.Fault) -> None:
+        """Brings about a fault of the store or of a link."""
+        store = self.cluster.store
+        match fault:
+            case schedule.StoreDown(for_s=for_s):
+                store.down = True
+                await trio.sleep(for_s)
+                store.down = False
+            case schedule.StoreAnswersLost(count=count):
+                store.lost_answers += count
+                await trio.sleep(1.0)
+            case schedule.StoreForgets():
+                store.forget("keyed.op")
+                store.forget("keyed.servers")
+            case schedule.CutLink():
+                await self._fault_link(
+                    fault.link,
+                    fault.for_s,
+                    cut_requests=fault.requests,
+                    cut_replies=fault.replies,
+                )
+            case schedule.DelayLink():
+                await self._fault_link(
+                    fault.link, fault.for_s, delay_ms=fault.delay_ms
+                )
+            case schedule.ResetLink(link=link):
+                await trio.to_thread.run_sync(self._proxy.reset, link)
+
+    async def heal(self) -> None:
+        """Ends what is left of faults and waits until all gateways serve."""
+        self.cluster.store.down = False
+        self.cluster.store.lost_answers = 0
+        await trio.to_thread.run_sync(self._proxy.heal)
+        for endpoint in self.cluster.endpoints.values():
+            endpoint.faults.clear()
+        for gateway in self.cluster.gateways:
+            await self._until_ready(gateway)
+
+    def runs(self) -> list[platform_endpoint.Run]:
+        """Returns all that endpoints ran."""
+        return [
+            run
+            for endpoint in self.cluster.endpoints.values()
+            for run in endpoint.runs
+        ]
+
+    @contextlib.asynccontextmanager
+    async def _disturbed(
+        self, fault: schedule.Fault, gateway: int | None
+    ) -> AsyncIterator[None]:
+        disturbance = record_module.Disturbance(
+            name=type(fault).__name__,
+            gateway=gateway,
+            from_s=trio.current_time(),
+        )
+        self.record.disturbances.append(disturbance)
+        yield
+        disturbance.to_s = trio.current_time()
+
+    def _signal(self, number: int, which: int) -> None:
+        process = self.cluster.gateways[number].process
+        if process.poll() is None:
+            process.send_signal(which)
+
+    async def _kill(self, numbers: list[int], for_s: float) -> None:
+        for number in numbers:
+            self._signal(number, signal.SIGKILL)
+        await trio.sleep(for_s)
+        for number in numbers:
+            await self._start_again(number)
+
+    async def _stop(self, number: int) -> None:
+        self._signal(number, signal.SIGTERM)
+        process = self.cluster.gateways[number].process
+        with trio.move_on_after(_ENDED_WITHIN_S):
+            while process.poll() is None:
+                await trio.sleep(0.02)
+        self._signal(number, signal.SIGKILL)
+        await self._start_again(number)
+
+    async def _start_again(self, number: int) -> None:
+        """Starts a gateway unless an overlapping fault did so before."""
+        gateway = self.cluster.gateways[number]
+        # A process that was killed just now takes a moment to be gone.
+        with trio.move_on_after(0.2):
+            while gateway.process.poll() is None:
+                await trio.sleep(0.01)
+        if gateway.process.poll() is not None:
+            self.cluster.start_again(gateway)
+            await self._until_ready(gateway)
+
+    async def _until_ready(self, gateway: platform_cluster.Gateway) -> None:
+        with trio.move_on_after(platform_cluster.START_TIMEOUT_S):
+            while gateway.process.poll() is not None or not (
+                await self.cluster.is_ready(gateway)
+            ):
+                await trio.sleep(0.05)
+
+    async def _fault_link(
+        self, link: str, for_s: float, **faults: object
+    ) -> None:
+        await trio.to_thread.run_sync(
+            lambda: self._proxy.set_faults(link, **faults)
+        )
+        await trio.sleep(for_s)
+        await trio.to_thread.run_sync(self._proxy.heal, link)
+
+    async def _add_endpoint(self, service: str, number: int) -> None:
+        name = f"{service}-{number}"
+        endpoint = await self.cluster.add_endpoint(
+            name,
+            service,
+            checks.EVENTS if service == "llm" else 0,
+            way=self._link,
+        )
+        endpoint.names_request = True
+        self._endpoints.append(name)
+
+    async def _link(self, name: str, address: str) -> str:
+        return await trio.to_thread.run_sync(self._proxy.link, name, address)
+
+    async def _leave(self, name: str, for_s: float) -> None:
+        entry = self.cluster.entries[name]
+        self.cluster.store.put(
+            "keyed.servers", name, {**entry, "state": "draining"}
+        )
+        left_s = trio.current_time()
+        times = self.record.left.setdefault(name, [])
+        times.append((left_s, left_s + for_s))
+        await trio.sleep(for_s)
+        self.cluster.store.put("keyed.servers", name, entry)
+
+    def _replace_key(self) -> None:
+        old = self.keys["weddings"]
+        self.keys["weddings"] = f"key-{self._version + 1}"
+        self._publish()
+        self.record.withdrawn[old] = trio.current_time()
+
+    def _publish(self) -> None:
+        """Writes a desired state with the keys as they are now."""
+        self._version += 1
+        state = copy.deepcopy(platform_cluster.desired_state(self._version))
+        for team in state["tenants"]:
+            team["apiKeys"] = [self.keys[team["name"]]]
+            if team["name"] == LIMITED_TEAM:
+                team["ratePerS"] = LIMITED_RATE.per_s
+                team["burst"] = LIMITED_RATE.burst
+        self.cluster.store.put("keyed.op", "config", state)
+
+
+@contextlib.asynccontextmanager
+async def run(
+    path: pathlib.Path, seed: int, size: schedule.Size
+) -> AsyncIterator[World]:
+    """Runs a system; ends the processes that it started when it is left."""
+    with fault_proxy.FaultProxy(seed) as proxy:
+        async with platform_cluster.run(path) as cluster:
+            world = World(cluster, proxy, size)
+            await world.start()
+            yield world
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -11,7 +11,7 @@
 from quetzalmill import errors
 from quetzalmill import http_message
 from quetzalmill_emulator import platform_endpoint
-from tests import platform_cluster
+from quetzalmill_load import platform_cluster
 
 _Fault = platform_endpoint.Fault
 Case = Callable[[platform_cluster.Cluster], Awaitable[None]]
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -9,12 +9,12 @@
 from quetzalmill import errors
 from quetzalmill import gateway_calls
 from quetzalmill import http_message
+from quetzalmill_load import platform_cluster
 from quetzalmill_platform import boot
 from quetzalmill_platform import desired_state
 from quetzalmill_platform import front
 from quetzalmill_platform import registry
 from quetzalmill_platform import wire
-from tests import platform_cluster
 
 _DIALECT = wire.PlatformDialect()
 
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,196 @@
+"""Tests of the fault soak: its judgement, its schedule, and a few seeds."""
+
+import pathlib
+
+import attrs
+import pytest
+
+from quetzalmill_emulator import platform_endpoint
+from quetzalmill_soak import checks
+from quetzalmill_soak import main
+from quetzalmill_soak import record as record_module
+from quetzalmill_soak import schedule
+
+_SIGNED = {"response-signature": "signed-llm-0"}
+_STREAM = b"".join(
+    f"id: {number}\ndata: r1-e{number}\n\n".encode()
+    for number in range(1, checks.EVENTS + 1)
+)
+_TURN = record_module.Attempt(
+    request_id="r1",
+    kind="turn",
+    team="weddings",
+    key="k",
+    gateway=0,
+    program_id="p",
+    body=b"hello",
+    sent_s=100.0,
+    ended_s=100.1,
+    status=200,
+    headers=_SIGNED,
+    answer=_STREAM,
+)
+_RUN = platform_endpoint.Run(
+    request_id="r1",
+    team="weddings",
+    body=b"hello",
+    headers={},
+    endpoint_id="llm-0",
+    started_s=100.05,
+)
+_REFUSED = attrs.evolve(_TURN, status=503, answer=b"", headers={})
+_CUT = attrs.evolve(_TURN, status=None, answer=b"")
+
+
+def _judge(
+    attempt: record_module.Attempt,
+    runs: list[platform_endpoint.Run],
+    record: record_module.Record | None = None,
+    budget: int = 1_000,
+    rate: checks.Rate | None = None,
+) -> list[str]:
+    record = record or record_module.Record()
+    record.attempts.append(attempt)
+    rates = {} if rate is None else {"weddings": rate}
+    return checks.judge(record, runs, {"p": (budget, 0)}, rates)
+
+
+class TestJudgement:
+    """Each promise has a record that breaks it alone."""
+
+    @pytest.mark.parametrize(
+        ("attempt", "runs"),
+        [
+            (_TURN, [_RUN]),
+            (_REFUSED, []),
+            (attrs.evolve(_CUT, ended_s=106.0), []),
+            (attrs.evolve(_TURN, kind="lookup", answer=b"done by llm-0"),)
+            + ([_RUN, _RUN],),
+        ],
+    )
+    def test_kept_promises(
+        self,
+        attempt: record_module.Attempt,
+        runs: list[platform_endpoint.Run],
+    ) -> None:
+        assert not _judge(attempt, runs)
+
+    @pytest.mark.parametrize(
+        ("problem", "attempt", "runs"),
+        [
+            ("nobody sent", _TURN, [_RUN, attrs.evolve(_RUN, request_id="x")]),
+            ("more than once", _TURN, [_RUN, _RUN]),
+            ("as not run", _REFUSED, [_RUN]),
+            (
+                "not of an endpoint",
+                attrs.evolve(_TURN, headers={}),
+                [_RUN],
+            ),
+            ("looks complete", attrs.evolve(_TURN, answer=b""), [_RUN]),
+            (
+                "missing or stand twice",
+                attrs.evolve(_TURN, answer=_STREAM + _STREAM),
+                [_RUN],
+            ),
+            (
+                "not its own",
+                attrs.evolve(_TURN, answer=_STREAM.replace(b"r1", b"r2")),
+                [_RUN],
+            ),
+            (
+                "not whole",
+                attrs.evolve(_TURN, kind="booking", answer=b"done by"),
+                [_RUN],
+            ),
+            ("another body", _TURN, [attrs.evolve(_RUN, body=b"")]),
+            ("another team", _TURN, [attrs.evolve(_RUN, team="rallies")]),
+            (
+                "saw the key",
+                _TURN,
+                [attrs.evolve(_RUN, headers={"authorization": "k"})],
+            ),
+            (
+                "is unknown",
+                attrs.evolve(_REFUSED, status=404, continues=True),
+                [],
+            ),
+            ("planned stop", _CUT, [_RUN]),
+        ],
+    )
+    def test_broken_promises(
+        self,
+        problem: str,
+        attempt: record_module.Attempt,
+        runs: list[platform_endpoint.Run],
+    ) -> None:
+        broken = _judge(attempt, runs)
+        assert len(broken) == 1
+        assert problem in broken[0]
+
+    def test_request_may_be_cut_by_a_fault_of_its_gateway(self) -> None:
+        for gateway, count in ((0, 0), (None, 0), (1, 1)):
+            fault = record_module.Disturbance(
+                name="KillGateway", gateway=gateway, from_s=99.0, to_s=100.05
+            )
+            record = record_module.Record(disturbances=[fault])
+            assert len(_judge(_CUT, [_RUN], record)) == count
+
+    def test_planned_stop_excuses_no_cut(self) -> None:
+        fault = record_module.Disturbance(
+            name="StopGateway", gateway=0, from_s=99.0, to_s=101.0
+        )
+        record = record_module.Record(disturbances=[fault])
+        assert _judge(_CUT, [_RUN], record)
+
+    def test_key_works_no_longer_than_allowed(self) -> None:
+        for at_s, count in ((98.5, 0), (97.5, 1)):
+            record = record_module.Record(withdrawn={"k": at_s})
+            assert len(_judge(_TURN, [_RUN], record)) == count
+
+    def test_leaving_endpoint_gets_no_work(self) -> None:
+        for left_s, back_s, count in (
+            (98.5, 110.0, 0),
+            (97.5, 110.0, 1),
+            (90.0, 95.0, 0),
+        ):
+            record = record_module.Record(left={"llm-0": [(left_s, back_s)]})
+            assert len(_judge(_TURN, [_RUN], record)) == count
+
+    def test_budget(self) -> None:
+        handed_out = checks.EVENTS * 9
+        assert not _judge(_TURN, [_RUN], budget=handed_out)
+        assert _judge(_TURN, [_RUN], budget=handed_out - 1)
+
+    def test_rate(self) -> None:
+        lookup = attrs.evolve(_TURN, kind="lookup", answer=b"done by llm-0")
+        rate = checks.Rate(per_s=1.0, burst=5.0)
+        # Within five seconds (5 + 5) x 1.1 and twenty more may run.
+        assert not _judge(lookup, [_RUN] * 31, rate=rate)
+        assert _judge(lookup, [_RUN] * 32, rate=rate)
+
+
+class TestSchedule:
+    """What is drawn from a seed."""
+
+    def test_seed_decides_everything(self) -> None:
+        size = schedule.Size()
+        assert schedule.draw(5, size) == schedule.draw(5, size)
+        assert schedule.draw(5, size) != schedule.draw(6, size)
+
+    def test_every_kind_of_fault_is_drawn(self) -> None:
+        drawn = {
+            type(entry.fault)
+            for seed in range(40)
+            for entry in schedule.draw(seed, schedule.Size())
+        }
+        assert drawn == set(schedule.KINDS)
+
+
+class TestSeeds:
+    """Whole runs with real gateways."""
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_seed(self, seed: int, tmp_path: pathlib.Path) -> None:
+        result = main.play(seed, schedule.Size(), tmp_path)
+        assert not result.broken
+        assert result.served > 0
