Leave out of beats what peers know

Beats now name teams with requests in the last second; each tenth beat, and the next one after a peer is heard for the first time, is whole. A team that a beat leaves out is taken to rest. Ruled out: fewer beats, as placement rests on what peers run. Tests seen red: test_news_that_leave_a_team_out_say_that_it_rests without its rule.

--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -83,6 +83,7 @@
         self._store_back_ms = float("-inf")
         self._outage_is_local = False
         self._sequence = 0
+        self._is_newly_heard = False
         self._started_ms = clock.now_ms()
 
     def is_ready(self) -> bool:
@@ -168,6 +169,15 @@
 
     def beat(self) -> peers_module.Beat:
         """Returns what this gateway says of itself, with a new number."""
+        now_ms = self.clock.now_ms()
+        is_whole = (
+            self._is_newly_heard
+            or self._sequence % peers_module.WHOLE_EVERY == 0
+        )
+        since_ms = (
+            float("-inf") if is_whole else now_ms - peers_module.RECENT_MS
+        )
+        self._is_newly_heard = False
         self._sequence += 1
         return peers_module.Beat(
             host=self.host,
@@ -178,25 +188,32 @@
             leaving=self.leaving,
             store_reached=self.store_reached(),
             table_version=0 if self.table is None else self.table.version,
-            admitted=self.buckets.admitted(),
+            admitted=self.buckets.admitted(since_ms),
+            is_whole=is_whole,
             running=self.pool.running(),
             crashes=self.crashes.all_known(),
-            known=self.peers.addresses(),
+            known=self.peers.addresses() if is_whole else [],
             holds=sorted(self.holds),
             waiting=self.lines.waiting(),
-            begun=self.starts.admitted(),
-            trouble=self.pool.trouble(self.clock.now_ms()),
+            begun=self.starts.admitted(since_ms),
+            trouble=self.pool.trouble(now_ms),
         )
 
     def hear(self, beat: peers_module.Beat) -> None:
         """Takes over a peer's beat."""
         now_ms = self.clock.now_ms()
+        if not self.peers.knows(beat):
+            # It has to learn at once what all others know.
+            self._is_newly_heard = True
         replaced = self.peers.hear(beat, now_ms)
         if replaced is not None:
             self._forget_use(replaced)
             _log.info("peer_restarted", peer=beat.host)
-        self.buckets.hear(beat.instance, beat.admitted, now_ms)
-        self.starts.hear(beat.instance, beat.begun, now_ms)
+        for buckets, counts in (
+            (self.buckets, beat.admitted),
+            (self.starts, beat.begun),
+        ):
+            buckets.hear(beat.instance, counts, now_ms, is_whole=beat.is_whole)
         for count in beat.crashes:
             self.crashes.hear(count, now_ms)
 
--- a/quetzalmill/peers.py
+++ b/quetzalmill/peers.py
@@ -15,6 +15,14 @@
 BEAT_MS = 200.0
 """The time between two beats to each peer."""
 
+WHOLE_EVERY = 10
+"""Every how many beats one is whole; two seconds, in which a team that makes
+no request costs no bytes."""
+
+RECENT_MS = 1_000.0
+"""How long a team's count goes out after its last request: five beats, of
+which one at least arrives; the next whole beat mends the rest."""
+
 FEW_PEERS = 40
 """Peers up to which beats come that often. With more they come less often, so
 that receiving them takes no growing part of a host's processor."""
@@ -42,6 +50,8 @@
         store_reached: Whether it reaches the platform's store.
         table_version: The version of its route table; 0 for none.
         admitted: Requests admitted since its start, by team.
+        is_whole: Whether ``admitted``, ``begun`` and ``known`` are whole; if
+            not, teams without requests of late and addresses are left out.
         running: Requests that it runs, by endpoint.
         crashes: Requests that ran when an endpoint died.
         known: Addresses of the gateways that it knows.
@@ -61,6 +71,7 @@
     store_reached: bool
     table_version: int
     admitted: dict[str, int]
+    is_whole: bool
     running: dict[str, int]
     crashes: list[crash_counts.CrashCount]
     known: list[str]
@@ -113,6 +124,11 @@
             self.add_address(address, now_ms)
         return replaced
 
+    def knows(self, beat: Beat) -> bool:
+        """Returns whether the instance of a beat was heard before."""
+        known = self._peers.get(beat.address)
+        return known is not None and known.beat.instance == beat.instance
+
     def forget_old(self, now_ms: float) -> list[Beat]:
         """Drops peers that count as gone; returns their last beats."""
         for address, since_ms in list(self._unheard.items()):
--- a/quetzalmill/rate_lines.py
+++ b/quetzalmill/rate_lines.py
@@ -167,7 +167,7 @@
             if ahead == 0 and wait_ms <= 0.0:
                 self._size.note(is_start=waiter.is_start)
                 if waiter.is_start:
-                    self._starts.take(team, self._size.requests())
+                    self._starts.take(team, self._size.requests(), now_ms)
                 return self._buckets.admit(team, now_ms)
             sleep_ms = max(_SHORTEST_SLEEP_MS, wait_ms)
             await trio.sleep(min(sleep_ms, _LONGEST_SLEEP_MS) / 1000.0)
--- a/quetzalmill/team_buckets.py
+++ b/quetzalmill/team_buckets.py
@@ -54,6 +54,7 @@
     level: float
     filled_ms: float
     admitted: int = 0
+    admitted_ms: float = float("-inf")
 
 
 @attrs.frozen(kw_only=True)
@@ -85,6 +86,7 @@
         self._buckets: dict[str, _Bucket] = {}
         self._peers: dict[str, dict[str, _PeerUse]] = {}
         self._instances: set[str] = set()
+        self._heard_ms: dict[str, float] = {}
         self._heard_part = 1.0
 
     def configure(
@@ -154,32 +156,51 @@
         """Takes one token from a team's bucket, if it holds one."""
         found = self.look(name, now_ms)
         if found.admitted:
-            self.take(name, 1)
+            self.take(name, 1, now_ms)
         return found
 
-    def take(self, name: str, tokens: int) -> None:
+    def take(self, name: str, tokens: int, now_ms: float) -> None:
         """Takes tokens from a limited team's bucket, whatever it holds."""
         if self.is_limited(name):
             bucket = self._buckets[name]
             bucket.level -= tokens
             bucket.admitted += tokens
+            bucket.admitted_ms = now_ms
 
-    def admitted(self) -> dict[str, int]:
-        """Returns how many requests this gateway admitted, by team."""
+    def admitted(self, since_ms: float = float("-inf")) -> dict[str, int]:
+        """Returns how many requests this gateway admitted, by team.
+
+        Args:
+            since_ms: Teams of which none was admitted since are left out.
+        """
         return {
             name: bucket.admitted
             for name, bucket in self._buckets.items()
-            if bucket.admitted
+            if bucket.admitted and bucket.admitted_ms >= since_ms
         }
 
     def hear(
-        self, instance: str, admitted: dict[str, int], now_ms: float
+        self,
+        instance: str,
+        admitted: dict[str, int],
+        now_ms: float,
+        *,
+        is_whole: bool = True,
     ) -> None:
-        """Debits what a peer says it admitted since it was last heard."""
+        """Debits what a peer says it admitted since it was last heard.
+
+        Args:
+            instance: The peer's instance.
+            admitted: What it admitted since its start, by team.
+            now_ms: The current time.
+            is_whole: Whether all teams are there that it ever admitted.
+        """
         # What an instance admitted before it was first heard is the past: it
         # began to run just now, or this gateway did (``START_PART``).
         is_first = instance not in self._instances
-        self._instances.add(instance)
+        if is_whole:
+            self._instances.add(instance)
+        self._heard_ms[instance] = now_ms
         for name, count in admitted.items():
             uses = self._peers.setdefault(name, {})
             use = uses.get(instance)
@@ -197,13 +218,21 @@
     def forget(self, instance: str) -> None:
         """Drops the counters of a peer that is gone for good."""
         self._instances.discard(instance)
+        self._heard_ms.pop(instance, None)
         for uses in self._peers.values():
             uses.pop(instance, None)
 
     def _guess(self, name: str, now_ms: float) -> float:
-        """Returns what peers have probably admitted since they were heard."""
+        """Returns what peers have probably admitted since they were heard.
+
+        A peer whose last news leave the team out admits nothing for it.
+        """
         uses = self._peers.get(name, {})
-        return sum(use.guess(now_ms) for use in uses.values())
+        return sum(
+            use.guess(now_ms)
+            for instance, use in uses.items()
+            if use.heard_ms >= self._heard_ms.get(instance, 0.0)
+        )
 
     def _full(self, team: route_table.Team) -> float:
         """Returns what a bucket holds at most, by the part that is heard."""
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -82,6 +82,7 @@
         store_reached=True,
         table_version=1,
         admitted={},
+        is_whole=True,
         running={},
         crashes=[],
         known=[],
@@ -177,6 +178,28 @@
             first.hear("two", second.admitted(), 0.0)
         assert first.admit("weddings", 0.0).level == pytest.approx(before - 2)
 
+    def test_news_that_leave_a_team_out_say_that_it_rests(self) -> None:
+        """No guess of a peer's requests goes on after them."""
+        first = self._buckets(1)[0]
+        for step in range(6):
+            first.hear("two", {"weddings": 10 * step}, 200.0 * step)
+        before = first.look("weddings", 1_000.0)
+        first.hear("two", {}, 1_001.0, is_whole=False)
+        after = first.look("weddings", 1_600.0)
+        # The debt is paid off by what the bucket gains, and by no less.
+        gained_ms = before.retry_after_ms - after.retry_after_ms
+        assert gained_ms >= 600.0
+
+    def test_first_news_in_part_are_the_past_too(self) -> None:
+        first, second = self._buckets(2)
+        first.hear("two", {}, 0.0, is_whole=False)
+        first.hear("two", {"weddings": 3_000}, 100.0, is_whole=True)
+        second.hear("one", {"weddings": 3_000}, 100.0, is_whole=False)
+        second.hear("one", {"weddings": 3_001}, 100.0, is_whole=True)
+        level = self._buckets(1)[0].look("weddings", 100.0).level
+        assert first.look("weddings", 100.0).level == level
+        assert second.look("weddings", 100.0).level == level - 1
+
     def test_lower_rate_holds_at_once(self) -> None:
         buckets = self._buckets(1)[0]
         buckets.admit("weddings", 60_000.0)
@@ -446,6 +469,36 @@
         )
         return state, clock
 
+    def test_beats_leave_out_what_is_old(self) -> None:
+        """Most teams rest at any time, and addresses seldom change."""
+        state, clock = self._state()
+        state.take_table(_table(), "test")
+        state.hear(_beat("b:1"))
+        state.buckets.admit("weddings", clock.now_ms())
+        assert state.beat().is_whole
+        state.hear(_beat("b:1", sequence=2))
+        recent = state.beat()
+        assert not recent.is_whole
+        assert recent.admitted == {"weddings": 1}
+        assert recent.known == []
+        clock.advance(2 * peers_module.RECENT_MS)
+        assert state.beat().admitted == {}
+        later = [state.beat() for _ in range(peers_module.WHOLE_EVERY)]
+        whole = [beat for beat in later if beat.is_whole]
+        assert len(whole) == 1
+        assert whole[0].admitted == {"weddings": 1}
+        assert whole[0].known == ["b:1"]
+
+    def test_started_peer_is_told_everything_at_once(self) -> None:
+        state, _ = self._state()
+        state.hear(_beat("b:1"))
+        assert state.beat().is_whole
+        assert not state.beat().is_whole
+        state.hear(_beat("c:1"))
+        assert state.beat().known == ["b:1", "c:1"]
+        state.hear(_beat("b:1", instance="i2"))
+        assert state.beat().is_whole
+
     def test_route_table_never_reverts(self) -> None:
         state, _ = self._state()
         assert state.take_table(_table(version=4), "store")
