Try another endpoint for an overdue look-up sooner, within a retry budget

Cause: a look-up to an endpoint that hangs waited for half of its time, 750 ms of 1,500, and made its program late. It now waits four times the usual time of its route, or the route's objective; repeats are a tenth of such requests at most, so an overload of all endpoints is not added to. Ruled out: sending two at once, which doubles the load.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -20,6 +20,7 @@
 from quetzalmill import http_message
 from quetzalmill import http_server
 from quetzalmill import logs
+from quetzalmill import repeat_patience
 from quetzalmill import route_table
 from quetzalmill import sse
 
@@ -29,10 +30,6 @@
 LEAST_LEFT_MS = 20.0
 """With less time left than this, no endpoint can answer a request."""
 
-SAFE_PATIENCE_MS = 500.0
-"""How long a request that may be repeated waits for an answer, at least,
-before another endpoint is tried."""
-
 VERIFY_MS = 300.0
 """How long a connection may take that shows whether an endpoint lives."""
 
@@ -118,6 +115,7 @@
         self._failure_domain = failure_domain
         self._random = random.Random()
         self._usual = endpoint_health.UsualTimes()
+        self._patience = repeat_patience.RepeatPatience()
         self.prefixes = endpoint_choice.PrefixMemory()
 
     async def run(
@@ -149,6 +147,8 @@
                     was_lost = True
                     if not self._may_repeat(job):
                         return failed or _unknown(outcome)
+                    if outcome.timed_out:
+                        self._patience.note_repeat()
                 case outcomes.Answered(status=status) if (
                     status >= _SERVER_ERROR and self._may_repeat(job)
                 ):
@@ -266,9 +266,12 @@
                 body=job.body,
             ),
         )
-        patience_ms = left_ms
-        if self._is_first_of_several(job):
-            patience_ms = min(left_ms, max(SAFE_PATIENCE_MS, left_ms / 2))
+        patience_ms = self._patience.patience_ms(
+            job.route,
+            sends=job.sends,
+            left_ms=left_ms,
+            usual_ms=self._usual.usual_ms(job.route.name),
+        )
         job.sends += 1
         try:
             async with self._client.stream(
@@ -316,12 +319,6 @@
             case outcomes.Streamed():
                 health.note_failure(now_ms)
 
-    def _is_first_of_several(self, job: Job) -> bool:
-        return (
-            job.route.repeat is route_table.Repeat.SAFE
-            and job.sends + 1 < job.route.max_attempts
-        )
-
     def _note_load(
         self, condition: endpoint_pool.Condition, reply: gateway_calls.Reply
     ) -> None:
--- a/quetzalmill/retry_budget.py
+++ b/quetzalmill/retry_budget.py
@@ -17,6 +17,10 @@
         """Counts a request, which earns a share of a retry."""
         self._balance = min(MAX_BALANCE, self._balance + self._share)
 
+    def may_spend(self) -> bool:
+        """Returns whether a retry is left, and spends none."""
+        return self._balance >= 1.0
+
     def take(self) -> bool:
         """Spends one retry and returns whether there was one."""
         if self._balance < 1.0:
--- a/quetzalmill_emulator/platform_endpoint.py
+++ b/quetzalmill_emulator/platform_endpoint.py
@@ -22,6 +22,7 @@
     CROSSED = "crossed"
     CUT_STREAM = "cut stream"
     ERROR = "error"
+    HANG = "hang"
 
 
 @attrs.frozen(kw_only=True)
@@ -95,6 +96,9 @@
             )
         )
         await trio.sleep(self._pause_s)
+        if fault is Fault.HANG:
+            await exchange.wait_disconnected()
+            return
         if fault is Fault.LOSE_ANSWER:
             exchange.abort()
             return
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -77,6 +77,7 @@
             ("/lookup/1", [_Fault.CROSSED], 200, 2),
             ("/book/1", [_Fault.CROSSED], 502, 1),
             ("/lookup/1", [_Fault.ERROR], 200, 2),
+            ("/lookup/1", [_Fault.HANG], 200, 2),
             ("/book/1", [_Fault.ERROR], 500, 1),
         ],
     )
