--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -6,6 +6,7 @@
 
 from quetzalmill import crash_counts
 from quetzalmill import dispatch
+from quetzalmill import engine_rank
 from quetzalmill import errors
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_metrics
@@ -36,10 +37,6 @@
 END_RESERVE_MS = 150.0
 """Time kept back from a turn's run to make its end durable."""
 
-_BASE_PRIORITY = 2
-_HIGHEST_PRIORITY = 0
-_LOWEST_PRIORITY = 9
-
 _log = logs.get("gateway")
 
 
@@ -352,16 +349,19 @@
         return self._deadline_ms() - self._state.clock.now_ms()
 
     def _priority(self) -> int:
-        """Returns the rank at an engine; programs under way go first."""
         assert self.route is not None and self._state.table is not None
-        rank = self.route.priority
+        priority = self.route.priority
         team = self._state.table.teams.get(self.team)
         if team is not None and team.priority is not None:
-            rank = team.priority
-        priority = _BASE_PRIORITY + 2 * rank
-        if self.call.previous_turn_id:
-            priority -= 1
-        return max(_HIGHEST_PRIORITY, min(_LOWEST_PRIORITY, priority))
+            priority = team.priority
+        left_ms = self.call.program_left_ms
+        if left_ms is not None:
+            left_ms -= self._state.clock.now_ms() - self.arrived_ms
+        return engine_rank.rank(
+            priority,
+            is_under_way=bool(self.call.previous_turn_id),
+            program_left_ms=left_ms,
+        )
 
     def _fingerprint(self) -> str:
         return crash_counts.fingerprint(
--- /dev/null
+++ b/tests/test_engine_rank.py
@@ -0,0 +1,42 @@
+"""Tests of the order in which turns are admitted at engines."""
+
+import pytest
+
+from quetzalmill import engine_rank
+
+
+class TestRank:
+    """Which of two turns goes first while both wait."""
+
+    @pytest.mark.parametrize(
+        ("first", "second"),
+        [
+            # Priority, whether under way, and the time left.
+            ((0, False, 900.0), (1, False, 900.0)),
+            ((0, True, 900.0), (0, False, 900.0)),
+            ((0, True, 900.0), (0, True, 0.0)),
+            ((1, True, 900.0), (0, True, 0.0)),
+            ((1, False, 900.0), (1, True, 0.0)),
+            ((0, True, None), (0, True, 0.0)),
+        ],
+    )
+    def test_order(
+        self,
+        first: tuple[int, bool, float | None],
+        second: tuple[int, bool, float | None],
+    ) -> None:
+        ranks = [
+            engine_rank.rank(
+                priority, is_under_way=under_way, program_left_ms=left_ms
+            )
+            for priority, under_way, left_ms in (first, second)
+        ]
+        assert ranks[0] < ranks[1]
+
+    def test_ranks_stay_within_those_of_engines(self) -> None:
+        for priority in range(20):
+            for left_ms in (None, 0.0, 1.0):
+                found = engine_rank.rank(
+                    priority, is_under_way=True, program_left_ms=left_ms
+                )
+                assert engine_rank.HIGHEST <= found <= engine_rank.LOWEST
