--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -17,6 +17,8 @@
 
 _CALLER = "127.0.0.2:1"
 _CALLEE = "127.0.0.3:1"
+_LIMIT_S = 20.0
+"""How long a test may take."""
 
 
 @attrs.frozen
@@ -54,21 +56,31 @@
 
 @contextlib.asynccontextmanager
 async def _running(
-    callee: _Callee, *, callee_after_s: float = 0.0
+    callee: _Callee, *, callee_after_s: float | None = None
 ) -> AsyncIterator[tuple[peer_calls.PeerCalls, int]]:
-    """Runs a caller and a callee; yields the caller and the port."""
+    """Runs a caller and a callee; yields the caller and the port.
+
+    Args:
+        callee: Serves the calls.
+        callee_after_s: When the callee starts; left out, it runs before.
+    """
     port = int(processes.free_address().rpartition(":")[2])
     caller = _calls(_CALLER, port, _Callee())
-
-    async def run_callee() -> None:
-        await trio.sleep(callee_after_s)
-        await _calls(_CALLEE, port, callee).run()
-
-    async with trio.open_nursery() as nursery:
-        await nursery.start(caller.run)
-        nursery.start_soon(run_callee)
-        yield caller, port
-        nursery.cancel_scope.cancel()
+    answering = _calls(_CALLEE, port, callee)
+
+    async def run_late(after_s: float) -> None:
+        await trio.sleep(after_s)
+        await answering.run()
+
+    with trio.fail_after(_LIMIT_S):
+        async with trio.open_nursery() as nursery:
+            await nursery.start(caller.run)
+            if callee_after_s is None:
+                await nursery.start(answering.run)
+            else:
+                nursery.start_soon(run_late, callee_after_s)
+            yield caller, port
+            nursery.cancel_scope.cancel()
 
 
 class TestCalls:
