--- /dev/null
+++ b/tests/routes.py
@@ -0,0 +1,19 @@
+"""A route of look-ups, for tests of decisions that ask for one."""
+
+from quetzalmill import route_table
+
+LOOKUP = route_table.Route(
+    name="lookup",
+    host="desk.example",
+    path_prefix="/stock/",
+    repeat=route_table.Repeat.SAFE,
+    timeout_ms=1_500.0,
+    target_latency_ms=250.0,
+    priority=2,
+    shares=(route_table.Share(service="app", weight=1.0),),
+    max_attempts=2,
+    public=False,
+    stateful=False,
+    retention_ms=0.0,
+    gap_ms=0.0,
+)
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -15,22 +15,7 @@
 from quetzalmill import peers as peers_module
 from quetzalmill import route_table
 from quetzalmill import team_buckets
-
-_ROUTE = route_table.Route(
-    name="lookup",
-    host="desk.example",
-    path_prefix="/stock/",
-    repeat=route_table.Repeat.SAFE,
-    timeout_ms=1_500.0,
-    target_latency_ms=250.0,
-    priority=2,
-    shares=(route_table.Share(service="app", weight=1.0),),
-    max_attempts=2,
-    public=False,
-    stateful=False,
-    retention_ms=0.0,
-    gap_ms=0.0,
-)
+from tests import routes
 
 
 def _table(
@@ -39,8 +24,10 @@
     return route_table.RouteTable(
         version=version,
         routes=(
-            _ROUTE,
-            attrs.evolve(_ROUTE, name="deep", path_prefix="/stock/deep/"),
+            routes.LOOKUP,
+            attrs.evolve(
+                routes.LOOKUP, name="deep", path_prefix="/stock/deep/"
+            ),
         ),
         services={},
         teams={
--- a/tests/test_repeat_patience.py
+++ b/tests/test_repeat_patience.py
@@ -4,28 +4,14 @@
 
 from quetzalmill import repeat_patience
 from quetzalmill import route_table
+from tests import routes
 
-_LOOKUP = route_table.Route(
-    name="lookup",
-    host="desk.example",
-    path_prefix="/stock/",
-    repeat=route_table.Repeat.SAFE,
-    timeout_ms=1_500.0,
-    target_latency_ms=250.0,
-    priority=2,
-    shares=(route_table.Share(service="app", weight=1.0),),
-    max_attempts=2,
-    public=False,
-    stateful=False,
-    retention_ms=0.0,
-    gap_ms=0.0,
-)
 _LEFT_MS = 1_500.0
 
 
 def _patience_ms(
     patience: repeat_patience.RepeatPatience,
-    route: route_table.Route = _LOOKUP,
+    route: route_table.Route = routes.LOOKUP,
     *,
     sends: int = 0,
     usual_ms: float = 40.0,
@@ -40,7 +26,7 @@
 
     def test_overdue_lookup_goes_elsewhere_early(self) -> None:
         patience = repeat_patience.RepeatPatience()
-        assert _patience_ms(patience) == _LOOKUP.target_latency_ms
+        assert _patience_ms(patience) == routes.LOOKUP.target_latency_ms
 
     def test_usually_slow_route_waits_longer(self) -> None:
         patience = repeat_patience.RepeatPatience()
@@ -53,7 +39,7 @@
 
     def test_request_that_runs_once_waits_for_its_endpoint(self) -> None:
         patience = repeat_patience.RepeatPatience()
-        booking = attrs.evolve(_LOOKUP, repeat=route_table.Repeat.UNSAFE)
+        booking = attrs.evolve(routes.LOOKUP, repeat=route_table.Repeat.UNSAFE)
         assert _patience_ms(patience, booking) == _LEFT_MS
 
     def test_overload_of_all_endpoints_is_not_added_to(self) -> None:
