Give up small calls to a peer that gives no sign; contain failing handlers

Cause: read in review. A call to the owner of a program that was killed waited 1.2 s for a reply; the control call before was refused at once. A callee now answers a repeat with the word that it still works, and a caller that has no sign after 300 ms gives up. Settlements, for which nobody waits, go on for 3 s. A handler that failed with an unexpected error would have ended the gateway; it is logged and leaves the call unanswered. Tests seen red: test_silence_is_an_error_long_before_the_time_is_over and test_handler_that_fails_ends_no_other_call, on the code before. The sockets of beats and calls are opened by one module.

--- a/quetzalmill/gateway_turns.py
+++ b/quetzalmill/gateway_turns.py
@@ -17,6 +17,10 @@
 from quetzalmill import peer_calls
 from quetzalmill import turn_keeper
 
+SETTLE_TIMEOUT_MS = 3_000.0
+"""How long a settlement is sent again; nobody waits for it, and a program whose
+owner was cut off for a moment should not pay for it."""
+
 _BUDGET_SPENT = 402
 _NO_SUCH_TURN = 404
 _COME_BACK_MS = 300.0
@@ -261,7 +265,8 @@
                 owner,
                 gateway_messages.SETTLE_TURN,
                 message,
-                timeout_ms=budget_owner.RESERVE_TIMEOUT_MS,
+                timeout_ms=SETTLE_TIMEOUT_MS,
+                sign_ms=SETTLE_TIMEOUT_MS,
             )
         except errors.ControlError as error:
             # The reservation then stands for the most that was handed out.
--- a/quetzalmill/peer_calls.py
+++ b/quetzalmill/peer_calls.py
@@ -5,14 +5,15 @@
 not fit into one packet, or comes rarely, stays a control call.
 
 A call is sent again until it is answered. The callee answers a call that it
-has seen before as it did then, so a repeat does nothing twice.
+has seen before as it did then, so a repeat does nothing twice. While it still
+works on the call, it says so to a repeat; a callee that says nothing at all is
+given up early.
 """
 
-from collections.abc import Mapping
+from collections.abc import Awaitable, Mapping
 import inspect
 import itertools
 import secrets
-import socket
 from typing import Any
 
 import attrs
@@ -21,6 +22,7 @@
 from quetzalmill import clock as clock_module
 from quetzalmill import codec
 from quetzalmill import control
+from quetzalmill import datagrams
 from quetzalmill import errors
 from quetzalmill import http_message
 from quetzalmill import logs
@@ -29,6 +31,10 @@
 """The wait before a call is sent again, doubled each time; several times the
 way between failure domains and back."""
 
+SIGN_MS = 300.0
+"""How long a caller waits for any sign of the callee: three sends, of which the
+last had the time for the way there and back."""
+
 REMEMBERED_MS = 3_000.0
 """How long a callee knows a call; longer than callers wait for an answer."""
 
@@ -37,6 +43,8 @@
 _MAX_DRAINED = 64
 
 _Address = tuple[str, int]
+_Key = tuple[_Address, int]
+"""A call, by who made it and its number."""
 
 _log = logs.get("peer_calls")
 
@@ -49,17 +57,20 @@
         number: The call; unique for its caller's process.
         method: The method; empty in a reply.
         payload: The request, or the reply.
+        is_working: Whether the reply is yet to come.
     """
 
     number: int
     method: str
     payload: bytes
+    is_working: bool = False
 
 
 @attrs.define(eq=False)
 class _Waiting:
     answered: trio.Event = attrs.field(factory=trio.Event)
     payload: bytes = b""
+    is_alive: bool = False
 
 
 @attrs.define(eq=False)
@@ -95,16 +106,15 @@
         # A callee must not take a call for one of this process's predecessor.
         self._numbers = itertools.count(secrets.randbits(_NUMBER_BITS))
         self._waiting: dict[int, _Waiting] = {}
-        self._seen: dict[tuple[_Address, int], _Seen] = {}
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
+        self._seen: dict[_Key, _Seen] = {}
+        self._socket = datagrams.open_socket()
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Receives calls and replies until cancelled."""
         with self._socket:
-            self._socket.bind((self._ip, self._port))
+            datagrams.bind(self._socket, f"{self._ip}:{self._port}")
             task_status.started()
             async with trio.open_nursery() as nursery:
                 while True:
@@ -118,6 +128,7 @@
         message: Any,
         *,
         timeout_ms: float,
+        sign_ms: float = SIGN_MS,
     ) -> Any:
         """Makes one call and returns its reply.
 
@@ -126,10 +137,11 @@
             method: The method.
             message: The request.
             timeout_ms: How long to wait for the reply.
+            sign_ms: How long to wait for any sign of the peer.
 
         Raises:
-            errors.ControlError: No reply came within ``timeout_ms``; the call
-                may or may not have taken effect.
+            errors.ControlError: No reply came within ``timeout_ms``, or no
+                sign of the peer; the call may or may not have taken effect.
         """
         number = next(self._numbers)
         frame = _Frame(number, method.name, codec.to_msgpack(message))
@@ -138,7 +150,8 @@
         waiting = self._waiting[number] = _Waiting()
         try:
             with trio.move_on_after(timeout_ms / 1000.0):
-                await self._send_until_answered(data, target, waiting)
+                await self._send_until_answered(data, target, waiting, sign_ms)
+            if waiting.answered.is_set():
                 return codec.from_msgpack(waiting.payload, method.reply_type)
         except errors.CodecError as error:
             raise errors.ControlError(
@@ -149,10 +162,21 @@
         raise errors.ControlError(f"{method.name} to {address}: no reply")
 
     async def _send_until_answered(
-        self, data: bytes, target: _Address, waiting: _Waiting
+        self,
+        data: bytes,
+        target: _Address,
+        waiting: _Waiting,
+        sign_ms: float,
     ) -> None:
+        """Returns once there is an answer, or no sign of the callee."""
         wait_ms = RESEND_MS
+        give_up_ms = self._clock.now_ms() + sign_ms
         while not waiting.answered.is_set():
+            left_ms = give_up_ms - self._clock.now_ms()
+            if not waiting.is_alive:
+                if left_ms <= 0.0:
+                    return
+                wait_ms = min(wait_ms, left_ms)
             self._send(data, target)
             with trio.move_on_after(wait_ms / 1000.0):
                 await waiting.answered.wait()
@@ -181,8 +205,10 @@
             if frame.method:
                 self._take_call(frame, source, nursery)
             elif (waiting := self._waiting.get(frame.number)) is not None:
-                waiting.payload = frame.payload
-                waiting.answered.set()
+                waiting.is_alive = True
+                if not frame.is_working:
+                    waiting.payload = frame.payload
+                    waiting.answered.set()
 
     def _take_call(
         self, frame: _Frame, source: _Address, nursery: trio.Nursery
@@ -192,8 +218,8 @@
         key = (source, frame.number)
         seen = self._seen.get(key)
         if seen is not None:
-            if seen.reply is not None:
-                self._send(seen.reply, source)
+            working = _Frame(frame.number, "", b"", is_working=True)
+            self._send(seen.reply or codec.to_msgpack(working), source)
             return
         found = self._handlers.get(frame.method)
         if found is None:
@@ -206,18 +232,32 @@
             _log.warning("call_unreadable", peer=source[0], reason=str(error))
             return
         self._seen[key] = _Seen(self._clock.now_ms())
-        reply = handler(request)
+        later = self._handle(handler, request, key)
+        if later is not None:
+            nursery.start_soon(self._answer_later, later, key)
+
+    def _handle(
+        self, handler: control.Handler, request: Any, key: _Key
+    ) -> Awaitable[Any] | None:
+        """Answers a call, or returns the answer that is yet to come."""
+        try:
+            reply = handler(request)
+        except Exception:
+            _log.exception("call_failed", peer=key[0][0])
+            return None
         if inspect.isawaitable(reply):
-            nursery.start_soon(self._answer_later, reply, key)
-        else:
-            self._answer(reply, key)
+            return reply
+        self._answer(reply, key)
+        return None
 
-    async def _answer_later(
-        self, reply: Any, key: tuple[_Address, int]
-    ) -> None:
-        self._answer(await reply, key)
+    async def _answer_later(self, reply: Awaitable[Any], key: _Key) -> None:
+        try:
+            self._answer(await reply, key)
+        except Exception:
+            # The caller gives up in time; other calls must go on.
+            _log.exception("call_failed", peer=key[0][0])
 
-    def _answer(self, reply: Any, key: tuple[_Address, int]) -> None:
+    def _answer(self, reply: Any, key: _Key) -> None:
         source, number = key
         frame = _Frame(number, "", codec.to_msgpack(reply))
         data = codec.to_msgpack(frame)
--- a/quetzalmill/peer_link.py
+++ b/quetzalmill/peer_link.py
@@ -5,11 +5,10 @@
 to all peers in one step, and what has arrived is received together.
 """
 
-import socket
-
 import trio
 
 from quetzalmill import codec
+from quetzalmill import datagrams
 from quetzalmill import errors
 from quetzalmill import gateway_state
 from quetzalmill import http_message
@@ -36,15 +35,14 @@
     def __init__(self, state: gateway_state.GatewayState, address: str) -> None:
         self._state = state
         self._address = address
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
+        self._socket = datagrams.open_socket()
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Sends and receives until cancelled."""
         with self._socket:
-            self._socket.bind(http_message.split_address(self._address))
+            datagrams.bind(self._socket, self._address)
             task_status.started()
             await self._send_and_receive()
 
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -37,15 +37,23 @@
 
     delay_s: float = 0.0
     served: list[int] = attrs.field(factory=list)
+    fails: int = 0
 
     def double(self, message: _Number) -> _Number | Awaitable[_Number]:
         self.served.append(message.value)
-        reply = _Number(2 * message.value)
-        return self._later(reply) if self.delay_s else reply
+        if self.delay_s:
+            return self._later(message)
+        return self._reply(message)
 
-    async def _later(self, reply: _Number) -> _Number:
+    async def _later(self, message: _Number) -> _Number:
         await trio.sleep(self.delay_s)
-        return reply
+        return self._reply(message)
+
+    def _reply(self, message: _Number) -> _Number:
+        if self.fails:
+            self.fails -= 1
+            raise ValueError("as the test asks")
+        return _Number(2 * message.value)
 
 
 def _calls(address: str, port: int, callee: _Callee) -> peer_calls.PeerCalls:
@@ -86,7 +94,7 @@
 class TestCalls:
     """Calls over a network that loses and repeats datagrams."""
 
-    @pytest.mark.parametrize("delay_s", [0.0, 0.2])
+    @pytest.mark.parametrize("delay_s", [0.0, 0.2, 0.8])
     def test_reply(self, delay_s: float) -> None:
         """A handler may wait; the call is sent again, and served once."""
         callee = _Callee(delay_s)
@@ -146,12 +154,33 @@
 
         trio.run(main)
 
-    def test_silence_is_an_error(self) -> None:
+    def test_silence_is_an_error_long_before_the_time_is_over(self) -> None:
+        """A callee that works says so; one that is gone says nothing."""
+
         async def main() -> None:
             async with _running(_Callee(), callee_after_s=60.0) as (caller, _):
                 with pytest.raises(errors.ControlError):
                     await caller.call(
-                        _CALLEE, _DOUBLE, _Number(1), timeout_ms=200.0
+                        _CALLEE, _DOUBLE, _Number(1), timeout_ms=600_000.0
                     )
 
         trio.run(main)
+
+    @pytest.mark.parametrize("delay_s", [0.0, 0.1])
+    def test_handler_that_fails_ends_no_other_call(
+        self, delay_s: float
+    ) -> None:
+        callee = _Callee(delay_s, fails=1)
+
+        async def main() -> None:
+            async with _running(callee) as (caller, _):
+                with pytest.raises(errors.ControlError):
+                    await caller.call(
+                        _CALLEE, _DOUBLE, _Number(1), timeout_ms=400.0
+                    )
+                reply = await caller.call(
+                    _CALLEE, _DOUBLE, _Number(2), timeout_ms=5_000.0
+                )
+                assert reply == _Number(4)
+
+        trio.run(main)
