Count a lost answer as no crash of an endpoint

A turn was refused as quarantined for good, after one engine had ended under it. Cause: when the fate of an attempt was unknown, the home marked the call as a suspect for its next attempt, so that it runs alone; the sidecar took the mark for a crash and counted the next one as the second. The log shows endpoint_crash_suspect crashes=2 with no line of a first crash on any sidecar. The mark now says that a crash is known; running alone is asked for apart. Ruled out: two reports of one end (same failure, counted once), a crash that another sidecar reported, the load alone, which only made the lost answer. Test, red with the old rule: test_lost_answer_is_no_crash. Gateways do not use this code.

--- a/quetzalmill/call_run.py
+++ b/quetzalmill/call_run.py
@@ -168,7 +168,7 @@
             case doubt.CannotTell(reason=reason):
                 return self._cannot_tell(run, reason)
         excluded: set[str] = set()
-        suspect = run.prepared.call.suspect
+        earlier = suspects.EarlierAttempts(crashed=run.prepared.call.suspect)
         for attempt in range(1, MAX_ATTEMPTS + 1):
             target = target or self._choose(run, excluded)
             if target is None:
@@ -177,13 +177,13 @@
             result = refusal or await self._attempt(
                 run,
                 target,
-                self._execution(run, target, attempt, suspect, instance),
+                self._execution(run, target, attempt, earlier, instance),
             )
             if isinstance(result, _Succeeded):
                 return result
             if not self._may_retry(run, result, attempt):
                 return result
-            suspect = suspect or result.frame.ran is messages.Ran.UNKNOWN
+            earlier = earlier.after(result.frame)
             excluded.add(target.endpoint)
             target = None
         return self._nowhere(run)
@@ -505,7 +505,7 @@
         run: Run,
         target: routing.Target,
         attempt: int,
-        suspect: bool,
+        earlier: suspects.EarlierAttempts,
         instance: str,
     ) -> messages.Execution:
         prepared = run.prepared
@@ -514,10 +514,11 @@
             prepared.call,
             body=prepared.body,
             time_left_ms=left_ms,
-            suspect=suspect,
+            suspect=earlier.crashed,
         )
         return messages.Execution(
             call=call,
+            alone=earlier.unknown,
             root=run.family.root,
             epoch=run.family.epoch,
             attempt=attempt,
--- a/quetzalmill/executor.py
+++ b/quetzalmill/executor.py
@@ -153,7 +153,8 @@
             answer=answer.Answer(),
             cost_units=endpoint_worker.cost_units(execution),
             deadline_ms=self._clock.now_ms() + execution.call.time_left_ms,
-            alone=execution.call.suspect
+            alone=execution.alone
+            or execution.call.suspect
             or self._suspects.is_suspect(execution.call.fingerprint),
         )
         worker = self._workers.get(execution.endpoint)
--- a/quetzalmill/messages.py
+++ b/quetzalmill/messages.py
@@ -268,7 +268,7 @@
         idempotent: Whether the call may be run again.
         time_left_ms: How long the caller still waits.
         fingerprint: The fingerprint over team and content.
-        suspect: Whether the request may have ended an endpoint before.
+        suspect: Whether the request is known to have ended an endpoint.
         applied_offset: The configuration offset that the sender decided by.
         expected_chain: The chain hash that the caller holds; may be empty.
     """
@@ -308,6 +308,8 @@
         answer_tokens: The most tokens that the answer may have.
         instance: The sidecar process that may run it; any when empty.
         decided_offset: The configuration offset that the home decided by.
+        alone: Whether it must run alone, as an earlier attempt may have ended
+            an endpoint.
     """
 
     call: Call
@@ -320,6 +322,7 @@
     answer_tokens: int
     instance: str = ""
     decided_offset: int = 0
+    alone: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/quetzalmill/suspects.py
+++ b/quetzalmill/suspects.py
@@ -32,6 +32,30 @@
     failure: str = ""
 
 
+@attrs.frozen(kw_only=True)
+class EarlierAttempts:
+    """What earlier attempts at a call say about the next one.
+
+    Attributes:
+        crashed: Whether an endpoint is known to have ended under one.
+        unknown: Whether nobody can tell what became of one.
+    """
+
+    crashed: bool
+    unknown: bool = False
+
+    def after(self, frame: messages.Frame) -> "EarlierAttempts":
+        """Returns the same after one more attempt failed with a frame.
+
+        An attempt whose answer was lost, such as with a link, has ended no
+        endpoint as far as anybody knows.
+        """
+        return EarlierAttempts(
+            crashed=self.crashed or frame.details.get("crashes", 0) > 0,
+            unknown=self.unknown or frame.ran is messages.Ran.UNKNOWN,
+        )
+
+
 class Suspects:
     """The suspects that this process knows."""
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -11,6 +11,7 @@
 
 from quetzalmill import endpoint_port
 from quetzalmill import http_client
+from quetzalmill import messages
 from quetzalmill import suspects
 from tests import deployment
 from tests import harness
@@ -85,6 +86,42 @@
         assert counts == [1, 1, 2]
 
 
+class TestEarlierAttempts:
+    """What the failure of one attempt says about the next one."""
+
+    @pytest.mark.parametrize(
+        ("details", "ran", "crashes"),
+        [
+            # Only an endpoint that is known to have ended counts.
+            ({"crashes": 1}, messages.Ran.UNKNOWN, 2),
+            ({}, messages.Ran.UNKNOWN, 1),
+            ({}, messages.Ran.NO, 1),
+        ],
+    )
+    def test_lost_answer_is_no_crash(
+        self, details: dict[str, int], ran: messages.Ran, crashes: int
+    ) -> None:
+        """A link is lost under one attempt, an endpoint ends under the next."""
+        frame = messages.Frame(
+            program="p",
+            call=2,
+            attempt=1,
+            kind=messages.FrameKind.FAILED,
+            ran=ran,
+            details=details,
+        )
+        earlier = suspects.EarlierAttempts(crashed=False).after(frame)
+        assert earlier.unknown == (ran is messages.Ran.UNKNOWN)
+        suspect = suspects.Suspects().crashed(
+            "f",
+            "team",
+            failure="engine-0/1",
+            crashes_before=int(earlier.crashed),
+            now_ms=0.0,
+        )
+        assert suspect.crashes == crashes
+
+
 class TestEndpointUp:
     """Whether an endpoint is found to have ended."""
 
