Charge every request that carries a budget to it

Cause: gateways reserved a budget only on routes whose conversation is stored. Now what the request carries decides. Rank, patience, program size and the placement by the conversation were tied to stored turns in the same way: the budget's owner says whether the program is new and where it ran last.

Ruled out: charging by the kind of the route; tools carry no budget and engines of unstored routes must not go uncharged.

Red first: test_budget_holds_at_all_gateways[/quote/1] on, 12 runs of 45 tokens on a budget of 250; green now.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -45,6 +45,7 @@
 _INSTANCE_BITS = 16
 _CLAIM_TRIES = 4
 _REMEMBERED_HOLDERS = 20_000
+_REMEMBERED_PROGRAMS = 20_000
 _REMEMBERED_GIVEN_UP = 2_000
 
 _Value = TypeVar("_Value")
@@ -113,6 +114,7 @@
         self._last_term_number = 0
         self._instance_number = secrets.randbits(_INSTANCE_BITS)
         self._holders: dict[str, str] = {}
+        self._ran_on: dict[str, str] = {}
         self._given_up: dict[str, None] = {}
 
     def reserve(
@@ -137,21 +139,33 @@
             with trio.fail_after(RESERVE_TIMEOUT_MS / 1000.0):
                 return await self._reserve(message)
         except trio.TooSlowError:
-            self.settle(message.program_id, message.turn_id, 0, "")
+            self.settle(
+                gateway_messages.SettleTurn(
+                    program_id=message.program_id,
+                    turn_id=message.turn_id,
+                    used_tokens=0,
+                    holder="",
+                )
+            )
             return _cannot_tell("the store did not answer in time")
         except errors.PortError as error:
             return _cannot_tell(str(error))
 
-    def settle(
-        self, program_id: str, turn_id: str, used_tokens: int, holder: str
-    ) -> None:
+    def settle(self, message: gateway_messages.SettleTurn) -> None:
         """Replaces a reservation by what the turn handed out."""
-        if holder:
-            _remember(self._holders, turn_id, holder, _REMEMBERED_HOLDERS)
-        if used_tokens == 0:
+        turn_id, program_id = message.turn_id, message.program_id
+        if message.holder:
+            _remember(
+                self._holders, turn_id, message.holder, _REMEMBERED_HOLDERS
+            )
+        if message.ran_on:
+            _remember(
+                self._ran_on, program_id, message.ran_on, _REMEMBERED_PROGRAMS
+            )
+        if message.used_tokens == 0:
             _remember(self._given_up, turn_id, None, _REMEMBERED_GIVEN_UP)
         if self._term is not None:
-            self._term.ledger.settle(program_id, turn_id, used_tokens)
+            self._term.ledger.settle(program_id, turn_id, message.used_tokens)
 
     def forget_idle(self, idle_ms: float) -> None:
         """Drops programs that were not used for long, here and durably."""
@@ -166,6 +180,7 @@
         self, message: gateway_messages.ReserveTurn
     ) -> gateway_messages.ReserveReply:
         term = await self._hold()
+        is_first = term.ledger.is_new(message.program_id)
         outcome = self._reserve_in(term, message)
         if isinstance(outcome, gateway_messages.ReserveReply):
             return outcome
@@ -175,7 +190,7 @@
         await pending.done.wait()
         if pending.error is not None:
             raise pending.error
-        return self._granted(message)
+        return self._granted(message, is_first=is_first)
 
     def hand_over(self) -> tuple[int, dict[str, program_budgets.Account]]:
         """Stops owning the partition.
@@ -197,6 +212,7 @@
         if message.turn_id in self._given_up:
             # Its caller left while this gateway was claiming the partition.
             return _cannot_tell("the turn was given up before")
+        is_first = term.ledger.is_new(message.program_id)
         outcome = term.ledger.reserve(
             message.program_id,
             message.turn_id,
@@ -212,14 +228,17 @@
                 f"{outcome.budget_tokens} tokens are granted",
             )
         if outcome.mark is None:
-            return self._granted(message)
+            return self._granted(message, is_first=is_first)
         return outcome.mark
 
     def _granted(
-        self, message: gateway_messages.ReserveTurn
+        self, message: gateway_messages.ReserveTurn, *, is_first: bool
     ) -> gateway_messages.ReserveReply:
         return gateway_messages.ReserveReply(
-            granted=True, holder=self._holders.get(message.previous_id, "")
+            granted=True,
+            holder=self._holders.get(message.previous_id, ""),
+            is_first=is_first,
+            ran_on=self._ran_on.get(message.program_id, ""),
         )
 
     async def _hold(self) -> _Term:
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -296,12 +296,7 @@
     def _settle(
         self, message: gateway_messages.SettleTurn
     ) -> gateway_messages.SettleReply:
-        self._owners[self._part_of(message.program_id)].settle(
-            message.program_id,
-            message.turn_id,
-            message.used_tokens,
-            message.holder,
-        )
+        self._owners[self._part_of(message.program_id)].settle(message)
         return gateway_messages.SettleReply()
 
     def _hand_over(
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -194,6 +194,8 @@
         self.prepared_ms = 0.0
         self.route: route_table.Route | None = None
         self.team = ""
+        self._is_start = False
+        self._is_under_way = bool(call.previous_turn_id)
         self.job: dispatch.Job | None = None
         self.end_is_durable = True
 
@@ -209,7 +211,7 @@
             return outcomes.Refused(
                 status=503, reason="the route's service is not configured"
             )
-        if self.route.stateful:
+        if self.route.stateful or gateway_turns.has_budget(self.call):
             return await self._run_turn(service)
         self.prepared_ms = self._state.clock.now_ms()
         return await self._run(service, self.call.http.body, 0.0)
@@ -226,6 +228,7 @@
         self.route = table.match(self.call.host, self.call.http.path)
         if self.route is None:
             return self._deny(404, "no route matches")
+        self._is_start = self.route.stateful and not self._is_under_way
         team = table.team_for(self.call.key) if self.call.key else None
         if team is None and table.teams and not self.route.public:
             return self._deny(401, "the key is not known")
@@ -242,7 +245,7 @@
         return _beyond_rate(
             self._state.lines.look(
                 self.team,
-                is_start=self._is_start(),
+                is_start=self._is_start,
                 patience_ms=self._rate_patience_ms(),
             )
         )
@@ -252,19 +255,14 @@
         return _beyond_rate(
             await self._state.lines.enter(
                 self.team,
-                is_start=self._is_start(),
+                is_start=self._is_start,
                 patience_ms=self._rate_patience_ms(),
             )
         )
 
-    def _is_start(self) -> bool:
-        """Returns whether the request begins a program."""
-        assert self.route is not None
-        return self.route.stateful and not self.call.previous_turn_id
-
     def _rate_patience_ms(self) -> float:
         patience_ms = max(0.0, RATE_PATIENCE_PART * self._left_ms())
-        if self._is_start():
+        if self._is_start:
             return min(patience_ms, START_PATIENCE_MS)
         return patience_ms
 
@@ -279,32 +277,45 @@
         )
 
     async def _run_turn(self, service: route_table.Service) -> outcomes.Outcome:
+        assert self.route is not None
         turns = self._handler.turns
-        prepared = await turns.prepare(self.call, self.team)
+        is_stored = self.route.stateful
+        prepared = await turns.prepare(
+            self.call, self.team, is_stored=is_stored
+        )
         self.prepared_ms = self._state.clock.now_ms()
         if isinstance(prepared, outcomes.Refused):
             return prepared
+        self._is_start = prepared.is_start
+        self._is_under_way = not prepared.is_start
         if prepared.cached_at:
             # Another gateway may have sent the turn before.
             self._handler.dispatcher.prefixes.note(
                 prepared.cached_at, self.call.prompt_parts[:-1]
             )
         used_tokens = 0
-        is_whole = False
+        is_kept = False
         try:
             used_tokens = self.call.most_tokens
-            outcome = await self._run(service, prepared.body, END_RESERVE_MS)
+            reserve_ms = END_RESERVE_MS if is_stored else 0.0
+            outcome = await self._run(service, prepared.body, reserve_ms)
             match outcome:
                 case outcomes.Streamed():
                     used_tokens = outcome.events * service.event_tokens
-                    if outcome.complete:
+                    if outcome.complete and is_stored:
                         self.end_is_durable = await self._end(outcome)
-                        is_whole = self.end_is_durable
+                        is_kept = self.end_is_durable
                 case outcomes.Refused():
                     used_tokens = 0
             return outcome
         finally:
-            turns.settle(self.call, self.team, used_tokens, is_whole=is_whole)
+            turns.settle(
+                self.call,
+                self.team,
+                used_tokens,
+                is_kept=is_kept,
+                ran_on="" if self.job is None else self.job.ran_on,
+            )
 
     async def _end(self, streamed: outcomes.Streamed) -> bool:
         return await self._handler.turns.end(
@@ -356,7 +367,7 @@
             left_ms -= self._state.clock.now_ms() - self.arrived_ms
         return engine_rank.rank(
             priority,
-            is_under_way=bool(self.call.previous_turn_id),
+            is_under_way=self._is_under_way,
             program_left_ms=left_ms,
         )
 
--- a/quetzalmill/gateway_messages.py
+++ b/quetzalmill/gateway_messages.py
@@ -37,12 +37,17 @@
         reason: Why not.
         holder: The address of a gateway that holds the previous turn; empty
             if the owner knows none.
+        is_first: Whether the program has had no turn before.
+        ran_on: The endpoint that ran the program's last turn; empty if the
+            owner knows none.
     """
 
     granted: bool
     spent: bool = False
     reason: str = ""
     holder: str = ""
+    is_first: bool = False
+    ran_on: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -54,13 +59,15 @@
         turn_id: The turn.
         used_tokens: What it handed out.
         holder: The address of the gateway that holds the turn; empty if it
-            did not end whole.
+            did not end whole or is not kept.
+        ran_on: The endpoint that ran it; empty if none did.
     """
 
     program_id: str
     turn_id: str
     used_tokens: int
     holder: str
+    ran_on: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/quetzalmill/gateway_turns.py
+++ b/quetzalmill/gateway_turns.py
@@ -1,4 +1,8 @@
-"""Turns of stored conversations: their prompt, their budget, their end."""
+"""Turns of programs: their budget, their stored prompt, their durable end.
+
+What a request carries decides whether it is charged to a budget; its route
+only says whether its conversation is stored.
+"""
 
 import random
 
@@ -37,10 +41,12 @@
     Attributes:
         body: Its whole prompt.
         cached_at: The endpoint that ran the turn before; empty if unknown.
+        is_start: Whether it begins a program.
     """
 
     body: bytes = attrs.field(repr=False)
     cached_at: str
+    is_start: bool
 
 
 class Turns:
@@ -73,35 +79,46 @@
         self._random = random.Random()
 
     async def prepare(
-        self, call: gateway_calls.Call, team: str
+        self, call: gateway_calls.Call, team: str, *, is_stored: bool
     ) -> Prepared | outcomes.Refused:
         """Reserves the budget and finds the chain.
 
-        While no gateway reaches the store, a turn could not end, so it is
-        refused before it costs an engine's time and the program's tokens.
+        While no gateway reaches the store, a stored turn could not end, so it
+        is refused before it costs an engine's time and the program's tokens.
+
+        Args:
+            call: The turn.
+            team: The team that it runs for.
+            is_stored: Whether its conversation is stored.
         """
-        if self._state.store_is_away():
+        if is_stored and self._state.store_is_away():
             return outcomes.Refused(
                 status=503,
                 reason="the store that keeps turns is away",
                 retry_after_ms=self._random.uniform(*_STORE_BACK_MS),
             )
         try:
-            return await self._prepare(call, team)
+            return await self._prepare(call, team, is_stored)
         except trio.Cancelled:
             # The caller has left; its program's next turn needs the tokens.
             self.settle(call, team, 0)
             raise
 
     async def _prepare(
-        self, call: gateway_calls.Call, team: str
+        self, call: gateway_calls.Call, team: str, is_stored: bool
     ) -> Prepared | outcomes.Refused:
         chain = None
-        if call.previous_turn_id:
+        if is_stored and call.previous_turn_id:
             chain = self._source.find_here(call.previous_turn_id)
         reserved = await self._reserve(call, team, lacks_chain=chain is None)
         if isinstance(reserved, outcomes.Refused):
             return reserved
+        if not is_stored:
+            return Prepared(
+                body=call.http.body,
+                cached_at=reserved.ran_on,
+                is_start=reserved.is_first,
+            )
         found = await self._find(call, team, chain, reserved.holder)
         if isinstance(found, outcomes.Refused):
             self.settle(call, team, 0)
@@ -109,6 +126,7 @@
         return Prepared(
             body=conversations.prompt(found, call.http.body),
             cached_at=found[-1].ran_on if found else "",
+            is_start=not found,
         )
 
     async def end(
@@ -139,26 +157,31 @@
         team: str,
         used_tokens: int,
         *,
-        is_whole: bool = False,
+        is_kept: bool = False,
+        ran_on: str = "",
     ) -> None:
-        """Replaces a turn's reservation by what it handed out."""
-        if call.budget_tokens is None:
+        """Replaces a turn's reservation by what it handed out.
+
+        Args:
+            call: The turn.
+            team: The team that it runs for.
+            used_tokens: What it handed out, at most.
+            is_kept: Whether this gateway now holds it as a stored turn.
+            ran_on: The endpoint that ran it; empty if none did.
+        """
+        if not has_budget(call):
             return
         message = gateway_messages.SettleTurn(
             program_id=_account(call, team),
             turn_id=call.request_id,
             used_tokens=used_tokens,
-            holder=self._state.address if is_whole else "",
+            holder=self._state.address if is_kept else "",
+            ran_on=ran_on,
         )
         part = self._state.partition_of(call.program_id)
         owner = self._state.owner(part)
         if owner == self._state.address:
-            self._owners[part].settle(
-                message.program_id,
-                message.turn_id,
-                used_tokens,
-                message.holder,
-            )
+            self._owners[part].settle(message)
         else:
             self._nursery.start_soon(self._send_settlement, owner, message)
 
@@ -195,7 +218,7 @@
         self, call: gateway_calls.Call, team: str, *, lacks_chain: bool
     ) -> outcomes.Refused | gateway_messages.ReserveReply:
         """Returns the owner's reply once the turn's tokens are reserved."""
-        if call.budget_tokens is None:
+        if call.budget_tokens is None or not has_budget(call):
             return gateway_messages.ReserveReply(granted=True)
         message = gateway_messages.ReserveTurn(
             program_id=_account(call, team),
@@ -275,5 +298,10 @@
             )
 
 
+def has_budget(call: gateway_calls.Call) -> bool:
+    """Returns whether a request is charged to its program's budget."""
+    return call.budget_tokens is not None and bool(call.program_id)
+
+
 def _account(call: gateway_calls.Call, team: str) -> str:
     return f"{team}/{call.program_id}"
--- a/quetzalmill/program_budgets.py
+++ b/quetzalmill/program_budgets.py
@@ -208,6 +208,11 @@
         )
         return Granted(Mark(program.asked_tokens, program.slack_used))
 
+    def is_new(self, program_id: str) -> bool:
+        """Returns whether a program has been granted nothing yet."""
+        program = self.programs.get(program_id)
+        return program is None or program.granted_tokens == 0
+
     def made_durable(self, program_id: str, mark: Mark) -> None:
         """Records that a mark is durable."""
         program = self.programs.get(program_id)
--- a/quetzalmill_load/platform_cluster.py
+++ b/quetzalmill_load/platform_cluster.py
@@ -24,6 +24,9 @@
 HOST = "desk.example"
 KEY = "key-of-weddings"
 START_TIMEOUT_S = 20.0
+QUOTE_PATH = "/quote/"
+"""Where turns go whose conversation the caller sends whole."""
+
 EVENT_TOKENS = 9
 """Tokens that an engine says it puts into one event."""
 
@@ -35,7 +38,7 @@
 
 
 def desired_state(version: int = 1, **changes: Any) -> dict[str, Any]:
-    """Returns a desired state with a turn, a lookup and a booking route."""
+    """Returns a desired state: turns, stored or not, a lookup, a booking."""
     route = {
         "host": HOST,
         "timeoutMs": 4000,
@@ -57,6 +60,14 @@
         "version": version,
         "routes": [
             turns,
+            {
+                **route,
+                "name": "quote",
+                "pathPrefix": QUOTE_PATH,
+                "kind": "stream",
+                "service": "llm",
+                "resumable": True,
+            },
             {
                 **route,
                 "name": "lookup",
@@ -257,6 +268,7 @@
         budget: int = 1_000,
         program: str = "p1",
         key: str = KEY,
+        path: str = "/chat/1",
     ) -> tuple[str, http_message.Response]:
         """Sends a turn of a conversation."""
         headers = {
@@ -269,7 +281,7 @@
         if previous:
             headers["Previous-Turn"] = previous
         return await self.call(
-            gateway, "/chat/1", body=text, headers=headers, key=key
+            gateway, path, body=text, headers=headers, key=key
         )
 
     async def until(self, check: Callable[[], Awaitable[bool]]) -> None:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -151,6 +151,12 @@
         )
 
 
+def _settlement(turn_id: str, used_tokens: int) -> gateway_messages.SettleTurn:
+    return gateway_messages.SettleTurn(
+        program_id="t/p", turn_id=turn_id, used_tokens=used_tokens, holder=""
+    )
+
+
 async def _ask(
     owner: budget_owner.BudgetOwner, turn_id: str, most_tokens: int = 30
 ) -> gateway_messages.ReserveReply:
@@ -202,7 +208,7 @@
         async def case(gateways: _Gateways) -> None:
             first = gateways.owner()
             assert (await _ask(first, "1", 90)).granted
-            first.settle("t/p", "1", 10, "")
+            first.settle(_settlement("1", 10))
             gateways.peers.others = [first]
             assert (await _ask(gateways.owner(), "2", 80)).granted
 
@@ -214,7 +220,7 @@
         async def case(gateways: _Gateways) -> None:
             first = gateways.owner()
             assert (await _ask(first, "1", 90)).granted
-            first.settle("t/p", "1", 10, "")
+            first.settle(_settlement("1", 10))
             gateways.listening_ms = 500.0
 
             async def be_heard() -> None:
@@ -267,7 +273,7 @@
             owner = gateways.owner()
             assert (await _ask(owner, "1", 10)).granted
             gateways.store.down = True
-            owner.settle("t/p", "1", 2, "")
+            owner.settle(_settlement("1", 2))
             assert (await _ask(owner, "2", 10)).granted
             reply = await _ask(owner, "3", 60)
             assert not reply.granted and not reply.spent
@@ -297,7 +303,7 @@
                 used = choice.choice([0, 5, 10]) if reply.granted else 0
                 granted += used
                 if reply.granted:
-                    owners[slot].settle("t/p", str(turn), used, "")
+                    owners[slot].settle(_settlement(str(turn), used))
             # The budget, and the most of one turn.
             assert granted <= 100 + 10
 
--- a/tests/test_gateway_turns.py
+++ b/tests/test_gateway_turns.py
@@ -31,6 +31,12 @@
 )
 
 
+def _given_up(turn_id: str) -> gateway_messages.SettleTurn:
+    return gateway_messages.SettleTurn(
+        program_id="weddings/p", turn_id=turn_id, used_tokens=0, holder=""
+    )
+
+
 class _SlowSource:
     """Never finds a chain."""
 
@@ -62,12 +68,14 @@
                     nursery,
                 )
                 with trio.move_on_after(2.0) as scope:
-                    await turns.prepare(_CALL, "weddings")
+                    await turns.prepare(_CALL, "weddings", is_stored=True)
                 assert scope.cancelled_caught
                 again = attrs.evolve(
                     _CALL, request_id="t2", previous_turn_id=""
                 )
-                prepared = await turns.prepare(again, "weddings")
+                prepared = await turns.prepare(
+                    again, "weddings", is_stored=True
+                )
                 assert isinstance(prepared, gateway_turns.Prepared)
                 nursery.cancel_scope.cancel()
 
@@ -81,7 +89,7 @@
             store = memory_store.MemoryStore()
             async with trio.open_nursery() as nursery:
                 owner = lone_gateway.owner(state, store, nursery)
-                owner.settle("weddings/p", "t1", 0, "")
+                owner.settle(_given_up("t1"))
                 for turn_id, granted in (("t1", False), ("t2", True)):
                     reply = owner.reserve(
                         gateway_messages.ReserveTurn(
@@ -97,3 +105,41 @@
                 nursery.cancel_scope.cancel()
 
         trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class TestTurnsThatAreNotStored:
+    """Turns whose caller sends the whole conversation."""
+
+    def test_owner_says_where_the_program_ran_last(self) -> None:
+        """Else a program that changes gateways is read anew each time."""
+
+        async def run() -> None:
+            state = lone_gateway.state(clock_module.SystemClock())
+            store = memory_store.MemoryStore()
+            async with trio.open_nursery() as nursery:
+                turns = gateway_turns.Turns(
+                    state,
+                    unittest.mock.Mock(),
+                    unittest.mock.Mock(),
+                    [lone_gateway.owner(state, store, nursery)],
+                    unittest.mock.Mock(),
+                    nursery,
+                )
+                seen = []
+                for turn_id in ("t1", "t2"):
+                    call = attrs.evolve(
+                        _CALL,
+                        request_id=turn_id,
+                        previous_turn_id="",
+                        budget_tokens=600,
+                    )
+                    prepared = await turns.prepare(
+                        call, "weddings", is_stored=False
+                    )
+                    assert isinstance(prepared, gateway_turns.Prepared)
+                    seen.append((prepared.is_start, prepared.cached_at))
+                    turns.settle(call, "weddings", 9, ran_on="llm-1")
+                assert seen == [(True, ""), (False, "llm-1")]
+                nursery.cancel_scope.cancel()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -14,6 +14,7 @@
 from quetzalmill_load import platform_cluster
 
 _Fault = platform_endpoint.Fault
+_QUOTE = platform_cluster.QUOTE_PATH + "1"
 Case = Callable[[platform_cluster.Cluster], Awaitable[None]]
 
 
@@ -312,6 +313,49 @@
 
         _run(tmp_path, case)
 
+    @pytest.mark.parametrize("path", ["/chat/1", _QUOTE])
+    def test_budget_holds_at_all_gateways(
+        self, tmp_path: pathlib.Path, path: str
+    ) -> None:
+        """A program loops at two gateways, of which one is killed."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=5)
+            gateways = [await cluster.add_gateway() for _ in range(2)]
+            statuses = []
+            for number in range(12):
+                if number == 4:
+                    cluster.stop(gateways.pop())
+                _, response = await cluster.turn(
+                    gateways[number % len(gateways)],
+                    b"loop",
+                    budget=250,
+                    path=path,
+                )
+                statuses.append(response.status)
+            # A turn hands out five events of nine tokens.
+            assert len(engine.runs) * 45 <= 250 + 50
+            assert len(engine.runs) >= 3
+            assert statuses[-1] == 402, statuses
+
+        _run(tmp_path, case)
+
+    def test_caller_that_sends_its_conversation_needs_no_store(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Its turns go on within the durable mark while the store is away."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("llm-1", "llm", events=1)
+            gateway = await cluster.add_gateway()
+            _, response = await cluster.turn(gateway, b"one", path=_QUOTE)
+            assert response.status == 200
+            cluster.store.down = True
+            _, response = await cluster.turn(gateway, b"two", path=_QUOTE)
+            assert response.status == 200
+
+        _run(tmp_path, case)
+
     def test_turns_that_do_not_run_use_up_no_rate(
         self, tmp_path: pathlib.Path
     ) -> None:
