Carry beats between failure domains through relays

In fleets of more than 40 peers beats now go straight only within the domain; two relays of each domain, by rendezvous hashing and link, send them on compressed, twice, to random gateways of the other domains. A beat of an instance that was replaced is no news any more, since a relay that stood still could bring it long after.

Weighed: sums for each domain (they fall when a gateway restarts, so they need terms of their own), fixed receivers (in the test of dying relays half of the news was lost while one was dead), thinner direct beats (still the square).

Red first, on the first form with fixed receivers and single sends: test_relays_die_without_anyone_seeming_silent, test_all_relays_die.

--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -71,6 +71,7 @@
         seeds: Addresses of peers to start with.
         parts: Partitions of each topic.
         memory_mb: The memory that the process may take.
+        link_mbps: The bandwidth of the host's link; 0 if unknown.
         grace_ms: The time from SIGTERM to SIGKILL.
         out_of_rotation_ms: The time after which no new connection comes, once
             it is not ready.
@@ -86,6 +87,7 @@
     seeds: tuple[str, ...]
     parts: int
     memory_mb: float
+    link_mbps: float
     grace_ms: float
     out_of_rotation_ms: float
 
@@ -127,6 +129,7 @@
             failure_domain=settings.failure_domain,
             parts=settings.parts,
             clock=self.clock,
+            link_mbps=settings.link_mbps,
         )
         for address in settings.seeds:
             self.state.peers.add_address(address, self.clock.now_ms())
--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -47,6 +47,7 @@
         failure_domain: Where it stands.
         parts: Partitions of each topic.
         clock: The process's clock.
+        link_mbps: The bandwidth of its host's link; 0 if unknown.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         failure_domain: str,
         parts: int,
         clock: clock_module.WallClock,
+        link_mbps: float = 0.0,
     ) -> None:
         self.host = host
         self.instance = instance
@@ -67,7 +69,8 @@
         self.clock = clock
         self.table: route_table.RouteTable | None = None
         self.pool = endpoint_pool.EndpointPool()
-        self.peers = peers_module.PeerTable(address)
+        self.peers = peers_module.PeerTable(address, failure_domain, link_mbps)
+        self._link_mbps = link_mbps
         self.buckets = team_buckets.TeamBuckets()
         self.starts = team_buckets.TeamBuckets(rate_lines.PROGRAM_MS)
         self.lines = rate_lines.RateLines(
@@ -197,6 +200,7 @@
             waiting=self.lines.waiting(),
             begun=self.starts.admitted(since_ms),
             trouble=self.pool.trouble(now_ms),
+            link_mbps=self._link_mbps,
         )
 
     def hear(self, beat: peers_module.Beat) -> None:
--- a/quetzalmill/peer_link.py
+++ b/quetzalmill/peer_link.py
@@ -2,18 +2,20 @@
 
 Sending and receiving many small datagrams is most of what a gateway does
 while it serves nobody, so both go past the loop's own sockets: a beat is sent
-to all peers in one step, and what has arrived is received together.
+in one step, and what has arrived is received together.
 """
 
+import random
+
 import trio
 
+from quetzalmill import beat_relays
 from quetzalmill import codec
 from quetzalmill import datagrams
 from quetzalmill import errors
 from quetzalmill import gateway_state
 from quetzalmill import http_message
 from quetzalmill import logs
-from quetzalmill import peers as peers_module
 
 GATHER_MS = 100.0
 """How long beats gather before they are received together; half of the time
@@ -36,6 +38,7 @@
         self._state = state
         self._address = address
         self._socket = datagrams.open_socket()
+        self._relays = beat_relays.BeatRelays(state.peers, random.Random())
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -48,13 +51,8 @@
 
     def say_now(self) -> None:
         """Sends a beat at once, such as when the gateway leaves."""
-        data = codec.to_msgpack(self._state.beat())
-        for address in self._state.peers.addresses():
-            try:
-                self._socket.sendto(data, http_message.split_address(address))
-            except OSError as error:
-                # The next beat says all that this one said.
-                _log.info("beat_not_sent", peer=address, reason=str(error))
+        beat = self._state.beat()
+        self._send(self._relays.send(beat, codec.to_msgpack(beat)))
 
     async def _send_and_receive(self) -> None:
         send_at_s = trio.current_time()
@@ -67,6 +65,7 @@
                 # A host that stood still does not make up for missed beats.
                 beat_s = self._state.peers.beat_ms() / 1000.0
                 send_at_s = max(send_at_s + beat_s, now_s)
+            self._send(self._relays.relay(self._state.clock.now_ms()))
             await trio.sleep(GATHER_MS / 1000.0)
 
     def _drain(self) -> None:
@@ -74,7 +73,7 @@
         while True:
             try:
                 data = self._socket.recv(_MAX_DATAGRAM_BYTES)
-                self._state.hear(codec.from_msgpack(data, peers_module.Beat))
+                received = self._relays.receive(data)
             except BlockingIOError:
                 return
             except OSError as error:
@@ -82,3 +81,17 @@
                 return
             except errors.CodecError as error:
                 _log.warning("beat_unreadable", reason=str(error))
+            else:
+                for beat in received.beats:
+                    self._state.hear(beat)
+                self._send(received.handed_on)
+
+    def _send(self, outgoing: list[beat_relays.Outgoing]) -> None:
+        for each in outgoing:
+            try:
+                self._socket.sendto(
+                    each.data, http_message.split_address(each.address)
+                )
+            except OSError as error:
+                # The next beat says all that this one said.
+                _log.info("beat_not_sent", peer=each.address, reason=str(error))
--- a/quetzalmill/peers.py
+++ b/quetzalmill/peers.py
@@ -25,18 +25,29 @@
 which one at least arrives; the next whole beat mends the rest."""
 
 FEW_PEERS = 40
-"""Peers up to which beats come that often. With more they come less often, so
-that receiving them takes no growing part of a host's processor."""
+"""Peers up to which beats come that often and go straight to all. With more
+they come less often, so that receiving them takes no growing part of a host's
+processor, and go to other failure domains through relays (``beat_relays``)."""
 
 SILENT_MS = 900.0
 """Silence after which a peer gets no work: four beats are missing."""
 
+RELAYED_MS = 500.0
+"""What silence may last longer where beats come through relays: both relays'
+pauses, and the time in which beats gather at three gateways."""
+
 FORGOTTEN_MS = 15_000.0
 """Silence after which a peer counts as gone for good. Partitions of single
 machines last seconds; a machine that is off for longer holds no part of any
 team's rate."""
 
 _REMEMBERED_WEIGHTS = 65_536
+_REMEMBERED_INSTANCES = 4_096
+"""Instances that others have replaced. A relay that stood still may bring their
+beats long after, and they must not count as news."""
+
+_RELAY_PART = -1
+"""Stands for a partition's number where relays are ranked."""
 
 
 @attrs.frozen(kw_only=True)
@@ -63,6 +74,7 @@
             rate, by team.
         begun: Requests that programs begun since its start take, by team.
         trouble: What it counts of endpoints that fail, by endpoint.
+        link_mbps: The bandwidth of its host's link; 0 if it does not say.
     """
 
     host: str
@@ -82,6 +94,7 @@
     waiting: dict[str, int] = attrs.field(factory=dict)
     begun: dict[str, int] = attrs.field(factory=dict)
     trouble: dict[str, endpoint_health.Trouble] = attrs.field(factory=dict)
+    link_mbps: float = 0.0
 
 
 @attrs.define
@@ -95,12 +108,19 @@
 
     Args:
         address: This gateway's own address.
+        failure_domain: Where it stands.
+        link_mbps: The bandwidth of its host's link; 0 if unknown.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, failure_domain: str = "", link_mbps: float = 0.0
+    ) -> None:
         self._address = address
+        self._failure_domain = failure_domain
+        self._link_mbps = link_mbps
         self._peers: dict[str, _Peer] = {}
         self._unheard: dict[str, float] = {}
+        self._replaced: dict[str, None] = {}
 
     def add_address(self, address: str, now_ms: float) -> None:
         """Learns of a gateway that has not been heard."""
@@ -113,13 +133,16 @@
         Returns:
             The instance that this one replaces, or None.
         """
-        if beat.address == self._address:
+        if beat.address == self._address or beat.instance in self._replaced:
             return None
         known = self._peers.get(beat.address)
         self._unheard.pop(beat.address, None)
         replaced = None
         if known is not None and known.beat.instance != beat.instance:
             replaced = known.beat.instance
+            self._replaced[replaced] = None
+            if len(self._replaced) > _REMEMBERED_INSTANCES:
+                del self._replaced[next(iter(self._replaced))]
         elif known is not None and known.beat.sequence >= beat.sequence:
             return None
         self._peers[beat.address] = _Peer(beat, now_ms)
@@ -150,6 +173,74 @@
         """Returns all addresses that beats go to."""
         return [*self._peers, *self._unheard]
 
+    def direct_addresses(self) -> list[str]:
+        """Returns the addresses that this gateway's beats go to straight."""
+        if not self._is_relayed():
+            return self.addresses()
+        return [*self.domain_addresses(), *self._unheard]
+
+    def domain_addresses(self) -> list[str]:
+        """Returns the addresses of peers in the same failure domain."""
+        return [
+            address
+            for address, peer in self._peers.items()
+            if self.is_in_own_domain(peer.beat)
+        ]
+
+    def is_in_own_domain(self, beat: Beat) -> bool:
+        """Returns whether a gateway stands in the same failure domain."""
+        return beat.failure_domain == self._failure_domain
+
+    def is_news(self, address: str, instance: str, sequence: int) -> bool:
+        """Returns whether a beat is newer than the last of its instance."""
+        if address == self._address or instance in self._replaced:
+            return False
+        known = self._peers.get(address)
+        return (
+            known is None
+            or known.beat.instance != instance
+            or known.beat.sequence < sequence
+        )
+
+    def is_relay(self, count: int, now_ms: float) -> bool:
+        """Returns whether this gateway is one of its domain's relays."""
+        if not self._is_relayed():
+            return False
+        ranked = [
+            _relay_rank(peer.beat.link_mbps, address)
+            for address, peer in self._peers.items()
+            if self.is_in_own_domain(peer.beat)
+            and self._may_relay(peer, now_ms)
+        ]
+        own = _relay_rank(self._link_mbps, self._address)
+        return sum(rank > own for rank in ranked) < count
+
+    def other_domains(self, now_ms: float) -> list[list[str]]:
+        """Returns the addresses heard in each other failure domain.
+
+        Where none is heard, those last heard stand in: if they live, their
+        domain was only cut off.
+        """
+        heard: dict[str, list[str]] = {}
+        silent: dict[str, list[str]] = {}
+        for address, peer in self._peers.items():
+            if not self.is_in_own_domain(peer.beat):
+                found = heard if self._may_relay(peer, now_ms) else silent
+                found.setdefault(peer.beat.failure_domain, []).append(address)
+        return list({**silent, **heard}.values())
+
+    def _may_relay(self, peer: _Peer, now_ms: float) -> bool:
+        return not peer.beat.leaving and self._is_heard(peer, now_ms)
+
+    def _is_relayed(self) -> bool:
+        return len(self._peers) > FEW_PEERS
+
+    def _is_heard(self, peer: _Peer, now_ms: float) -> bool:
+        silent_ms = SILENT_MS * self._slowdown()
+        if self._is_relayed() and not self.is_in_own_domain(peer.beat):
+            silent_ms += RELAYED_MS
+        return now_ms - peer.heard_ms <= silent_ms
+
     def beat_ms(self) -> float:
         """Returns the time until the next beat."""
         return BEAT_MS * self._slowdown()
@@ -159,11 +250,10 @@
 
     def alive(self, now_ms: float) -> list[Beat]:
         """Returns the last beats of peers that are heard."""
-        silent_ms = SILENT_MS * self._slowdown()
         return [
             peer.beat
             for peer in self._peers.values()
-            if now_ms - peer.heard_ms <= silent_ms
+            if self._is_heard(peer, now_ms)
         ]
 
     def heard_part(self, now_ms: float) -> float:
@@ -218,6 +308,11 @@
         )
 
 
+def _relay_rank(link_mbps: float, address: str) -> tuple[float, bytes]:
+    """Ranks relays by what their links carry."""
+    return link_mbps, _weight(_RELAY_PART, address)
+
+
 @functools.lru_cache(maxsize=_REMEMBERED_WEIGHTS)
 def _weight(part: int, address: str) -> bytes:
     text = f"{part}/{address}".encode()
--- /dev/null
+++ b/tests/test_beat_relays.py
@@ -0,0 +1,249 @@
+"""Tests of beats that go through relays between failure domains."""
+
+import random
+import zlib
+
+import attrs
+import pytest
+
+from quetzalmill import beat_relays
+from quetzalmill import codec
+from quetzalmill import errors
+from quetzalmill import peers as peers_module
+
+_DOMAINS = 6
+_STEP_MS = 100.0
+
+
+def _beat(number: int, **changes: object) -> peers_module.Beat:
+    beat = peers_module.Beat(
+        host=f"front-{number}",
+        instance=f"i{number}",
+        address=f"10.{number % _DOMAINS}.0.{number}:1",
+        failure_domain=f"d{number % _DOMAINS}",
+        sequence=1,
+        leaving=False,
+        store_reached=True,
+        table_version=1,
+        admitted={f"team-{team}": number * team for team in range(8)},
+        is_whole=True,
+        running={},
+        crashes=[],
+        known=[],
+        holds=[],
+        link_mbps=15.0 if number % 2 else 300.0,
+    )
+    return attrs.evolve(beat, **changes)  # type: ignore[arg-type]
+
+
+class _Member:
+    """One gateway of a fleet, without its sockets."""
+
+    def __init__(self, number: int, addresses: list[str]) -> None:
+        self.beat = _beat(number)
+        self.table = peers_module.PeerTable(
+            self.beat.address, self.beat.failure_domain, self.beat.link_mbps
+        )
+        for address in addresses:
+            self.table.add_address(address, 0.0)
+        self.relays = beat_relays.BeatRelays(self.table, random.Random(number))
+        self._next_beat_ms = 0.0
+        self.inbox: list[bytes] = []
+        self.is_down = False
+
+    def step(self, now_ms: float) -> list[beat_relays.Outgoing]:
+        """Reads what has arrived and sends what is due."""
+        outgoing: list[beat_relays.Outgoing] = []
+        inbox, self.inbox = self.inbox, []
+        for data in inbox:
+            received = self.relays.receive(data)
+            for beat in received.beats:
+                self.table.hear(beat, now_ms)
+            outgoing += received.handed_on
+        if now_ms >= self._next_beat_ms:
+            self._next_beat_ms = now_ms + self.table.beat_ms()
+            is_whole = self.beat.sequence % peers_module.WHOLE_EVERY == 0
+            self.beat = attrs.evolve(
+                self.beat,
+                sequence=self.beat.sequence + 1,
+                known=self.table.addresses() if is_whole else [],
+            )
+            outgoing += self.relays.send(self.beat, codec.to_msgpack(self.beat))
+        return outgoing + self.relays.relay(now_ms)
+
+
+class _Fleet:
+    """Gateways and the network between them."""
+
+    def __init__(self, size: int, loss: float = 0.0) -> None:
+        addresses = [_beat(number).address for number in range(size)]
+        self.members = {
+            address: _Member(number, addresses)
+            for number, address in enumerate(addresses)
+        }
+        self._loss = loss
+        self._random = random.Random(7)
+        self.now_ms = 0.0
+        self.cut: set[str] = set()
+        self.crossing_bytes = 0
+
+    def run(self, duration_ms: float) -> None:
+        """Lets time pass."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            for member in list(self.members.values()):
+                if not member.is_down:
+                    self._deliver(member, member.step(self.now_ms))
+            self.now_ms += _STEP_MS
+
+    def heard_least(self) -> int:
+        """Returns how many living peers the worst-informed gateway hears."""
+        living = [each for each in self.members.values() if not each.is_down]
+        return min(len(each.table.alive(self.now_ms)) for each in living)
+
+    def relays_of(self, domain: str) -> list[_Member]:
+        """Returns the gateways that take themselves for relays."""
+        return [
+            each
+            for each in self.members.values()
+            if each.beat.failure_domain == domain
+            and each.table.is_relay(beat_relays.RELAYS, self.now_ms)
+        ]
+
+    def _deliver(
+        self, sender: _Member, outgoing: list[beat_relays.Outgoing]
+    ) -> None:
+        own = sender.beat.failure_domain
+        for each in outgoing:
+            target = self.members.get(each.address)
+            if target is None or self._random.random() < self._loss:
+                continue
+            other = target.beat.failure_domain
+            if other != own:
+                self.crossing_bytes += len(each.data)
+                if {own, other} & self.cut:
+                    continue
+            if not target.is_down:
+                target.inbox.append(each.data)
+
+
+class TestFleet:
+    """What gateways of a large fleet hear of each other."""
+
+    @pytest.mark.parametrize("size", [8, 33, 84])
+    @pytest.mark.parametrize("loss", [0.0, 0.02])
+    def test_everyone_hears_everyone(self, size: int, loss: float) -> None:
+        fleet = _Fleet(size, loss)
+        fleet.run(3_000.0)
+        for _ in range(20):
+            fleet.run(_STEP_MS)
+            assert fleet.heard_least() == size - 1
+
+    def test_bytes_between_domains(self) -> None:
+        """Straight beats of 84 gateways would be 84 * 70 of their size."""
+        fleet = _Fleet(84)
+        fleet.run(3_000.0)
+        fleet.crossing_bytes = 0
+        fleet.run(4_000.0)
+        beats = 4_000.0 / fleet.members[_beat(1).address].table.beat_ms()
+        straight = 84 * 70 * beats * len(codec.to_msgpack(_beat(1)))
+        assert fleet.crossing_bytes < straight / 10
+
+    def test_relays_die_without_anyone_seeming_silent(self) -> None:
+        """One relay of each domain at the same moment."""
+        fleet = _Fleet(84)
+        fleet.run(3_000.0)
+        for domain in range(_DOMAINS):
+            fleet.relays_of(f"d{domain}")[0].is_down = True
+        living = 84 - _DOMAINS - 1
+        for _ in range(40):
+            fleet.run(_STEP_MS)
+            assert fleet.heard_least() >= living
+
+    def test_all_relays_die(self) -> None:
+        fleet = _Fleet(84)
+        fleet.run(3_000.0)
+        for domain in range(_DOMAINS):
+            for relay in fleet.relays_of(f"d{domain}"):
+                relay.is_down = True
+        fleet.run(5_000.0)
+        assert fleet.heard_least() == 84 - 2 * _DOMAINS - 1
+
+    def test_domain_that_was_cut_off_is_heard_again(self) -> None:
+        fleet = _Fleet(84)
+        fleet.run(3_000.0)
+        fleet.cut = {"d0"}
+        fleet.run(6_000.0)
+        assert fleet.heard_least() == 13
+        fleet.cut = set()
+        fleet.run(1_500.0)
+        assert fleet.heard_least() == 83
+
+    def test_fleet_that_doubles(self) -> None:
+        fleet = _Fleet(42)
+        fleet.run(2_000.0)
+        addresses = [_beat(number).address for number in range(84)]
+        for number in range(42, 84):
+            fleet.members[addresses[number]] = _Member(number, addresses[:3])
+        for member in list(fleet.members.values())[:42]:
+            for address in addresses:
+                member.table.add_address(address, fleet.now_ms)
+        fleet.run(3_000.0)
+        assert fleet.heard_least() == 83
+
+    def test_broad_links_relay(self) -> None:
+        fleet = _Fleet(84)
+        fleet.run(3_000.0)
+        for domain in range(0, _DOMAINS, 2):
+            relays = fleet.relays_of(f"d{domain}")
+            assert len(relays) == beat_relays.RELAYS
+            assert all(each.beat.link_mbps == 300.0 for each in relays)
+
+
+class TestNews:
+    """Beats that come late, again or from a process that is gone."""
+
+    def _relays(self) -> tuple[peers_module.PeerTable, beat_relays.BeatRelays]:
+        table = peers_module.PeerTable("10.0.0.99:1", "d0")
+        return table, beat_relays.BeatRelays(table, random.Random(1))
+
+    def test_repeat_is_no_news(self) -> None:
+        table, relays = self._relays()
+        data = codec.to_msgpack(_beat(1))
+        received = relays.receive(data)
+        assert len(received.beats) == 1
+        table.hear(received.beats[0], 0.0)
+        assert not relays.receive(data).beats
+
+    def test_replaced_instance_does_not_come_back(self) -> None:
+        """A relay that was frozen brings beats from before a restart."""
+        table, relays = self._relays()
+        table.hear(_beat(1, instance="old", sequence=900), 0.0)
+        table.hear(_beat(1, instance="new"), 1.0)
+        late = _beat(1, instance="old", sequence=901)
+        assert not relays.receive(codec.to_msgpack(late)).beats
+        assert table.hear(late, 2.0) is None
+        assert table.alive(2.0)[0].instance == "new"
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"",
+            b"\x01",
+            b"\x02nonsense",
+            b"\x80",
+            b"\xff" * 200,
+            b"\x01" + codec.to_msgpack([1, 2]),
+        ],
+    )
+    def test_nonsense_changes_nothing(self, data: bytes) -> None:
+        table, relays = self._relays()
+        with pytest.raises(errors.CodecError):
+            relays.receive(data)
+        assert not table.addresses()
+
+    def test_bundle_that_unpacks_without_end(self) -> None:
+        _, relays = self._relays()
+        bomb = zlib.compress(b"\x00" * 50_000_000, 9)
+        with pytest.raises(errors.CodecError):
+            relays.receive(b"\x01" + bomb)
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -146,7 +146,7 @@
         document = msgspec.json.encode(platform_cluster.desired_state(7))
         table = desired_state.decode(document)
         assert table.version == 7
-        assert len(table.routes) == 3
+        assert len(table.routes) == 4
         assert table.services["llm"].is_engine
         assert table.team_of_key["key-of-rallies"] == "rallies"
         assert table.document == document
@@ -156,7 +156,7 @@
         state["routes"][0]["kind"] = "unheard of"
         del state["routes"][1]["host"]
         table = desired_state.decode(msgspec.json.encode(state))
-        assert [route.name for route in table.routes] == ["book"]
+        assert [route.name for route in table.routes] == ["lookup", "book"]
 
     @pytest.mark.parametrize("document", [b"", b"[]", b"{}", b"\xff", b"7"])
     def test_not_a_desired_state(self, document: bytes) -> None:
