Let resumable streams go on at another endpoint; end streams in time

Cause: a stream that broke off or hung was lost even where the route lets it go on elsewhere, and a stream was passed on for as long as bytes came, however long after its deadline and however many without an event. Callers now get whole events only. A resumable stream goes on after the last one, where an endpoint breaks off, tears an event, stalls for four of its route's pauses, or loses the answer, within maxAttempts and the retry budget. Any stream ends at its deadline, or after 256 KiB without an event.

Ruled out: cutting streams for silence alone, as a slow one may be sound.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -14,6 +14,7 @@
 from quetzalmill import endpoint_health
 from quetzalmill import endpoint_pool
 from quetzalmill import errors
+from quetzalmill import event_relay
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_outcomes as outcomes
 from quetzalmill import http_client
@@ -22,11 +23,18 @@
 from quetzalmill import logs
 from quetzalmill import repeat_patience
 from quetzalmill import route_table
-from quetzalmill import sse
 
 CONNECT_TRIES = 4
 """Endpoints to which a request may fail to connect before it is refused."""
 
+STALL_TIMES = 4.0
+"""Times its route's longest pause after which a stream that may be resumed
+goes on at another endpoint; callers leave after eight times."""
+
+CUT_AFTER_MS = 100.0
+"""How long a stream may last after its deadline. Endpoints stop at the deadline
+themselves, so only one in trouble still sends."""
+
 LEAST_LEFT_MS = 20.0
 """With less time left than this, no endpoint can answer a request."""
 
@@ -57,6 +65,7 @@
         endpoint_died: Whether an endpoint died while it ran there.
         load: Requests at the endpoint that was chosen last, before this one.
         unread_tokens: Prompt tokens that it had to read anew, as estimated.
+        relay: What has gone out of its stream.
     """
 
     call: gateway_calls.Call
@@ -72,6 +81,7 @@
     endpoint_died: bool = False
     load: int = 0
     unread_tokens: int = 0
+    relay: event_relay.EventRelay = attrs.field(factory=event_relay.EventRelay)
 
 
 @attrs.frozen
@@ -122,6 +132,15 @@
         self, job: Job, exchange: http_server.Exchange
     ) -> outcomes.Outcome:
         """Runs a request; passes a stream on as it arrives."""
+        outcome = await self._run(job, exchange)
+        if job.relay.started and not isinstance(outcome, outcomes.Streamed):
+            # The head is out, so all that can be said is that it broke off.
+            return job.relay.outcome(complete=False)
+        return outcome
+
+    async def _run(
+        self, job: Job, exchange: http_server.Exchange
+    ) -> outcomes.Outcome:
         reason = "no endpoint is known"
         connect_failures = 0
         was_lost = False
@@ -155,6 +174,15 @@
                     # Another endpoint may do better; if not, this is the
                     # answer.
                     failed = outcome
+                case outcomes.Streamed(complete=False) if (
+                    self._may_repeat(job) and not exchange.disconnected
+                ):
+                    was_lost = True
+                    _log.info(
+                        "stream_resumed",
+                        request_id=job.call.request_id,
+                        after=job.relay.last_id or None,
+                    )
                 case _:
                     return outcome
         if failed is not None:
@@ -167,7 +195,7 @@
 
     def _may_repeat(self, job: Job) -> bool:
         return (
-            job.route.repeat is route_table.Repeat.SAFE
+            job.route.may_run_again
             and job.sends < job.route.max_attempts
             and job.deadline_ms - self._clock.now_ms() > LEAST_LEFT_MS
         )
@@ -264,6 +292,7 @@
                 left_ms=left_ms,
                 priority=job.priority,
                 body=job.body,
+                after_event_id=job.relay.last_id,
             ),
         )
         patience_ms = self._patience.patience_ms(
@@ -278,7 +307,7 @@
                 endpoint.address,
                 request,
                 timeout_ms=patience_ms,
-                idle_timeout_ms=left_ms,
+                idle_timeout_ms=self._idle_ms(job, left_ms),
             ) as response:
                 reply = self._dialect.decode_reply(
                     job.call, response.status, response.headers
@@ -295,6 +324,13 @@
             job.sends -= 1
             raise
 
+    def _idle_ms(self, job: Job, left_ms: float) -> float:
+        """Returns how long an endpoint may pause within its answer."""
+        is_last = job.sends >= job.route.max_attempts
+        if not job.route.resumable or is_last or not job.route.gap_ms:
+            return left_ms
+        return min(left_ms, STALL_TIMES * job.route.gap_ms)
+
     def _note_outcome(
         self,
         job: Job,
@@ -349,7 +385,7 @@
         self.prefixes.note(job.ran_on, job.call.prompt_parts)
         is_stream = job.route.repeat is route_table.Repeat.STREAM
         if is_stream and 200 <= reply.status < 300:
-            streamed = await relay(reply, response, exchange)
+            streamed = await self._relay(job, reply, response, exchange)
             if not streamed.complete and not exchange.disconnected:
                 await self._verify(job, condition)
             return streamed
@@ -358,6 +394,35 @@
             status=reply.status, headers=reply.headers, body=body
         )
 
+    async def _relay(
+        self,
+        job: Job,
+        reply: gateway_calls.Reply,
+        response: http_client.StreamedResponse,
+        exchange: http_server.Exchange,
+    ) -> outcomes.Streamed:
+        """Passes a stream on, all but its end."""
+        relay = job.relay
+        if relay.started:
+            relay.resume()
+        else:
+            relay.start(reply.status)
+            await exchange.start_stream(reply.status, reply.headers)
+        left_ms = job.deadline_ms + CUT_AFTER_MS - self._clock.now_ms()
+        try:
+            with trio.fail_after(max(0.0, left_ms) / 1000.0):
+                async for piece in response:
+                    await exchange.send(relay.feed(piece).data)
+                await exchange.send(relay.finish())
+        except (errors.HttpError, trio.TooSlowError) as error:
+            _log.info(
+                "stream_broke_off",
+                request_id=job.call.request_id,
+                reason=repr(error),
+            )
+            return relay.outcome(complete=False)
+        return relay.outcome(complete=True)
+
     async def _verify(
         self, job: Job, condition: endpoint_pool.Condition
     ) -> None:
@@ -379,35 +444,6 @@
             )
 
 
-async def relay(
-    reply: gateway_calls.Reply,
-    response: http_client.StreamedResponse,
-    exchange: http_server.Exchange,
-) -> outcomes.Streamed:
-    """Passes a stream on, all but its end."""
-    parser = sse.SseParser()
-    collected: list[bytes] = []
-    await exchange.start_stream(reply.status, reply.headers)
-    try:
-        async for piece in response:
-            collected += [event.data.encode() for event in parser.feed(piece)]
-            await exchange.send(piece)
-    except errors.HttpError as error:
-        _log.info("stream_broke_off", reason=str(error))
-        return outcomes.Streamed(
-            status=reply.status,
-            complete=False,
-            events=len(collected),
-            outputs=tuple(collected),
-        )
-    return outcomes.Streamed(
-        status=reply.status,
-        complete=True,
-        events=len(collected),
-        outputs=tuple(collected),
-    )
-
-
 def _unknown(lost: _Lost) -> outcomes.Unknown:
     return outcomes.Unknown(
         status=504 if lost.timed_out else 502, reason=lost.reason
--- a/quetzalmill/gateway_calls.py
+++ b/quetzalmill/gateway_calls.py
@@ -59,6 +59,8 @@
         left_ms: The time that is left for it.
         priority: Its rank at the endpoint, 0 first; None for the usual one.
         body: The body.
+        after_event_id: The event after which a stream goes on; empty to begin
+            as the caller asked.
     """
 
     endpoint_id: str
@@ -66,6 +68,7 @@
     left_ms: float
     priority: int | None
     body: bytes = attrs.field(repr=False)
+    after_event_id: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/quetzalmill/repeat_patience.py
+++ b/quetzalmill/repeat_patience.py
@@ -18,6 +18,10 @@
 """Repeats for want of an answer, as a share of the requests that may be
 repeated."""
 
+STREAM_PATIENCE_TIMES = 4.0
+"""Times its route's objective that a stream which may be resumed waits for its
+first event; callers leave after two seconds or more."""
+
 LONGEST_PART = 0.5
 """The part of the time left that a request waits at most, so that the other
 endpoint has as much."""
@@ -46,9 +50,13 @@
             usual_ms: The usual time of the route; 0 if none is known.
         """
         is_last = sends + 1 >= route.max_attempts
-        if route.repeat is not route_table.Repeat.SAFE or is_last:
+        if not route.may_run_again or is_last:
             return left_ms
         self._repeats.first_attempt()
+        if route.repeat is route_table.Repeat.STREAM:
+            overdue_ms = STREAM_PATIENCE_TIMES * route.target_latency_ms
+            is_spent = not overdue_ms or not self._repeats.may_spend()
+            return left_ms if is_spent else min(left_ms, overdue_ms)
         longest_ms = LONGEST_PART * left_ms
         if not self._repeats.may_spend():
             return longest_ms
--- a/quetzalmill/route_table.py
+++ b/quetzalmill/route_table.py
@@ -48,6 +48,8 @@
         stateful: Whether requests continue stored conversations.
         retention_ms: How long a turn can be continued.
         gap_ms: The longest pause between events that is on time.
+        resumable: Whether a stream that broke off may go on at another
+            endpoint.
     """
 
     name: str
@@ -63,6 +65,12 @@
     stateful: bool
     retention_ms: float
     gap_ms: float
+    resumable: bool = False
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.repeat is Repeat.SAFE or self.resumable
 
 
 @attrs.frozen(kw_only=True)
--- a/quetzalmill/sse.py
+++ b/quetzalmill/sse.py
@@ -13,10 +13,17 @@
 
 @attrs.frozen(kw_only=True)
 class Event:
-    """One event; ``name`` is empty for an ordinary message."""
+    """One event; ``name`` is empty for an ordinary message.
+
+    Attributes:
+        data: Its data.
+        name: Its type.
+        event_id: Its id; empty without one.
+    """
 
     data: str
     name: str = ""
+    event_id: str = ""
 
 
 def encode_event(data: str, name: str = "") -> bytes:
@@ -35,6 +42,7 @@
         self._data: list[str] = []
         self._data_bytes = 0
         self._name = ""
+        self._id = ""
 
     def feed(self, chunk: bytes) -> list[Event]:
         """Takes a piece of the body; returns the events that it ends.
@@ -68,13 +76,20 @@
                 self._data_bytes += len(raw_value)
             case b"event":
                 self._name = value
+            case b"id":
+                self._id = value
         return None
 
     def _end_event(self) -> Event | None:
         event = None
         if self._data:
-            event = Event(data="\n".join(self._data), name=self._name)
+            event = Event(
+                data="\n".join(self._data),
+                name=self._name,
+                event_id=self._id,
+            )
         self._data = []
         self._data_bytes = 0
         self._name = ""
+        self._id = ""
         return event
--- a/quetzalmill_emulator/platform_endpoint.py
+++ b/quetzalmill_emulator/platform_endpoint.py
@@ -12,6 +12,9 @@
 from quetzalmill import http_message
 from quetzalmill import http_server
 
+_TRICKLE_S = 0.05
+_FLOOD_BYTES = 65_536
+
 
 class Fault(enum.Enum):
     """What an endpoint does wrong with its next requests."""
@@ -21,6 +24,10 @@
     FORGED = "forged"
     CROSSED = "crossed"
     CUT_STREAM = "cut stream"
+    TORN_EVENT = "torn event"
+    STALLED_STREAM = "stalled stream"
+    TRICKLE = "trickle"
+    ENDLESS_LINE = "endless line"
     ERROR = "error"
     HANG = "hang"
 
@@ -56,6 +63,7 @@
 
     Attributes:
         faults: What happens to the next requests, one each.
+        pause_s: The pause before the answer and between events.
         runs: The requests that ran.
         left: Requests whose caller left while they ran.
         names_request: Whether the data of events names the request, so that
@@ -67,7 +75,7 @@
     ) -> None:
         self._id = endpoint_id
         self._events = events
-        self._pause_s = pause_ms / 1000.0
+        self.pause_s = pause_ms / 1000.0
         self.faults: list[Fault] = []
         self.runs: list[Run] = []
         self.left = 0
@@ -95,7 +103,7 @@
                 started_s=trio.current_time(),
             )
         )
-        await trio.sleep(self._pause_s)
+        await trio.sleep(self.pause_s)
         if fault is Fault.HANG:
             await exchange.wait_disconnected()
             return
@@ -106,7 +114,8 @@
         if fault is Fault.ERROR:
             await exchange.respond(500, b"failed", answer, "text/plain")
         elif self._events:
-            await self._stream(exchange, answer, fault)
+            first = int(headers.get("last-event-id", "0")) + 1
+            await self._stream(exchange, answer, fault, first)
         else:
             await exchange.respond(
                 200, f"done by {self._id}".encode(), answer, "text/plain"
@@ -131,19 +140,37 @@
         exchange: http_server.Exchange,
         answer: dict[str, str],
         fault: Fault | None,
+        first: int,
     ) -> None:
         name = answer["Attempt-Id"] + "-" if self.names_request else ""
         await exchange.start_stream(
             200, {**answer, "Content-Type": "text/event-stream"}
         )
-        for number in range(1, self._events + 1):
-            if fault is Fault.CUT_STREAM and number == self._events:
-                exchange.abort()
+        for number in range(first, self._events + 1):
+            if fault is not None and number == self._events:
+                await _spoil(exchange, fault)
                 return
             if exchange.disconnected:
                 self.left += 1
                 return
             event = f"id: {number}\ndata: {name}e{number}\n\n"
             await exchange.send(event.encode())
-            await trio.sleep(self._pause_s)
+            await trio.sleep(self.pause_s)
         await exchange.finish()
+
+
+async def _spoil(exchange: http_server.Exchange, fault: Fault) -> None:
+    """Ends a stream badly, or never."""
+    match fault:
+        case Fault.TORN_EVENT:
+            await exchange.send(b"id: 99\ndata: to")
+        case Fault.STALLED_STREAM:
+            await exchange.wait_disconnected()
+        case Fault.TRICKLE:
+            while not exchange.disconnected:
+                await exchange.send(b": \n")
+                await trio.sleep(_TRICKLE_S)
+        case Fault.ENDLESS_LINE:
+            while not exchange.disconnected:
+                await exchange.send(b"x" * _FLOOD_BYTES)
+    exchange.abort()
--- a/quetzalmill_load/platform_cluster.py
+++ b/quetzalmill_load/platform_cluster.py
@@ -67,6 +67,7 @@
                 "kind": "stream",
                 "service": "llm",
                 "resumable": True,
+                "gapAimMs": 100,
             },
             {
                 **route,
--- /dev/null
+++ b/tests/test_event_relay.py
@@ -0,0 +1,64 @@
+"""Tests of streams that are passed on event by event."""
+
+import pytest
+
+from quetzalmill import errors
+from quetzalmill import event_relay
+
+
+def _event(number: int) -> bytes:
+    return f"id: {number}\ndata: e{number}\n\n".encode()
+
+
+class TestWholeEvents:
+    """What goes out of one answer."""
+
+    @pytest.mark.parametrize("size", [1, 3, 7, 1_000])
+    @pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+    def test_pieces_do_not_matter(self, size: int, line_end: bytes) -> None:
+        body = b"".join(_event(number) for number in range(1, 6))
+        body = body.replace(b"\n", line_end) + b": bye"
+        relay = event_relay.EventRelay()
+        passed = [
+            relay.feed(body[start : start + size]).data
+            for start in range(0, len(body), size)
+        ]
+        assert b"".join([*passed, relay.finish()]) == body
+        outcome = relay.outcome(complete=True)
+        assert outcome.outputs == (b"e1", b"e2", b"e3", b"e4", b"e5")
+        assert relay.last_id == "5"
+
+    def test_half_an_event_stays(self) -> None:
+        relay = event_relay.EventRelay()
+        assert relay.feed(_event(1) + b"id: 2\nda").data == _event(1)
+        assert relay.feed(b"ta: e2\n\n").data == _event(2)
+
+    @pytest.mark.parametrize("filler", [b"x", b": y\n", b"data: z\n"])
+    def test_bytes_without_an_event_have_a_bound(self, filler: bytes) -> None:
+        relay = event_relay.EventRelay()
+        sent_bytes = 0
+        with pytest.raises(errors.BadMessageError):
+            while sent_bytes < 2 * event_relay.MAX_EVENT_BYTES:
+                relay.feed(filler * 1_000)
+                sent_bytes += 1_000 * len(filler)
+
+
+class TestResumed:
+    """A stream that goes on at another endpoint."""
+
+    def test_goes_on_after_the_last_whole_event(self) -> None:
+        relay = event_relay.EventRelay()
+        relay.feed(_event(1) + _event(2) + b"id: 3\ndata: half")
+        assert relay.last_id == "2"
+        relay.resume()
+        assert relay.feed(_event(3)).data == _event(3)
+        assert relay.outcome(complete=True).events == 3
+
+    def test_repeated_events_go_out_once(self) -> None:
+        """An endpoint that begins anew in spite of what it was told."""
+        relay = event_relay.EventRelay()
+        relay.feed(_event(1) + _event(2))
+        relay.resume()
+        again = relay.feed(_event(1) + _event(2) + _event(3))
+        assert again.data == _event(3)
+        assert relay.outcome(complete=True).outputs == (b"e1", b"e2", b"e3")
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -472,6 +472,77 @@
         _run(tmp_path, case)
 
 
+class TestBrokenStreams:
+    """Streams that an endpoint breaks off, stalls or fills with nonsense."""
+
+    @pytest.mark.parametrize(
+        "fault",
+        [
+            _Fault.CUT_STREAM,
+            _Fault.TORN_EVENT,
+            _Fault.STALLED_STREAM,
+            _Fault.ENDLESS_LINE,
+            _Fault.LOSE_ANSWER,
+            _Fault.HANG,
+            _Fault.ERROR,
+        ],
+    )
+    def test_resumable_stream_goes_on_elsewhere(
+        self, tmp_path: pathlib.Path, fault: platform_endpoint.Fault
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engines = [
+                await cluster.add_endpoint(f"llm-{number}", "llm", events=4)
+                for number in range(2)
+            ]
+            engines[0].faults = [fault]
+            _clear_other_on_first_use(engines)
+            gateway = await cluster.add_gateway()
+            _, response = await cluster.turn(gateway, b"hello", path=_QUOTE)
+            assert response.status == 200
+            assert response.body == b"".join(
+                f"id: {number}\ndata: e{number}\n\n".encode()
+                for number in range(1, 5)
+            )
+            assert sum(len(engine.runs) for engine in engines) == 2
+
+        _run(tmp_path, case)
+
+    @pytest.mark.parametrize(
+        "fault", [_Fault.TRICKLE, _Fault.ENDLESS_LINE, _Fault.STALLED_STREAM]
+    )
+    def test_stream_without_events_ends_in_time(
+        self, tmp_path: pathlib.Path, fault: platform_endpoint.Fault
+    ) -> None:
+        """It runs once, ends by its deadline, and does not look complete."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=3)
+            engine.faults = [fault]
+            gateway = await cluster.add_gateway()
+            with trio.fail_after(5.5), pytest.raises(errors.HttpError):
+                await cluster.turn(gateway, b"hello")
+            assert len(engine.runs) == 1
+
+        _run(tmp_path, case)
+
+    def test_slow_stream_is_not_cut(self, tmp_path: pathlib.Path) -> None:
+        """It makes events at a pace that its callers still wait for."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=8)
+            engine.pause_s = 0.35
+            await cluster.add_endpoint("llm-2", "llm", events=8)
+            cluster.endpoints["llm-2"].pause_s = 0.35
+            gateway = await cluster.add_gateway()
+            for path in ("/chat/1", _QUOTE):
+                _, response = await cluster.turn(gateway, b"hello", path=path)
+                assert response.body.endswith(b"data: e8\n\n")
+            assert sum(len(e.runs) for e in cluster.endpoints.values()) == 2
+
+        _run(tmp_path, case)
+
+
 class TestShutdown:
     """SIGTERM under way."""
 
