Refuse first turns at once while engines are full

Load pattern: a burst brings more programs than engines carry; all begin, every turn waits in the engines' queues, and nearly all programs end late. A part of the first turns, rising with the load that beats tell, is refused with when to come back, less urgent programs first; programs under way go on.

Ruled out: a hard limit (all gateways see the same late load, so it swings); refusing turns under way (a program is worth nothing without them).

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -20,6 +20,7 @@
 from quetzalmill import http_client
 from quetzalmill import http_message
 from quetzalmill import http_server
+from quetzalmill import load_control
 from quetzalmill import logs
 from quetzalmill import repeat_patience
 from quetzalmill import route_table
@@ -193,6 +194,15 @@
             status=503, reason=reason, retry_after_ms=self._come_back_ms()
         )
 
+    def pressure(self, service: str) -> float:
+        """Returns the requests at a service for each of its slots."""
+        now_ms = self._clock.now_ms()
+        usable = self._pool.usable(service, now_ms)
+        return load_control.pressure(
+            [each.load(now_ms) for each in usable],
+            [each.endpoint.slots for each in usable],
+        )
+
     def _may_repeat(self, job: Job) -> bool:
         return (
             job.route.may_run_again
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -15,6 +15,7 @@
 from quetzalmill import gateway_turns
 from quetzalmill import http_message
 from quetzalmill import http_server
+from quetzalmill import load_control
 from quetzalmill import logs
 from quetzalmill import route_table
 from quetzalmill import team_buckets
@@ -64,7 +65,7 @@
         self._dispatcher = dispatcher
         self._turns = turns
         self._metrics = metrics
-        self._random = random.Random()
+        self.random = random.Random()
 
     async def handle(
         self, request: http_message.Request, exchange: http_server.Exchange
@@ -173,7 +174,7 @@
         if len(route.shares) == 1:
             return route.shares[0].service
         weights = [share.weight for share in route.shares]
-        return self._random.choices(route.shares, weights)[0].service
+        return self.random.choices(route.shares, weights)[0].service
 
 
 class _Served:
@@ -280,13 +281,23 @@
         assert self.route is not None
         turns = self._handler.turns
         is_stored = self.route.stateful
+        refused = self._refuse_start(service)
+        if refused is not None:
+            return refused
         prepared = await turns.prepare(
             self.call, self.team, is_stored=is_stored
         )
         self.prepared_ms = self._state.clock.now_ms()
         if isinstance(prepared, outcomes.Refused):
             return prepared
-        self._is_start = prepared.is_start
+        if prepared.is_start and not self._is_start:
+            # Only the budget's owner knows which turns of a conversation
+            # that is not stored are first ones.
+            self._is_start = True
+            refused = self._refuse_start(service)
+            if refused is not None:
+                turns.settle(self.call, self.team, 0)
+                return refused
         self._is_under_way = not prepared.is_start
         if prepared.cached_at:
             # Another gateway may have sent the turn before.
@@ -317,6 +328,27 @@
                 ran_on="" if self.job is None else self.job.ran_on,
             )
 
+    def _refuse_start(
+        self, service: route_table.Service
+    ) -> outcomes.Refused | None:
+        """Returns why a program may not begin now; None if it may."""
+        assert self._state.table is not None
+        if not self._is_start or not service.is_engine:
+            return None
+        decision = load_control.may_begin(
+            self._handler.dispatcher.pressure(service.name),
+            rank=self._operator_priority(),
+            lowest_rank=self._state.table.lowest_priority(service.name),
+            random_source=self._handler.random,
+        )
+        if decision.admitted:
+            return None
+        return outcomes.Refused(
+            status=503,
+            reason=f"the engines are full, {decision.pressure:.2f} of them",
+            retry_after_ms=decision.retry_after_ms,
+        )
+
     async def _end(self, streamed: outcomes.Streamed) -> bool:
         return await self._handler.turns.end(
             self.call,
@@ -356,17 +388,19 @@
     def _left_ms(self) -> float:
         return self._deadline_ms() - self._state.clock.now_ms()
 
-    def _priority(self) -> int:
+    def _operator_priority(self) -> int:
         assert self.route is not None and self._state.table is not None
-        priority = self.route.priority
         team = self._state.table.teams.get(self.team)
         if team is not None and team.priority is not None:
-            priority = team.priority
+            return team.priority
+        return self.route.priority
+
+    def _priority(self) -> int:
         left_ms = self.call.program_left_ms
         if left_ms is not None:
             left_ms -= self._state.clock.now_ms() - self.arrived_ms
         return engine_rank.rank(
-            priority,
+            self._operator_priority(),
             is_under_way=self._is_under_way,
             program_left_ms=left_ms,
         )
--- a/quetzalmill/route_table.py
+++ b/quetzalmill/route_table.py
@@ -146,6 +146,17 @@
                 best = route
         return best
 
+    def lowest_priority(self, service: str) -> int:
+        """Returns the last priority among the routes of a service."""
+        return max(
+            (
+                route.priority
+                for route in self.routes
+                if any(share.service == service for share in route.shares)
+            ),
+            default=0,
+        )
+
     def team_for(self, key: str) -> Team | None:
         """Returns the team that holds a key, or None."""
         name = self.team_of_key.get(key)
