Bound what servers may send without end

Cause: interim heads were read for as long as they came, up to the request's deadline at full speed, and an answer that is read whole could grow to 16 MB, 200 of them at once to more than a small host has. At most eight interim heads are read. Answers share an eighth of the gateway's memory: one may grow as long as it is no larger than what is free, and small ones always pass (test_answer_memory: 200 endless ones beside sound ones). Parts of an answer that have arrived are parsed without a timeout of their own. Head lines, header lines, chunk extensions, trailers and bodies were bounded before; each has a test now (test_http.TestEndlessResponses).

Ruled out: one small limit for each answer, as other deployments may have larger ones. Red with the bound on interim heads off: that case of TestEndlessResponses.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -9,6 +9,7 @@
 import attrs
 import trio
 
+from quetzalmill import answer_memory
 from quetzalmill import clock as clock_module
 from quetzalmill import endpoint_choice
 from quetzalmill import endpoint_health
@@ -109,6 +110,7 @@
         dialect: How they are spoken to.
         clock: The process's clock.
         failure_domain: Where the gateway stands.
+        answers: The memory of answers that are read whole.
     """
 
     def __init__(
@@ -118,8 +120,10 @@
         dialect: gateway_calls.Dialect,
         clock: clock_module.Clock,
         failure_domain: str,
+        answers: answer_memory.AnswerMemory,
     ) -> None:
         self._pool = pool
+        self._answers = answers
         self._client = client
         self._dialect = dialect
         self._clock = clock
@@ -386,7 +390,7 @@
         if not reply.is_own and not reply.not_run:
             raise errors.BadMessageError("the answer is for another request")
         if reply.not_run:
-            await response.read()
+            await self._answers.read(response)
             if reply.status == _MISDIRECTED:
                 endpoint_pool.failed(condition, self._clock.now_ms())
             return _TryNext(f"the endpoint refused with {reply.status}")
@@ -401,7 +405,7 @@
             if not streamed.complete and not exchange.disconnected:
                 await self._verify(job, condition)
             return streamed
-        body = await response.read()
+        body = await self._answers.read(response)
         return outcomes.Answered(
             status=reply.status, headers=reply.headers, body=body
         )
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -11,6 +11,7 @@
 import attrs
 import trio
 
+from quetzalmill import answer_memory
 from quetzalmill import budget_owner
 from quetzalmill import budget_peers
 from quetzalmill import chain_source
@@ -51,6 +52,7 @@
 """How often a gateway looks whether a peer has a newer route table."""
 
 _CACHE_PART = 0.25
+_ANSWERS_PART = 0.125
 _BYTES_PER_MB = 1_048_576
 
 _log = logs.get("gateway")
@@ -276,6 +278,9 @@
             self._dialect,
             self.clock,
             self._settings.failure_domain,
+            answer_memory.AnswerMemory(
+                int(self._settings.memory_mb * _ANSWERS_PART * _BYTES_PER_MB)
+            ),
         )
         self._handler = gateway_handler.GatewayHandler(
             self.state, self._dialect, dispatcher, turns, self.metrics
--- a/quetzalmill/http_client.py
+++ b/quetzalmill/http_client.py
@@ -29,6 +29,7 @@
 
 _RECEIVE_BYTES = 65_536
 _MAX_HEAD_BYTES = 65_536
+_MAX_INTERIM_HEADS = 8
 _DEFAULT_MAX_BODY_BYTES = 16_777_216
 _BAD_GATEWAY = 502
 
@@ -78,6 +79,11 @@
         return b"".join([piece async for piece in self])
 
     async def _next_event(self) -> _Parsed:
+        # What has arrived needs no timeout, and setting one costs as much as
+        # parsing.
+        event = self._connection.parse()
+        if event is not h11.NEED_DATA:
+            return event
         with trio.move_on_after(self._idle_timeout_ms / 1000.0):
             return await self._connection.next_event()
         raise errors.ResponseTimeoutError("the response body stalled")
@@ -323,15 +329,23 @@
 
     async def next_event(self) -> _Parsed:
         """Reads the next part of the response."""
-        data = b"-"
+        event = self.parse()
+        while event is h11.NEED_DATA:
+            data = await self._receive()
+            self.http.receive_data(data)
+            event = self.parse(is_ended=not data)
+        return event
+
+    def parse(self, *, is_ended: bool = False) -> _Parsed:
+        """Parses the next part of the response out of what has arrived.
+
+        Args:
+            is_ended: Whether the connection has ended.
+        """
         try:
             event = self.http.next_event()
-            while event is h11.NEED_DATA:
-                data = await self._receive()
-                self.http.receive_data(data)
-                event = self.http.next_event()
         except h11.RemoteProtocolError as error:
-            if not data:
+            if is_ended:
                 raise _connection_lost() from error
             raise errors.BadMessageError(str(error), _BAD_GATEWAY) from error
         if isinstance(event, h11.ConnectionClosed):
@@ -376,12 +390,13 @@
         # the request is still being sent, so the answer is read all the same.
         with contextlib.suppress(trio.BrokenResourceError):
             await self.stream.send_all(data)
-        while True:
+        for _ in range(_MAX_INTERIM_HEADS + 1):
             event = await self.next_event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise errors.BadMessageError("no response head", _BAD_GATEWAY)
+        raise errors.BadMessageError("interim heads go on", _BAD_GATEWAY)
 
     async def _receive(self) -> bytes:
         try:
--- /dev/null
+++ b/tests/test_answer_memory.py
@@ -0,0 +1,86 @@
+"""Tests of the memory that answers take while they are read."""
+
+from collections.abc import AsyncIterator
+
+import pytest
+import trio
+import trio.testing
+
+from quetzalmill import answer_memory
+from quetzalmill import errors
+
+_LIMIT_BYTES = 4_000_000
+_PIECE = b"x" * 4_096
+
+
+async def _endless() -> AsyncIterator[bytes]:
+    while True:
+        await trio.sleep(0.001)
+        yield _PIECE
+
+
+async def _whole(size_bytes: int) -> AsyncIterator[bytes]:
+    for start in range(0, size_bytes, len(_PIECE)):
+        await trio.sleep(0.001)
+        yield _PIECE[: size_bytes - start]
+
+
+class TestAnswers:
+    """Single answers."""
+
+    @pytest.mark.parametrize("size_bytes", [0, 1, 5_000, _LIMIT_BYTES // 2])
+    def test_whole_answer_is_read(self, size_bytes: int) -> None:
+        memory = answer_memory.AnswerMemory(_LIMIT_BYTES)
+        data = trio.run(
+            memory.read,
+            _whole(size_bytes),
+            clock=trio.testing.MockClock(autojump_threshold=0),
+        )
+        assert len(data) == size_bytes
+        assert memory.held_bytes == 0
+
+    def test_endless_answer_ends(self) -> None:
+        memory = answer_memory.AnswerMemory(_LIMIT_BYTES)
+        with pytest.raises(errors.BadMessageError):
+            trio.run(
+                memory.read,
+                _endless(),
+                clock=trio.testing.MockClock(autojump_threshold=0),
+            )
+        assert memory.held_bytes == 0
+
+
+class TestManyEndlessAnswers:
+    """Two hundred endless answers at once, and sound ones beside them."""
+
+    def test_memory_is_bounded_and_neighbours_are_read(self) -> None:
+        memory = answer_memory.AnswerMemory(_LIMIT_BYTES)
+        most_bytes = 0
+        sound = 0
+
+        async def endless() -> None:
+            nonlocal most_bytes
+            while True:
+                with pytest.raises(errors.BadMessageError):
+                    await memory.read(_endless())
+
+        async def neighbour() -> None:
+            nonlocal sound
+            data = await memory.read(_whole(answer_memory.ALWAYS_BYTES))
+            sound += len(data) == answer_memory.ALWAYS_BYTES
+
+        async def run() -> None:
+            nonlocal most_bytes
+            async with trio.open_nursery() as nursery:
+                for _ in range(200):
+                    nursery.start_soon(endless)
+                for _ in range(200):
+                    await trio.sleep(0.002)
+                    nursery.start_soon(neighbour)
+                    most_bytes = max(most_bytes, memory.held_bytes)
+                await trio.sleep(0.1)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        assert sound == 200
+        assert most_bytes <= _LIMIT_BYTES + 400 * answer_memory.ALWAYS_BYTES
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -674,3 +674,59 @@
             return bodies
 
         assert trio.run(run) == [b"1", b"2", b"3"]
+
+
+_CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class TestEndlessResponses:
+    """Servers in trouble that send bytes until the caller closes."""
+
+    _MOST_BYTES = 8_000_000
+    """What a script sends at most before the connection must have ended; the
+    client's bounds and what the kernel buffers are well below."""
+
+    @pytest.mark.parametrize(
+        ("begin", "filler"),
+        [
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            (b"", b"x"),
+            (b"HTTP/1.1 200 ", b"x"),
+            (b"HTTP/1.1 200 OK\r\n", b"X-Filler: x\r\n"),
+            (b"HTTP/1.1 200 OK\r\nX-Filler: ", b"x"),
+            (b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+            (_CHUNKED + b"1;", b"x"),
+            (_CHUNKED, b"1\r\nx\r\n"),
+            (_CHUNKED + b"0\r\n", b"X-Filler: x\r\n"),
+        ],
+    )
+    def test_is_cut(self, begin: bytes, filler: bytes) -> None:
+        sent_bytes = 0
+        was_cut = trio.Event()
+
+        async def script(stream: trio.SocketStream) -> None:
+            nonlocal sent_bytes
+            block = filler * (65_536 // len(filler))
+            try:
+                await stream.receive_some()
+                await stream.send_all(begin)
+                while sent_bytes < self._MOST_BYTES:
+                    await stream.send_all(block)
+                    sent_bytes += len(block)
+            except trio.BrokenResourceError:
+                was_cut.set()
+
+        async def main() -> None:
+            client = http_client.HttpClient()
+            async with _scripted(script) as address:
+                with trio.fail_after(5.0):
+                    with pytest.raises(errors.BadMessageError):
+                        await client.request(
+                            address,
+                            _GET,
+                            timeout_ms=60_000.0,
+                            max_body_bytes=100_000,
+                        )
+                    await was_cut.wait()
+
+        trio.run(main)
