Learn how many requests programs make by route, from the whole fleet

Gateways now tell each other counts of programs, turns and other requests, by route. Ruled out: sizes kept for each team, as most teams begin too few.

--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -248,6 +248,7 @@
                 self.team,
                 is_start=self._is_start,
                 patience_ms=self._rate_patience_ms(),
+                route=self._turn_route(),
             )
         )
 
@@ -258,9 +259,16 @@
                 self.team,
                 is_start=self._is_start,
                 patience_ms=self._rate_patience_ms(),
+                route=self._turn_route(),
             )
         )
 
+    def _turn_route(self) -> str:
+        """Returns the route's name for turns; empty for other requests."""
+        assert self.route is not None
+        is_turn = self.route.stateful or gateway_turns.has_budget(self.call)
+        return self.route.name if is_turn else ""
+
     def _rate_patience_ms(self) -> float:
         patience_ms = max(0.0, RATE_PATIENCE_PART * self._left_ms())
         if self._is_start:
--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -11,6 +11,7 @@
 from quetzalmill import http_message
 from quetzalmill import logs
 from quetzalmill import peers as peers_module
+from quetzalmill import program_sizes
 from quetzalmill import rate_lines
 from quetzalmill import route_table
 from quetzalmill import team_buckets
@@ -81,8 +82,13 @@
             overdraft=OVERDRAFT_PART * rate_slack
         )
         self.starts = team_buckets.TeamBuckets(rate_lines.PROGRAM_MS)
+        self._sizes = program_sizes.ProgramSizes()
         self.lines = rate_lines.RateLines(
-            self.buckets, self.starts, clock, self._waiting_at_peers
+            self.buckets,
+            self.starts,
+            clock,
+            self._waiting_at_peers,
+            self._sizes,
         )
         self.crashes = crash_counts.CrashCounts()
         self.holds: set[int] = set()
@@ -209,6 +215,7 @@
             begun=self.starts.admitted(since_ms),
             trouble=self.pool.trouble(now_ms),
             link_mbps=self._link_mbps,
+            programs=self._sizes.counts(),
         )
 
     def hear(self, beat: peers_module.Beat) -> None:
@@ -238,6 +245,7 @@
         heard_part = self.peers.heard_part(now_ms)
         for buckets in (self.buckets, self.starts):
             buckets.set_heard_part(heard_part, now_ms)
+        self._sizes.hear(beat.programs for beat in self.alive_peers())
         self.pool.hear_running(self.peers.running(now_ms))
         self.pool.hear_trouble(self.peers.trouble(now_ms))
         self.crashes.forget_old(now_ms)
--- a/quetzalmill/peers.py
+++ b/quetzalmill/peers.py
@@ -12,6 +12,7 @@
 
 from quetzalmill import crash_counts
 from quetzalmill import endpoint_health
+from quetzalmill import program_sizes
 
 BEAT_MS = 200.0
 """The time between two beats to each peer."""
@@ -75,6 +76,7 @@
         begun: Requests that programs begun since its start take, by team.
         trouble: What it counts of endpoints that fail, by endpoint.
         link_mbps: The bandwidth of its host's link; 0 if it does not say.
+        programs: What it counted of programs and their requests.
     """
 
     host: str
@@ -95,6 +97,9 @@
     begun: dict[str, int] = attrs.field(factory=dict)
     trouble: dict[str, endpoint_health.Trouble] = attrs.field(factory=dict)
     link_mbps: float = 0.0
+    programs: program_sizes.ProgramCounts = attrs.field(
+        factory=program_sizes.ProgramCounts
+    )
 
 
 @attrs.define
--- /dev/null
+++ b/quetzalmill/program_sizes.py
@@ -0,0 +1,98 @@
+"""How many requests a program makes, learnt from those of the whole fleet.
+
+The load pattern: programs of one route make nine requests, those of another
+thirty, and a team's rate carries few of either. Counted alike, long programs
+begin that the rate does not carry to their end, and short ones are refused
+although it would. One gateway of many sees too few programs to tell, so all
+tell each other what they counted. Counts only grow, so lost and repeated news
+do no harm.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+USUAL_TURNS = 5.0
+"""Turns of a program as long as none has been seen."""
+
+USUAL_OTHERS = 1.0
+"""Other requests for each turn as long as none has been seen."""
+
+_PRIOR_PROGRAMS = 30.0
+"""Programs after which what was seen outweighs what was assumed."""
+
+
+@attrs.frozen(kw_only=True)
+class ProgramCounts:
+    """What one gateway has admitted since its start.
+
+    Attributes:
+        starts: Programs that began, by the route of their first turn.
+        turns: Turns, first ones included, by route.
+        others: Requests that were no turns.
+    """
+
+    starts: dict[str, int] = attrs.field(factory=dict)
+    turns: dict[str, int] = attrs.field(factory=dict)
+    others: int = 0
+
+
+class ProgramSizes:
+    """Counts the requests of programs and estimates their number."""
+
+    def __init__(self) -> None:
+        self._starts: dict[str, int] = {}
+        self._turns: dict[str, int] = {}
+        self._others = 0
+        self._peers = ProgramCounts()
+
+    def note(self, route: str, *, is_start: bool) -> None:
+        """Counts an admitted request.
+
+        Args:
+            route: The route of a turn; empty for other requests.
+            is_start: Whether it begins a program.
+        """
+        if not route and not is_start:
+            self._others += 1
+            return
+        self._turns[route] = self._turns.get(route, 0) + 1
+        if is_start:
+            self._starts[route] = self._starts.get(route, 0) + 1
+
+    def counts(self) -> ProgramCounts:
+        """Returns what this gateway counted, to tell others."""
+        return ProgramCounts(
+            starts=dict(self._starts),
+            turns=dict(self._turns),
+            others=self._others,
+        )
+
+    def hear(self, peers: Iterable[ProgramCounts]) -> None:
+        """Takes over what all peers counted."""
+        starts: dict[str, int] = {}
+        turns: dict[str, int] = {}
+        others = 0
+        for each in peers:
+            _add(starts, each.starts)
+            _add(turns, each.turns)
+            others += each.others
+        self._peers = ProgramCounts(starts=starts, turns=turns, others=others)
+
+    def requests(self, route: str) -> int:
+        """Returns the requests of a program, its first turn included."""
+        starts = self._starts.get(route, 0) + self._peers.starts.get(route, 0)
+        turns = self._turns.get(route, 0) + self._peers.turns.get(route, 0)
+        all_turns = sum(self._turns.values()) + sum(self._peers.turns.values())
+        others = self._others + self._peers.others
+        prior_turns = _PRIOR_PROGRAMS * USUAL_TURNS
+        turns_each = (prior_turns + turns) / (_PRIOR_PROGRAMS + starts)
+        others_each = (prior_turns * USUAL_OTHERS + others) / (
+            prior_turns + all_turns
+        )
+        return max(1, round(turns_each * (1.0 + others_each)))
+
+
+def _add(total: dict[str, int], counts: dict[str, int]) -> None:
+    for name, count in counts.items():
+        total[name] = total.get(name, 0) + count
--- a/quetzalmill/rate_lines.py
+++ b/quetzalmill/rate_lines.py
@@ -21,6 +21,7 @@
 import trio
 
 from quetzalmill import clock as clock_module
+from quetzalmill import program_sizes
 from quetzalmill import team_buckets
 
 LONGEST_RETURN_MS = 3_000.0
@@ -38,12 +39,6 @@
 """Programs may begin in clumps that take a burst and what is gained in this
 time; a program lasts longer, but a larger clump leaves a backlog behind."""
 
-USUAL_REQUESTS = 10.0
-"""Requests of a program as long as none has been seen."""
-
-_LEARNT_OVER_STARTS = 30.0
-"""Programs after which what was seen outweighs what was before."""
-
 OVERRUN = 1.5
 """How many times its patience a request waits at most; estimates are off while
 several gateways let requests go at once."""
@@ -55,26 +50,7 @@
 @attrs.define(eq=False)
 class _Waiter:
     is_start: bool
-
-
-class ProgramSize:
-    """How many requests a program makes, learnt from those admitted here."""
-
-    def __init__(self) -> None:
-        self._starts = _LEARNT_OVER_STARTS
-        self._requests = _LEARNT_OVER_STARTS * USUAL_REQUESTS
-
-    def requests(self) -> int:
-        """Returns the requests of a program, its first turn included."""
-        return max(1, round(self._requests / self._starts))
-
-    def note(self, *, is_start: bool) -> None:
-        """Counts an admitted request of a program."""
-        self._requests += 1
-        if is_start:
-            kept = _LEARNT_OVER_STARTS / (_LEARNT_OVER_STARTS + 1.0)
-            self._starts = self._starts * kept + 1.0
-            self._requests *= kept
+    route: str
 
 
 class RateLines:
@@ -87,6 +63,7 @@
         clock: The process's clock.
         waiting_at_peers: Returns how many requests of a team's programs under
             way wait at other gateways.
+        sizes: How many requests programs make.
     """
 
     def __init__(
@@ -95,17 +72,23 @@
         starts: team_buckets.TeamBuckets,
         clock: clock_module.Clock,
         waiting_at_peers: Callable[[str], int],
+        sizes: program_sizes.ProgramSizes,
     ) -> None:
         self._buckets = buckets
         self._starts = starts
-        self._size = ProgramSize()
+        self._sizes = sizes
         self._clock = clock
         self._waiting_at_peers = waiting_at_peers
         self._lines: dict[str, list[_Waiter]] = {}
         self._returns_ms: dict[str, float] = {}
 
     def look(
-        self, team: str, *, is_start: bool, patience_ms: float
+        self,
+        team: str,
+        *,
+        is_start: bool,
+        patience_ms: float,
+        route: str = "",
     ) -> team_buckets.Admission:
         """Returns whether a request could go within its patience."""
         now_ms = self._clock.now_ms()
@@ -114,7 +97,7 @@
         line = self._lines.get(team, [])
         ahead = len(line) if is_start else _begun(line)
         ahead += self._waiting_at_peers(team)
-        wait_ms = self._wait_ms(team, ahead, is_start, now_ms)
+        wait_ms = self._wait_ms(team, ahead, is_start, route, now_ms)
         is_soon = wait_ms <= patience_ms
         return team_buckets.Admission(
             admitted=is_soon,
@@ -123,7 +106,12 @@
         )
 
     async def enter(
-        self, team: str, *, is_start: bool, patience_ms: float
+        self,
+        team: str,
+        *,
+        is_start: bool,
+        patience_ms: float,
+        route: str = "",
     ) -> team_buckets.Admission:
         """Takes a token for a request, waiting for it if need be.
 
@@ -131,11 +119,14 @@
             team: The request's team.
             is_start: Whether it is the first turn of a program.
             patience_ms: The longest estimated wait for which it stays.
+            route: The route of a turn; empty for other requests.
         """
-        found = self.look(team, is_start=is_start, patience_ms=patience_ms)
+        found = self.look(
+            team, is_start=is_start, patience_ms=patience_ms, route=route
+        )
         if not found.admitted or not self._buckets.is_limited(team):
             return found
-        waiter = _Waiter(is_start)
+        waiter = _Waiter(is_start, route)
         line = self._lines.setdefault(team, [])
         line.append(waiter)
         try:
@@ -167,11 +158,14 @@
             now_ms = self._clock.now_ms()
             if not self._buckets.is_limited(team):
                 return self._buckets.look(team, now_ms)
-            wait_ms = self._wait_ms(team, ahead, waiter.is_start, now_ms)
+            wait_ms = self._wait_ms(
+                team, ahead, waiter.is_start, waiter.route, now_ms
+            )
             if ahead == 0 and wait_ms <= 0.0:
-                self._size.note(is_start=waiter.is_start)
+                self._sizes.note(waiter.route, is_start=waiter.is_start)
                 if waiter.is_start:
-                    self._starts.take(team, self._size.requests(), now_ms)
+                    whole = self._sizes.requests(waiter.route)
+                    self._starts.take(team, whole, now_ms)
                 return self._buckets.admit(
                     team, now_ms, may_overdraw=not waiter.is_start
                 )
@@ -179,7 +173,7 @@
             await trio.sleep(min(sleep_ms, _LONGEST_SLEEP_MS) / 1000.0)
 
     def _wait_ms(
-        self, team: str, ahead: int, is_start: bool, now_ms: float
+        self, team: str, ahead: int, is_start: bool, route: str, now_ms: float
     ) -> float:
         if not is_start:
             return self._buckets.wait_ms(
@@ -189,7 +183,7 @@
             START_RESERVE * self._buckets.capacity(team),
             START_RESERVE_MS / self._buckets.interval_ms(team),
         )
-        whole = self._size.requests()
+        whole = self._sizes.requests(route)
         return max(
             self._buckets.wait_ms(team, ahead + 1 + int(kept), now_ms),
             self._starts.wait_ms(team, whole, now_ms),
--- a/tests/test_rate_lines.py
+++ b/tests/test_rate_lines.py
@@ -8,6 +8,7 @@
 import trio
 import trio.testing
 
+from quetzalmill import program_sizes
 from quetzalmill import rate_lines
 from quetzalmill import route_table
 from quetzalmill import team_buckets
@@ -80,7 +81,11 @@
 
         lines = [
             rate_lines.RateLines(
-                buckets[number], starts[number], clock, at_peers(number)
+                buckets[number],
+                starts[number],
+                clock,
+                at_peers(number),
+                program_sizes.ProgramSizes(),
             )
             for number in range(_GATEWAYS)
         ]
