Place requests among a few endpoints, by what old news are worth

News from 84 gateways are older than a turn lasts, so all chose the endpoint that seemed least loaded, and filled it. A request is now placed among two endpoints at random and one that has read the prompt. The last news count by how much of it can still be true; for the rest stands the load of the last seconds.

Ruled out: the engines' capacity (60 in 100 of it were asked for); the gateways' processors (0.06 of a core).

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -227,18 +227,25 @@
             for each in usable
             if each.endpoint.endpoint_id not in job.tried
         ]
+        unread = {
+            each.endpoint.endpoint_id: self.prefixes.unread_tokens(
+                each.endpoint.endpoint_id, job.call.prompt_parts
+            )
+            for each in fresh
+        }
+        looked_at = endpoint_choice.look_at(unread, self._random)
         estimates = [
             endpoint_choice.estimate(
                 each,
-                unread_tokens=self.prefixes.unread_tokens(
-                    each.endpoint.endpoint_id, job.call.prompt_parts
-                ),
+                unread_tokens=unread[each.endpoint.endpoint_id],
                 failure_domain=self._failure_domain,
                 is_engine=job.service.is_engine,
                 now_ms=now_ms,
                 usual_ms=self._usual.usual_ms(job.route.name),
+                load=self._pool.likely_load(each, now_ms),
             )
             for each in fresh
+            if each.endpoint.endpoint_id in looked_at
         ]
         best = endpoint_choice.choose(estimates, self._random)
         if best is None:
@@ -273,6 +280,9 @@
             return _Lost(str(error))
         finally:
             condition.running -= 1
+            self._pool.note_held(
+                job.service.name, self._clock.now_ms() - sent_ms
+            )
             self._end_awaiting(condition, sent_ms)
 
     def _end_awaiting(
--- a/quetzalmill/endpoint_choice.py
+++ b/quetzalmill/endpoint_choice.py
@@ -5,7 +5,9 @@
 decides; a hot endpoint, where the wait there outweighs reading the prompt
 anew; a wave of equal requests from several gateways, which the requests that
 peers run keep apart; an endpoint that fails or delays a part of its requests
-while others do not.
+while others do not; several gateways with news about as old as a request
+lasts, which would all choose the endpoint that seemed least loaded, and fill
+it, so each request looks at a few only.
 """
 
 import random
@@ -36,6 +38,11 @@
 COLD_MS = 100.0
 """What an endpoint counts that has just started and is still slow."""
 
+LOOKED_AT = 2
+"""Endpoints at random that a request is placed among. Looking at more makes
+gateways with the same old news choose alike; with one, an endpoint that fails
+or is slow would get as much as others."""
+
 _JITTER = 0.05
 _REMEMBERED_PARTS = 20_000
 
@@ -71,6 +78,25 @@
         return 0
 
 
+def look_at(unread: dict[str, int], random_source: random.Random) -> set[str]:
+    """Returns the endpoints among which a request is placed.
+
+    One that has read most of the prompt is always among them.
+
+    Args:
+        unread: The prompt tokens that each endpoint has not read, by id.
+        random_source: Chooses the endpoints.
+    """
+    if len(unread) <= LOOKED_AT:
+        return set(unread)
+    least = min(unread.values())
+    best = [each for each, tokens in unread.items() if tokens == least]
+    chosen = set(random_source.sample(list(unread), LOOKED_AT))
+    if len(best) < len(unread):
+        chosen.add(random_source.choice(best))
+    return chosen
+
+
 @attrs.frozen(kw_only=True)
 class Estimate:
     """An endpoint and what a request would take there beyond its own work.
@@ -94,6 +120,7 @@
     is_engine: bool,
     now_ms: float,
     usual_ms: float = 0.0,
+    load: float | None = None,
 ) -> Estimate:
     """Returns what a request would take at one endpoint.
 
@@ -104,9 +131,11 @@
         is_engine: Whether it is an engine.
         now_ms: The current time.
         usual_ms: How long such requests take over all endpoints.
+        load: The requests there; what is known last if left out.
     """
     slots = max(1, condition.endpoint.slots)
-    load = condition.load(now_ms)
+    if load is None:
+        load = condition.load(now_ms)
     full_ms = FULL_BATCH_MS if is_engine else PLAIN_FULL_MS
     extra_ms = full_ms * min(load, slots) / slots
     if load >= slots:
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+import math
 
 import attrs
 
@@ -28,6 +29,15 @@
 LOAD_NEWS_MS = 1_000.0
 """How long the load that an endpoint reported stands for its load."""
 
+USUAL_LOAD_MS = 4_000.0
+"""The time over which the usual load of an endpoint is taken, as its health is:
+many requests long, yet short enough to show one that has turned slow."""
+
+HELD_FIRST_MS = 300.0
+"""How long an endpoint holds a request as long as none has ended."""
+
+_HELD_NEWS_WEIGHT = 0.05
+
 
 @attrs.frozen(kw_only=True)
 class Endpoint:
@@ -62,6 +72,7 @@
         endpoint: The endpoint.
         running: Requests that this gateway has there.
         peers_running: Requests that the other gateways have there.
+        peers_usual: The same, over the last seconds.
         reported_running: Requests that it said it runs.
         reported_waiting: Requests that it said wait there.
         reported_ms: When it said so.
@@ -76,6 +87,7 @@
     endpoint: Endpoint
     running: int = 0
     peers_running: int = 0
+    peers_usual: float = 0.0
     reported_running: int = 0
     reported_waiting: int = 0
     reported_ms: float = float("-inf")
@@ -102,12 +114,42 @@
             return known
         return max(known, self.reported_running + self.reported_waiting)
 
+    def likely_load(
+        self, now_ms: float, news_age_ms: float, held_ms: float
+    ) -> float:
+        """Returns the requests there now, as far as old news tell.
+
+        A request is gone after ``held_ms`` and others have come, so the older
+        the news, the more the usual load counts.
+
+        Args:
+            now_ms: The current time.
+            news_age_ms: How old ``peers_running`` is.
+            held_ms: How long endpoints hold a request.
+        """
+        usual = self.running + self.peers_usual
+        reported_age_ms = now_ms - self.reported_ms
+        if reported_age_ms < news_age_ms:
+            seen = float(self.reported_running + self.reported_waiting)
+            news_age_ms = reported_age_ms
+        else:
+            seen = float(self.all_running())
+        weight = math.exp(-max(0.0, news_age_ms) / held_ms)
+        return max(float(self.running), usual + weight * (seen - usual))
+
 
 class EndpointPool:
-    """The endpoints of all services."""
+    """The endpoints of all services.
+
+    Attributes:
+        news_age_ms: How old the news of what peers run are.
+    """
 
     def __init__(self) -> None:
         self._by_id: dict[str, Condition] = {}
+        self._held_ms: dict[str, float] = {}
+        self._heard_ms: float | None = None
+        self.news_age_ms = 0.0
 
     def get(self, endpoint_id: str) -> Condition | None:
         """Returns what is known of an endpoint, or None."""
@@ -198,10 +240,45 @@
         up = [known for known in staying if known.down_until_ms <= now_ms]
         return up or staying
 
-    def hear_running(self, running: dict[str, int]) -> None:
-        """Takes over what all other gateways run, by endpoint."""
+    def hear_running(
+        self, running: dict[str, int], now_ms: float, age_ms: float
+    ) -> None:
+        """Takes over what all other gateways run, by endpoint.
+
+        Args:
+            running: The requests, by endpoint.
+            now_ms: The current time.
+            age_ms: How old that is.
+        """
+        if self._heard_ms is None:
+            weight = 1.0
+        else:
+            elapsed_ms = max(0.0, now_ms - self._heard_ms)
+            weight = 1.0 - math.exp(-elapsed_ms / USUAL_LOAD_MS)
+        self._heard_ms = now_ms
+        self.news_age_ms = age_ms
         for endpoint_id, known in self._by_id.items():
             known.peers_running = running.get(endpoint_id, 0)
+            known.peers_usual += weight * (
+                known.peers_running - known.peers_usual
+            )
+
+    def note_held(self, service: str, held_ms: float) -> None:
+        """Records how long an endpoint of a service held a request."""
+        known_ms = self.held_ms(service)
+        self._held_ms[service] = known_ms + _HELD_NEWS_WEIGHT * (
+            held_ms - known_ms
+        )
+
+    def held_ms(self, service: str) -> float:
+        """Returns how long endpoints of a service usually hold a request."""
+        return self._held_ms.get(service, HELD_FIRST_MS)
+
+    def likely_load(self, known: Condition, now_ms: float) -> float:
+        """Returns the requests at an endpoint now, as far as news tell."""
+        return known.likely_load(
+            now_ms, self.news_age_ms, self.held_ms(known.endpoint.service)
+        )
 
     def hear_trouble(
         self, trouble: dict[str, list[endpoint_health.Trouble]]
--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -246,7 +246,9 @@
         for buckets in (self.buckets, self.starts):
             buckets.set_heard_part(heard_part, now_ms)
         self._sizes.hear(beat.programs for beat in self.alive_peers())
-        self.pool.hear_running(self.peers.running(now_ms))
+        self.pool.hear_running(
+            self.peers.running(now_ms), now_ms, self.peers.news_age_ms(now_ms)
+        )
         self.pool.hear_trouble(self.peers.trouble(now_ms))
         self.crashes.forget_old(now_ms)
         if self._store_failing_ms is not None:
--- a/quetzalmill/peers.py
+++ b/quetzalmill/peers.py
@@ -276,6 +276,18 @@
                 total[endpoint_id] = total.get(endpoint_id, 0) + count
         return total
 
+    def news_age_ms(self, now_ms: float) -> float:
+        """Returns how old beats are on average until the next ones come."""
+        heard = [
+            now_ms - peer.heard_ms
+            for peer in self._peers.values()
+            if self._is_heard(peer, now_ms)
+        ]
+        if not heard:
+            return 0.0
+        age_ms = sum(heard) / len(heard) + self.beat_ms() / 2.0
+        return age_ms + (RELAYED_MS / 2.0 if self._is_relayed() else 0.0)
+
     def trouble(
         self, now_ms: float
     ) -> dict[str, list[endpoint_health.Trouble]]:
