Play planned stops, pauses and silent endpoints with real gateways

Troubles that operators reported: accepted requests cut in a planned stop, a paused process that acts on old rights, running work given up or begun again for an endpoint that no longer reports. None was found here; the tests stay.

--- /dev/null
+++ b/tests/test_gateway_troubles.py
@@ -0,0 +1,152 @@
+"""Tests of troubles that operators of similar systems have reported.
+
+Whole gateways run as processes on the emulated platform.
+"""
+
+from collections.abc import Awaitable, Callable
+import pathlib
+import signal
+
+import trio
+
+from quetzalmill import errors
+from quetzalmill import http_client
+from quetzalmill import http_message
+from quetzalmill_load import platform_cluster
+
+Case = Callable[[platform_cluster.Cluster], Awaitable[None]]
+
+
+def _run(path: pathlib.Path, case: Case) -> None:
+    async def run() -> None:
+        async with platform_cluster.run(path) as cluster:
+            await case(cluster)
+
+    trio.run(run)
+
+
+class TestPlannedStop:
+    """SIGTERM while callers keep using their connections."""
+
+    _CALLERS = 16
+
+    def test_nothing_that_was_accepted_is_cut(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Each request that ran was answered whole."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            app = await cluster.add_endpoint("app-1", "app")
+            app.pause_s = 0.03
+            gateway = await cluster.add_gateway()
+            answered: set[str] = set()
+
+            async def caller(number: int) -> None:
+                client = http_client.HttpClient()
+                for each in range(1_000):
+                    request_id = f"{number:04x}{each:012x}"
+                    try:
+                        response = await client.request(
+                            gateway.callers,
+                            _booking(request_id),
+                            timeout_ms=4_000.0,
+                        )
+                    except errors.HttpError:
+                        return
+                    if response.status == 200:
+                        answered.add(request_id)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(self._CALLERS):
+                    nursery.start_soon(caller, number)
+                await trio.sleep(0.5)
+                cluster.stop(gateway, signal.SIGTERM)
+            ran = {run.request_id for run in app.runs}
+            assert len(ran) > 5 * self._CALLERS
+            assert ran == answered
+            assert await trio.to_thread.run_sync(gateway.process.wait) == 0
+
+        _run(tmp_path, case)
+
+
+def _booking(request_id: str) -> http_message.Request:
+    return http_message.Request(
+        method="POST",
+        path="/book/1",
+        host=platform_cluster.HOST,
+        headers={
+            "Attempt-Id": request_id,
+            "Deadline-Ms": "4000",
+            "Authorization": f"Token {platform_cluster.KEY}",
+        },
+    )
+
+
+class TestPause:
+    """A process that stands still while others take its work over."""
+
+    def test_owner_that_wakes_grants_nothing_on_old_rights(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """A program loops at each gateway while each of them pauses once."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=5)
+            gateways = [await cluster.add_gateway() for _ in range(2)]
+            for paused, other in (gateways, reversed(gateways)):
+                await self._loop(cluster, paused, 2)
+                cluster.stop(paused, signal.SIGSTOP)
+                await self._loop(cluster, other, 3)
+                cluster.stop(paused, signal.SIGCONT)
+                await self._loop(cluster, paused, 2)
+            # A turn hands out five events of nine tokens, fifty at most.
+            assert len(engine.runs) * 45 <= 250 + 50
+            assert len(engine.runs) >= 3
+
+        _run(tmp_path, case)
+
+    async def _loop(
+        self,
+        cluster: platform_cluster.Cluster,
+        gateway: platform_cluster.Gateway,
+        count: int,
+    ) -> None:
+        for _ in range(count):
+            await cluster.turn(gateway, b"loop", budget=250)
+
+
+class TestSilentEndpoint:
+    """An endpoint that no longer reports but still works."""
+
+    def test_its_running_stream_goes_on(self, tmp_path: pathlib.Path) -> None:
+        """Its entry lapses; the stream ends whole and runs but once."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=20)
+            engine.pause_s = 0.1
+            gateway = await cluster.add_gateway()
+            bodies: list[bytes] = []
+
+            async def send(path: str) -> None:
+                _, response = await cluster.turn(gateway, b"hi", path=path)
+                bodies.append(response.body)
+
+            async def is_gone() -> bool:
+                return "endpoint_gone" in gateway.log()
+
+            async with trio.open_nursery() as nursery:
+                for path in ("/chat/1", platform_cluster.QUOTE_PATH + "1"):
+                    nursery.start_soon(send, path)
+                while len(engine.runs) < 2:
+                    await trio.sleep(0.01)
+                other = await cluster.add_endpoint("llm-2", "llm", events=20)
+                cluster.store.put("keyed.servers", "llm-1", None)
+                await cluster.until(is_gone)
+            assert [body.endswith(b"data: e20\n\n") for body in bodies] == [
+                True,
+                True,
+            ]
+            assert len(engine.runs) == 2
+            assert not other.runs
+
+        _run(tmp_path, case)
