--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -50,6 +50,9 @@
         dispatcher: Sends requests to endpoints.
         turns: Prepares and ends turns.
         metrics: Where requests are counted.
+
+    Attributes:
+        random: Decides between what is alike.
     """
 
     def __init__(
@@ -353,7 +356,7 @@
             return None
         return outcomes.Refused(
             status=503,
-            reason=f"the engines are full, {decision.pressure:.2f} of them",
+            reason=f"the engines hold {decision.pressure:.2f} requests a slot",
             retry_after_ms=decision.retry_after_ms,
         )
 
