--- a/tests/test_gateway_troubles.py
+++ b/tests/test_gateway_troubles.py
@@ -3,7 +3,6 @@
 Whole gateways run as processes on the emulated platform.
 """
 
-from collections.abc import Awaitable, Callable
 import pathlib
 import signal
 
@@ -13,16 +12,7 @@
 from quetzalmill import http_client
 from quetzalmill import http_message
 from quetzalmill_load import platform_cluster
-
-Case = Callable[[platform_cluster.Cluster], Awaitable[None]]
-
-
-def _run(path: pathlib.Path, case: Case) -> None:
-    async def run() -> None:
-        async with platform_cluster.run(path) as cluster:
-            await case(cluster)
-
-    trio.run(run)
+from tests import gateway_case
 
 
 class TestPlannedStop:
@@ -66,7 +56,7 @@
             assert ran == answered
             assert await trio.to_thread.run_sync(gateway.process.wait) == 0
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
 
 def _booking(request_id: str) -> http_message.Request:
@@ -103,7 +93,7 @@
             assert len(engine.runs) * 45 <= 250 + 50
             assert len(engine.runs) >= 3
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     async def _loop(
         self,
@@ -149,4 +139,4 @@
             assert len(engine.runs) == 2
             assert not other.runs
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -1,6 +1,5 @@
 """Tests of whole gateways as processes on the emulated platform."""
 
-from collections.abc import Awaitable, Callable
 import contextlib
 import pathlib
 import signal
@@ -12,18 +11,10 @@
 from quetzalmill import http_message
 from quetzalmill_emulator import platform_endpoint
 from quetzalmill_load import platform_cluster
+from tests import gateway_case
 
 _Fault = platform_endpoint.Fault
 _QUOTE = platform_cluster.QUOTE_PATH + "1"
-Case = Callable[[platform_cluster.Cluster], Awaitable[None]]
-
-
-def _run(path: pathlib.Path, case: Case) -> None:
-    async def run() -> None:
-        async with platform_cluster.run(path) as cluster:
-            await case(cluster)
-
-    trio.run(run)
 
 
 class TestRequests:
@@ -44,7 +35,7 @@
             assert "authorization" not in app.runs[0].headers
             assert app.runs[0].headers["host"] == platform_cluster.HOST
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     @pytest.mark.parametrize(
         ("path", "key", "status"),
@@ -64,7 +55,7 @@
             assert response.status == status
             assert not app.runs
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     @pytest.mark.parametrize(
         ("path", "faults", "status", "runs"),
@@ -107,7 +98,7 @@
             assert response.status == status
             assert sum(len(app.runs) for app in apps) == runs
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     @pytest.mark.parametrize("path", ["/book/1", "/lookup/1"])
     def test_refusal_by_all_says_when_to_come_back(
@@ -122,7 +113,7 @@
             assert float(response.headers["retry-after"]) > 0
             assert not app.runs
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     def test_new_desired_state_is_in_force(
         self, tmp_path: pathlib.Path
@@ -144,7 +135,7 @@
             _, response = await cluster.call(gateway, "/lookup/1", key="new")
             assert response.status == 200
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     @pytest.mark.parametrize("key", [platform_cluster.KEY, ""])
     def test_nothing_runs_once_every_key_is_withdrawn(
@@ -161,7 +152,7 @@
             assert response.status == 401
             assert not app.runs
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     @pytest.mark.parametrize(
         ("max_body_bytes", "body_bytes", "status"),
@@ -186,7 +177,7 @@
             )
             assert response.status == status
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     def test_state_and_metrics_are_shown(self, tmp_path: pathlib.Path) -> None:
         async def case(cluster: platform_cluster.Cluster) -> None:
@@ -206,7 +197,7 @@
             assert f"request_id={request_id}" in gateway.log()
             assert platform_cluster.KEY not in gateway.log()
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
 
 class TestTurns:
@@ -231,7 +222,7 @@
                 b"helloe1\ne2\nmoree1\ne2\nlast",
             ]
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     def test_chain_goes_on_at_another_gateway(
         self, tmp_path: pathlib.Path
@@ -245,7 +236,7 @@
             assert response.status == 200
             assert engine.runs[-1].body == b"helloe1\nmore"
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     @pytest.mark.parametrize("program", ["p1", "another"])
     def test_chain_outlives_all_gateways(
@@ -265,7 +256,7 @@
             assert response.status == 200
             assert engine.runs[-1].body == b"helloe1\nmore"
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     @pytest.mark.parametrize("key", [platform_cluster.KEY, "key-of-rallies"])
     def test_turn_that_is_not_the_teams(
@@ -282,7 +273,7 @@
             assert response.status == 404
             assert len(engine.runs) == 1
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     def test_unsure_is_not_absent(self, tmp_path: pathlib.Path) -> None:
         async def case(cluster: platform_cluster.Cluster) -> None:
@@ -293,7 +284,7 @@
             _, response = await cluster.turn(gateway, b"more", "f" * 16)
             assert response.status == 503
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     def test_budget_holds_over_a_restart(self, tmp_path: pathlib.Path) -> None:
         async def case(cluster: platform_cluster.Cluster) -> None:
@@ -311,7 +302,7 @@
             assert len(engine.runs) * 45 <= 150 + 50
             assert statuses.count(402) == 9 - len(engine.runs), statuses
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     @pytest.mark.parametrize("path", ["/chat/1", _QUOTE])
     def test_budget_holds_at_all_gateways(
@@ -338,7 +329,7 @@
             assert len(engine.runs) >= 3
             assert statuses[-1] == 402, statuses
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     def test_caller_that_sends_its_conversation_needs_no_store(
         self, tmp_path: pathlib.Path
@@ -354,7 +345,7 @@
             _, response = await cluster.turn(gateway, b"two", path=_QUOTE)
             assert response.status == 200
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     def test_turns_that_do_not_run_use_up_no_rate(
         self, tmp_path: pathlib.Path
@@ -373,7 +364,7 @@
             _, response = await cluster.call(gateway, "/lookup/1")
             assert response.status == 200
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     def test_cut_stream_does_not_look_complete(
         self, tmp_path: pathlib.Path
@@ -386,7 +377,7 @@
                 await cluster.turn(gateway, b"hello")
             assert len(engine.runs) == 1
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     def test_turn_that_ended_outlives_an_outage_and_all_gateways(
         self, tmp_path: pathlib.Path
@@ -421,7 +412,7 @@
                 _, response = await cluster.turn(fresh, b"more", turn_id)
                 assert response.status == 200
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     def test_end_waits_for_the_store(self, tmp_path: pathlib.Path) -> None:
         async def case(cluster: platform_cluster.Cluster) -> None:
@@ -445,7 +436,7 @@
                 cluster.store.down = False
             assert answers[0][1].status == 200
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     def test_peer_writes_for_a_gateway_that_lost_the_store(
         self, tmp_path: pathlib.Path
@@ -469,7 +460,7 @@
             )
             assert response.status == 200
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
 
 class TestBrokenStreams:
@@ -506,7 +497,7 @@
             )
             assert sum(len(engine.runs) for engine in engines) == 2
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     @pytest.mark.parametrize(
         "fault", [_Fault.TRICKLE, _Fault.ENDLESS_LINE, _Fault.STALLED_STREAM]
@@ -524,7 +515,7 @@
                 await cluster.turn(gateway, b"hello")
             assert len(engine.runs) == 1
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     def test_slow_stream_is_not_cut(self, tmp_path: pathlib.Path) -> None:
         """It makes events at a pace that its callers still wait for."""
@@ -540,7 +531,7 @@
                 assert response.body.endswith(b"data: e8\n\n")
             assert sum(len(e.runs) for e in cluster.endpoints.values()) == 2
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
 
 class TestShutdown:
@@ -567,7 +558,7 @@
             await cluster.until(has_ended)
             assert gateway.process.returncode == 0
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     def test_connections_to_peers_end_before_the_loop(
         self, tmp_path: pathlib.Path
@@ -592,7 +583,7 @@
             await cluster.until(has_ended)
             assert "Traceback" not in gateway.log()
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
     def test_changed_settings_interrupt_nothing(
         self, tmp_path: pathlib.Path
@@ -609,7 +600,7 @@
             _, response = await cluster.call(gateway, "/lookup/1")
             assert response.status == 200
 
-        _run(tmp_path, case)
+        gateway_case.run(tmp_path, case)
 
 
 def _clear_other_on_first_use(
