Lower the durable mark of a program when its turns are settled

Sub-agents had reserved their most at once, the mark had risen to the whole budget and never fell, and the new owner knows only the mark. A settlement that leaves the mark two steps or more too high now writes a lower one. The owner holds itself to it before it is durable, and a partition's writes go one after the other under one epoch, so a higher one never comes after it.

Red first: test_turns_that_are_settled_lower_the_mark, test_lower_mark_binds_before_it_is_durable; 200 seeds of parallel turns and losses keep the bound.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -165,7 +165,12 @@
         if message.used_tokens == 0:
             _remember(self._given_up, turn_id, None, _REMEMBERED_GIVEN_UP)
         if self._term is not None:
-            self._term.ledger.settle(program_id, turn_id, message.used_tokens)
+            lower = self._term.ledger.settle(
+                program_id, turn_id, message.used_tokens
+            )
+            if lower is not None:
+                self._pending.append(_Pending(program_id, lower))
+                self._start_writing()
 
     def forget_idle(self, idle_ms: float) -> None:
         """Drops programs that were not used for long, here and durably."""
@@ -349,7 +354,7 @@
             self._pending = []
 
     async def _write(self, term: _Term, batch: list[_Pending]) -> None:
-        # Of several marks of a program the last one is the highest.
+        # Of several marks of a program the last one holds.
         marks = {each.program_id: each.mark for each in batch}
         records = [
             keyed_store.KeyedRecord(
--- a/quetzalmill/program_budgets.py
+++ b/quetzalmill/program_budgets.py
@@ -20,6 +20,10 @@
 MARKS_IN_BUDGET = 8
 """Steps in which the durable mark of a program goes through its budget."""
 
+LOWERED_STEPS = 2
+"""Steps by which a mark has to be too high to be lowered; fewer would cost a
+write for nearly each turn."""
+
 
 @attrs.define(kw_only=True)
 class Program:
@@ -30,8 +34,8 @@
         spent_tokens: What settled turns handed out.
         reserved: The most that unsettled turns may hand out, by turn.
         durable_tokens: The mark that a new owner would take as spent.
-        asked_tokens: The highest mark that was to be made durable; marks
-            never fall, as one may still be on its way.
+        asked_tokens: The highest mark that was to be made durable; while it is
+            on its way, the mark is not lowered.
         touched_ms: When it was last used.
         is_estimated: Whether ``spent_tokens`` is only a mark, from which the
             most of one turn may be taken.
@@ -220,12 +224,35 @@
             program.durable_tokens = max(program.durable_tokens, mark.tokens)
             program.slack_is_durable |= mark.slack_used
 
-    def settle(self, program_id: str, turn_id: str, used_tokens: int) -> None:
-        """Replaces a reservation by what the turn handed out."""
+    def settle(
+        self, program_id: str, turn_id: str, used_tokens: int
+    ) -> Mark | None:
+        """Replaces a reservation by what the turn handed out.
+
+        Returns:
+            A lower mark to make durable, or None. Several turns at once that
+            hand out less than their most leave a mark far too high, and an
+            owner that knows only the mark would end the program. Nothing is
+            granted beyond the lower mark from now on, so it does no harm if
+            the higher one stays.
+        """
         program = self.programs.get(program_id)
-        if program is not None and turn_id in program.reserved:
-            del program.reserved[turn_id]
-            program.spent_tokens += used_tokens
+        if program is None or turn_id not in program.reserved:
+            return None
+        del program.reserved[turn_id]
+        program.spent_tokens += used_tokens
+        if (
+            program.is_estimated
+            or program.asked_tokens > program.durable_tokens
+        ):
+            return None
+        step = max(1, program.budget_tokens // MARKS_IN_BUDGET)
+        lower_tokens = -(-program.granted_tokens // step) * step
+        if program.durable_tokens - lower_tokens < LOWERED_STEPS * step:
+            return None
+        program.durable_tokens = lower_tokens
+        program.asked_tokens = lower_tokens
+        return Mark(lower_tokens, program.slack_used)
 
     def forget_idle(self, idle_ms: float, now_ms: float) -> list[str]:
         """Drops programs unused for ``idle_ms``; returns their ids.
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -94,6 +94,79 @@
                 ledger.load("p", mark, 0.0)
         assert handed_out <= 580 + 290
 
+    def test_turns_that_are_settled_lower_the_mark(self) -> None:
+        """Sub-agents at once, then a loss of all power.
+
+        The new owner knows only the mark; at its height, with the most of all
+        turns, it would end the program.
+        """
+        ledger = program_budgets.BudgetLedger()
+        mark = program_budgets.Mark(0, False)
+        for turn in range(3):
+            outcome = _reserve(ledger, str(turn))
+            assert isinstance(outcome, program_budgets.Granted)
+            mark = outcome.mark or mark
+            ledger.made_durable("p", mark)
+        assert mark.tokens > 80
+        for turn in range(3):
+            mark = ledger.settle("p", str(turn), 5) or mark
+        after = program_budgets.BudgetLedger()
+        after.load("p", mark, 0.0)
+        for turn in range(3, 5):
+            assert isinstance(
+                _reserve(after, str(turn)), program_budgets.Granted
+            )
+
+    def test_lower_mark_binds_before_it_is_durable(self) -> None:
+        """Its write may be lost or late; grants beyond it need a new one."""
+        ledger = program_budgets.BudgetLedger()
+        for turn in range(3):
+            outcome = _reserve(ledger, str(turn))
+            assert isinstance(outcome, program_budgets.Granted)
+            if outcome.mark is not None:
+                ledger.made_durable("p", outcome.mark)
+        lower = [ledger.settle("p", str(turn), 5) for turn in range(3)][-1]
+        assert lower is not None
+        outcome = _reserve(ledger, "3")
+        assert isinstance(outcome, program_budgets.Granted)
+        assert outcome.mark is not None
+        assert outcome.mark.tokens > lower.tokens
+
+    @pytest.mark.parametrize("seed", range(200))
+    def test_losses_among_parallel_turns_never_overspend(
+        self, seed: int
+    ) -> None:
+        """Owners die at random; the last lower mark is written or not."""
+        choice = random.Random(seed)
+        ledger = program_budgets.BudgetLedger()
+        stored: program_budgets.Mark | None = None
+        running: list[str] = []
+        handed_out = 0
+        for turn in range(120):
+            outcome = _reserve(ledger, str(turn), most_tokens=20)
+            if isinstance(outcome, program_budgets.Granted):
+                if outcome.mark is not None:
+                    stored = outcome.mark
+                    ledger.made_durable("p", stored)
+                running.append(str(turn))
+            while running and choice.random() < 0.6:
+                ended = running.pop(choice.randrange(len(running)))
+                used = choice.choice([0, 5, 20])
+                handed_out += used
+                lower = ledger.settle("p", ended, used)
+                if lower is not None and choice.random() < 0.7:
+                    stored = lower
+                    ledger.made_durable("p", lower)
+            if choice.random() < 0.05:
+                # What runs as its owner dies hands out all that it may.
+                handed_out += 20 * len(running)
+                running = []
+                ledger = program_budgets.BudgetLedger()
+                if stored is not None:
+                    ledger.load("p", stored, 0.0)
+        handed_out += 20 * len(running)
+        assert handed_out <= 100 + 20
+
     def test_idle_program_is_forgotten(self) -> None:
         ledger = program_budgets.BudgetLedger()
         _reserve(ledger, "1")
