--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -37,6 +37,7 @@
 """How long an endpoint holds a request as long as none has ended."""
 
 _HELD_NEWS_WEIGHT = 0.05
+"""The weight of the last request in that time, so that about twenty count."""
 
 
 @attrs.frozen(kw_only=True)
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -52,7 +52,13 @@
 """How often a gateway looks whether a peer has a newer route table."""
 
 _CACHE_PART = 0.25
+"""The part of the memory for turns; a start takes up to a third of the smallest
+hosts' memory."""
+
 _ANSWERS_PART = 0.125
+"""The part of the memory for answers that are read whole; half as much as for
+turns, which are of use for longer."""
+
 _BYTES_PER_MB = 1_048_576
 
 _log = logs.get("gateway")
--- a/quetzalmill/http_client.py
+++ b/quetzalmill/http_client.py
@@ -30,6 +30,7 @@
 _RECEIVE_BYTES = 65_536
 _MAX_HEAD_BYTES = 65_536
 _MAX_INTERIM_HEADS = 8
+"""Interim heads before an answer; servers send one or two."""
 _DEFAULT_MAX_BODY_BYTES = 16_777_216
 _BAD_GATEWAY = 502
 
--- a/quetzalmill/program_sizes.py
+++ b/quetzalmill/program_sizes.py
@@ -19,7 +19,8 @@
 """Other requests for each turn as long as none has been seen."""
 
 _PRIOR_PROGRAMS = 30.0
-"""Programs after which what was seen outweighs what was assumed."""
+"""Programs after which what was seen outweighs what was assumed; a fleet sees
+as many within its first seconds."""
 
 
 @attrs.frozen(kw_only=True)
