--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -117,6 +117,21 @@
                 _reserve(after, str(turn)), program_budgets.Granted
             )
 
+    def test_turns_cut_by_a_loss_leave_the_program_its_budget(self) -> None:
+        """Sub-agents run as all power fails, and hand out little of theirs."""
+        ledger = program_budgets.BudgetLedger()
+        mark = program_budgets.Mark(0, False)
+        for turn in range(3):
+            outcome = _reserve(ledger, str(turn))
+            assert isinstance(outcome, program_budgets.Granted)
+            mark = outcome.mark or mark
+        after = program_budgets.BudgetLedger()
+        after.load("p", mark, 0.0)
+        for turn in range(3, 5):
+            assert isinstance(
+                _reserve(after, str(turn)), program_budgets.Granted
+            )
+
     def test_lower_mark_binds_before_it_is_durable(self) -> None:
         """Its write may be lost or late; grants beyond it need a new one."""
         ledger = program_budgets.BudgetLedger()
