Lower a mark only while no write of marks is under way

Found by reading the change once more: a write that ended after a mark was lowered made the ledger believe in the higher one, while the store had the lower; after a loss of the owner a program could get too much. Red first: test_mark_on_its_way_is_not_overtaken (the write that notes the slack). For a repeat of a mark that is still queued, the owner lowers nothing while it writes; that case has no test of its own and was not seen red.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -166,7 +166,10 @@
             _remember(self._given_up, turn_id, None, _REMEMBERED_GIVEN_UP)
         if self._term is not None:
             lower = self._term.ledger.settle(
-                program_id, turn_id, message.used_tokens
+                program_id,
+                turn_id,
+                message.used_tokens,
+                may_lower=not self._writing and not self._pending,
             )
             if lower is not None:
                 self._pending.append(_Pending(program_id, lower))
--- a/quetzalmill/program_budgets.py
+++ b/quetzalmill/program_budgets.py
@@ -225,10 +225,22 @@
             program.slack_is_durable |= mark.slack_used
 
     def settle(
-        self, program_id: str, turn_id: str, used_tokens: int
+        self,
+        program_id: str,
+        turn_id: str,
+        used_tokens: int,
+        *,
+        may_lower: bool = True,
     ) -> Mark | None:
         """Replaces a reservation by what the turn handed out.
 
+        Args:
+            program_id: The program.
+            turn_id: The turn.
+            used_tokens: What it handed out.
+            may_lower: Whether no write of marks is under way. One that ended
+                later would make a higher mark seem durable.
+
         Returns:
             A lower mark to make durable, or None. Several turns at once that
             hand out less than their most leave a mark far too high, and an
@@ -241,10 +253,9 @@
             return None
         del program.reserved[turn_id]
         program.spent_tokens += used_tokens
-        if (
-            program.is_estimated
-            or program.asked_tokens > program.durable_tokens
-        ):
+        if not may_lower or program.is_estimated:
+            return None
+        if _has_mark_on_its_way(program):
             return None
         step = max(1, program.budget_tokens // MARKS_IN_BUDGET)
         lower_tokens = -(-program.granted_tokens // step) * step
@@ -270,6 +281,14 @@
         return old
 
 
+def _has_mark_on_its_way(program: Program) -> bool:
+    """Returns whether a mark is asked for that is not durable yet."""
+    return (
+        program.asked_tokens > program.durable_tokens
+        or program.slack_used != program.slack_is_durable
+    )
+
+
 def _falls_short(program: Program) -> bool:
     """Returns whether a new owner would charge a program too little."""
     return (
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -132,6 +132,22 @@
                 _reserve(after, str(turn)), program_budgets.Granted
             )
 
+    def test_mark_on_its_way_is_not_overtaken(self) -> None:
+        """An owner that knows only the mark; its first caller leaves at once.
+
+        The write that notes the slack ends after the turn was settled, and
+        would make the ledger believe in a higher mark than the store has.
+        """
+        ledger = program_budgets.BudgetLedger()
+        ledger.load("p", program_budgets.Mark(96, False), 0.0)
+        outcome = _reserve(ledger, "1", most_tokens=30)
+        assert isinstance(outcome, program_budgets.Granted)
+        assert outcome.mark is not None
+        lower = ledger.settle("p", "1", 0)
+        ledger.made_durable("p", outcome.mark)
+        stored = lower or outcome.mark
+        assert ledger.programs["p"].durable_tokens <= stored.tokens
+
     def test_lower_mark_binds_before_it_is_durable(self) -> None:
         """Its write may be lost or late; grants beyond it need a new one."""
         ledger = program_budgets.BudgetLedger()
