Test that marks hold while slow writes of others are under way

A first form of the test, which compared what was handed out over losses of the owner, stayed green with the rule off and was dropped.

--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -277,10 +277,25 @@
     return await reply
 
 
-def _run(case: Callable[[_Gateways], Awaitable[None]]) -> None:
+class _SlowStore(memory_store.MemoryStore):
+    """A store whose calls take longer than turns follow each other."""
+
+    async def _enter(self) -> None:
+        await trio.sleep(0.02)
+        await super()._enter()
+
+
+def _run(
+    case: Callable[[_Gateways], Awaitable[None]],
+    store: memory_store.MemoryStore | None = None,
+) -> None:
     async def run() -> None:
         async with trio.open_nursery() as nursery:
-            await case(_Gateways(memory_store.MemoryStore(), _Peers(), nursery))
+            await case(
+                _Gateways(
+                    store or memory_store.MemoryStore(), _Peers(), nursery
+                )
+            )
             nursery.cancel_scope.cancel()
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
@@ -412,3 +427,39 @@
             assert granted <= 100 + 10
 
         _run(case)
+
+    @pytest.mark.parametrize("seed", range(60))
+    def test_outage_grants_only_within_the_mark_of_parallel_turns(
+        self, seed: int
+    ) -> None:
+        """Marks rise and fall while slow writes of others are under way."""
+        choice = random.Random(seed)
+
+        async def case(gateways: _Gateways) -> None:
+            owner = gateways.owner()
+            handed_out = 0
+
+            async def turns(name: str) -> None:
+                nonlocal handed_out
+                for number in range(4):
+                    turn_id = f"{name}/{number}"
+                    await trio.sleep(choice.uniform(0.0, 0.1))
+                    if not (await _ask(owner, turn_id, 15)).granted:
+                        continue
+                    await trio.sleep(choice.uniform(0.0, 0.03))
+                    used = choice.choice([0, 1])
+                    handed_out += used
+                    owner.settle(_settlement(turn_id, used))
+
+            async with trio.open_nursery() as nursery:
+                for name in range(6):
+                    nursery.start_soon(turns, str(name))
+            await trio.sleep(1.0)
+            mark = gateways.store.value("budgets", 0, "t/p")
+            gateways.store.down = True
+            granted = 0
+            while (await _ask(owner, f"last/{granted}", 1)).granted:
+                granted += 1
+            assert mark is not None and handed_out + granted <= int(mark)
+
+        _run(case, _SlowStore())
