Let what an owner has to write end with its term

Cause: marks that waited to be written belonged to the owner, not to its term. An owner that handed its partition over amid the retries of an outage and claimed it again wrote what it had queued before, and so replaced higher marks that the other owner had made durable. Lowered marks made this likelier.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -63,11 +63,17 @@
 
 @attrs.define(eq=False)
 class _Term:
-    """One time of holding the partition, from a claim to its loss."""
+    """One time of holding the partition, from a claim to its loss.
+
+    What is to be written ends with it. In a later term it would replace what
+    another owner has written since.
+    """
 
     fence: keyed_store.Fence
     ledger: program_budgets.BudgetLedger
     sequence: int = 1
+    pending: list[_Pending] = attrs.field(factory=list)
+    is_writing: bool = False
 
 
 class BudgetOwner:
@@ -109,8 +115,6 @@
         self._listening_ms = listening_ms
         self._term: _Term | None = None
         self._claiming = trio.Lock()
-        self._pending: list[_Pending] = []
-        self._writing = False
         self._last_term_number = 0
         self._instance_number = secrets.randbits(_INSTANCE_BITS)
         self._holders: dict[str, str] = {}
@@ -164,16 +168,16 @@
             )
         if message.used_tokens == 0:
             _remember(self._given_up, turn_id, None, _REMEMBERED_GIVEN_UP)
-        if self._term is not None:
-            lower = self._term.ledger.settle(
+        term = self._term
+        if term is not None:
+            lower = term.ledger.settle(
                 program_id,
                 turn_id,
                 message.used_tokens,
-                may_lower=not self._writing and not self._pending,
+                may_lower=not term.is_writing,
             )
             if lower is not None:
-                self._pending.append(_Pending(program_id, lower))
-                self._start_writing()
+                self._write_soon(term, [_Pending(program_id, lower)])
 
     def forget_idle(self, idle_ms: float) -> None:
         """Drops programs that were not used for long, here and durably."""
@@ -181,8 +185,9 @@
         if term is None:
             return
         old = term.ledger.forget_idle(idle_ms, self._clock.now_ms())
-        self._pending += [_Pending(program_id, None) for program_id in old]
-        self._start_writing()
+        self._write_soon(
+            term, [_Pending(program_id, None) for program_id in old]
+        )
 
     async def _reserve(
         self, message: gateway_messages.ReserveTurn
@@ -193,8 +198,7 @@
         if isinstance(outcome, gateway_messages.ReserveReply):
             return outcome
         pending = _Pending(message.program_id, outcome)
-        self._pending.append(pending)
-        self._start_writing()
+        self._write_soon(term, [pending])
         await pending.done.wait()
         if pending.error is not None:
             raise pending.error
@@ -339,22 +343,22 @@
         """
         return term_number << _INSTANCE_BITS | self._instance_number
 
-    def _start_writing(self) -> None:
-        if self._pending and not self._writing:
-            self._writing = True
-            self._nursery.start_soon(self._write_all)
+    def _write_soon(self, term: _Term, pending: list[_Pending]) -> None:
+        term.pending += pending
+        if term.pending and not term.is_writing:
+            term.is_writing = True
+            self._nursery.start_soon(self._write_all, term)
 
-    async def _write_all(self) -> None:
+    async def _write_all(self, term: _Term) -> None:
         """Writes marks, all that wait in one call, until none waits."""
         try:
-            while self._pending and self._term is not None:
-                batch, self._pending = self._pending, []
-                await self._write(self._term, batch)
+            while term.pending and self._term is term:
+                batch, term.pending = term.pending, []
+                await self._write(term, batch)
         finally:
-            self._writing = False
-        if self._pending:
-            _fail(self._pending, errors.NotDoneError("the partition is lost"))
-            self._pending = []
+            term.is_writing = False
+        _fail(term.pending, errors.NotDoneError("the partition is lost"))
+        term.pending = []
 
     async def _write(self, term: _Term, batch: list[_Pending]) -> None:
         # Of several marks of a program the last one holds.
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -428,6 +428,30 @@
 
         _run(case)
 
+    def test_writes_of_an_old_term_do_not_reach_the_next(self) -> None:
+        """An owner hands over amid an outage's retries, then claims again.
+
+        What it had queued before is older than what the other one wrote.
+        """
+
+        async def case(gateways: _Gateways) -> None:
+            first, second = gateways.owner(), gateways.owner()
+            assert (await _ask(first, "1", 10)).granted
+            gateways.store.down = True
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_ask, first, "2", 10)
+                nursery.start_soon(_ask, first, "3", 10)
+            gateways.store.down = False
+            gateways.peers.others = [first]
+            assert (await _ask(second, "4", 80)).granted
+            gateways.peers.others = [second]
+            assert (await _ask(first, "5", 5)).granted
+            await trio.sleep(2.0)
+            mark = gateways.store.value("budgets", 0, "t/p")
+            assert mark is not None and int(mark) >= 10 + 80 + 5
+
+        _run(case)
+
     @pytest.mark.parametrize("seed", range(60))
     def test_outage_grants_only_within_the_mark_of_parallel_turns(
         self, seed: int
