Test that a next term grants nothing that waited for the one before

The gateway lost partition 11 at 19.306 s amid the retries of an outage and claimed it again at 19.376 s; at 19.410 s the old term's write was refused, and the writer went on with the new term: the turn that waited was granted, while the new term's ledger did not know its program, and three turns followed.

--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -440,6 +440,7 @@
             gateways.store.down = True
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_ask, first, "2", 10)
+                await trio.sleep(0.1)
                 nursery.start_soon(_ask, first, "3", 10)
             gateways.store.down = False
             gateways.peers.others = [first]
@@ -452,6 +453,41 @@
 
         _run(case)
 
+    def test_turn_that_waits_for_an_old_term_is_not_granted_by_the_next(
+        self,
+    ) -> None:
+        """The next term does not know of it, so it would run uncharged."""
+
+        async def case(gateways: _Gateways) -> None:
+            first = gateways.owner()
+            assert (await _ask(first, "1", 10)).granted
+            granted = 10
+
+            async def ask(turn_id: str) -> None:
+                nonlocal granted
+                if (await _ask(first, turn_id, 20)).granted:
+                    granted += 20
+
+            async with trio.open_nursery() as nursery:
+                gateways.store.down = True
+                nursery.start_soon(ask, "2")
+                await trio.sleep(0.2)
+                for turn_id in ("3", "4"):
+                    nursery.start_soon(ask, turn_id)
+                await trio.sleep(0.2)
+                gateways.store.down = False
+                # Another gateway asks for the accounts and then dies.
+                first.hand_over()
+                assert (await _ask(first, "5", 1)).granted
+                granted += 1
+            for number in range(20):
+                if (await _ask(first, f"last {number}", 10)).granted:
+                    granted += 10
+            # The budget, and the most of one turn.
+            assert granted <= 100 + 20
+
+        _run(case)
+
     @pytest.mark.parametrize("seed", range(60))
     def test_outage_grants_only_within_the_mark_of_parallel_turns(
         self, seed: int
