Give each rule of gateways one place

Whether a program is new comes with its grant, not from a second look; a control call that fails closes the idle connections itself, not each of its callers; silence limits are worked out once for all peers, not for each; what makes a request a turn is asked in one place; an unused name is gone. Behaviour stays, but that an answer with another status than 200 leaves its connection open.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -193,16 +193,15 @@
         self, message: gateway_messages.ReserveTurn
     ) -> gateway_messages.ReserveReply:
         term = await self._hold()
-        is_first = term.ledger.is_new(message.program_id)
         outcome = self._reserve_in(term, message)
         if isinstance(outcome, gateway_messages.ReserveReply):
             return outcome
-        pending = _Pending(message.program_id, outcome)
+        pending = _Pending(message.program_id, outcome.mark)
         self._write_soon(term, [pending])
         await pending.done.wait()
         if pending.error is not None:
             raise pending.error
-        return self._granted(message, is_first=is_first)
+        return self._granted(message, outcome)
 
     def hand_over(self) -> tuple[int, dict[str, program_budgets.Account]]:
         """Stops owning the partition.
@@ -219,12 +218,11 @@
 
     def _reserve_in(
         self, term: _Term, message: gateway_messages.ReserveTurn
-    ) -> gateway_messages.ReserveReply | program_budgets.Mark:
-        """Returns the reply, or the mark that must be durable before it."""
+    ) -> gateway_messages.ReserveReply | program_budgets.Granted:
+        """Returns the reply, or the grant whose mark must be durable first."""
         if message.turn_id in self._given_up:
             # Its caller left while this gateway was claiming the partition.
             return _cannot_tell("the turn was given up before")
-        is_first = term.ledger.is_new(message.program_id)
         outcome = term.ledger.reserve(
             message.program_id,
             message.turn_id,
@@ -240,16 +238,18 @@
                 f"{outcome.budget_tokens} tokens are granted",
             )
         if outcome.mark is None:
-            return self._granted(message, is_first=is_first)
-        return outcome.mark
+            return self._granted(message, outcome)
+        return outcome
 
     def _granted(
-        self, message: gateway_messages.ReserveTurn, *, is_first: bool
+        self,
+        message: gateway_messages.ReserveTurn,
+        granted: program_budgets.Granted,
     ) -> gateway_messages.ReserveReply:
         return gateway_messages.ReserveReply(
             granted=True,
             holder=self._holders.get(message.previous_id, ""),
-            is_first=is_first,
+            is_first=granted.is_first,
             ran_on=self._ran_on.get(message.program_id, ""),
         )
 
--- a/quetzalmill/budget_peers.py
+++ b/quetzalmill/budget_peers.py
@@ -48,7 +48,6 @@
                     timeout_ms=PEER_TIMEOUT_MS,
                 )
             except errors.ControlError as error:
-                self._client.drop(address)
                 _log.info("peer_not_asked", peer=address, reason=str(error))
             else:
                 replies.append(reply)
--- a/quetzalmill/chain_source.py
+++ b/quetzalmill/chain_source.py
@@ -191,7 +191,6 @@
                 timeout_ms=PEER_TIMEOUT_MS,
             )
         except errors.ControlError as error:
-            self._client.drop(address)
             _log.info("peer_not_asked", peer=address, reason=str(error))
             return
         for turn in reply.turns:
@@ -230,7 +229,6 @@
                 timeout_ms=OWNER_TIMEOUT_MS,
             )
         except errors.ControlError as error:
-            self._client.drop(owner)
             _log.info("owner_not_asked", peer=owner, reason=str(error))
             return None
         return reply
--- a/quetzalmill/control.py
+++ b/quetzalmill/control.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Awaitable, Callable, Mapping
 import inspect
-from typing import Any, TypeVar
+from typing import Any
 
 import attrs
 import grpclib.client
@@ -25,8 +25,6 @@
 
 SERVICE = "quetzalmill.Control"
 
-_Reply = TypeVar("_Reply")
-
 
 @attrs.define
 class Traffic:
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -365,7 +365,6 @@
                 table = self._decode_table(reply.document)
                 self.state.take_table(table, f"peer {address}")
         except (errors.ControlError, errors.CodecError) as error:
-            self._control.drop(address)
             _log.info("table_not_fetched", peer=address, reason=str(error))
 
     async def _serve_all(self, nursery: trio.Nursery) -> None:
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -215,7 +215,7 @@
             return outcomes.Refused(
                 status=503, reason="the route's service is not configured"
             )
-        if self.route.stateful or gateway_turns.has_budget(self.call):
+        if self._is_turn():
             return await self._run_turn(service)
         self.prepared_ms = self._state.clock.now_ms()
         return await self._run(service, self.call.http.body, 0.0)
@@ -266,11 +266,15 @@
             )
         )
 
+    def _is_turn(self) -> bool:
+        """Returns whether the request is a turn of a program."""
+        assert self.route is not None
+        return self.route.stateful or gateway_turns.has_budget(self.call)
+
     def _turn_route(self) -> str:
         """Returns the route's name for turns; empty for other requests."""
         assert self.route is not None
-        is_turn = self.route.stateful or gateway_turns.has_budget(self.call)
-        return self.route.name if is_turn else ""
+        return self.route.name if self._is_turn() else ""
 
     def _rate_patience_ms(self) -> float:
         patience_ms = max(0.0, RATE_PATIENCE_PART * self._left_ms())
--- a/quetzalmill/peer_http.py
+++ b/quetzalmill/peer_http.py
@@ -59,6 +59,9 @@
     ) -> Any:
         """Makes one call and returns its reply.
 
+        A connection may fall silent for good while new ones work, so a call
+        that fails closes the idle ones to its address too.
+
         Raises:
             errors.ControlError: No reply came within ``timeout_ms``; the call
                 may or may not have taken effect.
@@ -82,18 +85,11 @@
                 )
             return codec.from_msgpack(response.body, method.reply_type)
         except (errors.HttpError, errors.CodecError) as error:
+            self._http.drop(address)
             raise errors.ControlError(
                 f"{method.name} to {address} failed: {error!r}"
             ) from error
 
-    def drop(self, address: str) -> None:
-        """Closes the idle connections to an address.
-
-        A connection may fall silent for good while new ones work, so callers
-        drop them after a call that was not answered.
-        """
-        self._http.drop(address)
-
     async def aclose(self) -> None:
         """Closes every idle connection."""
         await self._http.aclose()
--- a/quetzalmill/peers.py
+++ b/quetzalmill/peers.py
@@ -5,6 +5,7 @@
 stays known for a while, because it may be cut off rather than dead.
 """
 
+from collections.abc import Iterable
 import functools
 import hashlib
 
@@ -212,10 +213,9 @@
         if not self._is_relayed():
             return False
         ranked = [
-            _relay_rank(peer.beat.link_mbps, address)
-            for address, peer in self._peers.items()
-            if self.is_in_own_domain(peer.beat)
-            and self._may_relay(peer, now_ms)
+            _relay_rank(beat.link_mbps, beat.address)
+            for beat in self.alive(now_ms)
+            if self.is_in_own_domain(beat) and not beat.leaving
         ]
         own = _relay_rank(self._link_mbps, self._address)
         return sum(rank > own for rank in ranked) < count
@@ -226,25 +226,36 @@
         Where none is heard, those last heard stand in: if they live, their
         domain was only cut off.
         """
-        heard: dict[str, list[str]] = {}
-        silent: dict[str, list[str]] = {}
-        for address, peer in self._peers.items():
-            if not self.is_in_own_domain(peer.beat):
-                found = heard if self._may_relay(peer, now_ms) else silent
-                found.setdefault(peer.beat.failure_domain, []).append(address)
-        return list({**silent, **heard}.values())
+        known = self._by_other_domain(
+            peer.beat for peer in self._peers.values()
+        )
+        heard = self._by_other_domain(
+            beat for beat in self.alive(now_ms) if not beat.leaving
+        )
+        return list({**known, **heard}.values())
 
-    def _may_relay(self, peer: _Peer, now_ms: float) -> bool:
-        return not peer.beat.leaving and self._is_heard(peer, now_ms)
+    def _by_other_domain(self, beats: Iterable[Beat]) -> dict[str, list[str]]:
+        addresses: dict[str, list[str]] = {}
+        for beat in beats:
+            if not self.is_in_own_domain(beat):
+                addresses.setdefault(beat.failure_domain, []).append(
+                    beat.address
+                )
+        return addresses
 
     def _is_relayed(self) -> bool:
         return len(self._peers) > FEW_PEERS
 
-    def _is_heard(self, peer: _Peer, now_ms: float) -> bool:
-        silent_ms = SILENT_MS * self._slowdown()
-        if self._is_relayed() and not self.is_in_own_domain(peer.beat):
-            silent_ms += RELAYED_MS
-        return now_ms - peer.heard_ms <= silent_ms
+    def _heard(self, now_ms: float) -> list[_Peer]:
+        """Returns the peers that are heard."""
+        own_ms = SILENT_MS * self._slowdown()
+        other_ms = own_ms + (RELAYED_MS if self._is_relayed() else 0.0)
+        return [
+            peer
+            for peer in self._peers.values()
+            if now_ms - peer.heard_ms
+            <= (own_ms if self.is_in_own_domain(peer.beat) else other_ms)
+        ]
 
     def beat_ms(self) -> float:
         """Returns the time until the next beat."""
@@ -255,11 +266,7 @@
 
     def alive(self, now_ms: float) -> list[Beat]:
         """Returns the last beats of peers that are heard."""
-        return [
-            peer.beat
-            for peer in self._peers.values()
-            if self._is_heard(peer, now_ms)
-        ]
+        return [peer.beat for peer in self._heard(now_ms)]
 
     def heard_part(self, now_ms: float) -> float:
         """Returns the part of all gateways that is heard, this one included."""
@@ -278,14 +285,10 @@
 
     def news_age_ms(self, now_ms: float) -> float:
         """Returns how old beats are on average until the next ones come."""
-        heard = [
-            now_ms - peer.heard_ms
-            for peer in self._peers.values()
-            if self._is_heard(peer, now_ms)
-        ]
-        if not heard:
+        ages_ms = [now_ms - peer.heard_ms for peer in self._heard(now_ms)]
+        if not ages_ms:
             return 0.0
-        age_ms = sum(heard) / len(heard) + self.beat_ms() / 2.0
+        age_ms = sum(ages_ms) / len(ages_ms) + self.beat_ms() / 2.0
         return age_ms + (RELAYED_MS / 2.0 if self._is_relayed() else 0.0)
 
     def trouble(
--- a/quetzalmill/program_budgets.py
+++ b/quetzalmill/program_budgets.py
@@ -84,9 +84,15 @@
 
 @attrs.frozen
 class Granted:
-    """The turn may run once ``mark`` is durable; None if it is."""
+    """The turn may run once ``mark`` is durable; None if it is.
+
+    Attributes:
+        mark: What has to be durable first.
+        is_first: Whether its program had been granted nothing before.
+    """
 
     mark: Mark | None
+    is_first: bool
 
 
 @attrs.frozen
@@ -195,13 +201,14 @@
             program.spent_tokens = max(0, program.spent_tokens - most_tokens)
             program.slack_used = True
         program.is_estimated = False
+        is_first = program.granted_tokens == 0
         if turn_id not in program.reserved:
             granted = program.granted_tokens
             if granted + most_tokens > budget_tokens:
                 return Spent(granted, budget_tokens)
             program.reserved[turn_id] = most_tokens
         if not _falls_short(program):
-            return Granted(None)
+            return Granted(None, is_first)
         step = max(1, budget_tokens // MARKS_IN_BUDGET)
         steps = -(-program.granted_tokens // step)
         ahead_tokens = max(
@@ -210,12 +217,7 @@
         program.asked_tokens = max(
             ahead_tokens, program.durable_tokens, program.asked_tokens
         )
-        return Granted(Mark(program.asked_tokens, program.slack_used))
-
-    def is_new(self, program_id: str) -> bool:
-        """Returns whether a program has been granted nothing yet."""
-        program = self.programs.get(program_id)
-        return program is None or program.granted_tokens == 0
+        return Granted(Mark(program.asked_tokens, program.slack_used), is_first)
 
     def made_durable(self, program_id: str, mark: Mark) -> None:
         """Records that a mark is durable."""
--- a/quetzalmill/turn_keeper.py
+++ b/quetzalmill/turn_keeper.py
@@ -122,7 +122,6 @@
                 timeout_ms=PEER_TIMEOUT_MS,
             )
         except errors.ControlError as error:
-            self._client.drop(address)
             _log.info("peer_wrote_no_turn", peer=address, reason=str(error))
             return False
         return reply.durable
--- a/tests/test_chain_source.py
+++ b/tests/test_chain_source.py
@@ -53,9 +53,6 @@
             raise errors.ControlError("no reply")
         return reply
 
-    def drop(self, address: str) -> None:
-        """Drops nothing."""
-
 
 class _Partition:
     """The store's turns of one partition."""
