--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -100,13 +100,7 @@
         The new owner knows only the mark; at its height, with the most of all
         turns, it would end the program.
         """
-        ledger = program_budgets.BudgetLedger()
-        mark = program_budgets.Mark(0, False)
-        for turn in range(3):
-            outcome = _reserve(ledger, str(turn))
-            assert isinstance(outcome, program_budgets.Granted)
-            mark = outcome.mark or mark
-            ledger.made_durable("p", mark)
+        ledger, mark = _with_three_turns()
         assert mark.tokens > 80
         for turn in range(3):
             mark = ledger.settle("p", str(turn), 5) or mark
@@ -119,12 +113,7 @@
 
     def test_turns_cut_by_a_loss_leave_the_program_its_budget(self) -> None:
         """Sub-agents run as all power fails, and hand out little of theirs."""
-        ledger = program_budgets.BudgetLedger()
-        mark = program_budgets.Mark(0, False)
-        for turn in range(3):
-            outcome = _reserve(ledger, str(turn))
-            assert isinstance(outcome, program_budgets.Granted)
-            mark = outcome.mark or mark
+        _, mark = _with_three_turns()
         after = program_budgets.BudgetLedger()
         after.load("p", mark, 0.0)
         for turn in range(3, 5):
@@ -150,12 +139,7 @@
 
     def test_lower_mark_binds_before_it_is_durable(self) -> None:
         """Its write may be lost or late; grants beyond it need a new one."""
-        ledger = program_budgets.BudgetLedger()
-        for turn in range(3):
-            outcome = _reserve(ledger, str(turn))
-            assert isinstance(outcome, program_budgets.Granted)
-            if outcome.mark is not None:
-                ledger.made_durable("p", outcome.mark)
+        ledger, _ = _with_three_turns()
         lower = [ledger.settle("p", str(turn), 5) for turn in range(3)][-1]
         assert lower is not None
         outcome = _reserve(ledger, "3")
@@ -206,6 +190,20 @@
         assert ledger.forget_idle(10.0, 100.0) == ["p"]
 
 
+def _with_three_turns() -> tuple[
+    program_budgets.BudgetLedger, program_budgets.Mark
+]:
+    """Returns a ledger with three turns under way, and its durable mark."""
+    ledger = program_budgets.BudgetLedger()
+    mark = program_budgets.Mark(0, False)
+    for turn in range(3):
+        outcome = _reserve(ledger, str(turn))
+        assert isinstance(outcome, program_budgets.Granted)
+        mark = outcome.mark or mark
+        ledger.made_durable("p", mark)
+    return ledger, mark
+
+
 def _reserve(
     ledger: program_budgets.BudgetLedger, turn_id: str, most_tokens: int = 30
 ) -> program_budgets.Granted | program_budgets.Spent:
--- a/tests/test_gateway_turns.py
+++ b/tests/test_gateway_turns.py
@@ -1,5 +1,6 @@
 """Tests of preparing turns at one gateway."""
 
+from typing import Any
 import unittest.mock
 
 import attrs
@@ -49,6 +50,20 @@
         raise AssertionError
 
 
+def _turns(nursery: trio.Nursery, source: Any) -> gateway_turns.Turns:
+    """Returns what prepares turns at a gateway without peers."""
+    state = lone_gateway.state(clock_module.SystemClock())
+    owner = lone_gateway.owner(state, memory_store.MemoryStore(), nursery)
+    return gateway_turns.Turns(
+        state,
+        source,
+        unittest.mock.Mock(),
+        [owner],
+        unittest.mock.Mock(),
+        nursery,
+    )
+
+
 class TestCallerLeaves:
     """A caller that gives a turn up before it runs."""
 
@@ -56,17 +71,8 @@
         """Else the program's next turns would find its budget spent."""
 
         async def run() -> None:
-            state = lone_gateway.state(clock_module.SystemClock())
-            store = memory_store.MemoryStore()
             async with trio.open_nursery() as nursery:
-                turns = gateway_turns.Turns(
-                    state,
-                    _SlowSource(),  # type: ignore[arg-type]
-                    unittest.mock.Mock(),
-                    [lone_gateway.owner(state, store, nursery)],
-                    unittest.mock.Mock(),
-                    nursery,
-                )
+                turns = _turns(nursery, _SlowSource())
                 with trio.move_on_after(2.0) as scope:
                     await turns.prepare(_CALL, "weddings", is_stored=True)
                 assert scope.cancelled_caught
@@ -114,17 +120,8 @@
         """Else a program that changes gateways is read anew each time."""
 
         async def run() -> None:
-            state = lone_gateway.state(clock_module.SystemClock())
-            store = memory_store.MemoryStore()
             async with trio.open_nursery() as nursery:
-                turns = gateway_turns.Turns(
-                    state,
-                    unittest.mock.Mock(),
-                    unittest.mock.Mock(),
-                    [lone_gateway.owner(state, store, nursery)],
-                    unittest.mock.Mock(),
-                    nursery,
-                )
+                turns = _turns(nursery, unittest.mock.Mock())
                 seen = []
                 for turn_id in ("t1", "t2"):
                     call = attrs.evolve(
