--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -90,6 +90,8 @@
         held: The partitions that this gateway has claimed, kept up to date.
         listening_ms: Returns how long this gateway has yet to listen until it
             has heard all living peers; only they know accounts exactly.
+        claim_ended: Is told whether a claim of the partition succeeded and how
+            many milliseconds it took.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         store_reached: Callable[[], bool],
         held: set[int],
         listening_ms: Callable[[], float],
+        claim_ended: Callable[[bool, float], None],
     ) -> None:
         self._part = part
         self._store = store
@@ -113,6 +116,7 @@
         self._store_reached = store_reached
         self._held: set[int] = held
         self._listening_ms = listening_ms
+        self._claim_ended = claim_ended
         self._term: _Term | None = None
         self._claiming = trio.Lock()
         self._last_term_number = 0
@@ -257,14 +261,38 @@
         """Returns the current term, claiming the partition if need be."""
         async with self._claiming:
             if self._term is None:
-                await trio.sleep(self._listening_ms() / 1000.0)
-                if not self._store_reached():
-                    raise errors.NotDoneError("the store is away")
-                self._term = await self._claim()
+                self._term = await self._claim_reported()
                 self._held.add(self._part)
             return self._term
 
+    async def _claim_reported(self) -> _Term:
+        """Claims the partition, and says how that ended."""
+        started_ms = self._clock.now_ms()
+        reason = "its request waited no longer"
+        try:
+            term = await self._claim()
+        except errors.PortError as error:
+            reason = str(error)
+            raise
+        else:
+            reason = ""
+            return term
+        finally:
+            took_ms = self._clock.now_ms() - started_ms
+            self._claim_ended(not reason, took_ms)
+            if reason:
+                _log.warning(
+                    "partition_not_claimed",
+                    topic=TOPIC,
+                    part=self._part,
+                    reason=reason,
+                    took_ms=round(took_ms),
+                )
+
     async def _claim(self) -> _Term:
+        await trio.sleep(self._listening_ms() / 1000.0)
+        if not self._store_reached():
+            raise errors.NotDoneError("the store is away")
         fence = await self._shut_out_others()
         found = await self._store.newest(
             TOPIC, self._part, timeout_ms=2 * WRITE_TIMEOUT_MS
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -240,6 +240,7 @@
                 self.state.store_reached,
                 self.state.holds,
                 self.state.listening_ms,
+                self.metrics.claim,
             )
             for part in parts
         ]
--- a/quetzalmill/gateway_metrics.py
+++ b/quetzalmill/gateway_metrics.py
@@ -24,6 +24,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._claims = prometheus_client.Histogram(
+            "quetzalmill_claim_seconds",
+            "Time that claims of partitions of budgets took, by outcome.",
+            ["outcome"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
         self._gauges = prometheus_client.Gauge(
             "quetzalmill_state",
             "What the gateway believes, by name.",
@@ -36,6 +43,11 @@
         self._requests.labels(route, outcome).inc()
         self._latency.labels(outcome).observe(took_ms / 1000.0)
 
+    def claim(self, succeeded: bool, took_ms: float) -> None:
+        """Counts a claim of a partition of budgets that has ended."""
+        outcome = "claimed" if succeeded else "failed"
+        self._claims.labels(outcome).observe(took_ms / 1000.0)
+
     def set_state(self, name: str, value: float) -> None:
         """Sets what the gateway believes now."""
         self._gauges.labels(name).set(value)
--- a/tests/lone_gateway.py
+++ b/tests/lone_gateway.py
@@ -45,4 +45,5 @@
         beliefs.store_reached,
         beliefs.holds,
         lambda: 0.0,
+        lambda succeeded, took_ms: None,
     )
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -237,6 +237,7 @@
     peers: _Peers
     nursery: trio.Nursery
     listening_ms: float = 0.0
+    claims: list[bool] = attrs.field(factory=list)
 
     def owner(self) -> budget_owner.BudgetOwner:
         """Returns the owner that one more gateway would be."""
@@ -250,6 +251,7 @@
             lambda: not self.store.down,
             set(),
             lambda: self.listening_ms,
+            lambda succeeded, took_ms: self.claims.append(succeeded),
         )
 
 
