Test that a claim outlives its requests and keeps what it was handed: red

A store that hands a partition out for 1,560 ms, 20 turns that wait 1,200 ms each: none is granted, each begins the claim anew. And a claim whose first write is refused after the owner before has handed its accounts over: the next claim knows only the mark and answers 402.

--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -11,7 +11,9 @@
 from quetzalmill import budget_owner
 from quetzalmill import budget_peers
 from quetzalmill import clock as clock_module
+from quetzalmill import errors
 from quetzalmill import gateway_messages
+from quetzalmill import keyed_store
 from quetzalmill import program_budgets
 from tests import memory_store
 
@@ -285,6 +287,47 @@
         await super()._enter()
 
 
+class _LargeStore(memory_store.MemoryStore):
+    """A store that hands a partition out for longer than a turn waits."""
+
+    async def newest(
+        self, topic: str, part: int, *, timeout_ms: float
+    ) -> keyed_store.Records:
+        """Returns the newest record of each key, after a while."""
+        await trio.sleep(1.3 * budget_owner.RESERVE_TIMEOUT_MS / 1000.0)
+        return await super().newest(topic, part, timeout_ms=timeout_ms)
+
+
+class _RefusingStore(memory_store.MemoryStore):
+    """A store that refuses the first writes of owners.
+
+    Attributes:
+        refusals: Writes to come that are refused.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.refusals = 0
+
+    async def append_fenced(
+        self,
+        topic: str,
+        part: int,
+        records: list[keyed_store.KeyedRecord],
+        fence: keyed_store.Fence,
+        sequence: int,
+        *,
+        timeout_ms: float,
+    ) -> None:
+        """Appends records, unless it is to refuse."""
+        if self.refusals:
+            self.refusals -= 1
+            raise errors.NotDoneError("too much is waiting")
+        await super().append_fenced(
+            topic, part, records, fence, sequence, timeout_ms=timeout_ms
+        )
+
+
 def _run(
     case: Callable[[_Gateways], Awaitable[None]],
     store: memory_store.MemoryStore | None = None,
@@ -352,6 +395,44 @@
 
         _run(case)
 
+    def test_claim_outlives_the_requests_that_wait_for_it(self) -> None:
+        """Else each request begins it anew and the partition has no owner."""
+
+        async def case(gateways: _Gateways) -> None:
+            owner = gateways.owner()
+            granted: list[str] = []
+
+            async def ask(turn_id: str) -> None:
+                if (await _ask(owner, turn_id, 1)).granted:
+                    granted.append(turn_id)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(20):
+                    nursery.start_soon(ask, str(number))
+                    await trio.sleep(0.2)
+            # All whose patience lasts until the one claim has ended.
+            assert len(granted) >= 16
+            assert gateways.claims == [True]
+
+        _run(case, _LargeStore())
+
+    def test_claim_that_fails_keeps_the_accounts_it_was_handed(self) -> None:
+        """The owner before has given them up, so nobody else knows them."""
+        store = _RefusingStore()
+
+        async def case(gateways: _Gateways) -> None:
+            first, second = gateways.owner(), gateways.owner()
+            assert (await _ask(first, "1", 84)).granted
+            first.settle(_settlement("1", 62))
+            gateways.peers.others = [first]
+            store.refusals = 1
+            assert not (await _ask(second, "2", 19)).granted
+            for turn_id in ("3", "4"):
+                assert (await _ask(second, turn_id, 19)).granted
+            assert gateways.claims == [True, False, True]
+
+        _run(case, store)
+
     def test_accounts_of_an_older_owner_do_not_count(self) -> None:
         async def case(gateways: _Gateways) -> None:
             oldest = gateways.owner()
