Let the claim of a partition outlive the request that began it

Callers saw: turns of one partition's programs refused with 503, or not answered by their deadline, in every try for as long as requests came, after a loss of all power, while all others were served.

Cause: the claim ran inside the first request that waited for it. When that one had waited its 1,200 ms, the claim was cancelled and the next request began anew: fence, reading, questions to all peers. A claim that takes longer than one request waits never ended. Class: work that many wait for, bound to the patience of one; the same as the reading of a partition of turns before.

Why this works: the claim is a task of its own, one at a time; requests only wait for its end, each for its own time, and all hear at once if it fails. Another exception than the store's errors fails the claim, not the gateway.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -76,6 +76,19 @@
     is_writing: bool = False
 
 
+@attrs.define(eq=False)
+class _Claim:
+    """A claim under way; many requests may wait for it.
+
+    Attributes:
+        done: Set once it has ended.
+        error: Why it failed; None if it did not.
+    """
+
+    done: trio.Event = attrs.field(factory=trio.Event)
+    error: errors.PortError | None = None
+
+
 class BudgetOwner:
     """Reserves and settles turns for one partition.
 
@@ -118,7 +131,7 @@
         self._listening_ms = listening_ms
         self._claim_ended = claim_ended
         self._term: _Term | None = None
-        self._claiming = trio.Lock()
+        self._claim: _Claim | None = None
         self._last_term_number = 0
         self._instance_number = secrets.randbits(_INSTANCE_BITS)
         self._holders: dict[str, str] = {}
@@ -258,38 +271,47 @@
         )
 
     async def _hold(self) -> _Term:
-        """Returns the current term, claiming the partition if need be."""
-        async with self._claiming:
-            if self._term is None:
-                self._term = await self._claim_reported()
-                self._held.add(self._part)
-            return self._term
-
-    async def _claim_reported(self) -> _Term:
+        """Returns the current term, claiming the partition if need be.
+
+        The claim outlives the request that begins it. If it ended with that
+        request, the next one would begin anew, for ever.
+        """
+        while self._term is None:
+            if self._claim is None:
+                self._claim = _Claim()
+                self._nursery.start_soon(self._claim_for_all, self._claim)
+            claim = self._claim
+            await claim.done.wait()
+            if claim.error is not None:
+                raise claim.error
+        return self._term
+
+    async def _claim_for_all(self, claim: _Claim) -> None:
         """Claims the partition, and says how that ended."""
         started_ms = self._clock.now_ms()
-        reason = "its request waited no longer"
         try:
-            term = await self._claim()
+            self._term = await self._open_term()
+            self._held.add(self._part)
         except errors.PortError as error:
-            reason = str(error)
-            raise
-        else:
-            reason = ""
-            return term
+            claim.error = error
+        except Exception as error:
+            _log.exception("claim_failed", topic=TOPIC, part=self._part)
+            claim.error = errors.NotDoneError(repr(error))
         finally:
-            took_ms = self._clock.now_ms() - started_ms
-            self._claim_ended(not reason, took_ms)
-            if reason:
-                _log.warning(
-                    "partition_not_claimed",
-                    topic=TOPIC,
-                    part=self._part,
-                    reason=reason,
-                    took_ms=round(took_ms),
-                )
+            self._claim = None
+            claim.done.set()
+        took_ms = self._clock.now_ms() - started_ms
+        self._claim_ended(claim.error is None, took_ms)
+        if claim.error is not None:
+            _log.warning(
+                "partition_not_claimed",
+                topic=TOPIC,
+                part=self._part,
+                reason=str(claim.error),
+                took_ms=round(took_ms),
+            )
 
-    async def _claim(self) -> _Term:
+    async def _open_term(self) -> _Term:
         await trio.sleep(self._listening_ms() / 1000.0)
         if not self._store_reached():
             raise errors.NotDoneError("the store is away")
