Keep the accounts of a term until the next claim of the partition

Callers saw: 402 for a program whose budget held its turn, after a claim had failed halfway.

Cause: a claim asks the owner before for its accounts, and that one forgets them as it hands them over. If the claim then fails, or the reply is lost, or the owner was shut out by a claim that never began its term, nobody knows them any more, and the next claim charges the marks. Class: state given up before its taker holds it.

Why this works: an owner keeps the accounts of its last term until it claims anew. They count only under the epoch that the store names as the last one in force, so they are never older than what another owner granted.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -43,6 +43,7 @@
 _RETRY_FIRST_MS = 50.0
 _RETRY_MOST_MS = 800.0
 _INSTANCE_BITS = 16
+_NO_EPOCH = 0
 _CLAIM_TRIES = 4
 _REMEMBERED_HOLDERS = 20_000
 _REMEMBERED_PROGRAMS = 20_000
@@ -76,6 +77,14 @@
     is_writing: bool = False
 
 
+@attrs.frozen
+class _Accounts:
+    """The accounts of a term that has ended, by program."""
+
+    epoch: int = _NO_EPOCH
+    by_program: dict[str, program_budgets.Account] = attrs.field(factory=dict)
+
+
 @attrs.define(eq=False)
 class _Claim:
     """A claim under way; many requests may wait for it.
@@ -132,6 +141,7 @@
         self._claim_ended = claim_ended
         self._term: _Term | None = None
         self._claim: _Claim | None = None
+        self._last_accounts = _Accounts()
         self._last_term_number = 0
         self._instance_number = secrets.randbits(_INSTANCE_BITS)
         self._holders: dict[str, str] = {}
@@ -223,15 +233,18 @@
     def hand_over(self) -> tuple[int, dict[str, program_budgets.Account]]:
         """Stops owning the partition.
 
+        The reply may get lost and the claim that asked may fail, so accounts
+        are handed over again until this gateway claims anew. They stay exact
+        for as long as no other epoch than theirs is in force.
+
         Returns:
-            The epoch under which it was owned, 0 if it was not, and the
+            The epoch under which it was owned last, 0 if it was not, and the
             accounts.
         """
-        term = self._term
-        if term is None:
-            return 0, {}
-        self._lose(term, keyed_store.FencedError("handed over to a peer"))
-        return term.fence.epoch, term.ledger.accounts()
+        if self._term is not None:
+            error = keyed_store.FencedError("handed over to a peer")
+            self._lose(self._term, error)
+        return self._last_accounts.epoch, self._last_accounts.by_program
 
     def _reserve_in(
         self, term: _Term, message: gateway_messages.ReserveTurn
@@ -326,22 +339,26 @@
         }
         last_epoch = int(values.pop(EPOCH_KEY, b"0"))
         replies = await self._peers.hand_over(self._part)
+        known = [_Accounts(each.epoch, each.accounts) for each in replies]
+        known.append(self._last_accounts)
         ledger = program_budgets.BudgetLedger()
         now_ms = self._clock.now_ms()
         for program_id, value in values.items():
             ledger.load(program_id, program_budgets.decode_mark(value), now_ms)
-        exact = [reply for reply in replies if reply.epoch == last_epoch]
-        if last_epoch and exact:
-            ledger.take_over(exact[0].accounts, now_ms)
+        exact = [each for each in known if each.epoch == last_epoch]
+        is_exact = last_epoch != _NO_EPOCH and bool(exact)
+        if is_exact:
+            ledger.take_over(exact[0].by_program, now_ms)
         term = _Term(fence, ledger)
         await self._open(term)
+        self._last_accounts = _Accounts()
         _log.info(
             "partition_claimed",
             topic=TOPIC,
             part=self._part,
             epoch=fence.epoch,
             last_epoch=last_epoch,
-            exact=bool(last_epoch and exact),
+            exact=is_exact,
             programs=len(ledger.programs),
         )
         return term
@@ -472,6 +489,9 @@
         if self._term is term:
             self._term = None
             self._held.discard(self._part)
+            self._last_accounts = _Accounts(
+                term.fence.epoch, term.ledger.accounts()
+            )
 
 
 def _remember(
