--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -11,7 +11,6 @@
 """
 
 from collections.abc import Awaitable, Callable
-import secrets
 from typing import TypeVar
 
 import attrs
@@ -19,6 +18,7 @@
 
 from quetzalmill import budget_peers
 from quetzalmill import clock as clock_module
+from quetzalmill import epochs
 from quetzalmill import errors
 from quetzalmill import gateway_messages
 from quetzalmill import keyed_store
@@ -42,9 +42,7 @@
 
 _RETRY_FIRST_MS = 50.0
 _RETRY_MOST_MS = 800.0
-_INSTANCE_BITS = 16
 _NO_EPOCH = 0
-_CLAIM_TRIES = 4
 _REMEMBERED_HOLDERS = 20_000
 _REMEMBERED_PROGRAMS = 20_000
 _REMEMBERED_GIVEN_UP = 2_000
@@ -142,8 +140,7 @@
         self._term: _Term | None = None
         self._claim: _Claim | None = None
         self._last_accounts = _Accounts()
-        self._last_term_number = 0
-        self._instance_number = secrets.randbits(_INSTANCE_BITS)
+        self._epochs = epochs.Epochs(TOPIC, part, store, clock, store_answered)
         self._holders: dict[str, str] = {}
         self._ran_on: dict[str, str] = {}
         self._given_up: dict[str, None] = {}
@@ -328,7 +325,7 @@
         await trio.sleep(self._listening_ms() / 1000.0)
         if not self._store_reached():
             raise errors.NotDoneError("the store is away")
-        fence = await self._shut_out_others()
+        fence = await self._epochs.claim()
         found = await self._store.newest(
             TOPIC, self._part, timeout_ms=2 * WRITE_TIMEOUT_MS
         )
@@ -380,36 +377,6 @@
         for program_id, mark in behind.items():
             term.ledger.made_durable(program_id, mark)
 
-    async def _shut_out_others(self) -> keyed_store.Fence:
-        """Claims the partition with an epoch higher than any before.
-
-        The time of day only makes a first guess that is likely high enough;
-        the store refuses a guess that is not.
-        """
-        term_number = max(self._clock.unix_ms(), self._last_term_number + 1)
-        for _ in range(_CLAIM_TRIES):
-            fence = keyed_store.Fence(TOPIC, self._epoch(term_number))
-            try:
-                await self._store.claim(
-                    TOPIC, self._part, fence, timeout_ms=WRITE_TIMEOUT_MS
-                )
-                self._last_term_number = term_number
-                return fence
-            except keyed_store.FencedError as error:
-                seen = error.epoch >> _INSTANCE_BITS
-                term_number = max(term_number, seen) + 1
-            except errors.PortError:
-                self._store_answered(False)
-                raise
-        raise errors.NotDoneError(f"partition {self._part} cannot be claimed")
-
-    def _epoch(self, term_number: int) -> int:
-        """Returns an epoch that no other gateway uses.
-
-        Two gateways with one epoch would not shut each other out.
-        """
-        return term_number << _INSTANCE_BITS | self._instance_number
-
     def _write_soon(self, term: _Term, pending: list[_Pending]) -> None:
         term.pending += pending
         if term.pending and not term.is_writing:
--- /dev/null
+++ b/quetzalmill/epochs.py
@@ -0,0 +1,76 @@
+"""Claims partitions of a topic with epochs higher than any before."""
+
+from collections.abc import Callable
+import secrets
+
+from quetzalmill import clock as clock_module
+from quetzalmill import errors
+from quetzalmill import keyed_store
+
+CLAIM_TIMEOUT_MS = 400.0
+"""How long the store may take for one claim; many times its usual answer of a
+few milliseconds."""
+
+_INSTANCE_BITS = 16
+_CLAIM_TRIES = 4
+
+
+class Epochs:
+    """Claims one partition for one process.
+
+    Args:
+        topic: The topic.
+        part: The partition.
+        store: The platform's store.
+        clock: The process's clock.
+        store_answered: Is told when the store did not answer.
+    """
+
+    def __init__(
+        self,
+        topic: str,
+        part: int,
+        store: keyed_store.KeyedStore,
+        clock: clock_module.WallClock,
+        store_answered: Callable[[bool], None],
+    ) -> None:
+        self._topic = topic
+        self._part = part
+        self._store = store
+        self._clock = clock
+        self._store_answered = store_answered
+        self._last_term_number = 0
+        self._instance_number = secrets.randbits(_INSTANCE_BITS)
+
+    async def claim(self) -> keyed_store.Fence:
+        """Shuts out all who claimed the partition before.
+
+        The time of day only makes a first guess that is likely high enough;
+        the store refuses a guess that is not.
+
+        Raises:
+            errors.PortError: The store did not take the claim.
+        """
+        term_number = max(self._clock.unix_ms(), self._last_term_number + 1)
+        for _ in range(_CLAIM_TRIES):
+            fence = keyed_store.Fence(self._topic, self._epoch(term_number))
+            try:
+                await self._store.claim(
+                    self._topic, self._part, fence, timeout_ms=CLAIM_TIMEOUT_MS
+                )
+                self._last_term_number = term_number
+                return fence
+            except keyed_store.FencedError as error:
+                seen = error.epoch >> _INSTANCE_BITS
+                term_number = max(term_number, seen) + 1
+            except errors.PortError:
+                self._store_answered(False)
+                raise
+        raise errors.NotDoneError(f"partition {self._part} cannot be claimed")
+
+    def _epoch(self, term_number: int) -> int:
+        """Returns an epoch that no other process uses.
+
+        Two with one epoch would not shut each other out.
+        """
+        return term_number << _INSTANCE_BITS | self._instance_number
