Keep settlements that come while nobody holds the partition

Callers saw: 402 for a program whose budget held its turn, after its owner had changed.

Cause: a gateway without a term answered a settlement as taken and dropped it. The accounts that a claim was handed still had the reservation, at the most of the turn.

Why this works: they are kept, bounded, and applied when the next term begins; one whose reservation is not in the accounts changes nothing.

Failed before, both: the turn settled during a claim (90 of 100 tokens charged for 10), and an owner that was shut out by a claim that came to nothing.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -46,6 +46,7 @@
 _REMEMBERED_HOLDERS = 20_000
 _REMEMBERED_PROGRAMS = 20_000
 _REMEMBERED_GIVEN_UP = 2_000
+_REMEMBERED_UNAPPLIED = 2_000
 
 _Value = TypeVar("_Value")
 
@@ -144,6 +145,7 @@
         self._holders: dict[str, str] = {}
         self._ran_on: dict[str, str] = {}
         self._given_up: dict[str, None] = {}
+        self._unapplied: dict[str, gateway_messages.SettleTurn] = {}
 
     def reserve(
         self, message: gateway_messages.ReserveTurn
@@ -193,15 +195,19 @@
         if message.used_tokens == 0:
             _remember(self._given_up, turn_id, None, _REMEMBERED_GIVEN_UP)
         term = self._term
-        if term is not None:
-            lower = term.ledger.settle(
-                program_id,
-                turn_id,
-                message.used_tokens,
-                may_lower=not term.is_writing,
-            )
-            if lower is not None:
-                self._write_soon(term, [_Pending(program_id, lower)])
+        if term is None:
+            # Its sender is told that it was taken, and a claim may be under
+            # way whose accounts still have the reservation.
+            _remember(self._unapplied, turn_id, message, _REMEMBERED_UNAPPLIED)
+            return
+        lower = term.ledger.settle(
+            program_id,
+            turn_id,
+            message.used_tokens,
+            may_lower=not term.is_writing,
+        )
+        if lower is not None:
+            self._write_soon(term, [_Pending(program_id, lower)])
 
     def forget_idle(self, idle_ms: float) -> None:
         """Drops programs that were not used for long, here and durably."""
@@ -302,6 +308,7 @@
         try:
             self._term = await self._open_term()
             self._held.add(self._part)
+            self._settle_unapplied()
         except errors.PortError as error:
             claim.error = error
         except Exception as error:
@@ -321,6 +328,11 @@
                 took_ms=round(took_ms),
             )
 
+    def _settle_unapplied(self) -> None:
+        unapplied, self._unapplied = self._unapplied, {}
+        for message in unapplied.values():
+            self.settle(message)
+
     async def _open_term(self) -> _Term:
         await trio.sleep(self._listening_ms() / 1000.0)
         if not self._store_reached():
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -215,15 +215,21 @@
 
 
 class _Peers(budget_peers.BudgetPeers):
-    """Stands in for the other gateways."""
+    """Stands in for the other gateways.
+
+    Attributes:
+        others: The owners that they would be.
+        silent_s: How long one of them leaves a question without an answer.
+    """
 
     def __init__(self) -> None:
         self.others: list[budget_owner.BudgetOwner] = []
+        self.silent_s = 0.0
 
     async def hand_over(
         self, part: int
     ) -> list[gateway_messages.HandOverReply]:
-        await trio.lowlevel.checkpoint()
+        await trio.sleep(self.silent_s)
         replies = []
         for other in self.others:
             epoch, accounts = other.hand_over()
@@ -298,16 +304,32 @@
         return await super().newest(topic, part, timeout_ms=timeout_ms)
 
 
-class _RefusingStore(memory_store.MemoryStore):
-    """A store that refuses the first writes of owners.
+class _FaultyStore(memory_store.MemoryStore):
+    """A store that fails calls of owners as it is told.
 
     Attributes:
         refusals: Writes to come that are refused.
+        unanswered: Writes to come that are done but not answered.
+        failed_reads: Readings to come that fail.
+        read_s: How long a reading takes.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.refusals = 0
+        self.unanswered = 0
+        self.failed_reads = 0
+        self.read_s = 0.1
+
+    async def newest(
+        self, topic: str, part: int, *, timeout_ms: float
+    ) -> keyed_store.Records:
+        """Returns the newest record of each key, unless it is to fail."""
+        await trio.sleep(self.read_s)
+        if self.failed_reads:
+            self.failed_reads -= 1
+            raise errors.NotDoneError("too much is waiting")
+        return await super().newest(topic, part, timeout_ms=timeout_ms)
 
     async def append_fenced(
         self,
@@ -326,6 +348,9 @@
         await super().append_fenced(
             topic, part, records, fence, sequence, timeout_ms=timeout_ms
         )
+        if self.unanswered:
+            self.unanswered -= 1
+            raise errors.OutcomeUnknownError("the answer was lost")
 
 
 def _run(
@@ -418,7 +443,7 @@
 
     def test_claim_that_fails_keeps_the_accounts_it_was_handed(self) -> None:
         """The owner before has given them up, so nobody else knows them."""
-        store = _RefusingStore()
+        store = _FaultyStore()
 
         async def case(gateways: _Gateways) -> None:
             first, second = gateways.owner(), gateways.owner()
@@ -433,6 +458,41 @@
 
         _run(case, store)
 
+    def test_owner_shut_out_by_a_claim_that_came_to_nothing_knows_its_accounts(
+        self,
+    ) -> None:
+        async def case(gateways: _Gateways) -> None:
+            owner = gateways.owner()
+            assert (await _ask(owner, "1", 84)).granted
+            owner.settle(_settlement("1", 62))
+            fence = keyed_store.Fence("budgets", 1 << 80)
+            await gateways.store.claim("budgets", 0, fence, timeout_ms=100.0)
+            # The first one needs a write, by which the owner learns of it.
+            assert not (await _ask(owner, "2", 38)).spent
+            owner.settle(_settlement("2", 0))
+            for turn_id in ("3", "4"):
+                assert (await _ask(owner, turn_id, 19)).granted
+
+        _run(case)
+
+    def test_turn_settled_during_a_claim_is_charged_what_it_used(self) -> None:
+        """Nobody holds the partition then, and the sender is told: taken."""
+
+        async def case(gateways: _Gateways) -> None:
+            first, second = gateways.owner(), gateways.owner()
+            assert (await _ask(first, "1", 90)).granted
+            gateways.peers.others = [first]
+
+            async def settle() -> None:
+                await trio.sleep(0.3)
+                second.settle(_settlement("1", 10))
+
+            gateways.nursery.start_soon(settle)
+            gateways.listening_ms = 500.0
+            assert (await _ask(second, "2", 40)).granted
+
+        _run(case)
+
     def test_accounts_of_an_older_owner_do_not_count(self) -> None:
         async def case(gateways: _Gateways) -> None:
             oldest = gateways.owner()
