Repeat the first write of a term until its outcome is known

Callers saw: 402 for a program whose budget held its turn, after one answer of the store was lost.

Cause: the write that opens a term names its epoch as the last one in force, which outdates all accounts. It was made once; if it was done but not answered, the claim failed and nobody had accounts under the new epoch.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -43,6 +43,10 @@
 _RETRY_FIRST_MS = 50.0
 _RETRY_MOST_MS = 800.0
 _NO_EPOCH = 0
+_OPEN_TRIES = 4
+"""Tries of a term's first write. Its outcome has to be known, since the epoch
+in it outdates all accounts; but a claim must end while the store is away."""
+
 _REMEMBERED_HOLDERS = 20_000
 _REMEMBERED_PROGRAMS = 20_000
 _REMEMBERED_GIVEN_UP = 2_000
@@ -376,7 +380,7 @@
         """Makes durable what was granted, together with the epoch."""
         behind = term.ledger.behind()
         epoch = str(term.fence.epoch).encode()
-        await self._write_once(
+        await self._write_until_known(
             term,
             [
                 keyed_store.KeyedRecord(EPOCH_KEY, epoch),
@@ -385,6 +389,7 @@
                     for program_id, mark in behind.items()
                 ),
             ],
+            most_tries=_OPEN_TRIES,
         )
         for program_id, mark in behind.items():
             term.ledger.made_durable(program_id, mark)
@@ -428,7 +433,11 @@
             each.done.set()
 
     async def _write_until_known(
-        self, term: _Term, records: list[keyed_store.KeyedRecord]
+        self,
+        term: _Term,
+        records: list[keyed_store.KeyedRecord],
+        *,
+        most_tries: int | None = None,
     ) -> None:
         """Repeats one write until its outcome is known.
 
@@ -436,6 +445,7 @@
         a lost answer does no harm.
         """
         wait_ms = _RETRY_FIRST_MS
+        tries = 0
         while True:
             try:
                 return await self._write_once(term, records)
@@ -446,6 +456,9 @@
                 _log.warning(
                     "budget_write_repeated", part=self._part, reason=str(error)
                 )
+                tries += 1
+                if tries == most_tries:
+                    raise
             await trio.sleep(wait_ms / 1000.0)
             wait_ms = min(2.0 * wait_ms, _RETRY_MOST_MS)
 
