Begin a claim that failed again for those who can still wait

Callers saw: all turns that waited for a partition refused at once, after one call of the store had failed.

Cause: many wait for one claim, so its failure was a failure of all, whatever time they had left.

Why this works: each begins the claim again, after a short pause at random, until its own time is over; if the store is away they are refused at once as before.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+import random
 from typing import TypeVar
 
 import attrs
@@ -47,6 +48,10 @@
 """Tries of a term's first write. Its outcome has to be known, since the epoch
 in it outdates all accounts; but a claim must end while the store is away."""
 
+_CLAIM_PAUSE_MS = (50.0, 150.0)
+"""The pause after a claim that failed; longer than one takes while all answer,
+and not alike on two gateways that shut each other out."""
+
 _REMEMBERED_HOLDERS = 20_000
 _REMEMBERED_PROGRAMS = 20_000
 _REMEMBERED_GIVEN_UP = 2_000
@@ -145,6 +150,7 @@
         self._term: _Term | None = None
         self._claim: _Claim | None = None
         self._last_accounts = _Accounts()
+        self._random = random.Random()
         self._epochs = epochs.Epochs(TOPIC, part, store, clock, store_answered)
         self._holders: dict[str, str] = {}
         self._ran_on: dict[str, str] = {}
@@ -294,7 +300,8 @@
         """Returns the current term, claiming the partition if need be.
 
         The claim outlives the request that begins it. If it ended with that
-        request, the next one would begin anew, for ever.
+        request, the next one would begin anew, for ever. One that fails is
+        begun again for those who can still wait, unless the store is away.
         """
         while self._term is None:
             if self._claim is None:
@@ -303,7 +310,10 @@
             claim = self._claim
             await claim.done.wait()
             if claim.error is not None:
-                raise claim.error
+                if not self._store_reached():
+                    raise claim.error
+                pause_ms = self._random.uniform(*_CLAIM_PAUSE_MS)
+                await trio.sleep(pause_ms / 1000.0)
         return self._term
 
     async def _claim_for_all(self, claim: _Claim) -> None:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -512,6 +512,25 @@
 
         _run(case)
 
+    def test_reading_that_fails_once_refuses_none_that_can_wait(self) -> None:
+        store = _FaultyStore()
+        store.failed_reads = 1
+
+        async def case(gateways: _Gateways) -> None:
+            owner = gateways.owner()
+            granted: list[str] = []
+
+            async def ask(turn_id: str) -> None:
+                if (await _ask(owner, turn_id, 1)).granted:
+                    granted.append(turn_id)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(10):
+                    nursery.start_soon(ask, str(number))
+            assert len(granted) == 10
+
+        _run(case, store)
+
     def test_accounts_of_an_older_owner_do_not_count(self) -> None:
         async def case(gateways: _Gateways) -> None:
             oldest = gateways.owner()
