Ask peers for their accounts before the claim, not within it

Callers saw: the programs of one partition refused with 503 for as long as two gateways both believed to own it, while all others were served.

Cause: between the fence of a claim and the write that opens its term lay a question to all peers, which takes 250 ms as soon as one of them is silent. Two gateways that are asked in turns shut each other out in that time, before either has opened.

Why this works: from the fence to the opening there are now three calls of the store. Accounts count only under the epoch that the store names after the fence, so it does no harm to have asked before; only if that epoch is unknown are those asked once more that say that they hold the partition.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -351,6 +351,9 @@
         await trio.sleep(self._listening_ms() / 1000.0)
         if not self._store_reached():
             raise errors.NotDoneError("the store is away")
+        # Asked before the claim, since a peer may be silent for long, and a
+        # claim that takes long is shut out by the next before it has opened.
+        known = await self._ask_accounts(holders_only=False)
         fence = await self._epochs.claim()
         found = await self._store.newest(
             TOPIC, self._part, timeout_ms=2 * WRITE_TIMEOUT_MS
@@ -361,9 +364,10 @@
             if record.value is not None
         }
         last_epoch = int(values.pop(EPOCH_KEY, b"0"))
-        replies = await self._peers.hand_over(self._part)
-        known = [_Accounts(each.epoch, each.accounts) for each in replies]
         known.append(self._last_accounts)
+        if last_epoch not in {_NO_EPOCH, *(each.epoch for each in known)}:
+            # Somebody may have opened a term since.
+            known += await self._ask_accounts(holders_only=True)
         ledger = program_budgets.BudgetLedger()
         now_ms = self._clock.now_ms()
         for program_id, value in values.items():
@@ -386,6 +390,12 @@
         )
         return term
 
+    async def _ask_accounts(self, *, holders_only: bool) -> list[_Accounts]:
+        replies = await self._peers.hand_over(
+            self._part, holders_only=holders_only
+        )
+        return [_Accounts(each.epoch, each.accounts) for each in replies]
+
     async def _open(self, term: _Term) -> None:
         """Makes durable what was granted, together with the epoch."""
         behind = term.ledger.behind()
--- a/quetzalmill/budget_peers.py
+++ b/quetzalmill/budget_peers.py
@@ -34,9 +34,15 @@
         self._client = client
 
     async def hand_over(
-        self, part: int
+        self, part: int, *, holders_only: bool
     ) -> list[gateway_messages.HandOverReply]:
-        """Returns what the peers that answer know of a partition."""
+        """Returns what the peers that answer know of a partition.
+
+        Args:
+            part: The partition.
+            holders_only: Whether only those are asked whose last beat says
+                that they hold it.
+        """
         replies: list[gateway_messages.HandOverReply] = []
 
         async def ask(address: str) -> None:
@@ -54,5 +60,6 @@
 
         async with trio.open_nursery() as nursery:
             for beat in self._peers():
-                nursery.start_soon(ask, beat.address)
+                if not holders_only or part in beat.holds:
+                    nursery.start_soon(ask, beat.address)
         return replies
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -227,9 +227,10 @@
         self.silent_s = 0.0
 
     async def hand_over(
-        self, part: int
+        self, part: int, *, holders_only: bool
     ) -> list[gateway_messages.HandOverReply]:
-        await trio.sleep(self.silent_s)
+        # Who is silent for long holds nothing.
+        await trio.sleep(0.0 if holders_only else self.silent_s)
         replies = []
         for other in self.others:
             epoch, accounts = other.hand_over()
@@ -512,6 +513,29 @@
 
         _run(case)
 
+    def test_two_that_both_believe_to_own_do_not_shut_each_other_out(
+        self,
+    ) -> None:
+        """They do not hear each other, and a peer that both hear is silent."""
+
+        async def case(gateways: _Gateways) -> None:
+            gateways.peers.silent_s = 0.25
+            owners = [gateways.owner(), gateways.owner()]
+            granted: list[str] = []
+
+            async def ask(number: int) -> None:
+                reply = await _ask(owners[number % 2], str(number), 1)
+                if reply.granted:
+                    granted.append(str(number))
+
+            async with trio.open_nursery() as nursery:
+                for number in range(90):
+                    nursery.start_soon(ask, number)
+                    await trio.sleep(0.1)
+            assert len(granted) >= 80
+
+        _run(case, _FaultyStore())
+
     def test_reading_that_fails_once_refuses_none_that_can_wait(self) -> None:
         store = _FaultyStore()
         store.failed_reads = 1
