--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+import random
 from typing import TypeVar
 
 import attrs
@@ -43,9 +44,18 @@
 _RETRY_FIRST_MS = 50.0
 _RETRY_MOST_MS = 800.0
 _NO_EPOCH = 0
+_OPEN_TRIES = 4
+"""Tries of a term's first write. Its outcome has to be known, since the epoch
+in it outdates all accounts; but a claim must end while the store is away."""
+
+_CLAIM_PAUSE_MS = (50.0, 150.0)
+"""The pause after a claim that failed; longer than one takes while all answer,
+and not alike on two gateways that shut each other out."""
+
 _REMEMBERED_HOLDERS = 20_000
 _REMEMBERED_PROGRAMS = 20_000
 _REMEMBERED_GIVEN_UP = 2_000
+_REMEMBERED_UNAPPLIED = 2_000
 
 _Value = TypeVar("_Value")
 
@@ -140,10 +150,12 @@
         self._term: _Term | None = None
         self._claim: _Claim | None = None
         self._last_accounts = _Accounts()
+        self._random = random.Random()
         self._epochs = epochs.Epochs(TOPIC, part, store, clock, store_answered)
         self._holders: dict[str, str] = {}
         self._ran_on: dict[str, str] = {}
         self._given_up: dict[str, None] = {}
+        self._unapplied: dict[str, gateway_messages.SettleTurn] = {}
 
     def reserve(
         self, message: gateway_messages.ReserveTurn
@@ -193,15 +205,19 @@
         if message.used_tokens == 0:
             _remember(self._given_up, turn_id, None, _REMEMBERED_GIVEN_UP)
         term = self._term
-        if term is not None:
-            lower = term.ledger.settle(
-                program_id,
-                turn_id,
-                message.used_tokens,
-                may_lower=not term.is_writing,
-            )
-            if lower is not None:
-                self._write_soon(term, [_Pending(program_id, lower)])
+        if term is None:
+            # Its sender is told that it was taken, and a claim may be under
+            # way whose accounts still have the reservation.
+            _remember(self._unapplied, turn_id, message, _REMEMBERED_UNAPPLIED)
+            return
+        lower = term.ledger.settle(
+            program_id,
+            turn_id,
+            message.used_tokens,
+            may_lower=not term.is_writing,
+        )
+        if lower is not None:
+            self._write_soon(term, [_Pending(program_id, lower)])
 
     def forget_idle(self, idle_ms: float) -> None:
         """Drops programs that were not used for long, here and durably."""
@@ -284,7 +300,8 @@
         """Returns the current term, claiming the partition if need be.
 
         The claim outlives the request that begins it. If it ended with that
-        request, the next one would begin anew, for ever.
+        request, the next one would begin anew, for ever. One that fails is
+        begun again for those who can still wait, unless the store is away.
         """
         while self._term is None:
             if self._claim is None:
@@ -293,7 +310,10 @@
             claim = self._claim
             await claim.done.wait()
             if claim.error is not None:
-                raise claim.error
+                if not self._store_reached():
+                    raise claim.error
+                pause_ms = self._random.uniform(*_CLAIM_PAUSE_MS)
+                await trio.sleep(pause_ms / 1000.0)
         return self._term
 
     async def _claim_for_all(self, claim: _Claim) -> None:
@@ -302,6 +322,7 @@
         try:
             self._term = await self._open_term()
             self._held.add(self._part)
+            self._settle_unapplied()
         except errors.PortError as error:
             claim.error = error
         except Exception as error:
@@ -321,10 +342,18 @@
                 took_ms=round(took_ms),
             )
 
+    def _settle_unapplied(self) -> None:
+        unapplied, self._unapplied = self._unapplied, {}
+        for message in unapplied.values():
+            self.settle(message)
+
     async def _open_term(self) -> _Term:
         await trio.sleep(self._listening_ms() / 1000.0)
         if not self._store_reached():
             raise errors.NotDoneError("the store is away")
+        # Asked before the claim, since a peer may be silent for long, and a
+        # claim that takes long is shut out by the next before it has opened.
+        known = await self._ask_accounts(holders_only=False)
         fence = await self._epochs.claim()
         found = await self._store.newest(
             TOPIC, self._part, timeout_ms=2 * WRITE_TIMEOUT_MS
@@ -335,9 +364,10 @@
             if record.value is not None
         }
         last_epoch = int(values.pop(EPOCH_KEY, b"0"))
-        replies = await self._peers.hand_over(self._part)
-        known = [_Accounts(each.epoch, each.accounts) for each in replies]
         known.append(self._last_accounts)
+        if last_epoch not in {_NO_EPOCH, *(each.epoch for each in known)}:
+            # Somebody may have opened a term since.
+            known += await self._ask_accounts(holders_only=True)
         ledger = program_budgets.BudgetLedger()
         now_ms = self._clock.now_ms()
         for program_id, value in values.items():
@@ -360,11 +390,17 @@
         )
         return term
 
+    async def _ask_accounts(self, *, holders_only: bool) -> list[_Accounts]:
+        replies = await self._peers.hand_over(
+            self._part, holders_only=holders_only
+        )
+        return [_Accounts(each.epoch, each.accounts) for each in replies]
+
     async def _open(self, term: _Term) -> None:
         """Makes durable what was granted, together with the epoch."""
         behind = term.ledger.behind()
         epoch = str(term.fence.epoch).encode()
-        await self._write_once(
+        await self._write_until_known(
             term,
             [
                 keyed_store.KeyedRecord(EPOCH_KEY, epoch),
@@ -373,6 +409,7 @@
                     for program_id, mark in behind.items()
                 ),
             ],
+            most_tries=_OPEN_TRIES,
         )
         for program_id, mark in behind.items():
             term.ledger.made_durable(program_id, mark)
@@ -416,7 +453,11 @@
             each.done.set()
 
     async def _write_until_known(
-        self, term: _Term, records: list[keyed_store.KeyedRecord]
+        self,
+        term: _Term,
+        records: list[keyed_store.KeyedRecord],
+        *,
+        most_tries: int | None = None,
     ) -> None:
         """Repeats one write until its outcome is known.
 
@@ -424,6 +465,7 @@
         a lost answer does no harm.
         """
         wait_ms = _RETRY_FIRST_MS
+        tries = 0
         while True:
             try:
                 return await self._write_once(term, records)
@@ -434,6 +476,9 @@
                 _log.warning(
                     "budget_write_repeated", part=self._part, reason=str(error)
                 )
+                tries += 1
+                if tries == most_tries:
+                    raise
             await trio.sleep(wait_ms / 1000.0)
             wait_ms = min(2.0 * wait_ms, _RETRY_MOST_MS)
 
