Refuse a turn that is not ready while it could still run

Cause: what comes before a run had no bound but each step's own: a reservation of 1,200 ms for every owner that is asked, a question to a holder, two seconds for the partition's owner, then a reading without one.

Why this works: it ends when the turn could no longer run and end durably; the turn is refused as not run, with when to come back, and its reservation is given back.

The test fails with the bound taken out (TooSlowError) and passes.

--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -299,8 +299,12 @@
         refused = self._refuse_start(service)
         if refused is not None:
             return refused
+        reserve_ms = END_RESERVE_MS if is_stored else 0.0
         prepared = await turns.prepare(
-            self.call, self.team, is_stored=is_stored
+            self.call,
+            self.team,
+            is_stored=is_stored,
+            patience_ms=self._left_ms() - reserve_ms,
         )
         self.prepared_ms = self._state.clock.now_ms()
         if isinstance(prepared, outcomes.Refused):
@@ -323,7 +327,6 @@
         is_kept = False
         try:
             used_tokens = self.call.most_tokens
-            reserve_ms = END_RESERVE_MS if is_stored else 0.0
             outcome = await self._run(service, prepared.body, reserve_ms)
             match outcome:
                 case outcomes.Streamed():
--- a/quetzalmill/gateway_turns.py
+++ b/quetzalmill/gateway_turns.py
@@ -79,7 +79,12 @@
         self._random = random.Random()
 
     async def prepare(
-        self, call: gateway_calls.Call, team: str, *, is_stored: bool
+        self,
+        call: gateway_calls.Call,
+        team: str,
+        *,
+        is_stored: bool,
+        patience_ms: float,
     ) -> Prepared | outcomes.Refused:
         """Reserves the budget and finds the chain.
 
@@ -90,6 +95,7 @@
             call: The turn.
             team: The team that it runs for.
             is_stored: Whether its conversation is stored.
+            patience_ms: The time after which it could not run any more.
         """
         if is_stored and self._state.store_is_away():
             return outcomes.Refused(
@@ -97,12 +103,18 @@
                 reason="the store that keeps turns is away",
                 retry_after_ms=self._random.uniform(*_STORE_BACK_MS),
             )
-        try:
-            return await self._prepare(call, team, is_stored)
-        except trio.Cancelled:
-            # The caller has left; its program's next turn needs the tokens.
-            self.settle(call, team, 0)
-            raise
+        with trio.move_on_after(max(0.0, patience_ms) / 1000.0):
+            try:
+                return await self._prepare(call, team, is_stored)
+            except trio.Cancelled:
+                # It will not run; its program's next turn needs the tokens.
+                self.settle(call, team, 0)
+                raise
+        return outcomes.Refused(
+            status=503,
+            reason="its budget and its conversation were not there in time",
+            retry_after_ms=_COME_BACK_MS,
+        )
 
     async def _prepare(
         self, call: gateway_calls.Call, team: str, is_stored: bool
--- a/tests/test_gateway_turns.py
+++ b/tests/test_gateway_turns.py
@@ -11,11 +11,14 @@
 from quetzalmill import clock as clock_module
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_messages
+from quetzalmill import gateway_outcomes
 from quetzalmill import gateway_turns
 from quetzalmill import http_message
 from tests import lone_gateway
 from tests import memory_store
 
+_PATIENCE_MS = 4_000.0
+
 _CALL = gateway_calls.Call(
     request_id="t1",
     host="desk.example",
@@ -64,6 +67,41 @@
     )
 
 
+async def _prepare(
+    turns: gateway_turns.Turns,
+    call: gateway_calls.Call,
+    *,
+    is_stored: bool = True,
+) -> gateway_turns.Prepared | gateway_outcomes.Refused:
+    return await turns.prepare(
+        call, "weddings", is_stored=is_stored, patience_ms=_PATIENCE_MS
+    )
+
+
+class TestTimeRunsOut:
+    """A turn whose conversation is not found while it could still run."""
+
+    def test_turn_is_not_held_past_its_deadline(self) -> None:
+        """It is refused as not run, and its reservation is given back."""
+
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                turns = _turns(nursery, _SlowSource())
+                with trio.fail_after(2.0 * _PATIENCE_MS / 1000.0):
+                    refused = await _prepare(turns, _CALL)
+                assert isinstance(refused, gateway_outcomes.Refused)
+                assert refused.status == 503
+                assert refused.retry_after_ms
+                again = attrs.evolve(
+                    _CALL, request_id="t2", previous_turn_id=""
+                )
+                prepared = await _prepare(turns, again)
+                assert isinstance(prepared, gateway_turns.Prepared)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 class TestCallerLeaves:
     """A caller that gives a turn up before it runs."""
 
@@ -74,14 +112,12 @@
             async with trio.open_nursery() as nursery:
                 turns = _turns(nursery, _SlowSource())
                 with trio.move_on_after(2.0) as scope:
-                    await turns.prepare(_CALL, "weddings", is_stored=True)
+                    await _prepare(turns, _CALL)
                 assert scope.cancelled_caught
                 again = attrs.evolve(
                     _CALL, request_id="t2", previous_turn_id=""
                 )
-                prepared = await turns.prepare(
-                    again, "weddings", is_stored=True
-                )
+                prepared = await _prepare(turns, again)
                 assert isinstance(prepared, gateway_turns.Prepared)
                 nursery.cancel_scope.cancel()
 
@@ -130,9 +166,7 @@
                         previous_turn_id="",
                         budget_tokens=600,
                     )
-                    prepared = await turns.prepare(
-                        call, "weddings", is_stored=False
-                    )
+                    prepared = await _prepare(turns, call, is_stored=False)
                     assert isinstance(prepared, gateway_turns.Prepared)
                     seen.append((prepared.is_start, prepared.cached_at))
                     turns.settle(call, "weddings", 9, ran_on="llm-1")
