Read a partition larger than the memory for turns once for all that ask

Cause: where the memory had dropped turns since the partition was read, each request read the whole partition again for itself, outside of the lock and the shield that the first reading has. It ended with the request's patience, and the next one began anew. Class: work that many wait for, bound to the patience of one; the first reading was mended before, this second one was not.

Evidence: before, of 20 callers that wait 2,000 ms for a reading of 2,500 ms one found its turn, and a lone caller that came three times found it in none; both tests pass now (15 and more; the second and third time). Three tests that pass before and after hold what could break: a turn written during a reading is found, a reading that fails makes no turn look absent, and the old test of the first reading.

Why this works: the second reading goes through the same lock and shield. Its turns are at hand for all who ask until none does any more, and later records are added to them. The chain that was asked for goes to the memory's young end, so a caller that left meanwhile finds it when it comes back. What the memory had dropped is counted from the last reading that succeeded; a failed one no longer moves it.

--- a/quetzalmill/turn_store.py
+++ b/quetzalmill/turn_store.py
@@ -145,6 +145,8 @@
         self._cache = cache
         self._clock = clock
         self._next_offset: int | None = None
+        self._whole: dict[str, conversations.Turn] | None = None
+        self._asking = 0
         self._evicted_before = 0
         self._read_ms = float("-inf")
         self._reading = trio.Lock()
@@ -159,27 +161,47 @@
         Raises:
             errors.PortError: The store did not answer.
         """
-        await self._refresh(self._clock.now_ms())
+        self._asking += 1
+        try:
+            return await self._chain(turn_id, self._clock.now_ms())
+        finally:
+            self._asking -= 1
+            if not self._asking:
+                self._whole = None
+
+    async def _chain(
+        self, turn_id: str, asked_ms: float
+    ) -> tuple[list[conversations.Turn], str]:
+        await self._refresh(turn_id, asked_ms)
         turns, missing_id = self._cache.chain(turn_id)
         if not missing_id or self._cache.evicted == self._evicted_before:
             return turns, missing_id
         # The cache dropped turns since the whole partition was read.
-        self._next_offset = None
-        found = await self._read_whole()
-        by_id = {turn.turn_id: turn for turn in found}
-        return conversations.follow(turn_id, by_id.get)
+        await self._refresh(turn_id, asked_ms, needs_whole=True)
+        assert self._whole is not None
+        return conversations.follow(turn_id, self._whole.get)
+
+    async def _refresh(
+        self, turn_id: str, asked_ms: float, *, needs_whole: bool = False
+    ) -> None:
+        """Reads what the partition held at ``asked_ms``, if not done since.
 
-    async def _refresh(self, asked_ms: float) -> None:
-        """Reads what the partition held at ``asked_ms``, if not done since."""
+        Args:
+            turn_id: The turn whose chain is asked for.
+            asked_ms: When it was.
+            needs_whole: Whether all turns have to be at hand.
+        """
         async with self._reading:
-            if self._read_ms >= asked_ms:
+            is_anew = needs_whole and self._whole is None
+            if self._read_ms >= asked_ms and not is_anew:
                 return
             started_ms = self._clock.now_ms()
             # Many wait for this reading. If it ended with the patience of the
             # one that began it, the next would begin anew, for ever.
             with trio.CancelScope(shield=True):
-                if self._next_offset is None or not await self._read_on():
-                    await self._read_whole()
+                is_anew |= self._next_offset is None
+                if is_anew or not await self._read_on():
+                    await self._read_whole(turn_id)
             self._read_ms = started_ms
 
     async def _read_on(self) -> bool:
@@ -201,14 +223,20 @@
         self._keep(found)
         return True
 
-    async def _read_whole(self) -> list[conversations.Turn]:
-        self._evicted_before = self._cache.evicted
+    async def _read_whole(self, turn_id: str) -> None:
+        evicted_before = self._cache.evicted
         found = await self._store.newest(
             TOPIC, self._part, timeout_ms=READ_TIMEOUT_MS
         )
-        return self._keep(found)
+        self._evicted_before = evicted_before
+        self._whole = {}
+        self._keep(found)
+        # Who asked may have left by now, and comes back for the same chain.
+        turns, _ = conversations.follow(turn_id, self._whole.get)
+        for turn in turns:
+            self._cache.keep(turn)
 
-    def _keep(self, found: keyed_store.Records) -> list[conversations.Turn]:
+    def _keep(self, found: keyed_store.Records) -> None:
         turns = [
             turn
             for record in found.records
@@ -217,8 +245,9 @@
         for turn in turns:
             if self._cache.get(turn.turn_id) is None:
                 self._cache.keep(turn)
+        if self._whole is not None:
+            self._whole.update((turn.turn_id, turn) for turn in turns)
         self._next_offset = found.next_offset
-        return turns
 
 
 def decode(record: keyed_store.KeyedRecord) -> conversations.Turn | None:
--- a/tests/test_turn_store.py
+++ b/tests/test_turn_store.py
@@ -1,11 +1,16 @@
 """Tests of reading a partition of turns."""
 
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import pytest
 import trio
 import trio.testing
 
 from quetzalmill import clock as clock_module
 from quetzalmill import codec
 from quetzalmill import conversations
+from quetzalmill import errors
 from quetzalmill import keyed_store
 from quetzalmill import turn_store
 from tests import memory_store
@@ -13,16 +18,33 @@
 _READ_S = 2.5
 _PATIENCE_S = 2.0
 
+_Result = TypeVar("_Result")
+
 
 class _SlowStore(memory_store.MemoryStore):
-    """Takes long to hand out a large partition, as at a return of power."""
+    """Takes long to hand out a large partition, as at a return of power.
+
+    Attributes:
+        whole_readings: Readings of a whole partition.
+        failures: Such readings to come that fail.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.whole_readings = 0
+        self.failures = 0
 
     async def newest(
         self, topic: str, part: int, *, timeout_ms: float
     ) -> keyed_store.Records:
         """Returns the newest record of each key, after a while."""
+        self.whole_readings += 1
+        found = await super().newest(topic, part, timeout_ms=timeout_ms)
         await trio.sleep(_READ_S)
-        return await super().newest(topic, part, timeout_ms=timeout_ms)
+        if self.failures:
+            self.failures -= 1
+            raise errors.NotDoneError("the store is busy")
+        return found
 
 
 class TestTurnPartition:
@@ -30,42 +52,115 @@
 
     def test_reading_outlives_the_callers_that_asked_for_it(self) -> None:
         """Else each caller starts it anew and none ever gets an answer."""
+        store = _SlowStore()
+        # All whose patience lasts until the one reading has ended.
+        assert _ask_in_turn(store, ["t1"], cache_bytes=1_000_000) >= 15
+
+    def test_partition_larger_than_the_cache_is_read_for_all(self) -> None:
+        """Else each caller reads it whole, and none waits that long."""
+        store = _SlowStore()
+        turn_ids = [f"t{number}" for number in range(9)]
+        assert _ask_in_turn(store, turn_ids, cache_bytes=1_500) >= 15
+        assert store.whole_readings <= 2
+
+    def test_chain_is_at_hand_when_its_caller_comes_back(self) -> None:
+        """A reading takes longer than the only one that asks for it waits."""
+        store = _SlowStore()
 
-        async def run() -> list[str]:
-            store = _SlowStore()
-            turn = conversations.Turn(
-                turn_id="t1",
-                team="weddings",
-                program_id="p",
-                previous_id="",
-                input=b"hello",
-                outputs=(b"there",),
-                ended_unix_ms=1,
-            )
-            record = keyed_store.KeyedRecord("t1", codec.to_msgpack(turn))
-            await store.append("turns", 0, [record], timeout_ms=100.0)
-            partition = turn_store.TurnPartition(
-                0,
-                store,
-                conversations.Conversations(1_000_000),
-                clock_module.SystemClock(),
-            )
-            found: list[str] = []
-
-            async def ask() -> None:
-                with trio.move_on_after(_PATIENCE_S):
-                    turns, missing_id = await partition.chain("t1")
-                    assert not missing_id
-                    found.extend(each.turn_id for each in turns)
+        async def run() -> list[bool]:
+            await _write(store, ["t1", "t2", "t3", "t4", "t5"])
+            partition = _partition(store, cache_bytes=1_500)
+            in_time = []
+            for _ in range(3):
+                leaves_s = trio.current_time() + _PATIENCE_S
+                with trio.move_on_at(leaves_s):
+                    await partition.chain("t1")
+                in_time.append(trio.current_time() < leaves_s)
+            return in_time
 
+        assert _run(run) == [False, True, True]
+
+    def test_reading_that_fails_makes_no_turn_look_absent(self) -> None:
+        store = _SlowStore()
+
+        async def run() -> str:
+            await _write(store, ["t1", "t2", "t3", "t4", "t5"])
+            partition = _partition(store, cache_bytes=1_500)
+            await partition.chain("t5")
+            store.failures = 1
+            with pytest.raises(errors.NotDoneError):
+                await partition.chain("t1")
+            _, missing_id = await partition.chain("t2")
+            return missing_id
+
+        assert not _run(run)
+
+    def test_turn_written_during_a_reading_is_found(self) -> None:
+        """By who asked after it was written, in a cache that holds little."""
+        store = _SlowStore()
+
+        async def run() -> str:
+            await _write(store, ["t1", "t2", "t3", "t4", "t5"])
+            partition = _partition(store, cache_bytes=1_500)
             async with trio.open_nursery() as nursery:
-                for _ in range(20):
-                    nursery.start_soon(ask)
-                    await trio.sleep(0.2)
-            return found
+                nursery.start_soon(partition.chain, "t1")
+                await trio.sleep(_READ_S / 2.0)
+                await _write(store, ["t6", "t7", "t8", "t9"])
+                nursery.start_soon(partition.chain, "t9")
+                _, missing_id = await partition.chain("t6")
+            return missing_id
+
+        assert not _run(run)
 
-        found = trio.run(
-            run, clock=trio.testing.MockClock(autojump_threshold=0)
+
+def _ask_in_turn(
+    store: _SlowStore, turn_ids: list[str], *, cache_bytes: int
+) -> int:
+    """Returns how many of 20 callers that come in turn find their turns."""
+
+    async def run() -> int:
+        await _write(store, turn_ids)
+        partition = _partition(store, cache_bytes)
+        found: list[str] = []
+
+        async def ask(turn_id: str) -> None:
+            with trio.move_on_after(_PATIENCE_S):
+                turns, missing_id = await partition.chain(turn_id)
+                assert not missing_id
+                found.extend(each.turn_id for each in turns)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(20):
+                nursery.start_soon(ask, turn_ids[number % len(turn_ids)])
+                await trio.sleep(0.2)
+        return len(found)
+
+    return _run(run)
+
+
+def _partition(store: _SlowStore, cache_bytes: int) -> turn_store.TurnPartition:
+    return turn_store.TurnPartition(
+        0,
+        store,
+        conversations.Conversations(cache_bytes),
+        clock_module.SystemClock(),
+    )
+
+
+async def _write(store: _SlowStore, turn_ids: list[str]) -> None:
+    for turn_id in turn_ids:
+        turn = conversations.Turn(
+            turn_id=turn_id,
+            team="weddings",
+            program_id="p",
+            previous_id="",
+            input=b"hello",
+            outputs=(b"there",),
+            ended_unix_ms=1,
         )
-        # All whose patience lasts until the one reading has ended.
-        assert len(found) >= 15
+        record = keyed_store.KeyedRecord(turn_id, codec.to_msgpack(turn))
+        await store.append("turns", 0, [record], timeout_ms=100.0)
+
+
+def _run(case: Callable[[], Awaitable[_Result]]) -> _Result:
+    return trio.run(case, clock=trio.testing.MockClock(autojump_threshold=0))
