--- a/quetzalmill/keyed_store.py
+++ b/quetzalmill/keyed_store.py
@@ -11,6 +11,13 @@
 
 from quetzalmill import errors
 
+MAX_KEY_BYTES = 255
+"""The longest key; records hold its length in one byte."""
+
+MAX_NAME_BYTES = MAX_KEY_BYTES // 2
+"""The longest name of a team or a program, of which the key of a budget holds
+both with a character between them."""
+
 
 class FencedError(errors.NotDoneError):
     """Another writer has taken the partition over.
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -275,6 +275,30 @@
 
         gateway_case.run(tmp_path, case)
 
+    @pytest.mark.parametrize(
+        "header", ["Program-Id", "Attempt-Id"], ids=["program", "attempt"]
+    )
+    def test_id_too_long_for_a_key_does_not_end_the_gateway(
+        self, tmp_path: pathlib.Path, header: str
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("llm-1", "llm", events=1)
+            gateway = await cluster.add_gateway()
+            headers = {
+                "Program-Id": "p1",
+                "Token-Budget": "1000",
+                "Token-Usage": "10,50",
+                header: "x" * 300,
+            }
+            _, response = await cluster.call(
+                gateway, "/chat/1", body=b"hello", headers=headers
+            )
+            assert response.status == 400
+            _, response = await cluster.turn(gateway, b"hello")
+            assert response.status == 200
+
+        gateway_case.run(tmp_path, case)
+
     def test_unsure_is_not_absent(self, tmp_path: pathlib.Path) -> None:
         async def case(cluster: platform_cluster.Cluster) -> None:
             await cluster.add_endpoint("llm-1", "llm", events=1)
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -33,6 +33,17 @@
 class TestDialect:
     """Headers of callers and endpoints."""
 
+    @pytest.mark.parametrize(
+        ("header", "longest"), [("program_id", 127), ("attempt_id", 255)]
+    )
+    def test_longest_id(self, header: str, longest: int) -> None:
+        """A team's name and a program's id stand in one key of 255 bytes."""
+        _DIALECT.decode_call(_request(**{header: "x" * longest}))
+        with pytest.raises(errors.BadMessageError):
+            _DIALECT.decode_call(_request(**{header: "x" * (longest + 1)}))
+        with pytest.raises(errors.BadMessageError):
+            _DIALECT.decode_call(_request(**{header: "\xe9" * longest}))
+
     def test_turn(self) -> None:
         call = _DIALECT.decode_call(
             _request(
@@ -151,6 +162,12 @@
         assert table.team_of_key["key-of-rallies"] == "rallies"
         assert table.document == document
 
+    def test_team_whose_name_is_too_long_for_a_key(self) -> None:
+        teams = [{"name": "x" * length} for length in (127, 128)]
+        state = platform_cluster.desired_state(tenants=teams)
+        table = desired_state.decode(msgspec.json.encode(state))
+        assert list(table.teams) == ["x" * 127]
+
     def test_wrong_entry_is_left_out(self) -> None:
         state = platform_cluster.desired_state()
         state["routes"][0]["kind"] = "unheard of"
