--- /dev/null
+++ b/quetzalmill/budget_notes.py
@@ -0,0 +1,61 @@
+"""What an owner of budgets remembers of turns besides their tokens.
+
+Nothing of it must last: an owner that lacks it looks elsewhere or asks again.
+"""
+
+from typing import TypeVar
+
+from quetzalmill import gateway_messages
+
+_REMEMBERED_HOLDERS = 20_000
+_REMEMBERED_PROGRAMS = 20_000
+_REMEMBERED_GIVEN_UP = 2_000
+
+_Value = TypeVar("_Value")
+
+
+class BudgetNotes:
+    """The notes on the turns of one partition."""
+
+    def __init__(self) -> None:
+        self._holders: dict[str, str] = {}
+        self._ran_on: dict[str, str] = {}
+        self._given_up: dict[str, None] = {}
+
+    def settled(self, message: gateway_messages.SettleTurn) -> None:
+        """Takes note of how a turn ended."""
+        turn_id = message.turn_id
+        if message.holder:
+            _remember(
+                self._holders, turn_id, message.holder, _REMEMBERED_HOLDERS
+            )
+        if message.ran_on:
+            _remember(
+                self._ran_on,
+                message.program_id,
+                message.ran_on,
+                _REMEMBERED_PROGRAMS,
+            )
+        if message.used_tokens == 0:
+            _remember(self._given_up, turn_id, None, _REMEMBERED_GIVEN_UP)
+
+    def holder(self, turn_id: str) -> str:
+        """Returns the address of a gateway that holds a turn, or nothing."""
+        return self._holders.get(turn_id, "")
+
+    def ran_on(self, program_id: str) -> str:
+        """Returns the endpoint that ran a program's last turn, or nothing."""
+        return self._ran_on.get(program_id, "")
+
+    def is_given_up(self, turn_id: str) -> bool:
+        """Returns whether a turn was given up lately."""
+        return turn_id in self._given_up
+
+
+def _remember(
+    known: dict[str, _Value], turn_id: str, value: _Value, most: int
+) -> None:
+    """Keeps a value for a turn; the oldest goes where there are too many."""
+    known[turn_id] = value
+    if len(known) > most:
+        del known[next(iter(known))]
--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -11,11 +11,11 @@
 """
 
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
 
 import attrs
 import trio
 
+from quetzalmill import budget_notes
 from quetzalmill import budget_peers
 from quetzalmill import clock as clock_module
 from quetzalmill import epochs
@@ -43,11 +43,6 @@
 _RETRY_FIRST_MS = 50.0
 _RETRY_MOST_MS = 800.0
 _NO_EPOCH = 0
-_REMEMBERED_HOLDERS = 20_000
-_REMEMBERED_PROGRAMS = 20_000
-_REMEMBERED_GIVEN_UP = 2_000
-
-_Value = TypeVar("_Value")
 
 _log = logs.get("budget_owner")
 
@@ -141,9 +136,7 @@
         self._claim: _Claim | None = None
         self._last_accounts = _Accounts()
         self._epochs = epochs.Epochs(TOPIC, part, store, clock, store_answered)
-        self._holders: dict[str, str] = {}
-        self._ran_on: dict[str, str] = {}
-        self._given_up: dict[str, None] = {}
+        self._notes = budget_notes.BudgetNotes()
 
     def reserve(
         self, message: gateway_messages.ReserveTurn
@@ -181,27 +174,17 @@
 
     def settle(self, message: gateway_messages.SettleTurn) -> None:
         """Replaces a reservation by what the turn handed out."""
-        turn_id, program_id = message.turn_id, message.program_id
-        if message.holder:
-            _remember(
-                self._holders, turn_id, message.holder, _REMEMBERED_HOLDERS
-            )
-        if message.ran_on:
-            _remember(
-                self._ran_on, program_id, message.ran_on, _REMEMBERED_PROGRAMS
-            )
-        if message.used_tokens == 0:
-            _remember(self._given_up, turn_id, None, _REMEMBERED_GIVEN_UP)
+        self._notes.settled(message)
         term = self._term
         if term is not None:
             lower = term.ledger.settle(
-                program_id,
-                turn_id,
+                message.program_id,
+                message.turn_id,
                 message.used_tokens,
                 may_lower=not term.is_writing,
             )
             if lower is not None:
-                self._write_soon(term, [_Pending(program_id, lower)])
+                self._write_soon(term, [_Pending(message.program_id, lower)])
 
     def forget_idle(self, idle_ms: float) -> None:
         """Drops programs that were not used for long, here and durably."""
@@ -247,7 +230,7 @@
         self, term: _Term, message: gateway_messages.ReserveTurn
     ) -> gateway_messages.ReserveReply | program_budgets.Granted:
         """Returns the reply, or the grant whose mark must be durable first."""
-        if message.turn_id in self._given_up:
+        if self._notes.is_given_up(message.turn_id):
             # Its caller left while this gateway was claiming the partition.
             return _cannot_tell("the turn was given up before")
         outcome = term.ledger.reserve(
@@ -275,9 +258,9 @@
     ) -> gateway_messages.ReserveReply:
         return gateway_messages.ReserveReply(
             granted=True,
-            holder=self._holders.get(message.previous_id, ""),
+            holder=self._notes.holder(message.previous_id),
             is_first=granted.is_first,
-            ran_on=self._ran_on.get(message.program_id, ""),
+            ran_on=self._notes.ran_on(message.program_id),
         )
 
     async def _hold(self) -> _Term:
@@ -461,15 +444,6 @@
             )
 
 
-def _remember(
-    known: dict[str, _Value], turn_id: str, value: _Value, most: int
-) -> None:
-    """Keeps a value for a turn; the oldest goes where there are too many."""
-    known[turn_id] = value
-    if len(known) > most:
-        del known[next(iter(known))]
-
-
 def _fail(batch: list[_Pending], error: errors.PortError) -> None:
     for each in batch:
         each.error = error
