Write the marks of a term in a module of its own

The owner of budgets decides who holds a partition and what is granted; the writes of one term, with their numbers and repeats, stand beside it. Behaviour stays.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -17,6 +17,7 @@
 
 from quetzalmill import budget_notes
 from quetzalmill import budget_peers
+from quetzalmill import budget_term
 from quetzalmill import clock as clock_module
 from quetzalmill import epochs
 from quetzalmill import errors
@@ -25,51 +26,15 @@
 from quetzalmill import logs
 from quetzalmill import program_budgets
 
-TOPIC = "budgets"
-"""The topic that holds a mark for each program."""
-
-EPOCH_KEY = "\x00epoch"
-"""The key of the record that names the last owner's epoch; no program's id
-begins with a null character."""
-
-WRITE_TIMEOUT_MS = 400.0
-"""How long the store may take for one write before it is sent again; many
-times its usual answer of a few milliseconds."""
-
 RESERVE_TIMEOUT_MS = 1_200.0
 """How long a turn waits for its reservation; what is left of its deadline
 must still hold the turn."""
 
-_RETRY_FIRST_MS = 50.0
-_RETRY_MOST_MS = 800.0
 _NO_EPOCH = 0
 
 _log = logs.get("budget_owner")
 
 
-@attrs.define(eq=False)
-class _Pending:
-    program_id: str
-    mark: program_budgets.Mark | None
-    done: trio.Event = attrs.field(factory=trio.Event)
-    error: errors.QuetzalmillError | None = None
-
-
-@attrs.define(eq=False)
-class _Term:
-    """One time of holding the partition, from a claim to its loss.
-
-    What is to be written ends with it. In a later term it would replace what
-    another owner has written since.
-    """
-
-    fence: keyed_store.Fence
-    ledger: program_budgets.BudgetLedger
-    sequence: int = 1
-    pending: list[_Pending] = attrs.field(factory=list)
-    is_writing: bool = False
-
-
 @attrs.frozen
 class _Accounts:
     """The accounts of a term that has ended, by program."""
@@ -132,10 +97,12 @@
         self._held: set[int] = held
         self._listening_ms = listening_ms
         self._claim_ended = claim_ended
-        self._term: _Term | None = None
+        self._term: budget_term.BudgetTerm | None = None
         self._claim: _Claim | None = None
         self._last_accounts = _Accounts()
-        self._epochs = epochs.Epochs(TOPIC, part, store, clock, store_answered)
+        self._epochs = epochs.Epochs(
+            budget_term.TOPIC, part, store, clock, store_answered
+        )
         self._notes = budget_notes.BudgetNotes()
 
     def reserve(
@@ -184,7 +151,7 @@
                 may_lower=not term.is_writing,
             )
             if lower is not None:
-                self._write_soon(term, [_Pending(message.program_id, lower)])
+                term.write_soon({message.program_id: lower})
 
     def forget_idle(self, idle_ms: float) -> None:
         """Drops programs that were not used for long, here and durably."""
@@ -192,9 +159,7 @@
         if term is None:
             return
         old = term.ledger.forget_idle(idle_ms, self._clock.now_ms())
-        self._write_soon(
-            term, [_Pending(program_id, None) for program_id in old]
-        )
+        term.write_soon(dict.fromkeys(old))
 
     async def _reserve(
         self, message: gateway_messages.ReserveTurn
@@ -203,11 +168,8 @@
         outcome = self._reserve_in(term, message)
         if isinstance(outcome, gateway_messages.ReserveReply):
             return outcome
-        pending = _Pending(message.program_id, outcome.mark)
-        self._write_soon(term, [pending])
-        await pending.done.wait()
-        if pending.error is not None:
-            raise pending.error
+        if outcome.mark is not None:
+            await term.write(message.program_id, outcome.mark)
         return self._granted(message, outcome)
 
     def hand_over(self) -> tuple[int, dict[str, program_budgets.Account]]:
@@ -227,7 +189,9 @@
         return self._last_accounts.epoch, self._last_accounts.by_program
 
     def _reserve_in(
-        self, term: _Term, message: gateway_messages.ReserveTurn
+        self,
+        term: budget_term.BudgetTerm,
+        message: gateway_messages.ReserveTurn,
     ) -> gateway_messages.ReserveReply | program_budgets.Granted:
         """Returns the reply, or the grant whose mark must be durable first."""
         if self._notes.is_given_up(message.turn_id):
@@ -263,7 +227,7 @@
             ran_on=self._notes.ran_on(message.program_id),
         )
 
-    async def _hold(self) -> _Term:
+    async def _hold(self) -> budget_term.BudgetTerm:
         """Returns the current term, claiming the partition if need be.
 
         The claim outlives the request that begins it. If it ended with that
@@ -288,7 +252,9 @@
         except errors.PortError as error:
             claim.error = error
         except Exception as error:
-            _log.exception("claim_failed", topic=TOPIC, part=self._part)
+            _log.exception(
+                "claim_failed", topic=budget_term.TOPIC, part=self._part
+            )
             claim.error = errors.NotDoneError(repr(error))
         finally:
             self._claim = None
@@ -298,26 +264,28 @@
         if claim.error is not None:
             _log.warning(
                 "partition_not_claimed",
-                topic=TOPIC,
+                topic=budget_term.TOPIC,
                 part=self._part,
                 reason=str(claim.error),
                 took_ms=round(took_ms),
             )
 
-    async def _open_term(self) -> _Term:
+    async def _open_term(self) -> budget_term.BudgetTerm:
         await trio.sleep(self._listening_ms() / 1000.0)
         if not self._store_reached():
             raise errors.NotDoneError("the store is away")
         fence = await self._epochs.claim()
         found = await self._store.newest(
-            TOPIC, self._part, timeout_ms=2 * WRITE_TIMEOUT_MS
+            budget_term.TOPIC,
+            self._part,
+            timeout_ms=2 * budget_term.WRITE_TIMEOUT_MS,
         )
         values = {
             record.key: record.value
             for record in found.records
             if record.value is not None
         }
-        last_epoch = int(values.pop(EPOCH_KEY, b"0"))
+        last_epoch = int(values.pop(budget_term.EPOCH_KEY, b"0"))
         replies = await self._peers.hand_over(self._part)
         known = [_Accounts(each.epoch, each.accounts) for each in replies]
         known.append(self._last_accounts)
@@ -329,12 +297,20 @@
         is_exact = last_epoch != _NO_EPOCH and bool(exact)
         if is_exact:
             ledger.take_over(exact[0].by_program, now_ms)
-        term = _Term(fence, ledger)
-        await self._open(term)
+        term = budget_term.BudgetTerm(
+            self._part,
+            self._store,
+            self._nursery,
+            self._store_answered,
+            fence,
+            ledger,
+            self._lose,
+        )
+        await term.open()
         self._last_accounts = _Accounts()
         _log.info(
             "partition_claimed",
-            topic=TOPIC,
+            topic=budget_term.TOPIC,
             part=self._part,
             epoch=fence.epoch,
             last_epoch=last_epoch,
@@ -343,99 +319,11 @@
         )
         return term
 
-    async def _open(self, term: _Term) -> None:
-        """Makes durable what was granted, together with the epoch."""
-        behind = term.ledger.behind()
-        epoch = str(term.fence.epoch).encode()
-        await self._write_once(
-            term,
-            [
-                keyed_store.KeyedRecord(EPOCH_KEY, epoch),
-                *(
-                    keyed_store.KeyedRecord(program_id, mark.encode())
-                    for program_id, mark in behind.items()
-                ),
-            ],
-        )
-        for program_id, mark in behind.items():
-            term.ledger.made_durable(program_id, mark)
-
-    def _write_soon(self, term: _Term, pending: list[_Pending]) -> None:
-        term.pending += pending
-        if term.pending and not term.is_writing:
-            term.is_writing = True
-            self._nursery.start_soon(self._write_all, term)
-
-    async def _write_all(self, term: _Term) -> None:
-        """Writes marks, all that wait in one call, until none waits."""
-        try:
-            while term.pending and self._term is term:
-                batch, term.pending = term.pending, []
-                await self._write(term, batch)
-        finally:
-            term.is_writing = False
-        _fail(term.pending, errors.NotDoneError("the partition is lost"))
-        term.pending = []
-
-    async def _write(self, term: _Term, batch: list[_Pending]) -> None:
-        # Of several marks of a program the last one holds.
-        marks = {each.program_id: each.mark for each in batch}
-        records = [
-            keyed_store.KeyedRecord(
-                program_id, None if mark is None else mark.encode()
-            )
-            for program_id, mark in marks.items()
-        ]
-        try:
-            await self._write_until_known(term, records)
-        except errors.PortError as error:
-            self._lose(term, error)
-            _fail(batch, error)
-            return
-        for program_id, mark in marks.items():
-            if mark is not None:
-                term.ledger.made_durable(program_id, mark)
-        for each in batch:
-            each.done.set()
-
-    async def _write_until_known(
-        self, term: _Term, records: list[keyed_store.KeyedRecord]
-    ) -> None:
-        """Repeats one write until its outcome is known.
-
-        The store takes a repeat with the same sequence number only once, so
-        a lost answer does no harm.
-        """
-        wait_ms = _RETRY_FIRST_MS
-        while True:
-            try:
-                return await self._write_once(term, records)
-            except keyed_store.FencedError:
-                raise
-            except errors.PortError as error:
-                self._store_answered(False)
-                _log.warning(
-                    "budget_write_repeated", part=self._part, reason=str(error)
-                )
-            await trio.sleep(wait_ms / 1000.0)
-            wait_ms = min(2.0 * wait_ms, _RETRY_MOST_MS)
-
-    async def _write_once(
-        self, term: _Term, records: list[keyed_store.KeyedRecord]
+    def _lose(
+        self, term: budget_term.BudgetTerm, error: errors.PortError
     ) -> None:
-        await self._store.append_fenced(
-            TOPIC,
-            self._part,
-            records,
-            term.fence,
-            term.sequence,
-            timeout_ms=WRITE_TIMEOUT_MS,
-        )
-        self._store_answered(True)
-        term.sequence += 1
-
-    def _lose(self, term: _Term, error: errors.PortError) -> None:
         _log.warning("partition_lost", part=self._part, reason=str(error))
+        term.is_over = True
         if self._term is term:
             self._term = None
             self._held.discard(self._part)
@@ -444,11 +332,5 @@
             )
 
 
-def _fail(batch: list[_Pending], error: errors.PortError) -> None:
-    for each in batch:
-        each.error = error
-        each.done.set()
-
-
 def _cannot_tell(reason: str) -> gateway_messages.ReserveReply:
     return gateway_messages.ReserveReply(granted=False, reason=reason)
