Hand on the accounts that a claim under way was handed

Callers saw: 402 for a program whose budget held its turn, after two changes of its owner shortly after each other.

Cause: a gateway that was asked for accounts while it claimed the partition itself answered with older ones of its own. What it had just been handed, by an owner that was gone by then, was lost.

Why this works: what peers hand over is kept where the accounts of the own last term are, the newest by epoch, and handed on from there.

The test failed before and passes.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -42,7 +42,7 @@
 
 @attrs.frozen
 class _Accounts:
-    """The accounts of a term that has ended, by program."""
+    """The accounts of a term that has ended, here or elsewhere, by program."""
 
     epoch: int = _NO_EPOCH
     by_program: dict[str, program_budgets.Account] = attrs.field(factory=dict)
@@ -190,8 +190,8 @@
         for as long as no other epoch than theirs is in force.
 
         Returns:
-            The epoch under which it was owned last, 0 if it was not, and the
-            accounts.
+            The newest accounts that are known here, and the epoch under which
+            they were exact; 0 if none are.
         """
         if self._term is not None:
             error = keyed_store.FencedError("handed over to a peer")
@@ -292,7 +292,7 @@
             raise errors.NotDoneError("the store is away")
         # Asked before the claim, since a peer may be silent for long, and a
         # claim that takes long is shut out by the next before it has opened.
-        known = await self._ask_accounts(holders_only=False)
+        await self._ask_accounts(holders_only=False)
         fence = await self._epochs.claim()
         found = await self._store.newest(
             budget_term.TOPIC,
@@ -305,18 +305,16 @@
             if record.value is not None
         }
         last_epoch = int(values.pop(budget_term.EPOCH_KEY, b"0"))
-        known.append(self._last_accounts)
-        if last_epoch not in {_NO_EPOCH, *(each.epoch for each in known)}:
+        if last_epoch != self._last_accounts.epoch:
             # Somebody may have opened a term since.
-            known += await self._ask_accounts(holders_only=True)
+            await self._ask_accounts(holders_only=True)
         ledger = program_budgets.BudgetLedger()
         now_ms = self._clock.now_ms()
         for program_id, value in values.items():
             ledger.load(program_id, program_budgets.decode_mark(value), now_ms)
-        exact = [each for each in known if each.epoch == last_epoch]
-        is_exact = last_epoch != _NO_EPOCH and bool(exact)
+        is_exact = last_epoch == self._last_accounts.epoch != _NO_EPOCH
         if is_exact:
-            ledger.take_over(exact[0].by_program, now_ms)
+            ledger.take_over(self._last_accounts.by_program, now_ms)
         term = budget_term.BudgetTerm(
             self._part,
             self._store,
@@ -339,11 +337,18 @@
         )
         return term
 
-    async def _ask_accounts(self, *, holders_only: bool) -> list[_Accounts]:
+    async def _ask_accounts(self, *, holders_only: bool) -> None:
+        """Asks peers for accounts and keeps the newest.
+
+        They are kept beyond the claim, since they may be nowhere else.
+        """
         replies = await self._peers.hand_over(
             self._part, holders_only=holders_only
         )
-        return [_Accounts(each.epoch, each.accounts) for each in replies]
+        known = [_Accounts(each.epoch, each.accounts) for each in replies]
+        self._last_accounts = max(
+            [self._last_accounts, *known], key=lambda each: each.epoch
+        )
 
     def _lose(
         self, term: budget_term.BudgetTerm, error: errors.PortError
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -555,6 +555,29 @@
 
         _run(case, store)
 
+    def test_claim_under_way_hands_on_what_it_was_handed(self) -> None:
+        """The owner that handed it over may be gone by then."""
+
+        async def case(gateways: _Gateways) -> None:
+            first, second = gateways.owner(), gateways.owner()
+            assert (await _ask(first, "1", 84)).granted
+            first.settle(_settlement("1", 62))
+            gateways.peers.others = [first]
+            replies: list[gateway_messages.ReserveReply] = []
+
+            async def ask(turn_id: str) -> None:
+                replies.append(await _ask(second, turn_id, 19))
+
+            gateways.nursery.start_soon(ask, "2")
+            # It has asked the first, and reads.
+            await trio.sleep(0.05)
+            gateways.peers.others = [second]
+            third = gateways.owner()
+            for turn_id in ("3", "4"):
+                assert (await _ask(third, turn_id, 19)).granted
+
+        _run(case, _FaultyStore())
+
     def test_accounts_of_an_older_owner_do_not_count(self) -> None:
         async def case(gateways: _Gateways) -> None:
             oldest = gateways.owner()
