--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -12,12 +12,13 @@
 
 from collections.abc import Awaitable, Callable
 import random
-from typing import TypeVar
 
 import attrs
 import trio
 
+from quetzalmill import budget_notes
 from quetzalmill import budget_peers
+from quetzalmill import budget_term
 from quetzalmill import clock as clock_module
 from quetzalmill import epochs
 from quetzalmill import errors
@@ -26,68 +27,22 @@
 from quetzalmill import logs
 from quetzalmill import program_budgets
 
-TOPIC = "budgets"
-"""The topic that holds a mark for each program."""
-
-EPOCH_KEY = "\x00epoch"
-"""The key of the record that names the last owner's epoch; no program's id
-begins with a null character."""
-
-WRITE_TIMEOUT_MS = 400.0
-"""How long the store may take for one write before it is sent again; many
-times its usual answer of a few milliseconds."""
-
 RESERVE_TIMEOUT_MS = 1_200.0
 """How long a turn waits for its reservation; what is left of its deadline
 must still hold the turn."""
 
-_RETRY_FIRST_MS = 50.0
-_RETRY_MOST_MS = 800.0
 _NO_EPOCH = 0
-_OPEN_TRIES = 4
-"""Tries of a term's first write. Its outcome has to be known, since the epoch
-in it outdates all accounts; but a claim must end while the store is away."""
 
 _CLAIM_PAUSE_MS = (50.0, 150.0)
 """The pause after a claim that failed; longer than one takes while all answer,
 and not alike on two gateways that shut each other out."""
 
-_REMEMBERED_HOLDERS = 20_000
-_REMEMBERED_PROGRAMS = 20_000
-_REMEMBERED_GIVEN_UP = 2_000
-_REMEMBERED_UNAPPLIED = 2_000
-
-_Value = TypeVar("_Value")
-
 _log = logs.get("budget_owner")
 
 
-@attrs.define(eq=False)
-class _Pending:
-    program_id: str
-    mark: program_budgets.Mark | None
-    done: trio.Event = attrs.field(factory=trio.Event)
-    error: errors.QuetzalmillError | None = None
-
-
-@attrs.define(eq=False)
-class _Term:
-    """One time of holding the partition, from a claim to its loss.
-
-    What is to be written ends with it. In a later term it would replace what
-    another owner has written since.
-    """
-
-    fence: keyed_store.Fence
-    ledger: program_budgets.BudgetLedger
-    sequence: int = 1
-    pending: list[_Pending] = attrs.field(factory=list)
-    is_writing: bool = False
-
-
 @attrs.frozen
 class _Accounts:
-    """The accounts of a term that has ended, by program."""
+    """The accounts of a term that has ended, here or elsewhere, by program."""
 
     epoch: int = _NO_EPOCH
     by_program: dict[str, program_budgets.Account] = attrs.field(factory=dict)
@@ -147,15 +102,14 @@
         self._held: set[int] = held
         self._listening_ms = listening_ms
         self._claim_ended = claim_ended
-        self._term: _Term | None = None
+        self._term: budget_term.BudgetTerm | None = None
         self._claim: _Claim | None = None
         self._last_accounts = _Accounts()
         self._random = random.Random()
-        self._epochs = epochs.Epochs(TOPIC, part, store, clock, store_answered)
-        self._holders: dict[str, str] = {}
-        self._ran_on: dict[str, str] = {}
-        self._given_up: dict[str, None] = {}
-        self._unapplied: dict[str, gateway_messages.SettleTurn] = {}
+        self._epochs = epochs.Epochs(
+            budget_term.TOPIC, part, store, clock, store_answered
+        )
+        self._notes = budget_notes.BudgetNotes()
 
     def reserve(
         self, message: gateway_messages.ReserveTurn
@@ -179,45 +133,38 @@
             with trio.fail_after(RESERVE_TIMEOUT_MS / 1000.0):
                 return await self._reserve(message)
         except trio.TooSlowError:
-            self.settle(
-                gateway_messages.SettleTurn(
-                    program_id=message.program_id,
-                    turn_id=message.turn_id,
-                    used_tokens=0,
-                    holder="",
-                )
-            )
+            self._give_back(message)
             return _cannot_tell("the store did not answer in time")
         except errors.PortError as error:
             return _cannot_tell(str(error))
 
+    def _give_back(self, message: gateway_messages.ReserveTurn) -> None:
+        self.settle(
+            gateway_messages.SettleTurn(
+                program_id=message.program_id,
+                turn_id=message.turn_id,
+                used_tokens=0,
+                holder="",
+            )
+        )
+
     def settle(self, message: gateway_messages.SettleTurn) -> None:
         """Replaces a reservation by what the turn handed out."""
-        turn_id, program_id = message.turn_id, message.program_id
-        if message.holder:
-            _remember(
-                self._holders, turn_id, message.holder, _REMEMBERED_HOLDERS
-            )
-        if message.ran_on:
-            _remember(
-                self._ran_on, program_id, message.ran_on, _REMEMBERED_PROGRAMS
-            )
-        if message.used_tokens == 0:
-            _remember(self._given_up, turn_id, None, _REMEMBERED_GIVEN_UP)
+        self._notes.settled(message)
         term = self._term
         if term is None:
             # Its sender is told that it was taken, and a claim may be under
             # way whose accounts still have the reservation.
-            _remember(self._unapplied, turn_id, message, _REMEMBERED_UNAPPLIED)
+            self._notes.postpone(message)
             return
         lower = term.ledger.settle(
-            program_id,
-            turn_id,
+            message.program_id,
+            message.turn_id,
             message.used_tokens,
             may_lower=not term.is_writing,
         )
         if lower is not None:
-            self._write_soon(term, [_Pending(program_id, lower)])
+            term.write_soon({message.program_id: lower})
 
     def forget_idle(self, idle_ms: float) -> None:
         """Drops programs that were not used for long, here and durably."""
@@ -225,9 +172,7 @@
         if term is None:
             return
         old = term.ledger.forget_idle(idle_ms, self._clock.now_ms())
-        self._write_soon(
-            term, [_Pending(program_id, None) for program_id in old]
-        )
+        term.write_soon(dict.fromkeys(old))
 
     async def _reserve(
         self, message: gateway_messages.ReserveTurn
@@ -236,11 +181,11 @@
         outcome = self._reserve_in(term, message)
         if isinstance(outcome, gateway_messages.ReserveReply):
             return outcome
-        pending = _Pending(message.program_id, outcome.mark)
-        self._write_soon(term, [pending])
-        await pending.done.wait()
-        if pending.error is not None:
-            raise pending.error
+        if outcome.mark is not None:
+            if not self._store_reached():
+                self._give_back(message)
+                return _cannot_tell("the store is away")
+            await term.write(message.program_id, outcome.mark)
         return self._granted(message, outcome)
 
     def hand_over(self) -> tuple[int, dict[str, program_budgets.Account]]:
@@ -251,8 +196,8 @@
         for as long as no other epoch than theirs is in force.
 
         Returns:
-            The epoch under which it was owned last, 0 if it was not, and the
-            accounts.
+            The newest accounts that are known here, and the epoch under which
+            they were exact; 0 if none are.
         """
         if self._term is not None:
             error = keyed_store.FencedError("handed over to a peer")
@@ -260,10 +205,12 @@
         return self._last_accounts.epoch, self._last_accounts.by_program
 
     def _reserve_in(
-        self, term: _Term, message: gateway_messages.ReserveTurn
+        self,
+        term: budget_term.BudgetTerm,
+        message: gateway_messages.ReserveTurn,
     ) -> gateway_messages.ReserveReply | program_budgets.Granted:
         """Returns the reply, or the grant whose mark must be durable first."""
-        if message.turn_id in self._given_up:
+        if self._notes.is_given_up(message.turn_id):
             # Its caller left while this gateway was claiming the partition.
             return _cannot_tell("the turn was given up before")
         outcome = term.ledger.reserve(
@@ -291,12 +238,12 @@
     ) -> gateway_messages.ReserveReply:
         return gateway_messages.ReserveReply(
             granted=True,
-            holder=self._holders.get(message.previous_id, ""),
+            holder=self._notes.holder(message.previous_id),
             is_first=granted.is_first,
-            ran_on=self._ran_on.get(message.program_id, ""),
+            ran_on=self._notes.ran_on(message.program_id),
         )
 
-    async def _hold(self) -> _Term:
+    async def _hold(self) -> budget_term.BudgetTerm:
         """Returns the current term, claiming the partition if need be.
 
         The claim outlives the request that begins it. If it ended with that
@@ -322,11 +269,14 @@
         try:
             self._term = await self._open_term()
             self._held.add(self._part)
-            self._settle_unapplied()
+            for message in self._notes.take_postponed():
+                self.settle(message)
         except errors.PortError as error:
             claim.error = error
         except Exception as error:
-            _log.exception("claim_failed", topic=TOPIC, part=self._part)
+            _log.exception(
+                "claim_failed", topic=budget_term.TOPIC, part=self._part
+            )
             claim.error = errors.NotDoneError(repr(error))
         finally:
             self._claim = None
@@ -336,52 +286,55 @@
         if claim.error is not None:
             _log.warning(
                 "partition_not_claimed",
-                topic=TOPIC,
+                topic=budget_term.TOPIC,
                 part=self._part,
                 reason=str(claim.error),
                 took_ms=round(took_ms),
             )
 
-    def _settle_unapplied(self) -> None:
-        unapplied, self._unapplied = self._unapplied, {}
-        for message in unapplied.values():
-            self.settle(message)
-
-    async def _open_term(self) -> _Term:
+    async def _open_term(self) -> budget_term.BudgetTerm:
         await trio.sleep(self._listening_ms() / 1000.0)
         if not self._store_reached():
             raise errors.NotDoneError("the store is away")
         # Asked before the claim, since a peer may be silent for long, and a
         # claim that takes long is shut out by the next before it has opened.
-        known = await self._ask_accounts(holders_only=False)
+        await self._ask_accounts(holders_only=False)
         fence = await self._epochs.claim()
         found = await self._store.newest(
-            TOPIC, self._part, timeout_ms=2 * WRITE_TIMEOUT_MS
+            budget_term.TOPIC,
+            self._part,
+            timeout_ms=2 * budget_term.WRITE_TIMEOUT_MS,
         )
         values = {
             record.key: record.value
             for record in found.records
             if record.value is not None
         }
-        last_epoch = int(values.pop(EPOCH_KEY, b"0"))
-        known.append(self._last_accounts)
-        if last_epoch not in {_NO_EPOCH, *(each.epoch for each in known)}:
+        last_epoch = int(values.pop(budget_term.EPOCH_KEY, b"0"))
+        if last_epoch != self._last_accounts.epoch:
             # Somebody may have opened a term since.
-            known += await self._ask_accounts(holders_only=True)
+            await self._ask_accounts(holders_only=True)
         ledger = program_budgets.BudgetLedger()
         now_ms = self._clock.now_ms()
         for program_id, value in values.items():
             ledger.load(program_id, program_budgets.decode_mark(value), now_ms)
-        exact = [each for each in known if each.epoch == last_epoch]
-        is_exact = last_epoch != _NO_EPOCH and bool(exact)
+        is_exact = last_epoch == self._last_accounts.epoch != _NO_EPOCH
         if is_exact:
-            ledger.take_over(exact[0].by_program, now_ms)
-        term = _Term(fence, ledger)
-        await self._open(term)
+            ledger.take_over(self._last_accounts.by_program, now_ms)
+        term = budget_term.BudgetTerm(
+            self._part,
+            self._store,
+            self._nursery,
+            self._store_answered,
+            fence,
+            ledger,
+            self._lose,
+        )
+        await term.open()
         self._last_accounts = _Accounts()
         _log.info(
             "partition_claimed",
-            topic=TOPIC,
+            topic=budget_term.TOPIC,
             part=self._part,
             epoch=fence.epoch,
             last_epoch=last_epoch,
@@ -390,114 +343,24 @@
         )
         return term
 
-    async def _ask_accounts(self, *, holders_only: bool) -> list[_Accounts]:
+    async def _ask_accounts(self, *, holders_only: bool) -> None:
+        """Asks peers for accounts and keeps the newest.
+
+        They are kept beyond the claim, since they may be nowhere else.
+        """
         replies = await self._peers.hand_over(
             self._part, holders_only=holders_only
         )
-        return [_Accounts(each.epoch, each.accounts) for each in replies]
-
-    async def _open(self, term: _Term) -> None:
-        """Makes durable what was granted, together with the epoch."""
-        behind = term.ledger.behind()
-        epoch = str(term.fence.epoch).encode()
-        await self._write_until_known(
-            term,
-            [
-                keyed_store.KeyedRecord(EPOCH_KEY, epoch),
-                *(
-                    keyed_store.KeyedRecord(program_id, mark.encode())
-                    for program_id, mark in behind.items()
-                ),
-            ],
-            most_tries=_OPEN_TRIES,
+        known = [_Accounts(each.epoch, each.accounts) for each in replies]
+        self._last_accounts = max(
+            [self._last_accounts, *known], key=lambda each: each.epoch
         )
-        for program_id, mark in behind.items():
-            term.ledger.made_durable(program_id, mark)
-
-    def _write_soon(self, term: _Term, pending: list[_Pending]) -> None:
-        term.pending += pending
-        if term.pending and not term.is_writing:
-            term.is_writing = True
-            self._nursery.start_soon(self._write_all, term)
-
-    async def _write_all(self, term: _Term) -> None:
-        """Writes marks, all that wait in one call, until none waits."""
-        try:
-            while term.pending and self._term is term:
-                batch, term.pending = term.pending, []
-                await self._write(term, batch)
-        finally:
-            term.is_writing = False
-        _fail(term.pending, errors.NotDoneError("the partition is lost"))
-        term.pending = []
-
-    async def _write(self, term: _Term, batch: list[_Pending]) -> None:
-        # Of several marks of a program the last one holds.
-        marks = {each.program_id: each.mark for each in batch}
-        records = [
-            keyed_store.KeyedRecord(
-                program_id, None if mark is None else mark.encode()
-            )
-            for program_id, mark in marks.items()
-        ]
-        try:
-            await self._write_until_known(term, records)
-        except errors.PortError as error:
-            self._lose(term, error)
-            _fail(batch, error)
-            return
-        for program_id, mark in marks.items():
-            if mark is not None:
-                term.ledger.made_durable(program_id, mark)
-        for each in batch:
-            each.done.set()
 
-    async def _write_until_known(
-        self,
-        term: _Term,
-        records: list[keyed_store.KeyedRecord],
-        *,
-        most_tries: int | None = None,
+    def _lose(
+        self, term: budget_term.BudgetTerm, error: errors.PortError
     ) -> None:
-        """Repeats one write until its outcome is known.
-
-        The store takes a repeat with the same sequence number only once, so
-        a lost answer does no harm.
-        """
-        wait_ms = _RETRY_FIRST_MS
-        tries = 0
-        while True:
-            try:
-                return await self._write_once(term, records)
-            except keyed_store.FencedError:
-                raise
-            except errors.PortError as error:
-                self._store_answered(False)
-                _log.warning(
-                    "budget_write_repeated", part=self._part, reason=str(error)
-                )
-                tries += 1
-                if tries == most_tries:
-                    raise
-            await trio.sleep(wait_ms / 1000.0)
-            wait_ms = min(2.0 * wait_ms, _RETRY_MOST_MS)
-
-    async def _write_once(
-        self, term: _Term, records: list[keyed_store.KeyedRecord]
-    ) -> None:
-        await self._store.append_fenced(
-            TOPIC,
-            self._part,
-            records,
-            term.fence,
-            term.sequence,
-            timeout_ms=WRITE_TIMEOUT_MS,
-        )
-        self._store_answered(True)
-        term.sequence += 1
-
-    def _lose(self, term: _Term, error: errors.PortError) -> None:
         _log.warning("partition_lost", part=self._part, reason=str(error))
+        term.is_over = True
         if self._term is term:
             self._term = None
             self._held.discard(self._part)
@@ -506,20 +369,5 @@
             )
 
 
-def _remember(
-    known: dict[str, _Value], turn_id: str, value: _Value, most: int
-) -> None:
-    """Keeps a value for a turn; the oldest goes where there are too many."""
-    known[turn_id] = value
-    if len(known) > most:
-        del known[next(iter(known))]
-
-
-def _fail(batch: list[_Pending], error: errors.PortError) -> None:
-    for each in batch:
-        each.error = error
-        each.done.set()
-
-
 def _cannot_tell(reason: str) -> gateway_messages.ReserveReply:
     return gateway_messages.ReserveReply(granted=False, reason=reason)
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -555,6 +555,46 @@
 
         _run(case, store)
 
+    def test_claim_under_way_hands_on_what_it_was_handed(self) -> None:
+        """The owner that handed it over may be gone by then."""
+
+        async def case(gateways: _Gateways) -> None:
+            first, second = gateways.owner(), gateways.owner()
+            assert (await _ask(first, "1", 84)).granted
+            first.settle(_settlement("1", 62))
+            gateways.peers.others = [first]
+            replies: list[gateway_messages.ReserveReply] = []
+
+            async def ask(turn_id: str) -> None:
+                replies.append(await _ask(second, turn_id, 19))
+
+            gateways.nursery.start_soon(ask, "2")
+            # It has asked the first, and reads.
+            await trio.sleep(0.05)
+            gateways.peers.others = [second]
+            third = gateways.owner()
+            for turn_id in ("3", "4"):
+                assert (await _ask(third, turn_id, 19)).granted
+
+        _run(case, _FaultyStore())
+
+    def test_turn_beyond_the_mark_does_not_wait_for_a_store_that_is_away(
+        self,
+    ) -> None:
+        """It is known that no mark can be written, and its caller waits."""
+
+        async def case(gateways: _Gateways) -> None:
+            owner = gateways.owner()
+            assert (await _ask(owner, "1", 10)).granted
+            gateways.store.down = True
+            asked_s = trio.current_time()
+            assert not (await _ask(owner, "2", 60)).granted
+            assert trio.current_time() == asked_s
+            gateways.store.down = False
+            assert (await _ask(owner, "3", 90)).granted
+
+        _run(case)
+
     def test_accounts_of_an_older_owner_do_not_count(self) -> None:
         async def case(gateways: _Gateways) -> None:
             oldest = gateways.owner()
