Decode what an endpoint's answer says of its leaving

Cause: an endpoint that leaves says so in its answers too, and gateways passed the header over. Callers saw further requests sent to an endpoint that had said that it goes, if its entry came late or never said so.

Only the platform's folder knows the header. It counts for the endpoint that was asked, by the request's id and the endpoint's id where the answer names them; a 421 has to name the endpoint. It goes to no caller, like the load: it concerns the hop between endpoint and gateway.

The new cases of tests/test_platform_words.py failed before for want of the endpoint's id and the field, and pass.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -336,7 +336,10 @@
                 idle_timeout_ms=self._idle_ms(job, left_ms),
             ) as response:
                 reply = self._dialect.decode_reply(
-                    job.call, response.status, response.headers
+                    job.call,
+                    endpoint.endpoint_id,
+                    response.status,
+                    response.headers,
                 )
                 self._end_awaiting(condition, sent_ms)
                 self._note_load(condition, reply)
--- a/quetzalmill/gateway_calls.py
+++ b/quetzalmill/gateway_calls.py
@@ -91,6 +91,7 @@
         is_genuine: Whether it bears the endpoint's proof of its answer.
         not_run: Whether the endpoint says that it did not run the request.
         load: What it says of its load, or None.
+        is_leaving: Whether the endpoint that was asked says that it leaves.
     """
 
     status: int
@@ -99,6 +100,7 @@
     is_genuine: bool
     not_run: bool
     load: Load | None
+    is_leaving: bool
 
 
 class Dialect(Protocol):
@@ -115,6 +117,17 @@
         """Returns the request to send to an endpoint."""
 
     def decode_reply(
-        self, call: Call, status: int, headers: dict[str, str]
+        self,
+        call: Call,
+        endpoint_id: str,
+        status: int,
+        headers: dict[str, str],
     ) -> Reply:
-        """Decodes the head of an endpoint's answer."""
+        """Decodes the head of an endpoint's answer, or one before it.
+
+        Args:
+            call: The request that was sent.
+            endpoint_id: The endpoint that it was sent to.
+            status: The HTTP status; below 200 for an interim head.
+            headers: The headers.
+        """
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -1,6 +1,7 @@
 """Tests of what turns the platform's words into the product's types."""
 
 import pathlib
+import sys
 from typing import Any
 
 import msgspec
@@ -9,6 +10,7 @@
 from quetzalmill import errors
 from quetzalmill import gateway_calls
 from quetzalmill import http_message
+from quetzalmill import logs
 from quetzalmill_load import platform_cluster
 from quetzalmill_platform import boot
 from quetzalmill_platform import desired_state
@@ -133,12 +135,83 @@
         not_run: bool,
     ) -> None:
         call = _DIALECT.decode_call(_request(attempt_id="a1"))
-        reply = _DIALECT.decode_reply(call, status, headers)
+        reply = _DIALECT.decode_reply(call, "e1", status, headers)
         assert reply.is_own == is_own
         assert reply.is_genuine == is_genuine
         assert reply.not_run == not_run
 
 
+class TestLeavingHeader:
+    """Whom an answer with the header of leaving marks."""
+
+    def _reply(
+        self,
+        status: int,
+        headers: dict[str, str],
+        dialect: wire.PlatformDialect = _DIALECT,
+    ) -> gateway_calls.Reply:
+        call = dialect.decode_call(_request(attempt_id="a1"))
+        return dialect.decode_reply(call, "e1", status, headers)
+
+    @pytest.mark.parametrize("status", [100, 103, 200, 404, 429, 500, 503, 504])
+    def test_any_status_counts(self, status: int) -> None:
+        headers = {"server-leaving": "1", "attempt-id": "a1"}
+        assert self._reply(status, headers).is_leaving
+
+    @pytest.mark.parametrize("value", ["1", " 1\t", "1, 1", "1,1 , 1"])
+    def test_one_counts_also_repeated_and_among_blanks(
+        self, value: str
+    ) -> None:
+        assert self._reply(200, {"server-leaving": value}).is_leaving
+
+    @pytest.mark.parametrize(
+        "value", ["", "0", "true", "01", "1.0", "11", "1, 0", "1,", "\u00b9"]
+    )
+    def test_other_values_change_nothing(self, value: str) -> None:
+        assert not self._reply(200, {"server-leaving": value}).is_leaving
+
+    def test_answer_without_the_header_says_nothing(self) -> None:
+        assert not self._reply(200, {"attempt-id": "a1"}).is_leaving
+
+    @pytest.mark.parametrize(
+        ("status", "headers", "is_leaving"),
+        [
+            (200, {"attempt-id": "a1"}, True),
+            (200, {}, True),
+            (503, {"instance-id": "e1"}, True),
+            (200, {"attempt-id": "a1", "instance-id": "e1"}, True),
+            (200, {"attempt-id": "a0"}, False),
+            (200, {"attempt-id": "a0", "instance-id": "e1"}, False),
+            (200, {"attempt-id": "a1", "instance-id": "e2"}, False),
+            (503, {"instance-id": "e2"}, False),
+            (421, {"attempt-id": "a1"}, False),
+            (421, {}, False),
+            (421, {"attempt-id": "a1", "instance-id": "e1"}, True),
+        ],
+    )
+    def test_answer_counts_only_for_the_endpoint_that_gave_it(
+        self, status: int, headers: dict[str, str], is_leaving: bool
+    ) -> None:
+        reply = self._reply(status, {**headers, "server-leaving": "1"})
+        assert reply.is_leaving == is_leaving
+
+    def test_callers_do_not_see_it(self) -> None:
+        reply = self._reply(200, {"server-leaving": "1", "x-own": "kept"})
+        assert reply.headers == {"x-own": "kept"}
+
+    def test_unknown_value_is_logged_once_for_an_endpoint(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        logs.configure(stream=sys.stdout)
+        dialect = wire.PlatformDialect()
+        for _ in range(3):
+            self._reply(200, {"server-leaving": "x" * 9_000}, dialect)
+        lines = capsys.readouterr().out.splitlines()
+        assert len(lines) == 1
+        assert "leaving_header_unknown" in lines[0]
+        assert len(lines[0]) < 300
+
+
 class TestDesiredState:
     """What the operator writes."""
 
