Send nothing to an endpoint that has said that it leaves

Cause: an endpoint's leaving was what its last entry said. A `ready` read late, a list read again, or an entry that lapsed with the store and came back made it usable again, any other start time or none was taken for a new boot, and what it said in answers did not count. Callers saw requests sent to endpoints on their way out, most of all while the store was away.

The word now holds for the start that gave it (id, address, service, time of start), from the head of the answer on. Only another start brings the id back.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -342,7 +342,7 @@
                     response.headers,
                 )
                 self._end_awaiting(condition, sent_ms)
-                self._note_load(condition, reply)
+                self._note_reply(job, condition, reply)
                 outcome = await self._take(
                     job, condition, reply, response, exchange
                 )
@@ -384,9 +384,17 @@
             case outcomes.Streamed():
                 health.note_failure(now_ms)
 
-    def _note_load(
-        self, condition: endpoint_pool.Condition, reply: gateway_calls.Reply
+    def _note_reply(
+        self,
+        job: Job,
+        condition: endpoint_pool.Condition,
+        reply: gateway_calls.Reply,
     ) -> None:
+        """Takes over what the head of an answer says of the endpoint."""
+        if reply.is_leaving:
+            self._pool.note_leaving(
+                condition, job.call.request_id, self._clock.now_ms()
+            )
         if reply.load is not None:
             condition.reported_running = reply.load.running
             condition.reported_waiting = reply.load.waiting
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -10,6 +10,7 @@
 import attrs
 
 from quetzalmill import endpoint_health
+from quetzalmill import endpoint_leaving
 
 DOWN_FIRST_MS = 300.0
 """How long an endpoint is left alone after one failure to connect; about the
@@ -50,7 +51,7 @@
         address: IP address and port.
         failure_domain: Where it stands.
         slots: Requests that it runs at once.
-        leaving: Whether it takes no new work.
+        leaving: Whether its entry says that it takes no new work.
         started_unix_ms: When it started; 0 if it does not say.
         cold_ms: How long it stays slow after its start.
     """
@@ -64,6 +65,15 @@
     started_unix_ms: int
     cold_ms: float
 
+    def boot(self) -> endpoint_leaving.Boot:
+        """Returns what tells this start from others."""
+        return endpoint_leaving.Boot(
+            endpoint_id=self.endpoint_id,
+            service=self.service,
+            address=self.address,
+            started_unix_ms=self.started_unix_ms,
+        )
+
 
 @attrs.define(kw_only=True)
 class Condition:
@@ -83,6 +93,7 @@
         cold_until_ms: Until when it is slow after its start.
         health: How well it answered this gateway lately.
         peers_trouble: What the other gateways count of that.
+        mark: That it has said that it leaves; None if it has not.
     """
 
     endpoint: Endpoint
@@ -98,6 +109,7 @@
     cold_until_ms: float = 0.0
     health: endpoint_health.Health = attrs.field(factory=endpoint_health.Health)
     peers_trouble: list[endpoint_health.Trouble] = attrs.field(factory=list)
+    mark: endpoint_leaving.Mark | None = None
 
     def failure_cost_ms(self, now_ms: float) -> float:
         """Returns what the likely failure of a request here costs."""
@@ -142,11 +154,16 @@
 class EndpointPool:
     """The endpoints of all services.
 
+    Args:
+        drain_ms: How long endpoints serve after they said that they leave.
+
     Attributes:
         news_age_ms: How old the news of what peers run are.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, drain_ms: float = 0.0) -> None:
+        self._drain_ms = drain_ms
+        self._marks = endpoint_leaving.Marks()
         self._by_id: dict[str, Condition] = {}
         self._held_ms: dict[str, float] = {}
         self._heard_ms: float | None = None
@@ -163,21 +180,66 @@
     def update(self, endpoint: Endpoint, now_ms: float) -> bool:
         """Takes over an entry; returns whether it changed what is believed."""
         known = self._by_id.get(endpoint.endpoint_id)
-        if known is None or _is_new_start(known.endpoint, endpoint):
-            self._by_id[endpoint.endpoint_id] = Condition(
-                endpoint=endpoint,
-                cold_until_ms=now_ms + endpoint.cold_ms,
+        says_leaving = endpoint.leaving
+        mark: endpoint_leaving.Mark | None = None
+        match self._marks.judge(endpoint.boot(), now_ms):
+            case endpoint_leaving.Outdated():
+                return False
+            case endpoint_leaving.Leaving(mark=mark):
+                if known is not None and _is_new_start(
+                    known.endpoint, endpoint
+                ):
+                    # The start that it tells of has been replaced.
+                    return False
+                endpoint = attrs.evolve(endpoint, leaving=True)
+        if (
+            known is None
+            or _is_new_start(known.endpoint, endpoint)
+            or (known.mark is not None and mark is None)
+        ):
+            known = Condition(endpoint=endpoint, mark=mark)
+            self._by_id[endpoint.endpoint_id] = known
+            changed = True
+        else:
+            endpoint = attrs.evolve(
+                endpoint,
+                started_unix_ms=endpoint.started_unix_ms
+                or known.endpoint.started_unix_ms,
             )
-            return True
-        changed = (
-            attrs.evolve(known.endpoint, cold_ms=endpoint.cold_ms) != endpoint
-            or known.doubted_ms is not None
-        )
-        known.endpoint = endpoint
-        known.doubted_ms = None
+            changed = (
+                attrs.evolve(known.endpoint, cold_ms=endpoint.cold_ms)
+                != endpoint
+                or known.doubted_ms is not None
+            )
+            known.endpoint = endpoint
+            known.doubted_ms = None
         known.cold_until_ms = now_ms + endpoint.cold_ms
+        if says_leaving:
+            known.mark, _ = self._marks.note(
+                endpoint.boot(), endpoint_leaving.Source.ENTRY, "store", now_ms
+            )
         return changed
 
+    def note_leaving(self, known: Condition, by: str, now_ms: float) -> None:
+        """Records that an endpoint said in an answer that it leaves.
+
+        Args:
+            known: The start that answered; another one may have replaced it.
+            by: The request that it answered.
+            now_ms: The current time.
+        """
+        known.mark, _ = self._marks.note(
+            known.endpoint.boot(), endpoint_leaving.Source.ANSWER, by, now_ms
+        )
+        known.endpoint = attrs.evolve(known.endpoint, leaving=True)
+        newest = self._by_id.get(known.endpoint.endpoint_id)
+        if newest is not None and not _is_new_start(
+            newest.endpoint, known.endpoint
+        ):
+            # Its entry lapsed and came back while it answered.
+            newest.mark = known.mark
+            newest.endpoint = attrs.evolve(newest.endpoint, leaving=True)
+
     def remove(
         self, endpoint_id: str, now_ms: float, *, store_was_away: bool
     ) -> bool:
@@ -192,7 +254,7 @@
         known = self._by_id.get(endpoint_id)
         if known is None:
             return False
-        if store_was_away and not known.endpoint.leaving:
+        if store_was_away and known.mark is None:
             if known.doubted_ms is None:
                 known.doubted_ms = now_ms
         else:
@@ -233,13 +295,25 @@
 
     def usable(self, service: str, now_ms: float) -> list[Condition]:
         """Returns the endpoints of a service that may get new work."""
-        staying = [
+        of_service = [
             known
             for known in self._by_id.values()
-            if known.endpoint.service == service and not known.endpoint.leaving
+            if known.endpoint.service == service
         ]
-        up = [known for known in staying if known.down_until_ms <= now_ms]
-        return up or staying
+        staying = [known for known in of_service if known.mark is None]
+        if staying:
+            return _up_first(staying, now_ms)
+        return _up_first(
+            [
+                known
+                for known in of_service
+                if known.mark is not None
+                and endpoint_leaving.is_last_resort(
+                    known.mark, now_ms, self._drain_ms
+                )
+            ],
+            now_ms,
+        )
 
     def hear_running(
         self, running: dict[str, int], now_ms: float, age_ms: float
@@ -326,9 +400,10 @@
     known.down_until_ms = 0.0
 
 
+def _up_first(conditions: list[Condition], now_ms: float) -> list[Condition]:
+    up = [known for known in conditions if known.down_until_ms <= now_ms]
+    return up or conditions
+
+
 def _is_new_start(old: Endpoint, new: Endpoint) -> bool:
-    return (
-        old.address != new.address
-        or old.service != new.service
-        or old.started_unix_ms != new.started_unix_ms
-    )
+    return not old.boot().may_be(new.boot())
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -81,6 +81,7 @@
         memory_mb: The memory that the process may take.
         link_mbps: The bandwidth of the host's link; 0 if unknown.
         rate_slack: Requests beyond a team's rate that the operators tolerate.
+        drain_ms: How long endpoints serve after they said that they leave.
         grace_ms: The time from SIGTERM to SIGKILL.
         out_of_rotation_ms: The time after which no new connection comes, once
             it is not ready.
@@ -98,6 +99,7 @@
     memory_mb: float
     link_mbps: float
     rate_slack: float
+    drain_ms: float
     grace_ms: float
     out_of_rotation_ms: float
 
@@ -141,6 +143,7 @@
             clock=self.clock,
             link_mbps=settings.link_mbps,
             rate_slack=settings.rate_slack,
+            drain_ms=settings.drain_ms,
         )
         for address in settings.seeds:
             self.state.peers.add_address(address, self.clock.now_ms())
--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -54,6 +54,7 @@
         clock: The process's clock.
         link_mbps: The bandwidth of its host's link; 0 if unknown.
         rate_slack: Requests beyond a team's rate that the operators tolerate.
+        drain_ms: How long endpoints serve after they said that they leave.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         clock: clock_module.WallClock,
         link_mbps: float = 0.0,
         rate_slack: float = 0.0,
+        drain_ms: float = 0.0,
     ) -> None:
         self.host = host
         self.instance = instance
@@ -75,7 +77,7 @@
         self.parts = parts
         self.clock = clock
         self.table: route_table.RouteTable | None = None
-        self.pool = endpoint_pool.EndpointPool()
+        self.pool = endpoint_pool.EndpointPool(drain_ms)
         self.peers = peers_module.PeerTable(address, failure_domain, link_mbps)
         self._link_mbps = link_mbps
         self.buckets = team_buckets.TeamBuckets(
--- /dev/null
+++ b/tests/test_endpoint_leaving.py
@@ -0,0 +1,267 @@
+"""Tests of endpoints that say that they leave."""
+
+import attrs
+import pytest
+
+from quetzalmill import endpoint_leaving
+from quetzalmill import endpoint_pool
+
+_DRAIN_MS = 2_000.0
+_LONG_AFTER_MS = 10.0 * endpoint_leaving.LEFT_MS
+
+
+def _endpoint(
+    endpoint_id: str = "e1", **changes: object
+) -> endpoint_pool.Endpoint:
+    endpoint = endpoint_pool.Endpoint(
+        endpoint_id=endpoint_id,
+        service="app",
+        address=f"10.0.0.{endpoint_id[1:]}:80",
+        failure_domain="a",
+        slots=4,
+        leaving=False,
+        started_unix_ms=100,
+        cold_ms=0.0,
+    )
+    return attrs.evolve(endpoint, **changes)  # type: ignore[arg-type]
+
+
+def _pool(*endpoint_ids: str) -> endpoint_pool.EndpointPool:
+    """Returns a pool whose endpoints have no last resort."""
+    pool = endpoint_pool.EndpointPool()
+    for endpoint_id in endpoint_ids:
+        pool.update(_endpoint(endpoint_id), 0.0)
+    return pool
+
+
+def _say(
+    pool: endpoint_pool.EndpointPool, endpoint_id: str, now_ms: float
+) -> endpoint_pool.Condition:
+    """Has an endpoint say in an answer that it leaves."""
+    known = pool.get(endpoint_id)
+    assert known is not None
+    pool.note_leaving(known, "r1", now_ms)
+    return known
+
+
+def _usable(pool: endpoint_pool.EndpointPool, now_ms: float) -> list[str]:
+    return [each.endpoint.endpoint_id for each in pool.usable("app", now_ms)]
+
+
+class TestSignsStick:
+    """What does not bring an endpoint back that has said that it leaves."""
+
+    def test_answer_counts_at_once(self) -> None:
+        pool = _pool("e1", "e2")
+        _say(pool, "e1", 1.0)
+        assert _usable(pool, 1.0) == ["e2"]
+
+    @pytest.mark.parametrize("source", ["answer", "entry"])
+    def test_entry_that_says_ready_later(self, source: str) -> None:
+        pool = _pool("e1", "e2")
+        if source == "answer":
+            _say(pool, "e1", 1.0)
+        else:
+            pool.update(_endpoint(leaving=True), 1.0)
+        for now_ms in (2.0, _LONG_AFTER_MS):
+            pool.update(_endpoint(), now_ms)
+            assert _usable(pool, now_ms) == ["e2"]
+
+    def test_list_that_is_read_again(self) -> None:
+        pool = _pool("e1", "e2")
+        _say(pool, "e1", 1.0)
+        both = [_endpoint("e1"), _endpoint("e2")]
+        pool.replace_all(both, 2.0, store_was_away=False)
+        assert _usable(pool, 2.0) == ["e2"]
+
+    @pytest.mark.parametrize("store_was_away", [False, True])
+    def test_entry_that_lapsed_and_came_back(
+        self, store_was_away: bool
+    ) -> None:
+        pool = _pool("e1", "e2")
+        _say(pool, "e1", 1.0)
+        pool.remove("e1", 2.0, store_was_away=store_was_away)
+        pool.update(_endpoint(), 3.0)
+        assert _usable(pool, 3.0) == ["e2"]
+
+    def test_answer_after_the_entry_lapsed_and_came_back(self) -> None:
+        """The answer was under way meanwhile, on the same boot."""
+        pool = _pool("e1", "e2")
+        before = pool.get("e1")
+        assert before is not None
+        pool.remove("e1", 1.0, store_was_away=False)
+        pool.update(_endpoint(), 2.0)
+        pool.note_leaving(before, "r1", 3.0)
+        assert _usable(pool, 3.0) == ["e2"]
+
+    def test_answer_after_the_entry_lapsed(self) -> None:
+        pool = _pool("e1", "e2")
+        before = pool.get("e1")
+        assert before is not None
+        pool.remove("e1", 1.0, store_was_away=False)
+        pool.note_leaving(before, "r1", 2.0)
+        pool.update(_endpoint(), 3.0)
+        assert _usable(pool, 3.0) == ["e2"]
+
+    def test_leaving_endpoint_is_not_kept_when_it_lapses_with_the_store(
+        self,
+    ) -> None:
+        pool = _pool("e1")
+        _say(pool, "e1", 1.0)
+        pool.remove("e1", 2.0, store_was_away=True)
+        assert pool.get("e1") is None
+
+    @pytest.mark.parametrize(("before", "after"), [(100, 0), (0, 100), (0, 0)])
+    def test_entry_that_names_no_start(self, before: int, after: int) -> None:
+        pool = _pool("e2")
+        pool.update(_endpoint(started_unix_ms=before), 0.0)
+        _say(pool, "e1", 1.0)
+        pool.update(_endpoint(started_unix_ms=after), 2.0)
+        assert _usable(pool, 2.0) == ["e2"]
+
+    def test_entry_of_an_earlier_start(self) -> None:
+        pool = _pool("e1", "e2")
+        _say(pool, "e1", 1.0)
+        pool.update(_endpoint(started_unix_ms=50), 2.0)
+        assert _usable(pool, 2.0) == ["e2"]
+
+    def test_entry_of_an_earlier_start_elsewhere(self) -> None:
+        pool = _pool("e1", "e2")
+        _say(pool, "e1", 1.0)
+        earlier = _endpoint(started_unix_ms=50, address="10.0.0.9:80")
+        pool.update(earlier, 2.0)
+        assert _usable(pool, 2.0) == ["e2"]
+
+
+class TestNewBoots:
+    """What does bring an endpoint's id back into use."""
+
+    def test_later_start(self) -> None:
+        pool = _pool("e1")
+        _say(pool, "e1", 1.0)
+        pool.update(_endpoint(started_unix_ms=101), 2.0)
+        assert _usable(pool, 2.0) == ["e1"]
+
+    @pytest.mark.parametrize(
+        "changes", [{"address": "10.0.0.9:80"}, {"service": "app"}]
+    )
+    def test_same_start_elsewhere(self, changes: dict[str, str]) -> None:
+        pool = endpoint_pool.EndpointPool()
+        pool.update(_endpoint(service="old"), 0.0)
+        _say(pool, "e1", 1.0)
+        pool.update(_endpoint(**{"service": "app", **changes}), 2.0)
+        assert _usable(pool, 2.0) == ["e1"]
+
+    def test_old_entry_does_not_replace_the_new_boot(self) -> None:
+        pool = _pool("e1")
+        _say(pool, "e1", 1.0)
+        pool.update(_endpoint(started_unix_ms=200), 2.0)
+        pool.update(_endpoint(), 3.0)
+        pool.update(_endpoint(leaving=True), 4.0)
+        assert _usable(pool, 4.0) == ["e1"]
+        known = pool.get("e1")
+        assert known is not None
+        assert known.endpoint.started_unix_ms == 200
+
+    def test_late_answer_of_the_old_boot_marks_not_the_new_one(self) -> None:
+        pool = _pool("e1")
+        old = pool.get("e1")
+        assert old is not None
+        pool.update(_endpoint(started_unix_ms=200), 1.0)
+        pool.note_leaving(old, "r1", 2.0)
+        assert _usable(pool, 2.0) == ["e1"]
+
+    def test_new_boot_leaves_too(self) -> None:
+        pool = _pool("e1")
+        _say(pool, "e1", 1.0)
+        pool.update(_endpoint(started_unix_ms=200), 2.0)
+        _say(pool, "e1", 3.0)
+        for start in (200, 100):
+            pool.update(_endpoint(started_unix_ms=start), 4.0)
+            assert _usable(pool, 4.0) == []
+
+    @pytest.mark.parametrize("start", [50, 0])
+    def test_start_that_cannot_be_compared_is_new_when_the_old_has_ended(
+        self, start: int
+    ) -> None:
+        """A clock was set back; the endpoint must get requests again."""
+        pool = _pool("e1")
+        _say(pool, "e1", 1.0)
+        entry = _endpoint(started_unix_ms=start)
+        pool.update(entry, endpoint_leaving.LEFT_MS)
+        assert _usable(pool, endpoint_leaving.LEFT_MS) == []
+        pool.update(entry, endpoint_leaving.LEFT_MS + 2.0)
+        assert _usable(pool, endpoint_leaving.LEFT_MS + 2.0) == ["e1"]
+
+    def test_each_sign_puts_the_end_of_an_unknown_start_off(self) -> None:
+        pool = _pool()
+        entry = _endpoint(started_unix_ms=0)
+        pool.update(entry, 0.0)
+        _say(pool, "e1", 1.0)
+        later_ms = endpoint_leaving.LEFT_MS - 1.0
+        pool.update(attrs.evolve(entry, leaving=True), later_ms)
+        pool.update(entry, later_ms + endpoint_leaving.LEFT_MS)
+        assert _usable(pool, later_ms + endpoint_leaving.LEFT_MS) == []
+
+    def test_entry_without_a_start_forgets_nothing_of_a_sound_one(self) -> None:
+        pool = _pool("e1")
+        known = pool.get("e1")
+        pool.update(_endpoint(started_unix_ms=0), 1.0)
+        assert pool.get("e1") is known
+        assert known is not None
+        assert known.endpoint.started_unix_ms == 100
+
+
+class TestLastResort:
+    """A service all of whose endpoints have said that they leave."""
+
+    def _pool(self) -> endpoint_pool.EndpointPool:
+        pool = endpoint_pool.EndpointPool(drain_ms=_DRAIN_MS)
+        pool.update(_endpoint("e1"), 0.0)
+        pool.update(_endpoint("e2"), 0.0)
+        return pool
+
+    def test_none_is_used_while_another_stays(self) -> None:
+        pool = self._pool()
+        _say(pool, "e1", 0.0)
+        assert _usable(pool, 0.0) == ["e2"]
+
+    def test_they_are_used_for_a_part_of_their_time(self) -> None:
+        pool = self._pool()
+        _say(pool, "e1", 0.0)
+        pool.update(_endpoint("e2", leaving=True), 100.0)
+        limit_ms = endpoint_leaving.LAST_RESORT_PART * _DRAIN_MS
+        assert _usable(pool, 100.0) == ["e1", "e2"]
+        assert _usable(pool, limit_ms) == ["e2"]
+        assert _usable(pool, limit_ms + 100.0) == []
+
+    def test_further_signs_prolong_nothing(self) -> None:
+        pool = self._pool()
+        _say(pool, "e1", 0.0)
+        _say(pool, "e2", 0.0)
+        limit_ms = endpoint_leaving.LAST_RESORT_PART * _DRAIN_MS
+        _say(pool, "e1", limit_ms - 1.0)
+        pool.update(_endpoint("e2", leaving=True), limit_ms - 1.0)
+        assert _usable(pool, limit_ms) == []
+
+
+class TestMemory:
+    """Marks are kept within a bound."""
+
+    def test_oldest_marks_go_first(self) -> None:
+        marks = endpoint_leaving.Marks()
+        boots = [
+            endpoint_leaving.Boot(
+                endpoint_id=f"e{number}",
+                service="app",
+                address="10.0.0.1:80",
+                started_unix_ms=1,
+            )
+            for number in range(endpoint_leaving.MOST_MARKS + 1)
+        ]
+        for boot in boots:
+            marks.note(boot, endpoint_leaving.Source.ENTRY, "store", 0.0)
+        assert len(marks) == endpoint_leaving.MOST_MARKS
+        assert marks.judge(boots[0], 0.0) == endpoint_leaving.Staying()
+        last = marks.judge(boots[-1], 0.0)
+        assert isinstance(last, endpoint_leaving.Leaving)
--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -44,6 +44,7 @@
                 memory_mb=100.0,
                 link_mbps=0.0,
                 rate_slack=0.0,
+                drain_ms=0.0,
                 grace_ms=1_000.0,
                 out_of_rotation_ms=100.0,
             ),
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -299,6 +299,7 @@
 memoryMb = 170
 [bounds]
 graceS = 8
+drainMs = 2000
 [platform]
 addr = "10.200.1.7:8362"
 parts = 12
@@ -314,12 +315,20 @@
         assert loaded.gateway.seeds == ("10.2.0.34:7780",)
         assert loaded.gateway.peer_address == "10.1.0.11:7780"
         assert loaded.store_address == "10.200.1.7:8362"
+        assert loaded.gateway.drain_ms == 2000.0
+
+    def test_leaving_endpoints_are_no_last_resort_unless_told(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        loaded = self._load(tmp_path, self._GOOD.replace("drainMs = 2000", ""))
+        assert loaded.gateway.drain_ms == 0.0
 
     @pytest.mark.parametrize(
         ("good", "bad", "name"),
         [
             ('ip = "10.1.0.11"', "ip = 7", "ip"),
             ("parts = 12", "parts = 0", "platform.parts"),
+            ("drainMs = 2000", "drainMs = -1", "bounds.drainMs"),
             ("memoryMb = 170", "memoryMb = true", "limits.memoryMb"),
             ("[7780, 7795]", "[7795, 7780]", "internalPorts"),
             ('"10.1.0.11:8368"', '"front"', "listen.front"),
