--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -6,16 +6,15 @@
 
 import random
 
-import attrs
 import trio
 
 from quetzalmill import answer_memory
 from quetzalmill import clock as clock_module
+from quetzalmill import dispatch_job
 from quetzalmill import endpoint_choice
 from quetzalmill import endpoint_health
 from quetzalmill import endpoint_pool
 from quetzalmill import errors
-from quetzalmill import event_relay
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_outcomes as outcomes
 from quetzalmill import http_client
@@ -49,58 +48,6 @@
 _log = logs.get("dispatch")
 
 
-@attrs.define(kw_only=True, eq=False)
-class Job:
-    """One request on its way.
-
-    Attributes:
-        call: The caller's request.
-        route: Its route.
-        service: The service chosen for it.
-        team: The team it runs for; empty on a public route.
-        body: What the endpoint gets.
-        deadline_ms: When the caller or the route gives it up.
-        priority: Its rank at the endpoint.
-        tried: Endpoints that it was sent to.
-        sends: Times that an endpoint got it.
-        ran_on: The endpoint that answered last.
-        endpoint_died: Whether an endpoint died while it ran there.
-        load: Requests at the endpoint that was chosen last, before this one.
-        unread_tokens: Prompt tokens that it had to read anew, as estimated.
-        relay: What has gone out of its stream.
-    """
-
-    call: gateway_calls.Call
-    route: route_table.Route
-    service: route_table.Service
-    team: str
-    body: bytes
-    deadline_ms: float
-    priority: int | None
-    tried: list[str] = attrs.field(factory=list)
-    sends: int = 0
-    ran_on: str = ""
-    endpoint_died: bool = False
-    load: int = 0
-    unread_tokens: int = 0
-    relay: event_relay.EventRelay = attrs.field(factory=event_relay.EventRelay)
-
-
-@attrs.frozen
-class _TryNext:
-    """The request has surely not run here; another endpoint may get it."""
-
-    reason: str
-
-
-@attrs.frozen
-class _Lost:
-    """The request may have run here."""
-
-    reason: str
-    timed_out: bool = False
-
-
 class Dispatcher:
     """Sends requests to the endpoints of a pool.
 
@@ -134,7 +81,7 @@
         self.prefixes = endpoint_choice.PrefixMemory()
 
     async def run(
-        self, job: Job, exchange: http_server.Exchange
+        self, job: dispatch_job.Job, exchange: http_server.Exchange
     ) -> outcomes.Outcome:
         """Runs a request; passes a stream on as it arrives."""
         outcome = await self._run(job, exchange)
@@ -144,7 +91,7 @@
         return outcome
 
     async def _run(
-        self, job: Job, exchange: http_server.Exchange
+        self, job: dispatch_job.Job, exchange: http_server.Exchange
     ) -> outcomes.Outcome:
         reason = "no endpoint is known"
         connect_failures = 0
@@ -161,12 +108,12 @@
             sends_before = job.sends
             outcome = await self._try(job, condition, exchange)
             match outcome:
-                case _TryNext():
+                case dispatch_job.TryNext():
                     reason = outcome.reason
                     connect_failures += job.sends == sends_before
                     if job.sends >= job.route.max_attempts:
                         break
-                case _Lost():
+                case dispatch_job.Lost():
                     reason = outcome.reason
                     was_lost = True
                     if not self._may_repeat(job):
@@ -209,7 +156,7 @@
             [each.endpoint.slots for each in usable],
         )
 
-    def _may_repeat(self, job: Job) -> bool:
+    def _may_repeat(self, job: dispatch_job.Job) -> bool:
         return (
             job.route.may_run_again
             and job.sends < job.route.max_attempts
@@ -219,7 +166,7 @@
     def _come_back_ms(self) -> float:
         return self._random.uniform(100.0, 400.0)
 
-    def _choose(self, job: Job) -> endpoint_pool.Condition | None:
+    def _choose(self, job: dispatch_job.Job) -> endpoint_pool.Condition | None:
         now_ms = self._clock.now_ms()
         usable = self._pool.usable(job.service.name, now_ms)
         fresh = [
@@ -256,10 +203,10 @@
 
     async def _try(
         self,
-        job: Job,
+        job: dispatch_job.Job,
         condition: endpoint_pool.Condition,
         exchange: http_server.Exchange,
-    ) -> outcomes.Outcome | _TryNext | _Lost:
+    ) -> outcomes.Outcome | dispatch_job.TryNext | dispatch_job.Lost:
         """Sends a request to one endpoint."""
         sent_ms = self._clock.now_ms()
         condition.running += 1
@@ -269,15 +216,15 @@
         except errors.ConnectFailedError as error:
             endpoint_pool.failed(condition, self._clock.now_ms())
             condition.health.note_failure(self._clock.now_ms())
-            return _TryNext(str(error))
+            return dispatch_job.TryNext(str(error))
         except errors.ResponseTimeoutError as error:
-            return _Lost(str(error), timed_out=True)
+            return dispatch_job.Lost(str(error), timed_out=True)
         except errors.HttpError as error:
             if exchange.disconnected:
                 return outcomes.CallerLeft()
             condition.health.note_failure(self._clock.now_ms())
             await self._verify(job, condition)
-            return _Lost(str(error))
+            return dispatch_job.Lost(str(error))
         finally:
             condition.running -= 1
             self._pool.note_held(
@@ -303,11 +250,11 @@
 
     async def _exchange(
         self,
-        job: Job,
+        job: dispatch_job.Job,
         condition: endpoint_pool.Condition,
         exchange: http_server.Exchange,
         sent_ms: float,
-    ) -> outcomes.Outcome | _TryNext | _Lost:
+    ) -> outcomes.Outcome | dispatch_job.TryNext | dispatch_job.Lost:
         endpoint = condition.endpoint
         left_ms = job.deadline_ms - self._clock.now_ms()
         request = self._dialect.encode_send(
@@ -353,7 +300,7 @@
             job.sends -= 1
             raise
 
-    def _idle_ms(self, job: Job, left_ms: float) -> float:
+    def _idle_ms(self, job: dispatch_job.Job, left_ms: float) -> float:
         """Returns how long an endpoint may pause within its answer."""
         is_last = job.sends >= job.route.max_attempts
         if not job.route.resumable or is_last or not job.route.gap_ms:
@@ -362,15 +309,15 @@
 
     def _note_outcome(
         self,
-        job: Job,
+        job: dispatch_job.Job,
         condition: endpoint_pool.Condition,
-        outcome: outcomes.Outcome | _TryNext | _Lost,
+        outcome: outcomes.Outcome | dispatch_job.TryNext | dispatch_job.Lost,
         sent_ms: float,
     ) -> None:
         """Counts how an endpoint's answer went."""
         health, now_ms = condition.health, self._clock.now_ms()
         match outcome:
-            case _TryNext():
+            case dispatch_job.TryNext():
                 health.note_failure(now_ms, endpoint_health.REFUSAL_WEIGHT)
             case outcomes.Answered(status=status) if status >= _SERVER_ERROR:
                 health.note_failure(now_ms)
@@ -386,7 +333,7 @@
 
     def _note_reply(
         self,
-        job: Job,
+        job: dispatch_job.Job,
         condition: endpoint_pool.Condition,
         reply: gateway_calls.Reply,
     ) -> None:
@@ -402,19 +349,21 @@
 
     async def _take(
         self,
-        job: Job,
+        job: dispatch_job.Job,
         condition: endpoint_pool.Condition,
         reply: gateway_calls.Reply,
         response: http_client.StreamedResponse,
         exchange: http_server.Exchange,
-    ) -> outcomes.Outcome | _TryNext | _Lost:
+    ) -> outcomes.Outcome | dispatch_job.TryNext | dispatch_job.Lost:
         if not reply.is_own and not reply.not_run:
             raise errors.BadMessageError("the answer is for another request")
         if reply.not_run:
             await self._answers.read(response)
             if reply.status == _MISDIRECTED:
                 endpoint_pool.failed(condition, self._clock.now_ms())
-            return _TryNext(f"the endpoint refused with {reply.status}")
+            return dispatch_job.TryNext(
+                f"the endpoint refused with {reply.status}"
+            )
         if not reply.is_genuine:
             raise errors.BadMessageError("the answer is not the endpoint's")
         endpoint_pool.succeeded(condition)
@@ -433,7 +382,7 @@
 
     async def _relay(
         self,
-        job: Job,
+        job: dispatch_job.Job,
         reply: gateway_calls.Reply,
         response: http_client.StreamedResponse,
         exchange: http_server.Exchange,
@@ -461,7 +410,7 @@
         return relay.outcome(complete=True)
 
     async def _verify(
-        self, job: Job, condition: endpoint_pool.Condition
+        self, job: dispatch_job.Job, condition: endpoint_pool.Condition
     ) -> None:
         """Finds out whether an endpoint that broke off has died."""
         address = condition.endpoint.address
@@ -481,7 +430,7 @@
             )
 
 
-def _unknown(lost: _Lost) -> outcomes.Unknown:
+def _unknown(lost: dispatch_job.Lost) -> outcomes.Unknown:
     return outcomes.Unknown(
         status=504 if lost.timed_out else 502, reason=lost.reason
     )
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -6,6 +6,7 @@
 
 from quetzalmill import crash_counts
 from quetzalmill import dispatch
+from quetzalmill import dispatch_job
 from quetzalmill import engine_rank
 from quetzalmill import errors
 from quetzalmill import gateway_calls
@@ -200,7 +201,7 @@
         self.team = ""
         self._is_start = False
         self._is_under_way = bool(call.previous_turn_id)
-        self.job: dispatch.Job | None = None
+        self.job: dispatch_job.Job | None = None
         self.end_is_durable = True
 
     async def run(self) -> outcomes.Outcome:
@@ -380,7 +381,7 @@
         refused = await self._take_rate()
         if refused is not None:
             return refused
-        self.job = dispatch.Job(
+        self.job = dispatch_job.Job(
             call=self.call,
             route=self.route,
             service=service,
--- a/tests/test_leaving_sends.py
+++ b/tests/test_leaving_sends.py
@@ -12,6 +12,7 @@
 from quetzalmill import answer_memory
 from quetzalmill import clock as clock_module
 from quetzalmill import dispatch
+from quetzalmill import dispatch_job
 from quetzalmill import endpoint_pool
 from quetzalmill import gateway_outcomes as outcomes
 from quetzalmill import http_client
@@ -151,13 +152,13 @@
         )
         self.pool.update(entry, self.clock.now_ms())
 
-    def job(self, route: route_table.Route = routes.LOOKUP) -> dispatch.Job:
+    def job(self, route: route_table.Route = routes.LOOKUP) -> dispatch_job.Job:
         call = _DIALECT.decode_call(
             http_message.Request(
                 method="GET", path="/stock/1", headers={"attempt-id": "a1"}
             )
         )
-        return dispatch.Job(
+        return dispatch_job.Job(
             call=call,
             route=route,
             service=_SERVICE,
