--- a/quetzalmill/http_client.py
+++ b/quetzalmill/http_client.py
@@ -7,26 +7,15 @@
 from collections.abc import AsyncIterator
 import contextlib
 import select
-import socket
 
 import attrs
 import h11
 import trio
 
 from quetzalmill import errors
+from quetzalmill import http_connect
 from quetzalmill import http_message
 
-UNACKNOWLEDGED_MS = 1_000
-"""How long bytes may stay unacknowledged before a connection counts as dead:
-the network's first three retransmissions, so single lost packets do no harm."""
-
-PROBE_AFTER_S = 1
-"""How long a connection is quiet before the network probes it, and the pause
-between two probes; whole seconds are the shortest that the system takes."""
-
-PROBES = 2
-"""Probes without an answer after which a connection counts as dead."""
-
 _RECEIVE_BYTES = 65_536
 _MAX_HEAD_BYTES = 65_536
 _MAX_INTERIM_HEADS = 8
@@ -256,7 +245,7 @@
         limit_s = min(deadline_s, trio.current_time() + timeout_s)
         try:
             with trio.move_on_at(limit_s):
-                return _Connection(address, await _connect_stream(address))
+                return _Connection(address, await http_connect.connect(address))
         except (OSError, ValueError) as error:
             raise errors.ConnectFailedError(f"{address}: {error}") from error
         raise errors.ConnectFailedError(f"{address}: connecting timed out")
@@ -408,37 +397,6 @@
         return data
 
 
-def detect_silence(connecting: trio.socket.SocketType) -> None:
-    """Has a connection end that has fallen silent for good.
-
-    A new connection may work at the same time, so a request must not wait on
-    a silent one until its deadline.
-    """
-    connecting.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
-    )
-    connecting.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, PROBE_AFTER_S),
-        (socket.TCP_KEEPINTVL, PROBE_AFTER_S),
-        (socket.TCP_KEEPCNT, PROBES),
-    ):
-        connecting.setsockopt(socket.IPPROTO_TCP, option, value)
-
-
-async def _connect_stream(address: str) -> trio.SocketStream:
-    host, port = http_message.split_address(address)
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    connecting = trio.socket.socket(family, socket.SOCK_STREAM)
-    try:
-        detect_silence(connecting)
-        await connecting.connect((host, port))
-        return trio.SocketStream(connecting)
-    except BaseException:
-        connecting.close()
-        raise
-
-
 def _request_headers(
     request: http_message.Request, address: str
 ) -> list[tuple[bytes, bytes]]:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -11,6 +11,7 @@
 
 from quetzalmill import errors
 from quetzalmill import http_client
+from quetzalmill import http_connect
 from quetzalmill import http_message
 from quetzalmill import http_server
 from quetzalmill import sse
@@ -598,7 +599,7 @@
     def test_quiet_connection_is_probed(self) -> None:
         async def main() -> None:
             with trio.socket.socket() as connecting:
-                http_client.detect_silence(connecting)
+                http_connect.detect_silence(connecting)
                 assert connecting.getsockopt(
                     socket.SOL_SOCKET, socket.SO_KEEPALIVE
                 )
@@ -611,9 +612,9 @@
                     )
                 ]
             assert probes == [
-                http_client.PROBE_AFTER_S,
-                http_client.PROBE_AFTER_S,
-                http_client.PROBES,
+                http_connect.PROBE_AFTER_S,
+                http_connect.PROBE_AFTER_S,
+                http_connect.PROBES,
             ]
 
         trio.run(main)
