Ask again before a request to an endpoint is written

Cause: an endpoint was chosen, then connected to, which may take 400 ms, and then sent the request whatever was heard meanwhile. Interim heads before an answer were dropped, so a word in them came with the answer only. Callers saw requests run by endpoints that had said that they leave, or refused there.

A hook is asked just before the first byte. If the endpoint's entry is gone or its leaving was heard, the request goes to the next endpoint and spends neither a send nor one of the tries to connect. A request whose first copy went to a kept connection that ended is not taken for one that was never sent. Interim heads are handed over and decoded like answers.

Ruled out: making the connection first and choosing then, since it is the choice that tells where to connect.

tests/test_leaving_sends.py with one part switched off: the hook, 4 red; the look for an entry that is gone, 1; the look for the leaving, 3; that nothing is spent, 3; interim heads, 1; the lost first copy, 1. All 17 pass with all parts.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -113,6 +113,8 @@
                     connect_failures += job.sends == sends_before
                     if job.sends >= job.route.max_attempts:
                         break
+                case dispatch_job.Withheld():
+                    reason = outcome.reason
                 case dispatch_job.Lost():
                     reason = outcome.reason
                     was_lost = True
@@ -206,7 +208,7 @@
         job: dispatch_job.Job,
         condition: endpoint_pool.Condition,
         exchange: http_server.Exchange,
-    ) -> outcomes.Outcome | dispatch_job.TryNext | dispatch_job.Lost:
+    ) -> dispatch_job.SendResult:
         """Sends a request to one endpoint."""
         sent_ms = self._clock.now_ms()
         condition.running += 1
@@ -217,6 +219,8 @@
             endpoint_pool.failed(condition, self._clock.now_ms())
             condition.health.note_failure(self._clock.now_ms())
             return dispatch_job.TryNext(str(error))
+        except errors.WithheldError:
+            return dispatch_job.Withheld("the endpoint leaves")
         except errors.ResponseTimeoutError as error:
             return dispatch_job.Lost(str(error), timed_out=True)
         except errors.HttpError as error:
@@ -254,7 +258,7 @@
         condition: endpoint_pool.Condition,
         exchange: http_server.Exchange,
         sent_ms: float,
-    ) -> outcomes.Outcome | dispatch_job.TryNext | dispatch_job.Lost:
+    ) -> dispatch_job.SendResult:
         endpoint = condition.endpoint
         left_ms = job.deadline_ms - self._clock.now_ms()
         request = self._dialect.encode_send(
@@ -281,6 +285,7 @@
                 request,
                 timeout_ms=patience_ms,
                 idle_timeout_ms=self._idle_ms(job, left_ms),
+                hooks=self._hooks(job, condition),
             ) as response:
                 reply = self._dialect.decode_reply(
                     job.call,
@@ -289,17 +294,35 @@
                     response.headers,
                 )
                 self._end_awaiting(condition, sent_ms)
-                self._note_reply(job, condition, reply)
+                self._note_leaving(job, condition, reply)
+                self._note_load(condition, reply)
                 outcome = await self._take(
                     job, condition, reply, response, exchange
                 )
                 if not exchange.disconnected:
                     self._note_outcome(job, condition, outcome, sent_ms)
                 return outcome
-        except errors.ConnectFailedError:
+        except (errors.ConnectFailedError, errors.WithheldError):
             job.sends -= 1
             raise
 
+    def _hooks(
+        self, job: dispatch_job.Job, condition: endpoint_pool.Condition
+    ) -> http_client.Hooks:
+        def on_interim(status: int, headers: dict[str, str]) -> None:
+            endpoint_id = condition.endpoint.endpoint_id
+            reply = self._dialect.decode_reply(
+                job.call, endpoint_id, status, headers
+            )
+            self._note_leaving(job, condition, reply)
+
+        return http_client.Hooks(
+            may_send=lambda: self._pool.may_send(
+                condition, self._clock.now_ms()
+            ),
+            on_interim=on_interim,
+        )
+
     def _idle_ms(self, job: dispatch_job.Job, left_ms: float) -> float:
         """Returns how long an endpoint may pause within its answer."""
         is_last = job.sends >= job.route.max_attempts
@@ -311,7 +334,7 @@
         self,
         job: dispatch_job.Job,
         condition: endpoint_pool.Condition,
-        outcome: outcomes.Outcome | dispatch_job.TryNext | dispatch_job.Lost,
+        outcome: dispatch_job.SendResult,
         sent_ms: float,
     ) -> None:
         """Counts how an endpoint's answer went."""
@@ -331,17 +354,20 @@
             case outcomes.Streamed():
                 health.note_failure(now_ms)
 
-    def _note_reply(
+    def _note_leaving(
         self,
         job: dispatch_job.Job,
         condition: endpoint_pool.Condition,
         reply: gateway_calls.Reply,
     ) -> None:
-        """Takes over what the head of an answer says of the endpoint."""
         if reply.is_leaving:
             self._pool.note_leaving(
                 condition, job.call.request_id, self._clock.now_ms()
             )
+
+    def _note_load(
+        self, condition: endpoint_pool.Condition, reply: gateway_calls.Reply
+    ) -> None:
         if reply.load is not None:
             condition.reported_running = reply.load.running
             condition.reported_waiting = reply.load.waiting
@@ -354,7 +380,7 @@
         reply: gateway_calls.Reply,
         response: http_client.StreamedResponse,
         exchange: http_server.Exchange,
-    ) -> outcomes.Outcome | dispatch_job.TryNext | dispatch_job.Lost:
+    ) -> dispatch_job.SendResult:
         if not reply.is_own and not reply.not_run:
             raise errors.BadMessageError("the answer is for another request")
         if reply.not_run:
--- a/quetzalmill/dispatch_job.py
+++ b/quetzalmill/dispatch_job.py
@@ -4,6 +4,7 @@
 
 from quetzalmill import event_relay
 from quetzalmill import gateway_calls
+from quetzalmill import gateway_outcomes as outcomes
 from quetzalmill import route_table
 
 
@@ -51,9 +52,19 @@
     reason: str
 
 
+@attrs.frozen
+class Withheld:
+    """The request was withdrawn before it was sent; nothing is spent."""
+
+    reason: str
+
+
 @attrs.frozen
 class Lost:
     """The request may have run here."""
 
     reason: str
     timed_out: bool = False
+
+
+SendResult = outcomes.Outcome | TryNext | Withheld | Lost
--- a/quetzalmill/endpoint_leaving.py
+++ b/quetzalmill/endpoint_leaving.py
@@ -69,8 +69,6 @@
         by: Who passed it on: the request that was answered, or the store.
         first_ms: When it was heard first.
         last_ms: When it was heard last.
-        last_sent_ms: When a request went there since; None if none did.
-        is_gone: Whether its entry is gone, or another start has replaced it.
     """
 
     boot: Boot
@@ -78,8 +76,6 @@
     by: str
     first_ms: float
     last_ms: float
-    last_sent_ms: float | None = None
-    is_gone: bool = False
 
 
 @attrs.frozen
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -75,7 +75,7 @@
         )
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False)
 class Condition:
     """What a gateway has seen of an endpoint.
 
@@ -215,9 +215,7 @@
             known.doubted_ms = None
         known.cold_until_ms = now_ms + endpoint.cold_ms
         if says_leaving:
-            known.mark, _ = self._marks.note(
-                endpoint.boot(), endpoint_leaving.Source.ENTRY, "store", now_ms
-            )
+            self._mark(known, endpoint_leaving.Source.ENTRY, "store", now_ms)
         return changed
 
     def note_leaving(self, known: Condition, by: str, now_ms: float) -> None:
@@ -228,10 +226,7 @@
             by: The request that it answered.
             now_ms: The current time.
         """
-        known.mark, _ = self._marks.note(
-            known.endpoint.boot(), endpoint_leaving.Source.ANSWER, by, now_ms
-        )
-        known.endpoint = attrs.evolve(known.endpoint, leaving=True)
+        self._mark(known, endpoint_leaving.Source.ANSWER, by, now_ms)
         newest = self._by_id.get(known.endpoint.endpoint_id)
         if newest is not None and not _is_new_start(
             newest.endpoint, known.endpoint
@@ -240,6 +235,18 @@
             newest.mark = known.mark
             newest.endpoint = attrs.evolve(newest.endpoint, leaving=True)
 
+    def _mark(
+        self,
+        known: Condition,
+        source: endpoint_leaving.Source,
+        by: str,
+        now_ms: float,
+    ) -> None:
+        known.mark, _ = self._marks.note(
+            known.endpoint.boot(), source, by, now_ms
+        )
+        known.endpoint = attrs.evolve(known.endpoint, leaving=True)
+
     def remove(
         self, endpoint_id: str, now_ms: float, *, store_was_away: bool
     ) -> bool:
@@ -315,6 +322,19 @@
             now_ms,
         )
 
+    def may_send(self, known: Condition, now_ms: float) -> bool:
+        """Returns whether an endpoint that was chosen may still get work.
+
+        Between choice and first byte lies a connection that is made, and its
+        leaving may have been heard meanwhile.
+        """
+        endpoint = known.endpoint
+        if self._by_id.get(endpoint.endpoint_id) is not known:
+            return False
+        if known.mark is None:
+            return True
+        return known in self.usable(endpoint.service, now_ms)
+
     def hear_running(
         self, running: dict[str, int], now_ms: float, age_ms: float
     ) -> None:
--- a/quetzalmill/errors.py
+++ b/quetzalmill/errors.py
@@ -37,6 +37,10 @@
     """No connection was made, so no byte of the request was sent."""
 
 
+class WithheldError(HttpError):
+    """The sender withdrew the request before a byte of it was sent."""
+
+
 class ConnectionLostError(HttpError):
     """The connection ended after bytes of the request were sent."""
 
--- a/quetzalmill/http_client.py
+++ b/quetzalmill/http_client.py
@@ -1,10 +1,11 @@
 """Sends HTTP/1.1 requests and keeps connections alive between them.
 
 An error says whether bytes of the request may have reached the server:
-``ConnectFailedError`` means that none was sent, all others that some were.
+``ConnectFailedError`` and ``WithheldError`` mean that none was sent, all others
+that some were.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 import contextlib
 import select
 
@@ -26,8 +27,30 @@
 _Parsed = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
+@attrs.frozen(kw_only=True)
+class Hooks:
+    """What a sender is asked and told before a response's head.
+
+    Attributes:
+        may_send: Asked on a connection just before the first byte goes out;
+            False withdraws the request.
+        on_interim: Told status and headers of each interim head.
+    """
+
+    may_send: Callable[[], bool] = lambda: True
+    on_interim: Callable[[int, dict[str, str]], None] = lambda _, __: None
+
+
+_NO_HOOKS = Hooks()
+
+
 class StreamedResponse(AsyncIterator[bytes]):
-    """A response whose body is read in pieces, by ``async for``."""
+    """A response whose body is read in pieces, by ``async for``.
+
+    Attributes:
+        status: The HTTP status.
+        headers: Values by lower-case name; repeated ones joined by commas.
+    """
 
     def __init__(
         self,
@@ -158,11 +181,13 @@
         fresh_connection: bool = False,
         idempotent: bool = False,
         max_body_bytes: int = _DEFAULT_MAX_BODY_BYTES,
+        hooks: Hooks = _NO_HOOKS,
     ) -> AsyncIterator[StreamedResponse]:
         """Sends a request and yields the response with its body unread.
 
         A body that is not read to its end costs the connection. Errors are
-        those of ``request``.
+        those of ``request``, and ``errors.WithheldError`` if a hook withdrew
+        the request.
 
         Args:
             address: IP address and port of the server.
@@ -174,18 +199,20 @@
             idempotent: Whether the request may be sent again when a kept
                 connection turns out to have ended.
             max_body_bytes: The largest body that is read.
+            hooks: What is asked and told before the response's head.
         """
         deadline_s = trio.current_time() + timeout_ms / 1000.0
         connection, head = await self._open(
-            address, request, deadline_s, fresh_connection, idempotent
+            address, request, deadline_s, fresh_connection, idempotent, hooks
+        )
+        response = StreamedResponse(
+            connection,
+            head,
+            timeout_ms if idle_timeout_ms is None else idle_timeout_ms,
+            max_body_bytes,
         )
         try:
-            yield StreamedResponse(
-                connection,
-                head,
-                timeout_ms if idle_timeout_ms is None else idle_timeout_ms,
-                max_body_bytes,
-            )
+            yield response
         except BaseException:
             connection.close()
             raise
@@ -212,33 +239,37 @@
         deadline_s: float,
         fresh_connection: bool,
         idempotent: bool,
+        hooks: Hooks,
     ) -> tuple["_Connection", h11.Response]:
         kept = None if fresh_connection else self._take_idle(address)
         if kept is not None:
             try:
-                return kept, await kept.exchange(request, deadline_s)
+                return kept, await kept.exchange(request, deadline_s, hooks)
             except errors.ConnectionLostError as lost:
                 if not idempotent or kept.received_bytes:
                     raise
                 return await self._send_again(
-                    address, request, deadline_s, lost
+                    address, request, deadline_s, hooks, lost
                 )
         connection = await self._connect(address, deadline_s)
-        return connection, await connection.exchange(request, deadline_s)
+        return connection, await connection.exchange(request, deadline_s, hooks)
 
     async def _send_again(
         self,
         address: str,
         request: http_message.Request,
         deadline_s: float,
+        hooks: Hooks,
         lost: errors.ConnectionLostError,
     ) -> tuple["_Connection", h11.Response]:
         try:
             connection = await self._connect(address, deadline_s)
-        except errors.ConnectFailedError as error:
+            return connection, await connection.exchange(
+                request, deadline_s, hooks
+            )
+        except (errors.ConnectFailedError, errors.WithheldError) as error:
             # The first copy of the request may have arrived.
             raise lost from error
-        return connection, await connection.exchange(request, deadline_s)
 
     async def _connect(self, address: str, deadline_s: float) -> "_Connection":
         timeout_s = self._connect_timeout_ms / 1000.0
@@ -304,14 +335,16 @@
     )
 
     async def exchange(
-        self, request: http_message.Request, deadline_s: float
+        self, request: http_message.Request, deadline_s: float, hooks: Hooks
     ) -> h11.Response:
         """Sends a request and reads the head of its response."""
         self.received_bytes = 0
         try:
             data = self._encode(request)
+            if not hooks.may_send():
+                raise errors.WithheldError("the request was withdrawn")
             with trio.move_on_at(deadline_s):
-                return await self._exchange(data)
+                return await self._exchange(data, hooks)
             raise errors.ResponseTimeoutError("no response in time")
         except BaseException:
             self.close()
@@ -375,7 +408,7 @@
         except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             raise errors.BadMessageError(str(error)) from error
 
-    async def _exchange(self, data: bytes) -> h11.Response:
+    async def _exchange(self, data: bytes, hooks: Hooks) -> h11.Response:
         # A server that refuses a large request may answer and close while
         # the request is still being sent, so the answer is read all the same.
         with contextlib.suppress(trio.BrokenResourceError):
@@ -386,6 +419,10 @@
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise errors.BadMessageError("no response head", _BAD_GATEWAY)
+            hooks.on_interim(
+                event.status_code,
+                http_message.join_headers(list(event.headers)),
+            )
         raise errors.BadMessageError("interim heads go on", _BAD_GATEWAY)
 
     async def _receive(self) -> bytes:
--- a/tests/test_leaving_sends.py
+++ b/tests/test_leaving_sends.py
@@ -14,8 +14,10 @@
 from quetzalmill import dispatch
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_pool
+from quetzalmill import errors
 from quetzalmill import gateway_outcomes as outcomes
 from quetzalmill import http_client
+from quetzalmill import http_connect
 from quetzalmill import http_message
 from quetzalmill import http_server
 from quetzalmill import route_table
@@ -56,6 +58,7 @@
         answers: The answers that are left; the last one repeats.
         requests: How many requests it got.
         connections: How many connections are open.
+        ends_after_answer: Whether it closes the connection then.
         proceed: Waited for between a head and the rest, if set.
     """
 
@@ -63,7 +66,7 @@
         self.answers = list(answers)
         self.requests = 0
         self.connections = 0
-        self.accepted: Callable[[], None] = lambda: None
+        self.ends_after_answer = False
         self.proceed: trio.Event | None = None
         self.address = ""
 
@@ -82,7 +85,6 @@
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         self.connections += 1
-        self.accepted()
         try:
             while data := await stream.receive_some(65_536):
                 assert data.endswith(b"\r\n\r\n")
@@ -91,14 +93,18 @@
                 if len(self.answers) > 1:
                     del self.answers[0]
                 head, _, rest = answer.partition(b"\r\n\r\n")
-                await stream.send_all(head + b"\r\n\r\n")
+                if head:
+                    await stream.send_all(head + b"\r\n\r\n")
                 if self.proceed is not None:
                     await self.proceed.wait()
                 await stream.send_all(rest)
+                if self.ends_after_answer:
+                    return
         except trio.BrokenResourceError:
             pass
         finally:
             self.connections -= 1
+            await trio.aclose_forcefully(stream)
 
 
 class _Exchange(http_server.Exchange):
@@ -173,6 +179,20 @@
     ) -> outcomes.Outcome:
         return await self.dispatcher.run(self.job(route), self.exchange)
 
+    def sign(self, known: endpoint_pool.Condition, sign: str) -> None:
+        """Has a sign of an endpoint's leaving come in."""
+        now_ms = self.clock.now_ms()
+        match sign:
+            case "answer":
+                self.pool.note_leaving(known, "r2", now_ms)
+            case "entry":
+                entry = attrs.evolve(known.endpoint, leaving=True)
+                self.pool.update(entry, now_ms)
+            case _:
+                self.pool.remove(
+                    known.endpoint.endpoint_id, now_ms, store_was_away=False
+                )
+
     def usable(self) -> list[str]:
         usable = self.pool.usable("app", self.clock.now_ms())
         return [each.endpoint.endpoint_id for each in usable]
@@ -189,6 +209,20 @@
             nursery.cancel_scope.cancel()
 
 
+def _on_connect(
+    monkeypatch: pytest.MonkeyPatch, connected: Callable[[str], None]
+) -> None:
+    """Has something happen when a connection is made, before it is used."""
+    connect = http_connect.connect
+
+    async def connect_and_tell(address: str) -> trio.SocketStream:
+        stream = await connect(address)
+        connected(address)
+        return stream
+
+    monkeypatch.setattr(http_connect, "connect", connect_and_tell)
+
+
 async def _until(condition: Callable[[], bool]) -> None:
     while not condition():
         await trio.sleep(0.005)
@@ -261,3 +295,127 @@
                 assert known is not None and known.mark is None
 
         trio.run(case)
+
+    def test_interim_head_counts_at_once(self) -> None:
+        async def case() -> None:
+            interim = b"HTTP/1.1 103 Early Hints\r\nServer-Leaving: 1\r\n\r\n"
+            first = _Endpoint(interim + _answer())
+            first.proceed = trio.Event()
+            async with _gateway(first) as gateway:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(gateway.run)
+                    await _until(lambda: not gateway.usable())
+                    first.proceed.set()
+                assert first.requests == 1
+
+        trio.run(case)
+
+    def test_interim_head_of_another_request_marks_nobody(self) -> None:
+        async def case() -> None:
+            interim = (
+                b"HTTP/1.1 103 Early Hints\r\nServer-Leaving: 1\r\n"
+                b"Attempt-Id: a0\r\n\r\n"
+            )
+            first = _Endpoint(interim + _answer())
+            async with _gateway(first) as gateway:
+                outcome = await gateway.run()
+                assert isinstance(outcome, outcomes.Answered)
+                assert gateway.usable() == ["e1"]
+
+        trio.run(case)
+
+
+class TestNotYetWritten:
+    """Requests for which an endpoint was chosen before it said it leaves."""
+
+    _MORE_THAN_CONNECT_TRIES = dispatch.CONNECT_TRIES + 1
+
+    @pytest.mark.parametrize("sign", ["entry", "answer", "gone"])
+    def test_request_goes_elsewhere_without_spending_a_send(
+        self, monkeypatch: pytest.MonkeyPatch, sign: str
+    ) -> None:
+        """Each endpoint but the last one leaves while it is connected to."""
+
+        async def case() -> None:
+            endpoints = [
+                _Endpoint(_answer())
+                for _ in range(self._MORE_THAN_CONNECT_TRIES + 1)
+            ]
+            async with _gateway(*endpoints) as gateway:
+
+                def leave(address: str) -> None:
+                    usable = gateway.pool.usable("app", gateway.clock.now_ms())
+                    if len(usable) > 1:
+                        chosen = next(
+                            each
+                            for each in usable
+                            if each.endpoint.address == address
+                        )
+                        gateway.sign(chosen, sign)
+
+                _on_connect(monkeypatch, leave)
+                job = gateway.job()
+                outcome = await gateway.dispatcher.run(job, gateway.exchange)
+                assert isinstance(outcome, outcomes.Answered)
+                assert job.sends == 1
+                assert sum(each.requests for each in endpoints) == 1
+                assert len(job.tried) == len(endpoints)
+
+        trio.run(case)
+
+    def test_request_is_refused_at_once_when_the_last_one_leaves(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def case() -> None:
+            first = _Endpoint(_answer())
+            async with _gateway(first) as gateway:
+                known = gateway.pool.get("e1")
+                assert known is not None
+                _on_connect(
+                    monkeypatch, lambda _: gateway.sign(known, "answer")
+                )
+                outcome = await gateway.run()
+                assert isinstance(outcome, outcomes.Refused)
+                assert outcome.status == 503
+                assert first.requests == 0
+                assert known.failures == 0
+
+        trio.run(case)
+
+    def test_stream_goes_on_only_at_an_endpoint_that_stays(self) -> None:
+        async def case() -> None:
+            whole = _answer(body=b"id: 1\n\nid: 2\n\n", leaving=True)
+            endpoints = [_Endpoint(whole[:-1]) for _ in range(3)]
+            for each in endpoints:
+                each.ends_after_answer = True
+            route = attrs.evolve(_STREAM, resumable=True, max_attempts=9)
+            async with _gateway(*endpoints) as gateway:
+                await gateway.run(route)
+                assert [each.requests for each in endpoints] == [1, 1, 1]
+                await gateway.run(route)
+                assert [each.requests for each in endpoints] == [1, 1, 1]
+
+        trio.run(case)
+
+    def test_withdrawn_second_copy_does_not_hide_the_first(self) -> None:
+        """The first copy was written to a kept connection that then ended."""
+
+        async def case() -> None:
+            first = _Endpoint(_answer(), b"")
+            async with _gateway(first) as gateway:
+                await gateway.run()
+                first.ends_after_answer = True
+                allowed = [True, False]
+                hooks = http_client.Hooks(may_send=lambda: allowed.pop(0))
+                with pytest.raises(errors.ConnectionLostError):
+                    async with gateway.client.stream(
+                        first.address,
+                        http_message.Request(method="GET", path="/"),
+                        timeout_ms=1_000.0,
+                        idempotent=True,
+                        hooks=hooks,
+                    ):
+                        pass
+                assert not allowed
+
+        trio.run(case)
