Keep no connection to an endpoint that leaves

Cause: idle connections were kept until they timed out or the endpoint closed them. An endpoint that leaves gets no request over them any more, and takes few connections at a time.

Those that idle are closed at the first sign, whatever it came by, those in use after their answer, which is read to its end.

tests/test_leaving_sends.py::TestKeptConnections: without the closing at the sign 2 of 3 red, without the closing after an answer 1.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -301,6 +301,7 @@
                 )
                 if not exchange.disconnected:
                     self._note_outcome(job, condition, outcome, sent_ms)
+                response.may_keep_connection = condition.mark is None
                 return outcome
         except (errors.ConnectFailedError, errors.WithheldError):
             job.sends -= 1
--- a/quetzalmill/endpoint_leaving.py
+++ b/quetzalmill/endpoint_leaving.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+from typing import Protocol
 
 import attrs
 
@@ -98,6 +99,13 @@
 Verdict = Staying | Leaving | Outdated
 
 
+class Observer(Protocol):
+    """Is told of endpoints that leave."""
+
+    def said_leaving(self, mark: Mark) -> None:
+        """Takes over the first sign of a start's leaving."""
+
+
 class Marks:
     """The starts that have said that they leave."""
 
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -159,6 +159,7 @@
 
     Attributes:
         news_age_ms: How old the news of what peers run are.
+        observer: Is told of endpoints that leave; None for nobody.
     """
 
     def __init__(self, drain_ms: float = 0.0) -> None:
@@ -168,6 +169,7 @@
         self._held_ms: dict[str, float] = {}
         self._heard_ms: float | None = None
         self.news_age_ms = 0.0
+        self.observer: endpoint_leaving.Observer | None = None
 
     def get(self, endpoint_id: str) -> Condition | None:
         """Returns what is known of an endpoint, or None."""
@@ -242,10 +244,12 @@
         by: str,
         now_ms: float,
     ) -> None:
-        known.mark, _ = self._marks.note(
+        known.mark, is_first = self._marks.note(
             known.endpoint.boot(), source, by, now_ms
         )
         known.endpoint = attrs.evolve(known.endpoint, leaving=True)
+        if is_first and self.observer is not None:
+            self.observer.said_leaving(known.mark)
 
     def remove(
         self, endpoint_id: str, now_ms: float, *, store_was_away: bool
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -32,6 +32,7 @@
 from quetzalmill import http_server
 from quetzalmill import instances
 from quetzalmill import keyed_store
+from quetzalmill import leaving_watch
 from quetzalmill import logs
 from quetzalmill import members
 from quetzalmill import peer_calls
@@ -153,6 +154,7 @@
         self._client = http_client.HttpClient(
             connect_timeout_ms=CONNECT_TIMEOUT_MS
         )
+        self.state.pool.observer = leaving_watch.LeavingWatch(self._client)
         self._members = members.Members(
             store,
             settings.host,
--- a/quetzalmill/http_client.py
+++ b/quetzalmill/http_client.py
@@ -50,6 +50,8 @@
     Attributes:
         status: The HTTP status.
         headers: Values by lower-case name; repeated ones joined by commas.
+        may_keep_connection: Whether the connection may serve other requests
+            afterwards, if the server allows it.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         self._left_bytes = max_body_bytes
         self.status = head.status_code
         self.headers = http_message.join_headers(list(head.headers))
+        self.may_keep_connection = True
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         """Returns itself."""
@@ -216,7 +219,10 @@
         except BaseException:
             connection.close()
             raise
-        self._keep(address, connection)
+        if response.may_keep_connection:
+            self._keep(address, connection)
+        else:
+            connection.close()
 
     def drop(self, address: str) -> None:
         """Closes the idle connections to an address."""
--- a/tests/test_leaving_sends.py
+++ b/tests/test_leaving_sends.py
@@ -20,6 +20,7 @@
 from quetzalmill import http_connect
 from quetzalmill import http_message
 from quetzalmill import http_server
+from quetzalmill import leaving_watch
 from quetzalmill import route_table
 from quetzalmill_platform import wire
 from tests import routes
@@ -131,6 +132,7 @@
         self.clock = clock_module.SystemClock()
         self.pool = endpoint_pool.EndpointPool()
         self.client = http_client.HttpClient()
+        self.pool.observer = leaving_watch.LeavingWatch(self.client)
         self.exchange = _Exchange()
         for number, endpoint in enumerate(endpoints, 1):
             self.take_entry(f"e{number}", endpoint.address)
@@ -419,3 +421,37 @@
                 assert not allowed
 
         trio.run(case)
+
+
+class TestKeptConnections:
+    """Idle connections to an endpoint that leaves."""
+
+    @pytest.mark.parametrize("sign", ["entry", "answer"])
+    def test_idle_ones_are_closed_at_the_first_sign(self, sign: str) -> None:
+        async def case() -> None:
+            first = _Endpoint(_answer())
+            async with _gateway(first) as gateway:
+                await gateway.run()
+                assert first.connections == 1
+                known = gateway.pool.get("e1")
+                assert known is not None
+                gateway.sign(known, sign)
+                await _until(lambda: first.connections == 0)
+
+        trio.run(case)
+
+    def test_those_in_use_are_closed_after_their_answer(self) -> None:
+        async def case() -> None:
+            first = _Endpoint(_answer())
+            first.proceed = trio.Event()
+            async with _gateway(first) as gateway:
+                known = gateway.pool.get("e1")
+                assert known is not None
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(gateway.run)
+                    await _until(lambda: first.requests == 1)
+                    gateway.sign(known, "entry")
+                    first.proceed.set()
+                await _until(lambda: first.connections == 0)
+
+        trio.run(case)
