Tell peers which endpoints leave

Cause: each gateway had to be answered by an endpoint that leaves, or to read its entry, before it stopped sending there. Callers saw a first refused request at each gateway, and while the store was away at all of them.

A beat names the starts that have said to its sender that they leave, the newest 64 of the last 20 s. Second-hand word is not passed on, and holds while the peer's beats say it. What only peers say to leave is avoided, but used before a service has none, so that a peer that is wrong empties no service.

--- a/quetzalmill/endpoint_leaving.py
+++ b/quetzalmill/endpoint_leaving.py
@@ -25,12 +25,17 @@
 """Starts that are remembered as leaving; those of a day on the largest sites,
 at a few hundred bytes each."""
 
+MOST_TOLD = 64
+"""Starts that one beat tells of, the newest ones; more than leave at a time,
+and two kilobytes."""
+
 
 class Source(enum.StrEnum):
     """What said first that an endpoint leaves."""
 
     ANSWER = "answer"
     ENTRY = "entry"
+    PEER = "peer"
 
 
 @attrs.frozen(kw_only=True)
@@ -99,12 +104,26 @@
 Verdict = Staying | Leaving | Outdated
 
 
+def tells_of(told_unix_ms: int, started_unix_ms: int) -> bool:
+    """Returns whether a peer's word may be of a start.
+
+    Args:
+        told_unix_ms: The start that it tells of; a later one than is known
+            here means that the one known here has ended.
+        started_unix_ms: The start that is known here.
+    """
+    return not 0 < told_unix_ms < started_unix_ms
+
+
 class Observer(Protocol):
     """Is told of endpoints that leave."""
 
     def said_leaving(self, mark: Mark) -> None:
         """Takes over the first sign of a start's leaving."""
 
+    def peer_said_leaving(self, boot: Boot, host: str) -> None:
+        """Takes over the first word of a peer that a start leaves."""
+
 
 class Marks:
     """The starts that have said that they leave."""
@@ -117,9 +136,21 @@
         """Returns how many starts are remembered."""
         return len(self._in_order)
 
-    def all(self) -> list[Mark]:
-        """Returns what is remembered, the oldest first."""
-        return list(self._in_order)
+    def told(self, now_ms: float) -> dict[str, int]:
+        """Returns the start times of those that leave now, by endpoint.
+
+        Those that have surely ended are left out, so that nothing is told of
+        them for ever.
+        """
+        told: dict[str, int] = {}
+        for mark in reversed(self._in_order):
+            if now_ms - mark.last_ms <= LEFT_MS:
+                told.setdefault(
+                    mark.boot.endpoint_id, mark.boot.started_unix_ms
+                )
+            if len(told) == MOST_TOLD:
+                break
+        return told
 
     def judge(self, boot: Boot, now_ms: float) -> Verdict:
         """Returns what is known of a start."""
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -94,6 +94,8 @@
         health: How well it answered this gateway lately.
         peers_trouble: What the other gateways count of that.
         mark: That it has said that it leaves; None if it has not.
+        peers_say: Hosts whose gateways say now that it leaves.
+        peers_said_ms: When one said so first; None if none did.
     """
 
     endpoint: Endpoint
@@ -110,6 +112,8 @@
     health: endpoint_health.Health = attrs.field(factory=endpoint_health.Health)
     peers_trouble: list[endpoint_health.Trouble] = attrs.field(factory=list)
     mark: endpoint_leaving.Mark | None = None
+    peers_say: list[str] = attrs.field(factory=list)
+    peers_said_ms: float | None = None
 
     def failure_cost_ms(self, now_ms: float) -> float:
         """Returns what the likely failure of a request here costs."""
@@ -305,15 +309,20 @@
                 known.doubted_ms = now_ms
 
     def usable(self, service: str, now_ms: float) -> list[Condition]:
-        """Returns the endpoints of a service that may get new work."""
+        """Returns the endpoints of a service that may get new work.
+
+        A peer may be wrong, so what only peers say to leave is used before
+        none is; what has said so itself only for a short time.
+        """
         of_service = [
             known
             for known in self._by_id.values()
             if known.endpoint.service == service
         ]
-        staying = [known for known in of_service if known.mark is None]
-        if staying:
-            return _up_first(staying, now_ms)
+        unmarked = [known for known in of_service if known.mark is None]
+        staying = [known for known in unmarked if not known.peers_say]
+        if unmarked:
+            return _up_first(staying or unmarked, now_ms)
         return _up_first(
             [
                 known
@@ -335,7 +344,7 @@
         endpoint = known.endpoint
         if self._by_id.get(endpoint.endpoint_id) is not known:
             return False
-        if known.mark is None:
+        if known.mark is None and not known.peers_say:
             return True
         return known in self.usable(endpoint.service, now_ms)
 
@@ -362,6 +371,38 @@
                 known.peers_running - known.peers_usual
             )
 
+    def leaving_told(self, now_ms: float) -> dict[str, int]:
+        """Returns the starts that peers are told to leave, by endpoint.
+
+        Only what was said to this gateway itself, lest gateways keep telling
+        each other what nobody said any more.
+        """
+        return self._marks.told(now_ms)
+
+    def hear_leaving(
+        self, told: dict[str, list[tuple[str, int]]], now_ms: float
+    ) -> None:
+        """Takes over what the other gateways say.
+
+        Args:
+            told: Hosts and the starts that they tell of, by endpoint.
+            now_ms: The current time.
+        """
+        for endpoint_id, known in self._by_id.items():
+            known.peers_say = [
+                host
+                for host, start in told.get(endpoint_id, ())
+                if endpoint_leaving.tells_of(
+                    start, known.endpoint.started_unix_ms
+                )
+            ]
+            if known.peers_say and known.peers_said_ms is None:
+                known.peers_said_ms = now_ms
+                if known.mark is None and self.observer is not None:
+                    self.observer.peer_said_leaving(
+                        known.endpoint.boot(), known.peers_say[0]
+                    )
+
     def note_held(self, service: str, held_ms: float) -> None:
         """Records how long an endpoint of a service held a request."""
         known_ms = self.held_ms(service)
--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -218,6 +218,7 @@
             trouble=self.pool.trouble(now_ms),
             link_mbps=self._link_mbps,
             programs=self._sizes.counts(),
+            endpoints_leaving=self.pool.leaving_told(now_ms),
         )
 
     def hear(self, beat: peers_module.Beat) -> None:
@@ -252,6 +253,7 @@
             self.peers.running(now_ms), now_ms, self.peers.news_age_ms(now_ms)
         )
         self.pool.hear_trouble(self.peers.trouble(now_ms))
+        self.pool.hear_leaving(self.peers.endpoints_leaving(now_ms), now_ms)
         self.crashes.forget_old(now_ms)
         if self._store_failing_ms is not None:
             self.pool.extend_doubt(now_ms)
--- a/quetzalmill/leaving_watch.py
+++ b/quetzalmill/leaving_watch.py
@@ -20,9 +20,20 @@
     def said_leaving(self, mark: endpoint_leaving.Mark) -> None:
         """Takes over the first sign of a start's leaving."""
         self._client.drop(mark.boot.address)
-        _log.info(
-            "endpoint_leaving",
-            endpoint=mark.boot.endpoint_id,
-            source=mark.source.value,
-            by=mark.by,
-        )
+        _log_leaving(mark.boot, mark.source, mark.by)
+
+    def peer_said_leaving(self, boot: endpoint_leaving.Boot, host: str) -> None:
+        """Takes over the first word of a peer that a start leaves."""
+        _log_leaving(boot, endpoint_leaving.Source.PEER, host)
+
+
+def _log_leaving(
+    boot: endpoint_leaving.Boot, source: endpoint_leaving.Source, by: str
+) -> None:
+    _log.info(
+        "endpoint_leaving",
+        endpoint=boot.endpoint_id,
+        started_unix_ms=boot.started_unix_ms,
+        source=source.value,
+        by=by,
+    )
--- a/quetzalmill/peers.py
+++ b/quetzalmill/peers.py
@@ -78,6 +78,8 @@
         trouble: What it counts of endpoints that fail, by endpoint.
         link_mbps: The bandwidth of its host's link; 0 if it does not say.
         programs: What it counted of programs and their requests.
+        endpoints_leaving: Start times of the endpoints that have said to it
+            that they leave, by endpoint.
     """
 
     host: str
@@ -101,6 +103,7 @@
     programs: program_sizes.ProgramCounts = attrs.field(
         factory=program_sizes.ProgramCounts
     )
+    endpoints_leaving: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -301,6 +304,16 @@
                 found.setdefault(endpoint_id, []).append(each)
         return found
 
+    def endpoints_leaving(
+        self, now_ms: float
+    ) -> dict[str, list[tuple[str, int]]]:
+        """Returns hosts and the starts that they say leave, by endpoint."""
+        found: dict[str, list[tuple[str, int]]] = {}
+        for beat in self.alive(now_ms):
+            for endpoint_id, start in beat.endpoints_leaving.items():
+                found.setdefault(endpoint_id, []).append((beat.host, start))
+        return found
+
     def owner(
         self, part: int, *, leaving: bool, store_reached: bool, now_ms: float
     ) -> str:
--- a/tests/test_endpoint_leaving.py
+++ b/tests/test_endpoint_leaving.py
@@ -3,8 +3,12 @@
 import attrs
 import pytest
 
+from quetzalmill import clock as clock_module
+from quetzalmill import codec
 from quetzalmill import endpoint_leaving
 from quetzalmill import endpoint_pool
+from quetzalmill import gateway_state
+from quetzalmill import peers
 
 _DRAIN_MS = 2_000.0
 _LONG_AFTER_MS = 10.0 * endpoint_leaving.LEFT_MS
@@ -245,6 +249,150 @@
         assert _usable(pool, limit_ms) == []
 
 
+class TestPeers:
+    """What other gateways say of endpoints that leave."""
+
+    def _gateways(self, count: int = 3) -> list[gateway_state.GatewayState]:
+        """Returns gateways that all know e1 and e2."""
+        self.clock = clock_module.ManualClock()
+        gateways = [
+            gateway_state.GatewayState(
+                host=f"front-{number}",
+                instance=f"i{number}",
+                address=f"10.1.0.{number}:1",
+                failure_domain="a",
+                parts=1,
+                clock=self.clock,
+                drain_ms=_DRAIN_MS,
+            )
+            for number in range(count)
+        ]
+        for gateway in gateways:
+            gateway.pool.update(_endpoint("e1"), 0.0)
+            gateway.pool.update(_endpoint("e2"), 0.0)
+        return gateways
+
+    def _beat(
+        self,
+        sender: gateway_state.GatewayState,
+        *others: gateway_state.GatewayState,
+    ) -> None:
+        data = codec.to_msgpack(sender.beat())
+        for other in others:
+            other.hear(codec.from_msgpack(data, peers.Beat))
+            other.tick()
+
+    def _usable(self, gateway: gateway_state.GatewayState) -> list[str]:
+        return _usable(gateway.pool, self.clock.now_ms())
+
+    def _say(
+        self, gateway: gateway_state.GatewayState, *endpoint_ids: str
+    ) -> None:
+        for endpoint_id in endpoint_ids:
+            _say(gateway.pool, endpoint_id, self.clock.now_ms())
+
+    def test_the_next_beat_spares_peers_the_endpoint(self) -> None:
+        one, other, _ = self._gateways()
+        self._say(one, "e1")
+        self._beat(one, other)
+        assert self._usable(other) == ["e2"]
+
+    def test_entries_are_told_as_well(self) -> None:
+        one, other, _ = self._gateways()
+        one.pool.update(_endpoint(leaving=True), 0.0)
+        self._beat(one, other)
+        assert self._usable(other) == ["e2"]
+
+    def test_second_hand_word_is_not_passed_on(self) -> None:
+        one, other, third = self._gateways()
+        self._say(one, "e1")
+        self._beat(one, other)
+        self._beat(other, third)
+        assert self._usable(third) == ["e1", "e2"]
+
+    def test_it_holds_only_while_the_peer_says_it(self) -> None:
+        one, other, _ = self._gateways()
+        self._say(one, "e1")
+        self._beat(one, other)
+        one.pool.update(_endpoint(started_unix_ms=200), 1.0)
+        self.clock.advance(endpoint_leaving.LEFT_MS + 1.0)
+        self._beat(one, other)
+        assert self._usable(other) == ["e1", "e2"]
+
+    def test_it_lapses_with_the_peer(self) -> None:
+        one, other, _ = self._gateways()
+        self._say(one, "e1")
+        self._beat(one, other)
+        self.clock.advance(peers.SILENT_MS + 1.0)
+        other.tick()
+        assert self._usable(other) == ["e1", "e2"]
+
+    def test_peer_that_knows_less_takes_nothing_back(self) -> None:
+        one, other, third = self._gateways()
+        self._say(one, "e1")
+        self._beat(one, other)
+        self._beat(third, other)
+        assert self._usable(other) == ["e2"]
+        self._beat(other, one)
+        assert self._usable(one) == ["e2"]
+
+    def test_peer_that_says_so_of_all_does_not_empty_a_service(self) -> None:
+        one, other, _ = self._gateways()
+        self._say(one, "e1", "e2")
+        self._beat(one, other)
+        assert self._usable(other) == ["e1", "e2"]
+
+    def test_own_signs_count_more_than_a_peers(self) -> None:
+        one, other, _ = self._gateways()
+        self._say(one, "e1", "e2")
+        self._beat(one, other)
+        self._say(other, "e1")
+        assert self._usable(other) == ["e2"]
+
+    @pytest.mark.parametrize(
+        ("told", "own", "usable"),
+        [
+            (100, 200, ["e1", "e2"]),
+            (200, 100, ["e2"]),
+            (100, 0, ["e2"]),
+            (0, 100, ["e2"]),
+        ],
+    )
+    def test_word_of_an_earlier_boot_does_not_count(
+        self, told: int, own: int, usable: list[str]
+    ) -> None:
+        one, other, _ = self._gateways()
+        for gateway, start in ((one, told), (other, own)):
+            gateway.pool.remove("e1", 0.0, store_was_away=False)
+            gateway.pool.update(_endpoint(started_unix_ms=start), 0.0)
+        self._say(one, "e1")
+        self._beat(one, other)
+        assert sorted(self._usable(other)) == usable
+
+    def test_told_while_peers_may_still_list_it(self) -> None:
+        one, other, _ = self._gateways()
+        self._say(one, "e1")
+        one.pool.remove("e1", 0.0, store_was_away=False)
+        self._beat(one, other)
+        assert self._usable(other) == ["e2"]
+
+    def test_a_beat_tells_of_a_bounded_number(self) -> None:
+        (one,) = self._gateways(1)
+        for number in range(3, 3 + 2 * endpoint_leaving.MOST_TOLD):
+            one.pool.update(_endpoint(f"e{number}", leaving=True), 0.0)
+        told = one.beat().endpoints_leaving
+        assert len(told) == endpoint_leaving.MOST_TOLD
+        assert f"e{2 + 2 * endpoint_leaving.MOST_TOLD}" in told
+
+    def test_chosen_request_is_not_written_after_a_peers_word(self) -> None:
+        one, other, _ = self._gateways()
+        chosen = other.pool.get("e1")
+        assert chosen is not None
+        self._say(one, "e1")
+        self._beat(one, other)
+        assert not other.pool.may_send(chosen, self.clock.now_ms())
+
+
 class TestMemory:
     """Marks are kept within a bound."""
 
