Count a sign without a start for starts not heard of yet

Cause: a draining entry that names no start was credited to the start that the gateway knew. If it came from a newer one whose entry was read after it, that one got requests, or a last resort that began anew.

--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -187,8 +187,9 @@
         """Takes over an entry; returns whether it changed what is believed."""
         known = self._by_id.get(endpoint.endpoint_id)
         says_leaving = endpoint.leaving
+        boot = endpoint.boot()
         mark: endpoint_leaving.Mark | None = None
-        match self._marks.judge(endpoint.boot(), now_ms):
+        match self._marks.judge(boot, now_ms):
             case endpoint_leaving.Outdated():
                 return False
             case endpoint_leaving.Leaving(mark=mark):
@@ -221,7 +222,10 @@
             known.doubted_ms = None
         known.cold_until_ms = now_ms + endpoint.cold_ms
         if says_leaving:
-            self._mark(known, endpoint_leaving.Source.ENTRY, "store", now_ms)
+            # Without a start it may be of one that is not heard of yet.
+            self._mark(
+                known, boot, endpoint_leaving.Source.ENTRY, "store", now_ms
+            )
         return changed
 
     def note_leaving(self, known: Condition, by: str, now_ms: float) -> None:
@@ -232,7 +236,13 @@
             by: The request that it answered.
             now_ms: The current time.
         """
-        self._mark(known, endpoint_leaving.Source.ANSWER, by, now_ms)
+        self._mark(
+            known,
+            known.endpoint.boot(),
+            endpoint_leaving.Source.ANSWER,
+            by,
+            now_ms,
+        )
         newest = self._by_id.get(known.endpoint.endpoint_id)
         if newest is not None and not _is_new_start(
             newest.endpoint, known.endpoint
@@ -244,13 +254,12 @@
     def _mark(
         self,
         known: Condition,
+        boot: endpoint_leaving.Boot,
         source: endpoint_leaving.Source,
         by: str,
         now_ms: float,
     ) -> None:
-        known.mark, is_first = self._marks.note(
-            known.endpoint.boot(), source, by, now_ms
-        )
+        known.mark, is_first = self._marks.note(boot, source, by, now_ms)
         known.endpoint = attrs.evolve(known.endpoint, leaving=True)
         if is_first and self.observer is not None:
             self.observer.said_leaving(known.mark)
--- a/tests/test_endpoint_leaving.py
+++ b/tests/test_endpoint_leaving.py
@@ -123,6 +123,14 @@
         pool.update(_endpoint(started_unix_ms=after), 2.0)
         assert _usable(pool, 2.0) == ["e2"]
 
+    def test_sign_without_a_start_counts_for_a_start_not_heard_of_yet(
+        self,
+    ) -> None:
+        pool = _pool("e1", "e2")
+        pool.update(_endpoint(started_unix_ms=0, leaving=True), 1.0)
+        pool.update(_endpoint(started_unix_ms=200), 2.0)
+        assert _usable(pool, 2.0) == ["e2"]
+
     def test_entry_of_an_earlier_start(self) -> None:
         pool = _pool("e1", "e2")
         _say(pool, "e1", 1.0)
