Show since when and by whom endpoints are known to leave

Operators could not tell why an endpoint got no requests, nor how long after its word it still did. A counter tells what said so first, a histogram the time from the first own sign to the last request there, /state who said so and since when. The log line was there before; it is now counted with it.

--- a/quetzalmill/endpoint_leaving.py
+++ b/quetzalmill/endpoint_leaving.py
@@ -75,6 +75,8 @@
         by: Who passed it on: the request that was answered, or the store.
         first_ms: When it was heard first.
         last_ms: When it was heard last.
+        last_sent_ms: When a request went there since; None if none did.
+        has_left: Whether its entry was gone, or another start in its place.
     """
 
     boot: Boot
@@ -82,6 +84,8 @@
     by: str
     first_ms: float
     last_ms: float
+    last_sent_ms: float | None = None
+    has_left: bool = False
 
 
 @attrs.frozen
@@ -124,6 +128,9 @@
     def peer_said_leaving(self, boot: Boot, host: str) -> None:
         """Takes over the first word of a peer that a start leaves."""
 
+    def has_left(self, mark: Mark) -> None:
+        """Takes over that a start that left gets no request any more."""
+
 
 class Marks:
     """The starts that have said that they leave."""
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -204,6 +204,7 @@
             or _is_new_start(known.endpoint, endpoint)
             or (known.mark is not None and mark is None)
         ):
+            self._drop(endpoint.endpoint_id)
             known = Condition(endpoint=endpoint, mark=mark)
             self._by_id[endpoint.endpoint_id] = known
             changed = True
@@ -282,9 +283,17 @@
             if known.doubted_ms is None:
                 known.doubted_ms = now_ms
         else:
-            del self._by_id[endpoint_id]
+            self._drop(endpoint_id)
         return True
 
+    def _drop(self, endpoint_id: str) -> None:
+        known = self._by_id.pop(endpoint_id, None)
+        if known is None or known.mark is None or known.mark.has_left:
+            return
+        known.mark.has_left = True
+        if self.observer is not None:
+            self.observer.has_left(known.mark)
+
     def replace_all(
         self,
         endpoints: Iterable[Endpoint],
@@ -308,7 +317,7 @@
             and now_ms - known.doubted_ms > DOUBT_MS
         ]
         for endpoint_id in gone:
-            del self._by_id[endpoint_id]
+            self._drop(endpoint_id)
         return gone
 
     def extend_doubt(self, now_ms: float) -> None:
@@ -355,7 +364,19 @@
             return False
         if known.mark is None and not known.peers_say:
             return True
-        return known in self.usable(endpoint.service, now_ms)
+        if known not in self.usable(endpoint.service, now_ms):
+            return False
+        if known.mark is not None:
+            known.mark.last_sent_ms = now_ms
+        return True
+
+    def leaving(self) -> list[Condition]:
+        """Returns the endpoints that have said, or are said, to leave."""
+        return [
+            known
+            for known in self._by_id.values()
+            if known.mark is not None or known.peers_say
+        ]
 
     def hear_running(
         self, running: dict[str, int], now_ms: float, age_ms: float
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -154,7 +154,9 @@
         self._client = http_client.HttpClient(
             connect_timeout_ms=CONNECT_TIMEOUT_MS
         )
-        self.state.pool.observer = leaving_watch.LeavingWatch(self._client)
+        self.state.pool.observer = leaving_watch.LeavingWatch(
+            self._client, self.metrics
+        )
         self._members = members.Members(
             store,
             settings.host,
@@ -217,6 +219,9 @@
             ],
             "turns_held": len(self._cache),
             "running": self.state.pool.running(),
+            "endpoints_leaving": leaving_watch.describe(
+                self.state.pool, now_ms
+            ),
             "crashes": {
                 each.fingerprint: each.crashes
                 for each in self.state.crashes.all_known()
--- a/quetzalmill/gateway_metrics.py
+++ b/quetzalmill/gateway_metrics.py
@@ -31,6 +31,19 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._leaving = prometheus_client.Counter(
+            "quetzalmill_endpoints_leaving",
+            "Endpoints that were heard to leave, by what said so first.",
+            ["source"],
+            registry=self._registry,
+        )
+        self._left = prometheus_client.Histogram(
+            "quetzalmill_endpoint_last_request_seconds",
+            "Time from an endpoint's first sign of leaving to the last request"
+            " sent there; 0 if none was sent.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
         self._gauges = prometheus_client.Gauge(
             "quetzalmill_state",
             "What the gateway believes, by name.",
@@ -48,6 +61,18 @@
         outcome = "claimed" if succeeded else "failed"
         self._claims.labels(outcome).observe(took_ms / 1000.0)
 
+    def endpoint_leaving(self, source: str) -> None:
+        """Counts an endpoint that was heard to leave."""
+        self._leaving.labels(source).inc()
+
+    def endpoint_left(self, last_request_ms: float) -> None:
+        """Counts an endpoint that left.
+
+        Args:
+            last_request_ms: The time from the first sign to the last request.
+        """
+        self._left.observe(last_request_ms / 1000.0)
+
     def set_state(self, name: str, value: float) -> None:
         """Sets what the gateway believes now."""
         self._gauges.labels(name).set(value)
--- a/tests/test_leaving_sends.py
+++ b/tests/test_leaving_sends.py
@@ -15,6 +15,7 @@
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_pool
 from quetzalmill import errors
+from quetzalmill import gateway_metrics
 from quetzalmill import gateway_outcomes as outcomes
 from quetzalmill import http_client
 from quetzalmill import http_connect
@@ -132,7 +133,9 @@
         self.clock = clock_module.SystemClock()
         self.pool = endpoint_pool.EndpointPool()
         self.client = http_client.HttpClient()
-        self.pool.observer = leaving_watch.LeavingWatch(self.client)
+        self.pool.observer = leaving_watch.LeavingWatch(
+            self.client, gateway_metrics.GatewayMetrics()
+        )
         self.exchange = _Exchange()
         for number, endpoint in enumerate(endpoints, 1):
             self.take_entry(f"e{number}", endpoint.address)
