--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -231,7 +231,7 @@
             return dispatch_job.Lost(str(error))
         finally:
             condition.running -= 1
-            self._pool.note_held(
+            self._pool.held.note(
                 job.service.name, self._clock.now_ms() - sent_ms
             )
             self._end_awaiting(condition, sent_ms)
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -11,6 +11,7 @@
 
 from quetzalmill import endpoint_health
 from quetzalmill import endpoint_leaving
+from quetzalmill import held_times
 
 DOWN_FIRST_MS = 300.0
 """How long an endpoint is left alone after one failure to connect; about the
@@ -34,12 +35,6 @@
 """The time over which the usual load of an endpoint is taken, as its health is:
 many requests long, yet short enough to show one that has turned slow."""
 
-HELD_FIRST_MS = 300.0
-"""How long an endpoint holds a request as long as none has ended."""
-
-_HELD_NEWS_WEIGHT = 0.05
-"""The weight of the last request in that time, so that about twenty count."""
-
 
 @attrs.frozen(kw_only=True)
 class Endpoint:
@@ -163,6 +158,7 @@
 
     Attributes:
         news_age_ms: How old the news of what peers run are.
+        held: How long endpoints hold requests.
         observer: Is told of endpoints that leave; None for nobody.
     """
 
@@ -170,7 +166,7 @@
         self._drain_ms = drain_ms
         self._marks = endpoint_leaving.Marks()
         self._by_id: dict[str, Condition] = {}
-        self._held_ms: dict[str, float] = {}
+        self.held = held_times.HeldTimes()
         self._heard_ms: float | None = None
         self.news_age_ms = 0.0
         self.observer: endpoint_leaving.Observer | None = None
@@ -433,21 +429,10 @@
                         known.endpoint.boot(), known.peers_say[0]
                     )
 
-    def note_held(self, service: str, held_ms: float) -> None:
-        """Records how long an endpoint of a service held a request."""
-        known_ms = self.held_ms(service)
-        self._held_ms[service] = known_ms + _HELD_NEWS_WEIGHT * (
-            held_ms - known_ms
-        )
-
-    def held_ms(self, service: str) -> float:
-        """Returns how long endpoints of a service usually hold a request."""
-        return self._held_ms.get(service, HELD_FIRST_MS)
-
     def likely_load(self, known: Condition, now_ms: float) -> float:
         """Returns the requests at an endpoint now, as far as news tell."""
         return known.likely_load(
-            now_ms, self.news_age_ms, self.held_ms(known.endpoint.service)
+            now_ms, self.news_age_ms, self.held.usual_ms(known.endpoint.service)
         )
 
     def hear_trouble(
