--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -10,6 +10,7 @@
 
 from quetzalmill import clock as clock_module
 from quetzalmill import dispatch
+from quetzalmill import dispatch_job
 from quetzalmill import endpoint_pool
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_outcomes
@@ -77,6 +78,7 @@
         is_genuine=True,
         not_run=False,
         load=None,
+        is_leaving=False,
     )
     pool = unittest.mock.Mock()
     pool.usable.return_value = [condition]
@@ -122,7 +124,7 @@
         async def run() -> None:
             dispatcher = _dispatcher(condition)
             now_ms = clock_module.SystemClock().now_ms()
-            job = dispatch.Job(
+            job = dispatch_job.Job(
                 call=_CALL,
                 route=_ROUTE,
                 service=unittest.mock.Mock(is_engine=True),
