--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -130,7 +130,7 @@
     ) -> None:
         """Counts a request and logs its one line."""
         took_ms = self._state.clock.now_ms() - served.arrived_ms
-        kind, detail = _describe(outcome)
+        kind, detail = outcomes.describe(outcome)
         if kind == "streamed" and not served.end_is_durable:
             kind = "not_durable"
         if exchange.disconnected and kind not in ("refused", "answered"):
@@ -483,19 +483,3 @@
         reason=f"the team's rate is used up, level {admission.level:.1f}",
         retry_after_ms=admission.retry_after_ms,
     )
-
-
-def _describe(outcome: outcomes.Outcome) -> tuple[str, str]:
-    match outcome:
-        case outcomes.Refused():
-            return "refused", f"{outcome.status}: {outcome.reason}"
-        case outcomes.Unknown():
-            return "unknown", f"{outcome.status}: {outcome.reason}"
-        case outcomes.Answered():
-            return "answered", str(outcome.status)
-        case outcomes.Streamed(complete=True):
-            return "streamed", f"{outcome.events} events"
-        case outcomes.Streamed():
-            return "broke_off", f"after {outcome.events} events"
-        case _:
-            return "caller_left", ""
--- a/quetzalmill/gateway_outcomes.py
+++ b/quetzalmill/gateway_outcomes.py
@@ -81,3 +81,20 @@
 def retry_after(retry_after_ms: float) -> str:
     """Returns a time as the header for it holds it, in seconds."""
     return f"{max(0.0, retry_after_ms) / 1000.0:.3f}"
+
+
+def describe(outcome: Outcome) -> tuple[str, str]:
+    """Returns the kind of an outcome and what it says, for the log."""
+    match outcome:
+        case Refused():
+            return "refused", f"{outcome.status}: {outcome.reason}"
+        case Unknown():
+            return "unknown", f"{outcome.status}: {outcome.reason}"
+        case Answered():
+            return "answered", str(outcome.status)
+        case Streamed(complete=True):
+            return "streamed", f"{outcome.events} events"
+        case Streamed():
+            return "broke_off", f"after {outcome.events} events"
+        case _:
+            return "caller_left", ""
