--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -32,6 +32,7 @@
 from quetzalmill import http_server
 from quetzalmill import instances
 from quetzalmill import keyed_store
+from quetzalmill import leaving_watch
 from quetzalmill import logs
 from quetzalmill import members
 from quetzalmill import peer_calls
@@ -81,6 +82,7 @@
         memory_mb: The memory that the process may take.
         link_mbps: The bandwidth of the host's link; 0 if unknown.
         rate_slack: Requests beyond a team's rate that the operators tolerate.
+        drain_ms: How long endpoints serve after they said that they leave.
         grace_ms: The time from SIGTERM to SIGKILL.
         out_of_rotation_ms: The time after which no new connection comes, once
             it is not ready.
@@ -98,6 +100,7 @@
     memory_mb: float
     link_mbps: float
     rate_slack: float
+    drain_ms: float
     grace_ms: float
     out_of_rotation_ms: float
 
@@ -141,6 +144,7 @@
             clock=self.clock,
             link_mbps=settings.link_mbps,
             rate_slack=settings.rate_slack,
+            drain_ms=settings.drain_ms,
         )
         for address in settings.seeds:
             self.state.peers.add_address(address, self.clock.now_ms())
@@ -150,6 +154,9 @@
         self._client = http_client.HttpClient(
             connect_timeout_ms=CONNECT_TIMEOUT_MS
         )
+        self.state.pool.observer = leaving_watch.LeavingWatch(
+            self._client, self.metrics
+        )
         self._members = members.Members(
             store,
             settings.host,
@@ -212,6 +219,9 @@
             ],
             "turns_held": len(self._cache),
             "running": self.state.pool.running(),
+            "endpoints_leaving": leaving_watch.describe(
+                self.state.pool, now_ms
+            ),
             "crashes": {
                 each.fingerprint: each.crashes
                 for each in self.state.crashes.all_known()
@@ -248,6 +258,7 @@
             self._settings.peer_address,
             {
                 gateway_messages.RESERVE_TURN: self._reserve,
+                gateway_messages.RELEASE_TURN: self._release,
                 gateway_messages.SETTLE_TURN: self._settle,
                 gateway_messages.FETCH_CHAIN: self._answer_chain,
             },
@@ -311,6 +322,14 @@
         part = self._part_of(message.program_id)
         return self._owners[part].reserve(message)
 
+    def _release(
+        self, message: gateway_messages.ReleaseTurn
+    ) -> (
+        gateway_messages.ReleaseReply | Awaitable[gateway_messages.ReleaseReply]
+    ):
+        part = self._part_of(message.program_id)
+        return self._owners[part].release(message)
+
     def _answer_chain(
         self, message: gateway_messages.FetchChain
     ) -> gateway_messages.ChainReply:
