Give each start in the played orders a time of its own

A trial of 10000 fresh orders failed where four clock steps back met the least start time, so that two starts had the same one, which no endpoint says. Starts now begin high enough.

--- a/tests/test_leaving_orders.py
+++ b/tests/test_leaving_orders.py
@@ -121,7 +121,7 @@
     def __init__(self) -> None:
         self.now_ms = 0.0
         self.pool = endpoint_pool.EndpointPool(_DRAIN_MS)
-        self.boots = [_Boot(0, 1_000, "10.0.0.1:80")]
+        self.boots = [_Boot(0, 1_000_000, "10.0.0.1:80")]
         self.entries: list[_Entry] = []
         self.sent: list[tuple[endpoint_pool.Condition, _Boot]] = []
         self.play(_Write(says_start=True))
@@ -201,7 +201,7 @@
         self.boots.append(
             _Boot(
                 last.number + 1,
-                max(1, last.start_unix_ms + event.clock_step_ms),
+                last.start_unix_ms + event.clock_step_ms,
                 f"10.0.0.{last.number + 2}:80" if event.moves else last.address,
             )
         )
