Say that all endpoints leave where none is used for that

Callers and operators read "no endpoint is known" of a service whose endpoints all leave, and looked for the registry's fault.

Two tests of the placement were added beside them, on prompts that an endpoint has read and on the pressure; both fail if endpoints that leave count as usable.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -103,6 +103,8 @@
                 break
             condition = self._choose(job)
             if condition is None:
+                if not job.tried and self._pool.has_any(job.service.name):
+                    reason = "all endpoints leave"
                 break
             job.tried.append(condition.endpoint.endpoint_id)
             sends_before = job.sends
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -349,6 +349,12 @@
             now_ms,
         )
 
+    def has_any(self, service: str) -> bool:
+        """Returns whether a service has endpoints, usable or not."""
+        return any(
+            known.endpoint.service == service for known in self._by_id.values()
+        )
+
     def may_send(self, known: Condition, now_ms: float) -> bool:
         """Returns whether an endpoint that was chosen may still get work.
 
--- a/tests/test_leaving_sends.py
+++ b/tests/test_leaving_sends.py
@@ -15,6 +15,7 @@
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_pool
 from quetzalmill import errors
+from quetzalmill import gateway_calls
 from quetzalmill import gateway_metrics
 from quetzalmill import gateway_outcomes as outcomes
 from quetzalmill import http_client
@@ -247,6 +248,7 @@
                 assert isinstance(outcome, outcomes.Refused)
                 assert outcome.status == 503
                 assert outcome.retry_after_ms is not None
+                assert outcome.reason == "all endpoints leave"
                 assert first.requests == 1
 
         trio.run(case)
@@ -426,6 +428,39 @@
         trio.run(case)
 
 
+class TestPlacement:
+    """What chooses endpoints, or judges them, looks only at those that stay."""
+
+    def test_endpoint_that_has_read_the_prompt(self) -> None:
+        async def case() -> None:
+            endpoints = [_Endpoint(_answer()) for _ in range(2)]
+            async with _gateway(*endpoints) as gateway:
+                job = gateway.job()
+                parts = (gateway_calls.PromptPart("p", 5_000),)
+                job.call = attrs.evolve(job.call, prompt_parts=parts)
+                job.service = attrs.evolve(_SERVICE, memory_tokens=9_000)
+                gateway.dispatcher.prefixes.note("e1", parts)
+                known = gateway.pool.get("e1")
+                assert known is not None
+                gateway.sign(known, "answer")
+                await gateway.dispatcher.run(job, gateway.exchange)
+                assert [each.requests for each in endpoints] == [0, 1]
+
+        trio.run(case)
+
+    def test_pressure_on_a_service(self) -> None:
+        async def case() -> None:
+            async with _gateway(_Endpoint(), _Endpoint()) as gateway:
+                known = gateway.pool.get("e1")
+                assert known is not None
+                known.running = 8
+                assert gateway.dispatcher.pressure("app") == 1.0
+                gateway.sign(known, "answer")
+                assert gateway.dispatcher.pressure("app") == 0.0
+
+        trio.run(case)
+
+
 class TestKeptConnections:
     """Idle connections to an endpoint that leaves."""
 
