--- a/quetzalmill/endpoint_leaving.py
+++ b/quetzalmill/endpoint_leaving.py
@@ -22,12 +22,12 @@
 here, and that a request takes to get there."""
 
 MOST_MARKS = 4_096
-"""Starts that are remembered as leaving; those of a day on the largest sites,
-at a few hundred bytes each."""
+"""Starts that are remembered as leaving, the newest ones; many times what the
+largest sites run at once."""
 
 MOST_TOLD = 64
-"""Starts that one beat tells of, the newest ones; more than leave at a time,
-and two kilobytes."""
+"""Starts that one beat tells of, the newest ones; at some twenty bytes each
+they take a small part of a datagram."""
 
 
 class Source(enum.StrEnum):
