Tell signs that name a start from those that name none

Cause: a draining entry without a start beside the mark of the start before only refreshed that mark, so a new boot that had said so got requests as soon as an entry with its start came. One with a start, after one without, was kept only as the one without, so after 20 s a `ready` of that start was believed. And an entry without a start was weighed against the start before, though a sound one was known.

Each sign now has a mark of its own kind. One that may be of the same start counts from the first sign and is not logged again. An entry without a start is of the start that is known, unless that one leaves.

Found by reading the diff.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -103,7 +103,10 @@
                 break
             condition = self._choose(job)
             if condition is None:
-                if not job.tried and self._pool.has_any(job.service.name):
+                if not job.tried and any(
+                    known.endpoint.service == job.service.name
+                    for known in self._pool.all()
+                ):
                     reason = "all endpoints leave"
                 break
             job.tried.append(condition.endpoint.endpoint_id)
--- a/quetzalmill/endpoint_leaving.py
+++ b/quetzalmill/endpoint_leaving.py
@@ -177,27 +177,37 @@
         self, boot: Boot, source: Source, by: str, now_ms: float
     ) -> tuple[Mark, bool]:
         """Records a sign; returns the mark and whether it is the first."""
-        mark = self._find(boot, now_ms)
-        if mark is not None:
-            mark.last_ms = now_ms
-            return mark, False
+        known = self._find(boot, now_ms)
+        if known is not None:
+            known.last_ms = now_ms
+            if known.boot == boot:
+                return known, False
+        # One of both names no start, so they need not be of the same one.
         mark = Mark(
-            boot=boot, source=source, by=by, first_ms=now_ms, last_ms=now_ms
+            boot=boot,
+            source=source,
+            by=by,
+            first_ms=now_ms if known is None else known.first_ms,
+            last_ms=now_ms,
         )
         self._by_id.setdefault(boot.endpoint_id, []).append(mark)
         self._in_order[mark] = None
         if len(self._in_order) > MOST_MARKS:
             self._forget(next(iter(self._in_order)))
-        return mark, True
+        return mark, known is None
 
     def _find(self, boot: Boot, now_ms: float) -> Mark | None:
+        """Returns the mark of a start, or else one that may be of it."""
+        found = None
         for mark in self._by_id.get(boot.endpoint_id, ()):
-            is_certain = mark.boot == boot and boot.started_unix_ms > 0
-            if is_certain or (
-                mark.boot.may_be(boot) and now_ms - mark.last_ms <= LEFT_MS
-            ):
+            is_same = mark.boot == boot
+            if is_same and boot.started_unix_ms > 0:
                 return mark
-        return None
+            if now_ms - mark.last_ms <= LEFT_MS and (
+                is_same or (found is None and mark.boot.may_be(boot))
+            ):
+                found = mark
+        return found
 
     def _forget(self, mark: Mark) -> None:
         del self._in_order[mark]
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -175,6 +175,10 @@
         """Returns what is known of an endpoint, or None."""
         return self._by_id.get(endpoint_id)
 
+    def all(self) -> list[Condition]:
+        """Returns what is known of all endpoints, usable or not."""
+        return list(self._by_id.values())
+
     def __len__(self) -> int:
         """Returns how many endpoints are known."""
         return len(self._by_id)
@@ -185,7 +189,7 @@
         says_leaving = endpoint.leaving
         boot = endpoint.boot()
         mark: endpoint_leaving.Mark | None = None
-        match self._marks.judge(boot, now_ms):
+        match self._marks.judge(_likely_boot(known, boot), now_ms):
             case endpoint_leaving.Outdated():
                 return False
             case endpoint_leaving.Leaving(mark=mark):
@@ -216,6 +220,7 @@
                 or known.doubted_ms is not None
             )
             known.endpoint = endpoint
+            known.mark = mark
             known.doubted_ms = None
         known.cold_until_ms = now_ms + endpoint.cold_ms
         if says_leaving:
@@ -349,12 +354,6 @@
             now_ms,
         )
 
-    def has_any(self, service: str) -> bool:
-        """Returns whether a service has endpoints, usable or not."""
-        return any(
-            known.endpoint.service == service for known in self._by_id.values()
-        )
-
     def may_send(self, known: Condition, now_ms: float) -> bool:
         """Returns whether an endpoint that was chosen may still get work.
 
@@ -372,14 +371,6 @@
             known.mark.last_sent_ms = now_ms
         return True
 
-    def leaving(self) -> list[Condition]:
-        """Returns the endpoints that have said, or are said, to leave."""
-        return [
-            known
-            for known in self._by_id.values()
-            if known.mark is not None or known.peers_say
-        ]
-
     def hear_running(
         self, running: dict[str, int], now_ms: float, age_ms: float
     ) -> None:
@@ -491,5 +482,15 @@
     return up or conditions
 
 
+def _likely_boot(
+    known: Condition | None, boot: endpoint_leaving.Boot
+) -> endpoint_leaving.Boot:
+    """Returns the start that is known if an entry names none and may be it."""
+    if boot.started_unix_ms or known is None or known.mark is not None:
+        return boot
+    known_boot = known.endpoint.boot()
+    return known_boot if known_boot.may_be(boot) else boot
+
+
 def _is_new_start(old: Endpoint, new: Endpoint) -> bool:
     return not old.boot().may_be(new.boot())
--- a/quetzalmill/leaving_watch.py
+++ b/quetzalmill/leaving_watch.py
@@ -65,7 +65,8 @@
     """Returns which endpoints leave, since when and by whose word."""
     return {
         known.endpoint.endpoint_id: _describe_one(known, now_ms)
-        for known in pool.leaving()
+        for known in pool.all()
+        if known.mark is not None or known.peers_say
     }
 
 
--- a/tests/test_endpoint_leaving.py
+++ b/tests/test_endpoint_leaving.py
@@ -131,6 +131,31 @@
         pool.update(_endpoint(started_unix_ms=200), 2.0)
         assert _usable(pool, 2.0) == ["e2"]
 
+    def test_sign_without_a_start_beside_an_earlier_one(self) -> None:
+        """The sign is of the new boot, not again of the one before."""
+        pool = _pool("e1", "e2")
+        _say(pool, "e1", 1.0)
+        pool.update(_endpoint(started_unix_ms=200), 2.0)
+        pool.update(_endpoint(started_unix_ms=0, leaving=True), 3.0)
+        pool.update(_endpoint(started_unix_ms=200), 4.0)
+        assert _usable(pool, 4.0) == ["e2"]
+
+    def test_sign_with_a_start_after_one_without(self) -> None:
+        pool = _pool("e2")
+        for start in (0, 100):
+            entry = _endpoint(started_unix_ms=start, leaving=True)
+            pool.update(entry, 1.0)
+        pool.update(_endpoint(), _LONG_AFTER_MS)
+        assert _usable(pool, _LONG_AFTER_MS) == ["e2"]
+
+    def test_start_that_an_entry_without_one_has_replaced(self) -> None:
+        pool = _pool("e1", "e2")
+        _say(pool, "e1", 1.0)
+        pool.update(_endpoint(started_unix_ms=0), _LONG_AFTER_MS)
+        assert _usable(pool, _LONG_AFTER_MS) == ["e2", "e1"]
+        pool.update(_endpoint(), _LONG_AFTER_MS)
+        assert _usable(pool, _LONG_AFTER_MS) == ["e2"]
+
     def test_entry_of_an_earlier_start(self) -> None:
         pool = _pool("e1", "e2")
         _say(pool, "e1", 1.0)
@@ -215,6 +240,13 @@
         pool.update(entry, later_ms + endpoint_leaving.LEFT_MS)
         assert _usable(pool, later_ms + endpoint_leaving.LEFT_MS) == []
 
+    def test_entry_without_a_start_is_of_the_new_boot(self) -> None:
+        pool = _pool("e1")
+        _say(pool, "e1", 1.0)
+        pool.update(_endpoint(started_unix_ms=200), 2.0)
+        pool.update(_endpoint(started_unix_ms=0), 3.0)
+        assert _usable(pool, 3.0) == ["e1"]
+
     def test_entry_without_a_start_forgets_nothing_of_a_sound_one(self) -> None:
         pool = _pool("e1")
         known = pool.get("e1")
@@ -247,6 +279,17 @@
         assert _usable(pool, limit_ms) == ["e2"]
         assert _usable(pool, limit_ms + 100.0) == []
 
+    def test_signs_with_and_without_a_start_count_from_the_first(self) -> None:
+        pool = self._pool()
+        for endpoint_id in ("e1", "e2"):
+            for now_ms, start in ((0.0, 0), (500.0, 100)):
+                entry = _endpoint(
+                    endpoint_id, started_unix_ms=start, leaving=True
+                )
+                pool.update(entry, now_ms)
+        limit_ms = endpoint_leaving.LAST_RESORT_PART * _DRAIN_MS
+        assert _usable(pool, limit_ms) == []
+
     def test_further_signs_prolong_nothing(self) -> None:
         pool = self._pool()
         _say(pool, "e1", 0.0)
