Let stand-in endpoints leave as the users' endpoints do

Cause: the users' endpoints now say in all their answers that they leave (header Server-Leaving), and their entry may say so late or never.

An endpoint now sends the header while `leaving` is set, also with 421, 500 and 503 and with streams, and keeps the requests that it refused. The cluster plays a whole leave, ends an endpoint, and starts the same id again as a new boot with a higher `born`. Gateways get `bounds.drainMs` with their settings, as on the platform.

--- a/quetzalmill_emulator/platform_endpoint.py
+++ b/quetzalmill_emulator/platform_endpoint.py
@@ -12,6 +12,9 @@
 from quetzalmill import http_message
 from quetzalmill import http_server
 
+SIGN = "1"
+"""The value of ``Server-Leaving`` by which an endpoint says that it leaves."""
+
 _TRICKLE_S = 0.05
 _FLOOD_BYTES = 65_536
 
@@ -32,9 +35,9 @@
     HANG = "hang"
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True)
 class Run:
-    """A request that ran.
+    """A request that reached an endpoint.
 
     Attributes:
         request_id: The caller's attempt.
@@ -43,6 +46,8 @@
         headers: All its headers.
         endpoint_id: Where it ran.
         started_s: When it began, by the loop's clock.
+        started_unix_ms: When the endpoint says that it started.
+        signed: Whether the answer said that the endpoint leaves.
     """
 
     request_id: str
@@ -51,6 +56,8 @@
     headers: dict[str, str]
     endpoint_id: str
     started_s: float
+    started_unix_ms: int = 1
+    signed: bool = False
 
 
 class PlatformEndpoint:
@@ -60,49 +67,79 @@
         endpoint_id: Its id.
         events: Events of a stream; none makes it a plain service.
         pause_ms: The pause before the answer and between events.
+        started_unix_ms: When it says that it started.
 
     Attributes:
+        endpoint_id: Its id.
+        started_unix_ms: When it says that it started.
         faults: What happens to the next requests, one each.
+        leaving: The value of ``Server-Leaving`` in all its answers; None for
+            no such header.
         pause_s: The pause before the answer and between events.
         runs: The requests that ran.
+        refused: The requests that it refused without running them.
+        misdirected: How many requests it refused as meant for another.
         left: Requests whose caller left while they ran.
         names_request: Whether the data of events names the request, so that
             mixed streams show.
     """
 
     def __init__(
-        self, endpoint_id: str, events: int = 0, pause_ms: float = 5.0
+        self,
+        endpoint_id: str,
+        events: int = 0,
+        pause_ms: float = 5.0,
+        started_unix_ms: int = 1,
     ) -> None:
-        self._id = endpoint_id
+        self.endpoint_id = endpoint_id
+        self.started_unix_ms = started_unix_ms
         self._events = events
         self.pause_s = pause_ms / 1000.0
         self.faults: list[Fault] = []
+        self.leaving: str | None = None
         self.runs: list[Run] = []
+        self.refused: list[Run] = []
+        self.misdirected = 0
         self.left = 0
         self.names_request = False
 
+    def successor(self) -> "PlatformEndpoint":
+        """Returns the next boot of the same endpoint."""
+        fresh = PlatformEndpoint(
+            self.endpoint_id,
+            self._events,
+            1000.0 * self.pause_s,
+            self.started_unix_ms + 1,
+        )
+        fresh.names_request = self.names_request
+        return fresh
+
     async def handle(
         self, request: http_message.Request, exchange: http_server.Exchange
     ) -> None:
         """Answers one request."""
         headers = request.headers
-        if headers.get("expect-instance") != self._id:
-            await exchange.respond(421, headers={"Instance-Id": self._id})
+        if headers.get("expect-instance") != self.endpoint_id:
+            self.misdirected += 1
+            answer = {"Instance-Id": self.endpoint_id, **self._sign()}
+            await exchange.respond(421, headers=answer)
             return
         fault = self.faults.pop(0) if self.faults else None
+        run = Run(
+            request_id=headers.get("attempt-id", ""),
+            team=headers.get("tenant", ""),
+            body=request.body,
+            headers=headers,
+            endpoint_id=self.endpoint_id,
+            started_s=trio.current_time(),
+            started_unix_ms=self.started_unix_ms,
+        )
         if fault is Fault.SHED:
-            await exchange.respond(503, headers={"Not-Executed": "1"})
+            self.refused.append(run)
+            answer = {"Not-Executed": "1", **self._sign(run)}
+            await exchange.respond(503, headers=answer)
             return
-        self.runs.append(
-            Run(
-                request_id=headers.get("attempt-id", ""),
-                team=headers.get("tenant", ""),
-                body=request.body,
-                headers=headers,
-                endpoint_id=self._id,
-                started_s=trio.current_time(),
-            )
-        )
+        self.runs.append(run)
         await trio.sleep(self.pause_s)
         if fault is Fault.HANG:
             await exchange.wait_disconnected()
@@ -110,7 +147,7 @@
         if fault is Fault.LOSE_ANSWER:
             exchange.abort()
             return
-        answer = self._answer_headers(headers.get("attempt-id", ""), fault)
+        answer = self._answer_headers(run, fault)
         if fault is Fault.ERROR:
             await exchange.respond(500, b"failed", answer, "text/plain")
         elif self._events:
@@ -118,16 +155,26 @@
             await self._stream(exchange, answer, fault, first)
         else:
             await exchange.respond(
-                200, f"done by {self._id}".encode(), answer, "text/plain"
+                200,
+                f"done by {self.endpoint_id}".encode(),
+                answer,
+                "text/plain",
             )
 
-    def _answer_headers(
-        self, request_id: str, fault: Fault | None
-    ) -> dict[str, str]:
+    def _sign(self, run: Run | None = None) -> dict[str, str]:
+        """Returns the headers by which it says that it leaves, if it does."""
+        if self.leaving is None:
+            return {}
+        if run is not None:
+            run.signed = self.leaving == SIGN
+        return {"Server-Leaving": self.leaving}
+
+    def _answer_headers(self, run: Run, fault: Fault | None) -> dict[str, str]:
         answer = {
-            "Attempt-Id": request_id,
-            "Response-Signature": f"signed-{self._id}",
+            "Attempt-Id": run.request_id,
+            "Response-Signature": f"signed-{self.endpoint_id}",
             "Server-Load": "1,0,8",
+            **self._sign(run),
         }
         if fault is Fault.FORGED:
             del answer["Response-Signature"]
--- a/quetzalmill_load/platform_cluster.py
+++ b/quetzalmill_load/platform_cluster.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 import contextlib
+import enum
 import os
 import pathlib
 import signal
@@ -30,9 +31,18 @@
 EVENT_TOKENS = 9
 """Tokens that an engine says it puts into one event."""
 
+DRAIN_MS = 2_000
+"""The users' bound on the time in which a leaving endpoint may get work."""
+
 _ADDRESS_BLOCKS = 250
 """Loopback networks, so that clusters at one time do not share addresses."""
 
+_LINGER_S = 0.5
+"""How much longer than ``DRAIN_MS`` a leaving endpoint goes on serving."""
+
+_END_S = 1.0
+"""How long an endpoint that ends waits for the requests that it still runs."""
+
 _ROOT = pathlib.Path(__file__).parent.parent
 _LIMITS = http_message.Limits(max_body_bytes=8_000_000)
 
@@ -132,6 +142,22 @@
         return self.log_path.read_text()
 
 
+class Told(enum.Enum):
+    """What the entry of a leaving endpoint says of it."""
+
+    DRAINING = "draining"
+    REMOVED = "removed"
+
+
+@attrs.frozen
+class _Server:
+    """A server of the cluster and how to end it."""
+
+    stopping: trio.Event = attrs.field(factory=trio.Event)
+    ended: trio.Event = attrs.field(factory=trio.Event)
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+
+
 class Cluster:
     """A platform with endpoints and gateways."""
 
@@ -144,9 +170,12 @@
         self.store_apart_down = False
         self.endpoints: dict[str, platform_endpoint.PlatformEndpoint] = {}
         self.entries: dict[str, dict[str, Any]] = {}
+        self.all_boots: list[platform_endpoint.PlatformEndpoint] = []
         self.gateways: list[Gateway] = []
         self.client = http_client.HttpClient()
         self._next_id = 0
+        self._servers: dict[str, _Server] = {}
+        self._own_addresses: dict[str, str] = {}
         block, rest = divmod(os.getpid(), _ADDRESS_BLOCKS)
         self._network = f"127.{1 + block % _ADDRESS_BLOCKS}.{1 + rest}"
         self._ports = [_free_port() for _ in range(3)]
@@ -176,9 +205,11 @@
         """
         endpoint = platform_endpoint.PlatformEndpoint(endpoint_id, events)
         address = await self._serve(endpoint.handle)
+        self._own_addresses[endpoint_id] = address
         if way is not None:
             address = await way(endpoint_id, address)
         self.endpoints[endpoint_id] = endpoint
+        self.all_boots.append(endpoint)
         entry = {
             "service": service,
             "addr": address,
@@ -193,6 +224,64 @@
         self.store.put("keyed.servers", endpoint_id, entry)
         return endpoint
 
+    def put_entry(self, endpoint_id: str, **changes: Any) -> None:
+        """Writes an endpoint's entry once more, with changes."""
+        entry = self.entries[endpoint_id]
+        entry |= {"callSeq": entry["callSeq"] + 1, **changes}
+        self.store.put("keyed.servers", endpoint_id, entry)
+
+    def remove_entry(self, endpoint_id: str) -> None:
+        """Removes an endpoint's entry; ``put_entry`` brings it back."""
+        self.store.put("keyed.servers", endpoint_id, None)
+
+    async def leave(
+        self, endpoint_id: str, told: Told, *, late_s: float = 0.0
+    ) -> None:
+        """Has an endpoint leave; returns when it has ended.
+
+        Its answers say so from now on. It serves on for the users' bound and
+        a little longer.
+
+        Args:
+            endpoint_id: The endpoint.
+            told: What its entry says.
+            late_s: How much later than the answers the entry says so.
+        """
+        self.endpoints[endpoint_id].leaving = platform_endpoint.SIGN
+        await trio.sleep(late_s)
+        match told:
+            case Told.DRAINING:
+                self.put_entry(endpoint_id, state="draining")
+            case Told.REMOVED:
+                self.remove_entry(endpoint_id)
+        await trio.sleep(DRAIN_MS / 1000.0 + _LINGER_S)
+        await self.end_endpoint(endpoint_id)
+
+    async def end_endpoint(self, endpoint_id: str) -> None:
+        """Ends an endpoint after what it runs, and removes its entry."""
+        server = self._servers[self._own_addresses[endpoint_id]]
+        server.stopping.set()
+        with trio.move_on_after(_END_S):
+            await server.ended.wait()
+        server.scope.cancel()
+        await server.ended.wait()
+        self.remove_entry(endpoint_id)
+
+    async def start_endpoint_again(
+        self, endpoint_id: str
+    ) -> platform_endpoint.PlatformEndpoint:
+        """Starts an endpoint that has ended, as a new boot of the same id."""
+        old = self.endpoints[endpoint_id]
+        endpoint = old.successor()
+        await self._serve(endpoint.handle, self._own_addresses[endpoint_id])
+        self.endpoints[endpoint_id] = endpoint
+        self.all_boots.append(endpoint)
+        self.entries[endpoint_id]["callSeq"] = 0
+        self.put_entry(
+            endpoint_id, state="ready", born=endpoint.started_unix_ms
+        )
+        return endpoint
+
     async def add_gateway(
         self, *, apart: bool = False, store_address: str = ""
     ) -> Gateway:
@@ -317,22 +406,28 @@
         else:
             await self.store.handle(request, exchange)
 
-    async def _serve(self, handler: http_server.Handler) -> str:
-        port = _free_port()
+    async def _serve(
+        self, handler: http_server.Handler, address: str = ""
+    ) -> str:
+        address = address or f"127.0.0.1:{_free_port()}"
+        server = _Server()
 
         async def serve(
             task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
         ) -> None:
-            await http_server.serve(
-                f"127.0.0.1:{port}",
-                handler,
-                limits=_LIMITS,
-                stopping=trio.Event(),
-                task_status=task_status,
-            )
+            with server.scope:
+                await http_server.serve(
+                    address,
+                    handler,
+                    limits=_LIMITS,
+                    stopping=server.stopping,
+                    task_status=task_status,
+                )
+            server.ended.set()
 
         await self._nursery.start(serve)
-        return f"127.0.0.1:{port}"
+        self._servers[address] = server
+        return address
 
     def _settings(self, name: str, ip: str, store: str) -> str:
         ports = self._ports
@@ -350,6 +445,7 @@
 memoryMb = 170
 [bounds]
 graceS = 8
+drainMs = {DRAIN_MS}
 [platform]
 addr = "{store}"
 parts = 4
