Test endpoints that say in answers that they leave: red

Callers and endpoints saw: requests after an answer with the sign reach that endpoint, for lookups, bookings, turns, refusals, errors and cut streams; of five that come while the stream that brought the sign goes on, two go there; older entries (again, lapsed, after an outage, read whole), a freeze and a restart of the gateway bring it back; a peer never hears of it; two endpoints that both leave are used for good.

These hold already: wrong values of the header; an answer of another endpoint at the address; work under way ends whole; a new boot within a second is used; a gateway frozen while an endpoint leaves and ends fails no caller.

--- /dev/null
+++ b/tests/test_leaving_endpoints.py
@@ -0,0 +1,464 @@
+"""Tests of endpoints that say in their answers that they leave.
+
+Whole gateways run as processes on the emulated platform. "Sign" is an answer
+with ``Server-Leaving: 1``; entries stay ``ready`` unless a test changes them.
+"""
+
+from collections.abc import Callable
+import functools
+import pathlib
+import signal
+
+import pytest
+import trio
+
+from quetzalmill import http_message
+from quetzalmill_emulator import platform_endpoint
+from quetzalmill_load import platform_cluster
+from tests import gateway_case
+
+_SIGN = platform_endpoint.SIGN
+_Fault = platform_endpoint.Fault
+_QUOTE = platform_cluster.QUOTE_PATH + "1"
+_DRAIN_S = platform_cluster.DRAIN_MS / 1000.0
+
+_MANY = 16
+"""Requests of which half would reach either of two equal endpoints; that none
+does has a chance of one in 65,000."""
+
+
+class TestSign:
+    """What an answer says of the endpoint that gave it."""
+
+    @pytest.mark.parametrize(
+        ("path", "fault"),
+        [
+            ("/lookup/1", None),
+            ("/book/1", None),
+            ("/lookup/1", _Fault.SHED),
+            ("/book/1", _Fault.SHED),
+            ("/lookup/1", _Fault.ERROR),
+            ("/chat/1", None),
+            (_QUOTE, None),
+            (_QUOTE, _Fault.CUT_STREAM),
+        ],
+    )
+    def test_no_request_follows_an_answer_with_the_sign(
+        self,
+        tmp_path: pathlib.Path,
+        path: str,
+        fault: platform_endpoint.Fault | None,
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            leaving, other = await _add_two(cluster, path)
+            gateway = await cluster.add_gateway()
+            leaving.leaving = _SIGN
+            if fault is not None:
+                # Else the other would be preferred for its better health.
+                leaving.faults.append(fault)
+                other.faults += [fault] * 3
+            await _hear(cluster, gateway, leaving, path)
+            while other.faults:
+                await _send(cluster, gateway, path)
+            assert await _reaching(cluster, gateway, leaving, path) == 0
+
+        gateway_case.run(tmp_path, case)
+
+    def test_sign_counts_from_the_head_of_an_answer(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Others go elsewhere while the stream that brought it goes on."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            leaving, other = await _add_two(cluster, _QUOTE, events=25)
+            leaving.pause_s = 0.1
+            gateway = await cluster.add_gateway()
+            leaving.leaving = _SIGN
+            begun: set[str] = set()
+            bodies: dict[str, bytes] = {}
+
+            async def send(request_id: str) -> None:
+                async with cluster.client.stream(
+                    gateway.callers,
+                    _turn(request_id),
+                    timeout_ms=6_000.0,
+                    fresh_connection=True,
+                ) as response:
+                    body = b""
+                    async for piece in response:
+                        begun.add(request_id)
+                        body += piece
+                    bodies[request_id] = body
+
+            async with trio.open_nursery() as nursery:
+                for number in range(_MANY):
+                    request_id = f"{number:016x}"
+                    nursery.start_soon(send, request_id)
+                    await _until(
+                        functools.partial(begun.issuperset, [request_id])
+                    )
+                    if leaving.runs:
+                        break
+                # So few that the other has slots for all of them.
+                expected = _arrived(leaving) + _arrived(other) + 5
+                for number in range(_MANY, _MANY + 5):
+                    nursery.start_soon(send, f"{number:016x}")
+                await _until(
+                    lambda: _arrived(leaving) + _arrived(other) == expected
+                )
+            assert _arrived(leaving) == 1
+            assert bodies[leaving.runs[0].request_id].endswith(b"data: e25\n\n")
+
+        gateway_case.run(tmp_path, case)
+
+    @pytest.mark.parametrize("value", ["0", "", "yes", "11", "true, 1"])
+    def test_wrong_value_changes_nothing(
+        self, tmp_path: pathlib.Path, value: str
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            app, _ = await _add_two(cluster, "/lookup/1")
+            gateway = await cluster.add_gateway()
+            app.leaving = value
+            await _reach(cluster, gateway, app)
+            before = len(app.runs)
+            await _reach(cluster, gateway, app)
+            assert len(app.runs) > before
+
+        gateway_case.run(tmp_path, case)
+
+    def test_answer_of_another_endpoint_at_the_address(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """It marks neither the endpoint that was meant nor its address."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            app, _ = await _add_two(cluster, "/lookup/1")
+            gateway = await cluster.add_gateway()
+            app.endpoint_id, app.leaving = "other-9", _SIGN
+
+            async def is_misdirected() -> bool:
+                await cluster.call(gateway, "/lookup/1")
+                return app.misdirected > 0
+
+            await cluster.until(is_misdirected)
+            app.endpoint_id, app.leaving = "app-0", None
+            cluster.put_entry("app-0")
+            # Now only an endpoint that is not believed to leave is used.
+            await trio.sleep(_DRAIN_S)
+            await cluster.end_endpoint("app-1")
+            await _reach(cluster, gateway, app)
+
+        gateway_case.run(tmp_path, case)
+
+    def test_running_work_ends_whole(self, tmp_path: pathlib.Path) -> None:
+        """A turn began before the sign and ends after it, where it runs."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-0", "llm", events=20)
+            engine.pause_s = 0.1
+            gateway = await cluster.add_gateway()
+            answers: list[http_message.Response] = []
+
+            async def send(path: str) -> None:
+                _, response = await cluster.turn(
+                    gateway, b"hi", path=path, program=path
+                )
+                answers.append(response)
+
+            async with trio.open_nursery() as nursery:
+                for path in ("/chat/1", _QUOTE):
+                    nursery.start_soon(send, path)
+                await _until(lambda: len(engine.runs) == 2)
+                other = await cluster.add_endpoint("llm-1", "llm", events=20)
+                await _until(lambda: "endpoint=llm-1" in gateway.log())
+                engine.leaving = _SIGN
+                cluster.put_entry("llm-0", state="draining")
+            assert [each.body.endswith(b"data: e20\n\n") for each in answers]
+            assert all(each.body.count(b"data: ") == 20 for each in answers)
+            assert len(engine.runs) == 2
+            assert not other.runs
+
+        gateway_case.run(tmp_path, case)
+
+    def test_conversation_goes_on_elsewhere(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Its history is the gateways', so it needs no endpoint that leaves."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-0", "llm", events=1)
+            gateway = await cluster.add_gateway()
+            first, _ = await cluster.turn(gateway, b"hello")
+            engine.leaving = _SIGN
+            second, response = await cluster.turn(gateway, b"more", first)
+            assert response.status == 200
+            other = await cluster.add_endpoint("llm-1", "llm", events=1)
+            await _until(lambda: "endpoint=llm-1" in gateway.log())
+            for _ in range(_MANY):
+                _, response = await cluster.turn(gateway, b"last", second)
+                assert response.status == 200
+            assert len(engine.runs) == 2
+            assert {run.body for run in other.runs} == {
+                b"helloe1\nmoree1\nlast"
+            }
+
+        gateway_case.run(tmp_path, case)
+
+
+class TestEntries:
+    """Entries that are older than the sign, or of a later boot."""
+
+    @pytest.mark.parametrize("how", ["again", "lapsed", "outage", "whole"])
+    def test_older_entry_does_not_bring_an_endpoint_back(
+        self, tmp_path: pathlib.Path, how: str
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            leaving, _ = await _add_two(cluster, "/lookup/1")
+            gateway = await cluster.add_gateway()
+            leaving.leaving = _SIGN
+            await _hear(cluster, gateway, leaving)
+            event = "endpoint=marker"
+            if how == "outage":
+                cluster.store.down = True
+                await _until(lambda: "endpoints_not_read" in gateway.log())
+            if how == "whole":
+                event = "endpoints_read"
+                cluster.store.forget("keyed.servers")
+            if how in ("lapsed", "outage"):
+                cluster.remove_entry("app-0")
+            before = gateway.log().count(event)
+            cluster.put_entry("app-0", coldLeftMs=5)
+            await cluster.add_endpoint("marker", "marks")
+            cluster.store.down = False
+            await _until(lambda: gateway.log().count(event) > before)
+            assert await _reaching(cluster, gateway, leaving) == 0
+
+        gateway_case.run(tmp_path, case)
+
+    @pytest.mark.parametrize("told", list(platform_cluster.Told))
+    def test_new_boot_within_a_second_is_used(
+        self, tmp_path: pathlib.Path, told: platform_cluster.Told
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            leaving, _ = await _add_two(cluster, "/lookup/1")
+            gateway = await cluster.add_gateway()
+            leaving.leaving = _SIGN
+            await _hear(cluster, gateway, leaving)
+            if told is platform_cluster.Told.DRAINING:
+                cluster.put_entry("app-0", state="draining")
+            await cluster.end_endpoint("app-0")
+            fresh = await cluster.start_endpoint_again("app-0")
+            await _reach(cluster, gateway, fresh)
+
+        gateway_case.run(tmp_path, case)
+
+
+class TestGateways:
+    """Gateways that stand still, restart or hear of it from each other."""
+
+    def test_gateway_frozen_over_the_drain_remembers_the_sign(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            leaving, _ = await _add_two(cluster, "/lookup/1")
+            gateway = await cluster.add_gateway()
+            leaving.leaving = _SIGN
+            await _hear(cluster, gateway, leaving)
+            cluster.stop(gateway, signal.SIGSTOP)
+            await trio.sleep(_DRAIN_S + 0.5)
+            cluster.stop(gateway, signal.SIGCONT)
+            await cluster.until(lambda: cluster.is_ready(gateway))
+            assert await _reaching(cluster, gateway, leaving) == 0
+
+        gateway_case.run(tmp_path, case)
+
+    def test_gateway_frozen_while_an_endpoint_leaves_and_ends(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """It wakes with kept connections there and fails no caller."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            leaving, other = await _add_two(cluster, "/book/1")
+            frozen = await cluster.add_gateway()
+            awake = await cluster.add_gateway()
+            await _reach(cluster, frozen, leaving, "/book/1")
+            cluster.stop(frozen, signal.SIGSTOP)
+            leaving.leaving = _SIGN
+            await _hear(cluster, awake, leaving, "/book/1")
+            await cluster.leave("app-0", platform_cluster.Told.DRAINING)
+            cluster.stop(frozen, signal.SIGCONT)
+            await cluster.until(lambda: cluster.is_ready(frozen))
+            before = len(other.runs)
+            await _reaching(cluster, frozen, leaving, "/book/1")
+            assert len(other.runs) == before + _MANY
+
+        gateway_case.run(tmp_path, case)
+
+    def test_restarted_gateway_learns_it_from_one_answer(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            leaving, _ = await _add_two(cluster, "/lookup/1")
+            gateway = await cluster.add_gateway()
+            leaving.leaving = _SIGN
+            await _hear(cluster, gateway, leaving)
+            cluster.stop(gateway)
+            cluster.start_again(gateway)
+            await cluster.until(lambda: cluster.is_ready(gateway))
+            assert await _reaching(cluster, gateway, leaving) <= 1
+
+        gateway_case.run(tmp_path, case)
+
+    def test_peer_sends_nothing_to_an_endpoint_it_was_told_of(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            leaving, _ = await _add_two(cluster, "/lookup/1")
+            gateway = await cluster.add_gateway()
+            peer = await cluster.add_gateway()
+            leaving.leaving = _SIGN
+            await _hear(cluster, gateway, leaving)
+            await _until(lambda: _has_heard(peer, "app-0"))
+            assert await _reaching(cluster, peer, leaving) == 0
+
+        gateway_case.run(tmp_path, case)
+
+
+class TestWholeService:
+    """All endpoints of a service leave at once."""
+
+    @pytest.mark.parametrize("path", ["/lookup/1", "/book/1", _QUOTE])
+    def test_served_at_first_and_then_refused_at_once(
+        self, tmp_path: pathlib.Path, path: str
+    ) -> None:
+        """Endpoints serve on for a while, so callers are served for a part."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            endpoints = await _add_two(cluster, path)
+            gateway = await cluster.add_gateway()
+            for endpoint in endpoints:
+                endpoint.leaving = _SIGN
+            said_s = trio.current_time()
+            assert (await _send(cluster, gateway, path)).status == 200
+            assert (await _send(cluster, gateway, path)).status == 200
+            await trio.sleep_until(said_s + _DRAIN_S)
+            before = sum(_arrived(endpoint) for endpoint in endpoints)
+            # Well before the callers' deadline of four seconds.
+            with trio.fail_after(2.0):
+                response = await _send(cluster, gateway, path)
+            assert response.status == 503
+            assert float(response.headers["retry-after"]) > 0
+            assert sum(_arrived(each) for each in endpoints) == before
+
+        gateway_case.run(tmp_path, case)
+
+
+async def _add_two(
+    cluster: platform_cluster.Cluster, path: str, events: int = 3
+) -> list[platform_endpoint.PlatformEndpoint]:
+    """Adds two endpoints of the service that a path is for."""
+    is_turn = _is_turn(path)
+    service = "llm" if is_turn else "app"
+    return [
+        await cluster.add_endpoint(
+            f"{service}-{number}", service, events if is_turn else 0
+        )
+        for number in range(2)
+    ]
+
+
+def _is_turn(path: str) -> bool:
+    return path.startswith(("/chat/", platform_cluster.QUOTE_PATH))
+
+
+async def _send(
+    cluster: platform_cluster.Cluster,
+    gateway: platform_cluster.Gateway,
+    path: str,
+) -> http_message.Response:
+    """Sends a request, or the first turn of a program of its own."""
+    if not _is_turn(path):
+        _, response = await cluster.call(gateway, path)
+        return response
+    program = f"p{trio.current_time()}"
+    _, response = await cluster.turn(gateway, b"hi", program=program, path=path)
+    return response
+
+
+def _turn(request_id: str) -> http_message.Request:
+    return http_message.Request(
+        method="POST",
+        path=_QUOTE,
+        host=platform_cluster.HOST,
+        headers={
+            "Attempt-Id": request_id,
+            "Deadline-Ms": "4000",
+            "Authorization": f"Token {platform_cluster.KEY}",
+            "Program-Id": request_id,
+            "Session-Id": "s1",
+            "Program-Deadline-Ms": "5000",
+            "Token-Budget": "1000",
+            "Token-Usage": "10,300",
+        },
+        body=b"hi",
+    )
+
+
+def _arrived(endpoint: platform_endpoint.PlatformEndpoint) -> int:
+    return len(endpoint.runs) + len(endpoint.refused)
+
+
+async def _reach(
+    cluster: platform_cluster.Cluster,
+    gateway: platform_cluster.Gateway,
+    endpoint: platform_endpoint.PlatformEndpoint,
+    path: str = "/lookup/1",
+) -> None:
+    """Sends requests until one more has reached an endpoint."""
+    before = _arrived(endpoint)
+
+    async def has_reached() -> bool:
+        await _send(cluster, gateway, path)
+        return _arrived(endpoint) > before
+
+    await cluster.until(has_reached)
+
+
+async def _hear(
+    cluster: platform_cluster.Cluster,
+    gateway: platform_cluster.Gateway,
+    endpoint: platform_endpoint.PlatformEndpoint,
+    path: str = "/lookup/1",
+) -> None:
+    """Sends requests until a gateway has an answer with the sign."""
+    await _reach(cluster, gateway, endpoint, path)
+    assert (endpoint.runs + endpoint.refused)[-1].signed
+
+
+async def _reaching(
+    cluster: platform_cluster.Cluster,
+    gateway: platform_cluster.Gateway,
+    endpoint: platform_endpoint.PlatformEndpoint,
+    path: str = "/lookup/1",
+) -> int:
+    """Returns how many of many requests reach an endpoint; all are served."""
+    before = _arrived(endpoint)
+    for _ in range(_MANY):
+        response = await _send(cluster, gateway, path)
+        assert response.status == 200
+    return _arrived(endpoint) - before
+
+
+def _has_heard(gateway: platform_cluster.Gateway, endpoint_id: str) -> bool:
+    """Returns whether a gateway has logged that an endpoint leaves."""
+    return any(
+        f"endpoint={endpoint_id}" in line and "leaving" in line
+        for line in gateway.log().splitlines()
+        if "leaving=False" not in line
+    )
+
+
+async def _until(holds: Callable[[], bool]) -> None:
+    with trio.fail_after(platform_cluster.START_TIMEOUT_S):
+        while not holds():
+            await trio.sleep(0.02)
