Make two tests of leaving endpoints reach what they are about

Cause: the test of a cut stream had the other endpoint cut its stream as well, so that its caller failed whatever the gateway did; and the store forgot its history before there was any that the gateway had not read, so the gateway never read all anew and the test timed out.

The other endpoint now refuses a few requests first, for each of the twelve cases, so that one that may be used is preferred.

--- a/tests/test_leaving_endpoints.py
+++ b/tests/test_leaving_endpoints.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import contextlib
 import functools
 import pathlib
 import signal
@@ -12,6 +13,7 @@
 import pytest
 import trio
 
+from quetzalmill import errors
 from quetzalmill import http_message
 from quetzalmill_emulator import platform_endpoint
 from quetzalmill_load import platform_cluster
@@ -54,12 +56,10 @@
             gateway = await cluster.add_gateway()
             leaving.leaving = _SIGN
             if fault is not None:
-                # Else the other would be preferred for its better health.
                 leaving.faults.append(fault)
-                other.faults += [fault] * 3
             await _hear(cluster, gateway, leaving, path)
-            while other.faults:
-                await _send(cluster, gateway, path)
+            if fault is not None:
+                await _discredit(cluster, gateway, other, path)
             assert await _reaching(cluster, gateway, leaving, path) == 0
 
         gateway_case.run(tmp_path, case)
@@ -213,24 +213,25 @@
         self, tmp_path: pathlib.Path, how: str
     ) -> None:
         async def case(cluster: platform_cluster.Cluster) -> None:
-            leaving, _ = await _add_two(cluster, "/lookup/1")
+            leaving, other = await _add_two(cluster, "/lookup/1")
             gateway = await cluster.add_gateway()
             leaving.leaving = _SIGN
             await _hear(cluster, gateway, leaving)
-            event = "endpoint=marker"
+            event = "endpoints_read" if how == "whole" else "endpoint=marker"
             if how == "outage":
                 cluster.store.down = True
                 await _until(lambda: "endpoints_not_read" in gateway.log())
-            if how == "whole":
-                event = "endpoints_read"
-                cluster.store.forget("keyed.servers")
             if how in ("lapsed", "outage"):
                 cluster.remove_entry("app-0")
             before = gateway.log().count(event)
             cluster.put_entry("app-0", coldLeftMs=5)
+            if how == "whole":
+                # History that no gateway has read yet makes them read all.
+                cluster.store.forget("keyed.servers")
             await cluster.add_endpoint("marker", "marks")
             cluster.store.down = False
             await _until(lambda: gateway.log().count(event) > before)
+            await _discredit(cluster, gateway, other, "/lookup/1")
             assert await _reaching(cluster, gateway, leaving) == 0
 
         gateway_case.run(tmp_path, case)
@@ -435,6 +436,20 @@
     assert (endpoint.runs + endpoint.refused)[-1].signed
 
 
+async def _discredit(
+    cluster: platform_cluster.Cluster,
+    gateway: platform_cluster.Gateway,
+    endpoint: platform_endpoint.PlatformEndpoint,
+    path: str,
+) -> None:
+    """Lets an endpoint refuse a few requests, so that others are preferred."""
+    endpoint.faults += [_Fault.SHED] * 3
+    for _ in range(6):
+        with contextlib.suppress(errors.HttpError):
+            await _send(cluster, gateway, path)
+    endpoint.faults.clear()
+
+
 async def _reaching(
     cluster: platform_cluster.Cluster,
     gateway: platform_cluster.Gateway,
