--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -103,6 +103,8 @@
                 break
             condition = self._choose(job)
             if condition is None:
+                if not job.tried and self._pool.has_any(job.service.name):
+                    reason = "all endpoints leave"
                 break
             job.tried.append(condition.endpoint.endpoint_id)
             sends_before = job.sends
@@ -231,7 +233,7 @@
             return dispatch_job.Lost(str(error))
         finally:
             condition.running -= 1
-            self._pool.note_held(
+            self._pool.held.note(
                 job.service.name, self._clock.now_ms() - sent_ms
             )
             self._end_awaiting(condition, sent_ms)
--- a/quetzalmill/endpoint_leaving.py
+++ b/quetzalmill/endpoint_leaving.py
@@ -22,12 +22,12 @@
 here, and that a request takes to get there."""
 
 MOST_MARKS = 4_096
-"""Starts that are remembered as leaving; those of a day on the largest sites,
-at a few hundred bytes each."""
+"""Starts that are remembered as leaving, the newest ones; many times what the
+largest sites run at once."""
 
 MOST_TOLD = 64
-"""Starts that one beat tells of, the newest ones; more than leave at a time,
-and two kilobytes."""
+"""Starts that one beat tells of, the newest ones; at some twenty bytes each
+they take a small part of a datagram."""
 
 
 class Source(enum.StrEnum):
@@ -75,6 +75,8 @@
         by: Who passed it on: the request that was answered, or the store.
         first_ms: When it was heard first.
         last_ms: When it was heard last.
+        last_sent_ms: When a request went there since; None if none did.
+        has_left: Whether its entry was gone, or another start in its place.
     """
 
     boot: Boot
@@ -82,6 +84,8 @@
     by: str
     first_ms: float
     last_ms: float
+    last_sent_ms: float | None = None
+    has_left: bool = False
 
 
 @attrs.frozen
@@ -124,6 +128,9 @@
     def peer_said_leaving(self, boot: Boot, host: str) -> None:
         """Takes over the first word of a peer that a start leaves."""
 
+    def has_left(self, mark: Mark) -> None:
+        """Takes over that a start that left gets no request any more."""
+
 
 class Marks:
     """The starts that have said that they leave."""
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -11,6 +11,7 @@
 
 from quetzalmill import endpoint_health
 from quetzalmill import endpoint_leaving
+from quetzalmill import held_times
 
 DOWN_FIRST_MS = 300.0
 """How long an endpoint is left alone after one failure to connect; about the
@@ -34,12 +35,6 @@
 """The time over which the usual load of an endpoint is taken, as its health is:
 many requests long, yet short enough to show one that has turned slow."""
 
-HELD_FIRST_MS = 300.0
-"""How long an endpoint holds a request as long as none has ended."""
-
-_HELD_NEWS_WEIGHT = 0.05
-"""The weight of the last request in that time, so that about twenty count."""
-
 
 @attrs.frozen(kw_only=True)
 class Endpoint:
@@ -163,6 +158,7 @@
 
     Attributes:
         news_age_ms: How old the news of what peers run are.
+        held: How long endpoints hold requests.
         observer: Is told of endpoints that leave; None for nobody.
     """
 
@@ -170,7 +166,7 @@
         self._drain_ms = drain_ms
         self._marks = endpoint_leaving.Marks()
         self._by_id: dict[str, Condition] = {}
-        self._held_ms: dict[str, float] = {}
+        self.held = held_times.HeldTimes()
         self._heard_ms: float | None = None
         self.news_age_ms = 0.0
         self.observer: endpoint_leaving.Observer | None = None
@@ -187,8 +183,9 @@
         """Takes over an entry; returns whether it changed what is believed."""
         known = self._by_id.get(endpoint.endpoint_id)
         says_leaving = endpoint.leaving
+        boot = endpoint.boot()
         mark: endpoint_leaving.Mark | None = None
-        match self._marks.judge(endpoint.boot(), now_ms):
+        match self._marks.judge(boot, now_ms):
             case endpoint_leaving.Outdated():
                 return False
             case endpoint_leaving.Leaving(mark=mark):
@@ -203,6 +200,7 @@
             or _is_new_start(known.endpoint, endpoint)
             or (known.mark is not None and mark is None)
         ):
+            self._drop(endpoint.endpoint_id)
             known = Condition(endpoint=endpoint, mark=mark)
             self._by_id[endpoint.endpoint_id] = known
             changed = True
@@ -221,7 +219,10 @@
             known.doubted_ms = None
         known.cold_until_ms = now_ms + endpoint.cold_ms
         if says_leaving:
-            self._mark(known, endpoint_leaving.Source.ENTRY, "store", now_ms)
+            # Without a start it may be of one that is not heard of yet.
+            self._mark(
+                known, boot, endpoint_leaving.Source.ENTRY, "store", now_ms
+            )
         return changed
 
     def note_leaving(self, known: Condition, by: str, now_ms: float) -> None:
@@ -232,7 +233,13 @@
             by: The request that it answered.
             now_ms: The current time.
         """
-        self._mark(known, endpoint_leaving.Source.ANSWER, by, now_ms)
+        self._mark(
+            known,
+            known.endpoint.boot(),
+            endpoint_leaving.Source.ANSWER,
+            by,
+            now_ms,
+        )
         newest = self._by_id.get(known.endpoint.endpoint_id)
         if newest is not None and not _is_new_start(
             newest.endpoint, known.endpoint
@@ -244,13 +251,12 @@
     def _mark(
         self,
         known: Condition,
+        boot: endpoint_leaving.Boot,
         source: endpoint_leaving.Source,
         by: str,
         now_ms: float,
     ) -> None:
-        known.mark, is_first = self._marks.note(
-            known.endpoint.boot(), source, by, now_ms
-        )
+        known.mark, is_first = self._marks.note(boot, source, by, now_ms)
         known.endpoint = attrs.evolve(known.endpoint, leaving=True)
         if is_first and self.observer is not None:
             self.observer.said_leaving(known.mark)
@@ -273,9 +279,17 @@
             if known.doubted_ms is None:
                 known.doubted_ms = now_ms
         else:
-            del self._by_id[endpoint_id]
+            self._drop(endpoint_id)
         return True
 
+    def _drop(self, endpoint_id: str) -> None:
+        known = self._by_id.pop(endpoint_id, None)
+        if known is None or known.mark is None or known.mark.has_left:
+            return
+        known.mark.has_left = True
+        if self.observer is not None:
+            self.observer.has_left(known.mark)
+
     def replace_all(
         self,
         endpoints: Iterable[Endpoint],
@@ -299,7 +313,7 @@
             and now_ms - known.doubted_ms > DOUBT_MS
         ]
         for endpoint_id in gone:
-            del self._by_id[endpoint_id]
+            self._drop(endpoint_id)
         return gone
 
     def extend_doubt(self, now_ms: float) -> None:
@@ -335,6 +349,12 @@
             now_ms,
         )
 
+    def has_any(self, service: str) -> bool:
+        """Returns whether a service has endpoints, usable or not."""
+        return any(
+            known.endpoint.service == service for known in self._by_id.values()
+        )
+
     def may_send(self, known: Condition, now_ms: float) -> bool:
         """Returns whether an endpoint that was chosen may still get work.
 
@@ -346,7 +366,19 @@
             return False
         if known.mark is None and not known.peers_say:
             return True
-        return known in self.usable(endpoint.service, now_ms)
+        if known not in self.usable(endpoint.service, now_ms):
+            return False
+        if known.mark is not None:
+            known.mark.last_sent_ms = now_ms
+        return True
+
+    def leaving(self) -> list[Condition]:
+        """Returns the endpoints that have said, or are said, to leave."""
+        return [
+            known
+            for known in self._by_id.values()
+            if known.mark is not None or known.peers_say
+        ]
 
     def hear_running(
         self, running: dict[str, int], now_ms: float, age_ms: float
@@ -403,21 +435,10 @@
                         known.endpoint.boot(), known.peers_say[0]
                     )
 
-    def note_held(self, service: str, held_ms: float) -> None:
-        """Records how long an endpoint of a service held a request."""
-        known_ms = self.held_ms(service)
-        self._held_ms[service] = known_ms + _HELD_NEWS_WEIGHT * (
-            held_ms - known_ms
-        )
-
-    def held_ms(self, service: str) -> float:
-        """Returns how long endpoints of a service usually hold a request."""
-        return self._held_ms.get(service, HELD_FIRST_MS)
-
     def likely_load(self, known: Condition, now_ms: float) -> float:
         """Returns the requests at an endpoint now, as far as news tell."""
         return known.likely_load(
-            now_ms, self.news_age_ms, self.held_ms(known.endpoint.service)
+            now_ms, self.news_age_ms, self.held.usual_ms(known.endpoint.service)
         )
 
     def hear_trouble(
