--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -137,21 +137,18 @@
             with trio.fail_after(RESERVE_TIMEOUT_MS / 1000.0):
                 return await self._reserve(message)
         except trio.TooSlowError:
-            self._give_back(message)
+            self.settle(
+                gateway_messages.SettleTurn(
+                    program_id=message.program_id,
+                    turn_id=message.turn_id,
+                    used_tokens=0,
+                    holder="",
+                )
+            )
             return _cannot_tell("the store did not answer in time")
         except errors.PortError as error:
             return _cannot_tell(str(error))
 
-    def _give_back(self, message: gateway_messages.ReserveTurn) -> None:
-        self.settle(
-            gateway_messages.SettleTurn(
-                program_id=message.program_id,
-                turn_id=message.turn_id,
-                used_tokens=0,
-                holder="",
-            )
-        )
-
     def release(
         self, message: gateway_messages.ReleaseTurn
     ) -> (
@@ -247,9 +244,6 @@
         if isinstance(outcome, gateway_messages.ReserveReply):
             return outcome
         if outcome.mark is not None:
-            if not self._store_reached():
-                self._give_back(message)
-                return _cannot_tell("the store is away")
             await term.write(message.program_id, outcome.mark)
         return self._granted(message, outcome)
 
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -587,23 +587,6 @@
 
         _run(case, _FaultyStore())
 
-    def test_turn_beyond_the_mark_does_not_wait_for_a_store_that_is_away(
-        self,
-    ) -> None:
-        """It is known that no mark can be written, and its caller waits."""
-
-        async def case(gateways: _Gateways) -> None:
-            owner = gateways.owner()
-            assert (await _ask(owner, "1", 10)).granted
-            gateways.store.down = True
-            asked_s = trio.current_time()
-            assert not (await _ask(owner, "2", 60)).granted
-            assert trio.current_time() == asked_s
-            gateways.store.down = False
-            assert (await _ask(owner, "3", 90)).granted
-
-        _run(case)
-
     def test_accounts_of_an_older_owner_do_not_count(self) -> None:
         async def case(gateways: _Gateways) -> None:
             oldest = gateways.owner()
