Take accounts over only once the store has taken the claim

Cause: since a claim asked its peers for their accounts first, and whoever held the partition stopped. If the store then refused the claim, nobody held it.

Why this works: before the claim peers are only asked which epoch's accounts they know, which takes long if one is silent; after it, the one with the epoch that the store names hands over. The test of two that both believe to own still passes.

The new test fails with accounts taken before the claim. In the test of a claim that hands on what it was handed, the first claim now gets as far as its opening, since accounts are taken later; what it asserts is unchanged.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -247,6 +247,12 @@
             await term.write(message.program_id, outcome.mark)
         return self._granted(message, outcome)
 
+    def known_epoch(self) -> int:
+        """Returns the epoch under which accounts are known here; 0 if none."""
+        if self._term is not None:
+            return self._term.fence.epoch
+        return self._last_accounts.epoch
+
     def hand_over(self) -> tuple[int, dict[str, program_budgets.Account]]:
         """Stops owning the partition.
 
@@ -359,7 +365,9 @@
             raise errors.NotDoneError("the store is away")
         # Asked before the claim, since a peer may be silent for long, and a
         # claim that takes long is shut out by the next before it has opened.
-        await self._ask_accounts(holders_only=False)
+        # Nobody stops until the store has taken the claim: if it is away, who
+        # holds the partition can still grant within the marks.
+        epochs_known = await self._peers.epochs(self._part)
         fence = await self._epochs.claim()
         found = await self._store.newest(
             budget_term.TOPIC,
@@ -372,9 +380,16 @@
             if record.value is not None
         }
         last_epoch = int(values.pop(budget_term.EPOCH_KEY, b"0"))
-        if last_epoch != self._last_accounts.epoch:
-            # Somebody may have opened a term since.
-            await self._ask_accounts(holders_only=True)
+        if last_epoch not in (_NO_EPOCH, self._last_accounts.epoch):
+            await self._take_accounts(
+                [
+                    address
+                    for address, epoch in epochs_known.items()
+                    if epoch == last_epoch
+                ]
+                # Somebody may have opened a term since.
+                or self._peers.holders(self._part)
+            )
         ledger = program_budgets.BudgetLedger()
         now_ms = self._clock.now_ms()
         for program_id, value in values.items():
@@ -404,14 +419,12 @@
         )
         return term
 
-    async def _ask_accounts(self, *, holders_only: bool) -> None:
-        """Asks peers for accounts and keeps the newest.
+    async def _take_accounts(self, addresses: list[str]) -> None:
+        """Has peers hand their accounts over and keeps the newest.
 
         They are kept beyond the claim, since they may be nowhere else.
         """
-        replies = await self._peers.hand_over(
-            self._part, holders_only=holders_only
-        )
+        replies = await self._peers.hand_over(self._part, addresses)
         known = [_Accounts(each.epoch, each.accounts) for each in replies]
         self._last_accounts = max(
             [self._last_accounts, *known], key=lambda each: each.epoch
--- a/quetzalmill/budget_peers.py
+++ b/quetzalmill/budget_peers.py
@@ -33,33 +33,46 @@
         self._peers = peers
         self._client = client
 
+    def holders(self, part: int) -> list[str]:
+        """Returns the addresses of peers that say they hold a partition."""
+        return [beat.address for beat in self._peers() if part in beat.holds]
+
+    async def epochs(self, part: int) -> dict[str, int]:
+        """Returns the epochs whose accounts the peers that answer know.
+
+        Whoever holds the partition goes on.
+        """
+        message = gateway_messages.HandOver(part=part, only_epoch=True)
+        addresses = [beat.address for beat in self._peers()]
+        replies = await self._ask(addresses, message)
+        return {address: reply.epoch for address, reply in replies.items()}
+
     async def hand_over(
-        self, part: int, *, holders_only: bool
+        self, part: int, addresses: list[str]
     ) -> list[gateway_messages.HandOverReply]:
-        """Returns what the peers that answer know of a partition.
+        """Returns what the peers that answer hand over of a partition."""
+        message = gateway_messages.HandOver(part=part)
+        return list((await self._ask(addresses, message)).values())
 
-        Args:
-            part: The partition.
-            holders_only: Whether only those are asked whose last beat says
-                that they hold it.
-        """
-        replies: list[gateway_messages.HandOverReply] = []
+    async def _ask(
+        self, addresses: list[str], message: gateway_messages.HandOver
+    ) -> dict[str, gateway_messages.HandOverReply]:
+        replies: dict[str, gateway_messages.HandOverReply] = {}
 
         async def ask(address: str) -> None:
             try:
                 reply: gateway_messages.HandOverReply = await self._client.call(
                     address,
                     gateway_messages.HAND_OVER,
-                    gateway_messages.HandOver(part=part),
+                    message,
                     timeout_ms=PEER_TIMEOUT_MS,
                 )
             except errors.ControlError as error:
                 _log.info("peer_not_asked", peer=address, reason=str(error))
             else:
-                replies.append(reply)
+                replies[address] = reply
 
         async with trio.open_nursery() as nursery:
-            for beat in self._peers():
-                if not holders_only or part in beat.holds:
-                    nursery.start_soon(ask, beat.address)
+            for address in addresses:
+                nursery.start_soon(ask, address)
         return replies
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -344,7 +344,12 @@
     def _hand_over(
         self, message: gateway_messages.HandOver
     ) -> gateway_messages.HandOverReply:
-        epoch, accounts = self._owners[message.part].hand_over()
+        owner = self._owners[message.part]
+        if message.only_epoch:
+            return gateway_messages.HandOverReply(
+                epoch=owner.known_epoch(), accounts={}
+            )
+        epoch, accounts = owner.hand_over()
         return gateway_messages.HandOverReply(epoch=epoch, accounts=accounts)
 
     def _part_of(self, account: str) -> int:
--- a/quetzalmill/gateway_messages.py
+++ b/quetzalmill/gateway_messages.py
@@ -120,10 +120,12 @@
 class HandOver:
     """Asks a former owner of a partition for its accounts.
 
-    A peer that still believes itself the owner stops being it.
+    A peer that still believes itself the owner stops being it, unless it is
+    only asked for the epoch.
     """
 
     part: int
+    only_epoch: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -235,14 +235,24 @@
         self.others: list[budget_owner.BudgetOwner] = []
         self.silent_s = 0.0
 
+    def holders(self, part: int) -> list[str]:
+        return []
+
+    async def epochs(self, part: int) -> dict[str, int]:
+        # Who is silent for long holds nothing.
+        await trio.sleep(self.silent_s)
+        return {
+            str(number): other.known_epoch()
+            for number, other in enumerate(self.others)
+        }
+
     async def hand_over(
-        self, part: int, *, holders_only: bool
+        self, part: int, addresses: list[str]
     ) -> list[gateway_messages.HandOverReply]:
-        # Who is silent for long holds nothing.
-        await trio.sleep(0.0 if holders_only else self.silent_s)
+        await trio.lowlevel.checkpoint()
         replies = []
-        for other in self.others:
-            epoch, accounts = other.hand_over()
+        for address in addresses:
+            epoch, accounts = self.others[int(address)].hand_over()
             replies.append(
                 gateway_messages.HandOverReply(epoch=epoch, accounts=accounts)
             )
@@ -321,6 +331,7 @@
         refusals: Writes to come that are refused.
         unanswered: Writes to come that are done but not answered.
         failed_reads: Readings to come that fail.
+        refused_claims: Claims to come that are refused.
         read_s: How long a reading takes.
     """
 
@@ -329,8 +340,23 @@
         self.refusals = 0
         self.unanswered = 0
         self.failed_reads = 0
+        self.refused_claims = 0
         self.read_s = 0.1
 
+    async def claim(
+        self,
+        topic: str,
+        part: int,
+        fence: keyed_store.Fence,
+        *,
+        timeout_ms: float,
+    ) -> None:
+        """Shuts out writers of lower epochs, unless it is to refuse."""
+        if self.refused_claims:
+            self.refused_claims -= 1
+            raise errors.NotDoneError("too much is waiting")
+        await super().claim(topic, part, fence, timeout_ms=timeout_ms)
+
     async def newest(
         self, topic: str, part: int, *, timeout_ms: float
     ) -> keyed_store.Records:
@@ -564,8 +590,26 @@
 
         _run(case, store)
 
+    def test_claim_that_the_store_refuses_leaves_the_holder_its_term(
+        self,
+    ) -> None:
+        """The store may turn the one away, and the other grants on."""
+        store = _FaultyStore()
+
+        async def case(gateways: _Gateways) -> None:
+            first, second = gateways.owner(), gateways.owner()
+            assert (await _ask(first, "1", 20)).granted
+            first.settle(_settlement("1", 1))
+            gateways.peers.others = [first]
+            store.refused_claims = 1_000
+            assert not (await _ask(second, "2", 20)).granted
+            assert (await _ask(first, "3", 20)).granted
+
+        _run(case, store)
+
     def test_claim_under_way_hands_on_what_it_was_handed(self) -> None:
         """The owner that handed it over may be gone by then."""
+        store = _FaultyStore()
 
         async def case(gateways: _Gateways) -> None:
             first, second = gateways.owner(), gateways.owner()
@@ -575,17 +619,19 @@
             replies: list[gateway_messages.ReserveReply] = []
 
             async def ask(turn_id: str) -> None:
-                replies.append(await _ask(second, turn_id, 19))
+                replies.append(await _ask(second, turn_id, 1))
 
+            store.refusals = 3
             gateways.nursery.start_soon(ask, "2")
-            # It has asked the first, and reads.
-            await trio.sleep(0.05)
+            # It has read and taken the accounts, and tries to open.
+            await trio.sleep(0.12)
+            store.refusals = 0
             gateways.peers.others = [second]
             third = gateways.owner()
             for turn_id in ("3", "4"):
-                assert (await _ask(third, turn_id, 19)).granted
+                assert (await _ask(third, turn_id, 18)).granted
 
-        _run(case, _FaultyStore())
+        _run(case, store)
 
     def test_accounts_of_an_older_owner_do_not_count(self) -> None:
         async def case(gateways: _Gateways) -> None:
