--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -137,21 +137,18 @@
             with trio.fail_after(RESERVE_TIMEOUT_MS / 1000.0):
                 return await self._reserve(message)
         except trio.TooSlowError:
-            self._give_back(message)
+            self.settle(
+                gateway_messages.SettleTurn(
+                    program_id=message.program_id,
+                    turn_id=message.turn_id,
+                    used_tokens=0,
+                    holder="",
+                )
+            )
             return _cannot_tell("the store did not answer in time")
         except errors.PortError as error:
             return _cannot_tell(str(error))
 
-    def _give_back(self, message: gateway_messages.ReserveTurn) -> None:
-        self.settle(
-            gateway_messages.SettleTurn(
-                program_id=message.program_id,
-                turn_id=message.turn_id,
-                used_tokens=0,
-                holder="",
-            )
-        )
-
     def release(
         self, message: gateway_messages.ReleaseTurn
     ) -> (
@@ -247,12 +244,15 @@
         if isinstance(outcome, gateway_messages.ReserveReply):
             return outcome
         if outcome.mark is not None:
-            if not self._store_reached():
-                self._give_back(message)
-                return _cannot_tell("the store is away")
             await term.write(message.program_id, outcome.mark)
         return self._granted(message, outcome)
 
+    def known_epoch(self) -> int:
+        """Returns the epoch under which accounts are known here; 0 if none."""
+        if self._term is not None:
+            return self._term.fence.epoch
+        return self._last_accounts.epoch
+
     def hand_over(self) -> tuple[int, dict[str, program_budgets.Account]]:
         """Stops owning the partition.
 
@@ -365,7 +365,9 @@
             raise errors.NotDoneError("the store is away")
         # Asked before the claim, since a peer may be silent for long, and a
         # claim that takes long is shut out by the next before it has opened.
-        await self._ask_accounts(holders_only=False)
+        # Nobody stops until the store has taken the claim: if it is away, who
+        # holds the partition can still grant within the marks.
+        epochs_known = await self._peers.epochs(self._part)
         fence = await self._epochs.claim()
         found = await self._store.newest(
             budget_term.TOPIC,
@@ -378,9 +380,16 @@
             if record.value is not None
         }
         last_epoch = int(values.pop(budget_term.EPOCH_KEY, b"0"))
-        if last_epoch != self._last_accounts.epoch:
-            # Somebody may have opened a term since.
-            await self._ask_accounts(holders_only=True)
+        if last_epoch not in (_NO_EPOCH, self._last_accounts.epoch):
+            await self._take_accounts(
+                [
+                    address
+                    for address, epoch in epochs_known.items()
+                    if epoch == last_epoch
+                ]
+                # Somebody may have opened a term since.
+                or self._peers.holders(self._part)
+            )
         ledger = program_budgets.BudgetLedger()
         now_ms = self._clock.now_ms()
         for program_id, value in values.items():
@@ -410,14 +419,12 @@
         )
         return term
 
-    async def _ask_accounts(self, *, holders_only: bool) -> None:
-        """Asks peers for accounts and keeps the newest.
+    async def _take_accounts(self, addresses: list[str]) -> None:
+        """Has peers hand their accounts over and keeps the newest.
 
         They are kept beyond the claim, since they may be nowhere else.
         """
-        replies = await self._peers.hand_over(
-            self._part, holders_only=holders_only
-        )
+        replies = await self._peers.hand_over(self._part, addresses)
         known = [_Accounts(each.epoch, each.accounts) for each in replies]
         self._last_accounts = max(
             [self._last_accounts, *known], key=lambda each: each.epoch
--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -103,6 +103,11 @@
                 break
             condition = self._choose(job)
             if condition is None:
+                if not job.tried and any(
+                    known.endpoint.service == job.service.name
+                    for known in self._pool.all()
+                ):
+                    reason = "all endpoints leave"
                 break
             job.tried.append(condition.endpoint.endpoint_id)
             sends_before = job.sends
