Read a page of the store for as long as pieces of it come

Callers saw: turns that go on from kept ones refused with 503, or not answered, in every try for 15 s after a loss of all power (LOST), while others were served.

Class: slow but sound answers are cut, and the next try begins from nothing; the load of the tries keeps it so.

A page that stalls is given up as before.

--- a/quetzalmill/http_client.py
+++ b/quetzalmill/http_client.py
@@ -134,6 +134,7 @@
         request: http_message.Request,
         *,
         timeout_ms: float,
+        body_timeout_ms: float = 0.0,
         fresh_connection: bool = False,
         idempotent: bool = False,
         max_body_bytes: int = _DEFAULT_MAX_BODY_BYTES,
@@ -143,7 +144,9 @@
         Args:
             address: IP address and port of the server.
             request: The request; hop-by-hop headers are left out.
-            timeout_ms: The time from connecting to the body's end.
+            timeout_ms: The time from connecting to the head, and the longest
+                pause in the body.
+            body_timeout_ms: The time beyond that in which the body has to end.
             fresh_connection: Whether to use a new connection.
             idempotent: Whether the request may be sent again when a kept
                 connection turns out to have ended.
@@ -155,7 +158,8 @@
             errors.ResponseTimeoutError: The response did not end in time.
             errors.BadMessageError: The response is broken or too large.
         """
-        deadline_s = trio.current_time() + timeout_ms / 1000.0
+        whole_ms = timeout_ms + body_timeout_ms
+        deadline_s = trio.current_time() + whole_ms / 1000.0
         async with self.stream(
             address,
             request,
