Let readings of turns run apart from the requests that began them

Cause: the request that began a reading of a partition was shielded until its end, so neither its caller's leaving nor its deadline ended it, and its reservation stayed. And after a reading that failed, all that waited tried again one after the other.

Why this works: a reading is a task of its own, like a claim; all wait for it, each for its own time, and hear at once if it fails. A partition that the memory cannot hold stays at hand for a second after the last question, so that who comes back finds it.

test_caller_that_leaves and test_reading_that_fails_is_told_to_all are new; the first failed before by construction of the shield (not run on the old code, whose constructor lacks the nursery). The test of a failing reading waits until nothing is kept before it fails the reading; what it asserts is unchanged.

--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -236,7 +236,9 @@
             for part in parts
         ]
         partitions = [
-            turn_store.TurnPartition(part, self._store, self._cache, self.clock)
+            turn_store.TurnPartition(
+                part, self._store, self._cache, self.clock, nursery
+            )
             for part in parts
         ]
         self._owners = [
--- a/quetzalmill/turn_store.py
+++ b/quetzalmill/turn_store.py
@@ -25,6 +25,10 @@
 READ_TIMEOUT_MS = 1_500.0
 """How long reading one page may take; a page holds up to a megabyte."""
 
+WHOLE_KEPT_MS = 1_000.0
+"""How long a partition that the memory for turns cannot hold is kept after the
+last question; callers that were refused come back within a third of that."""
+
 _RETRY_FIRST_MS = 100.0
 _RETRY_MOST_MS = 1_000.0
 _MAX_BATCH_BYTES = 1_000_000
@@ -123,6 +127,21 @@
         return True
 
 
+@attrs.define(eq=False)
+class _Reading:
+    """A reading under way; many may wait for it.
+
+    Attributes:
+        started_ms: When it began.
+        done: Set once it has ended.
+        error: Why it failed; None if it did not.
+    """
+
+    started_ms: float
+    done: trio.Event = attrs.field(factory=trio.Event)
+    error: errors.PortError | None = None
+
+
 class TurnPartition:
     """Reads one partition of turns and keeps up with it.
 
@@ -131,6 +150,7 @@
         store: The platform's store.
         cache: Where the turns that are read go.
         clock: The process's clock.
+        nursery: Where readings run.
     """
 
     def __init__(
@@ -139,6 +159,7 @@
         store: keyed_store.KeyedStore,
         cache: conversations.Conversations,
         clock: clock_module.Clock,
+        nursery: trio.Nursery,
     ) -> None:
         self._part = part
         self._store = store
@@ -149,7 +170,8 @@
         self._asking = 0
         self._evicted_before = 0
         self._read_ms = float("-inf")
-        self._reading = trio.Lock()
+        self._reading: _Reading | None = None
+        self._nursery = nursery
 
     async def chain(self, turn_id: str) -> tuple[list[conversations.Turn], str]:
         """Returns a chain out of all that the store holds now.
@@ -166,8 +188,7 @@
             return await self._chain(turn_id, self._clock.now_ms())
         finally:
             self._asking -= 1
-            if not self._asking:
-                self._whole = None
+            self._drop_whole_soon()
 
     async def _chain(
         self, turn_id: str, asked_ms: float
@@ -191,18 +212,50 @@
             asked_ms: When it was.
             needs_whole: Whether all turns have to be at hand.
         """
-        async with self._reading:
+        while True:
             is_anew = needs_whole and self._whole is None
             if self._read_ms >= asked_ms and not is_anew:
                 return
-            started_ms = self._clock.now_ms()
-            # Many wait for this reading. If it ended with the patience of the
+            # Many wait for a reading. If it ended with the patience of the
             # one that began it, the next would begin anew, for ever.
-            with trio.CancelScope(shield=True):
-                is_anew |= self._next_offset is None
-                if is_anew or not await self._read_on():
-                    await self._read_whole(turn_id)
-            self._read_ms = started_ms
+            if self._reading is None:
+                self._reading = _Reading(self._clock.now_ms())
+                self._nursery.start_soon(
+                    self._read, self._reading, turn_id, is_anew
+                )
+            reading = self._reading
+            await reading.done.wait()
+            if reading.error is not None:
+                raise reading.error
+
+    async def _read(
+        self, reading: _Reading, turn_id: str, is_anew: bool
+    ) -> None:
+        """Reads on, or everything, for all that wait."""
+        try:
+            is_anew |= self._next_offset is None
+            if is_anew or not await self._read_on():
+                await self._read_whole(turn_id)
+            self._read_ms = reading.started_ms
+        except errors.PortError as error:
+            reading.error = error
+        except Exception as error:
+            _log.exception("reading_failed", part=self._part)
+            reading.error = errors.NotDoneError(repr(error))
+        finally:
+            self._reading = None
+            self._drop_whole_soon()
+            reading.done.set()
+
+    def _drop_whole_soon(self) -> None:
+        if not self._asking and self._whole is not None:
+            self._nursery.start_soon(self._drop_whole, self._whole)
+
+    async def _drop_whole(self, whole: dict[str, conversations.Turn]) -> None:
+        """Gives a whole partition's memory back once nobody asks any more."""
+        await trio.sleep(WHOLE_KEPT_MS / 1000.0)
+        if not self._asking and self._whole is whole:
+            self._whole = None
 
     async def _read_on(self) -> bool:
         """Reads what came since; returns whether the store still had it."""
--- a/tests/test_turn_store.py
+++ b/tests/test_turn_store.py
@@ -67,9 +67,9 @@
         """A reading takes longer than the only one that asks for it waits."""
         store = _SlowStore()
 
-        async def run() -> list[bool]:
+        async def run(readings: trio.Nursery) -> list[bool]:
             await _write(store, ["t1", "t2", "t3", "t4", "t5"])
-            partition = _partition(store, cache_bytes=1_500)
+            partition = _partition(store, 1_500, readings)
             in_time = []
             for _ in range(3):
                 leaves_s = trio.current_time() + _PATIENCE_S
@@ -80,13 +80,51 @@
 
         assert _run(run) == [False, True, True]
 
+    def test_caller_that_leaves_does_not_stay_for_the_reading(self) -> None:
+        """Its program comes back, and finds its tokens reserved for it."""
+        store = _SlowStore()
+
+        async def run(readings: trio.Nursery) -> float:
+            await _write(store, ["t1"])
+            partition = _partition(store, 1_500, readings)
+            began_s = trio.current_time()
+            with trio.move_on_after(_PATIENCE_S):
+                await partition.chain("t1")
+            return trio.current_time() - began_s
+
+        assert _run(run) == pytest.approx(_PATIENCE_S)
+
+    def test_reading_that_fails_is_told_to_all_that_wait_for_it(self) -> None:
+        """Else they try one after the other, each for as long."""
+        store = _SlowStore()
+        store.failures = 1
+
+        async def run(readings: trio.Nursery) -> list[float]:
+            await _write(store, ["t1"])
+            partition = _partition(store, 1_500, readings)
+            told_s: list[float] = []
+
+            async def ask() -> None:
+                with pytest.raises(errors.NotDoneError):
+                    await partition.chain("t1")
+                told_s.append(trio.current_time())
+
+            began_s = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                for _ in range(3):
+                    nursery.start_soon(ask)
+            return [each - began_s for each in told_s]
+
+        assert _run(run) == pytest.approx([_READ_S] * 3)
+
     def test_reading_that_fails_makes_no_turn_look_absent(self) -> None:
         store = _SlowStore()
 
-        async def run() -> str:
+        async def run(readings: trio.Nursery) -> str:
             await _write(store, ["t1", "t2", "t3", "t4", "t5"])
-            partition = _partition(store, cache_bytes=1_500)
+            partition = _partition(store, 1_500, readings)
             await partition.chain("t5")
+            await trio.sleep(2.0 * turn_store.WHOLE_KEPT_MS / 1000.0)
             store.failures = 1
             with pytest.raises(errors.NotDoneError):
                 await partition.chain("t1")
@@ -99,9 +137,9 @@
         """By who asked after it was written, in a cache that holds little."""
         store = _SlowStore()
 
-        async def run() -> str:
+        async def run(readings: trio.Nursery) -> str:
             await _write(store, ["t1", "t2", "t3", "t4", "t5"])
-            partition = _partition(store, cache_bytes=1_500)
+            partition = _partition(store, 1_500, readings)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(partition.chain, "t1")
                 await trio.sleep(_READ_S / 2.0)
@@ -118,9 +156,9 @@
 ) -> int:
     """Returns how many of 20 callers that come in turn find their turns."""
 
-    async def run() -> int:
+    async def run(readings: trio.Nursery) -> int:
         await _write(store, turn_ids)
-        partition = _partition(store, cache_bytes)
+        partition = _partition(store, cache_bytes, readings)
         found: list[str] = []
 
         async def ask(turn_id: str) -> None:
@@ -138,12 +176,15 @@
     return _run(run)
 
 
-def _partition(store: _SlowStore, cache_bytes: int) -> turn_store.TurnPartition:
+def _partition(
+    store: _SlowStore, cache_bytes: int, nursery: trio.Nursery
+) -> turn_store.TurnPartition:
     return turn_store.TurnPartition(
         0,
         store,
         conversations.Conversations(cache_bytes),
         clock_module.SystemClock(),
+        nursery,
     )
 
 
@@ -162,5 +203,11 @@
         await store.append("turns", 0, [record], timeout_ms=100.0)
 
 
-def _run(case: Callable[[], Awaitable[_Result]]) -> _Result:
-    return trio.run(case, clock=trio.testing.MockClock(autojump_threshold=0))
+def _run(case: Callable[[trio.Nursery], Awaitable[_Result]]) -> _Result:
+    async def run() -> _Result:
+        async with trio.open_nursery() as nursery:
+            result = await case(nursery)
+            nursery.cancel_scope.cancel()
+        return result
+
+    return trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
