Settle a turn with whoever holds its budget's partition

Callers saw: 402 for a program whose budget held its turn, for as long as its gateway and the holder of the partition disagreed on the owner.

Cause: a settlement went to the gateway that seemed to own the partition at that moment only. If another one held it, the reservation stayed there for good; the seeming owner kept the settlement for a term that it never had.

Why this works: it also goes to those whose beats say that they hold the partition; mostly that is the same gateway. A settlement without a reservation changes nothing.

The test fails with only the owner asked, and passes.

--- a/quetzalmill/gateway_turns.py
+++ b/quetzalmill/gateway_turns.py
@@ -230,11 +230,13 @@
             ran_on=ran_on,
         )
         part = self._state.partition_of(call.program_id)
-        owner = self._state.owner(part)
-        if owner == self._state.address:
-            self._owners[part].settle(message)
-        else:
-            self._nursery.start_soon(self._send_settlement, owner, message)
+        # Who holds the partition may not be who seems to own it now. A
+        # settlement that finds no reservation changes nothing.
+        for owner in {self._state.owner(part), *self._state.holders(part)}:
+            if owner == self._state.address:
+                self._owners[part].settle(message)
+            else:
+                self._nursery.start_soon(self._send_settlement, owner, message)
 
     async def _find(
         self,
--- a/tests/test_gateway_turns.py
+++ b/tests/test_gateway_turns.py
@@ -162,6 +162,38 @@
         trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+class TestOwnerUnclear:
+    """A partition held by another gateway than the one that seems to own it."""
+
+    def test_settlement_reaches_who_holds_the_reservation(self) -> None:
+        """Else the program's budget stays reserved for a turn that ended."""
+
+        async def run() -> list[str]:
+            async with trio.open_nursery() as nursery:
+                state = lone_gateway.state(clock_module.SystemClock())
+                client = unittest.mock.Mock(call=unittest.mock.AsyncMock())
+                owner = lone_gateway.owner(
+                    state, memory_store.MemoryStore(), nursery
+                )
+                turns = gateway_turns.Turns(
+                    state,
+                    unittest.mock.Mock(),
+                    unittest.mock.Mock(),
+                    [owner],
+                    client,
+                    nursery,
+                )
+                with unittest.mock.patch.object(
+                    state, "holders", return_value=["10.0.0.2:1"]
+                ):
+                    turns.settle(_CALL, "weddings", 9)
+                await trio.testing.wait_all_tasks_blocked()
+                nursery.cancel_scope.cancel()
+            return [each.args[0] for each in client.call.await_args_list]
+
+        assert trio.run(run) == ["10.0.0.2:1"]
+
+
 class TestTurnsThatAreNotStored:
     """Turns whose caller sends the whole conversation."""
 
