--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""One unreadable entry among the replicas ends all gateways, again and again."""
+"""One unreadable entry of another writer ends all gateways repeatedly."""
 
 import asyncio
 import collections
