--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -125,6 +125,12 @@
             await channel.respond(200, headers, f"ok {request_id}".encode())
             return
         headers["Content-Type"] = "text/event-stream"
+        await self.stream(channel, request_id, headers)
+
+    async def stream(
+        self, channel: wire.Channel, request_id: str, headers: dict[str, str]
+    ) -> None:
+        """Sends an answer event by event."""
         await channel.start_chunks(200, headers)
         for number in range(1, self._events + 1):
             if channel.is_closed_by_peer():
