--- a/review/6/case.py
+++ b/review/6/case.py
@@ -173,7 +173,8 @@
     print(
         f"faulty answers {[each.faulty_answers for each in faulty]} of "
         f"{[each.answers for each in faulty]}; requests {len(took)}, "
-        f"unanswered at timeoutMs {len(late)}, half a second later {len(very)}; "
+        f"unanswered at timeoutMs {len(late)}, half a second later "
+        f"{len(very)}; "
         f"longest readiness check by machine {silent}"
     )
     return len(very) * 2 <= len(late)
