--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,8 +22,8 @@
 
 COOL_DOWN_S = 1.0
 DEADLINE_S = 2.5
-RETRIES = 2
 ROUTES = ("pago", "retiro")
+RETRIES = {"pago": 2, "retiro": 1}
 PROMISES = (408, 421, 429, 503)
 
 
@@ -36,18 +36,25 @@
         self._replica = replica
         self._record = record
         self._from_answers: int | None = None
-        self._copies = 0
+        self.copies = 0
+        self.window_answers = 0
         self.is_on = False
         replica.after_refusal = self._keep_refusal
         replica.before_run = self._send_copy
 
+    def end(self) -> None:
+        """Ends the disruption."""
+        self.is_on = False
+        if self._from_answers is not None:
+            self.window_answers = self._replica.answers - self._from_answers
+
     def _may_copy(self) -> bool:
         if not self.is_on:
             return False
         if self._from_answers is None:
             self._from_answers = self._replica.answers
         answers = self._replica.answers - self._from_answers
-        return self._copies + 1 <= PART * answers
+        return self.copies + 1 <= PART * answers
 
     def _keep_refusal(
         self, request: wire.Request, channel: wire.Channel, data: bytes
@@ -60,7 +67,7 @@
         refused_id, data = channel.notes.pop("refusal", ("", b""))
         if not data or not self._may_copy():
             return
-        self._copies += 1
+        self.copies += 1
         self._record.add(
             "second_copy",
             replica=self._replica.replica_id,
@@ -102,10 +109,13 @@
     answers: dict[str, int] = {}
     names = desired_state.tenant_names()
 
-    async def attempt(number: int, order: str, left_s: float) -> float | None:
+    async def attempt(
+        number: int, trial: int, order: str, left_s: float
+    ) -> float | None:
         """Sends one attempt; returns when to come back, or None."""
         route = ROUTES[number % 2]
-        machine = deployment.machines[number // 2 % len(deployment.machines)]
+        place = number // 2 + trial
+        machine = deployment.machines[place % len(deployment.machines)]
         request_id = deployment.new_id()
         record.add(
             "sent", id=request_id, order=order, route=route, node=machine.name
@@ -134,9 +144,9 @@
         while time.monotonic() < ends_s:
             order = deployment.new_id()
             until_s = time.monotonic() + DEADLINE_S
-            for _ in range(1 + RETRIES):
+            for trial in range(1 + RETRIES[ROUTES[number % 2]]):
                 left_s = until_s - time.monotonic()
-                back_s = await attempt(number, order, left_s)
+                back_s = await attempt(number, trial, order, left_s)
                 if back_s is None or back_s > left_s / 3:
                     break
                 await asyncio.sleep(back_s)
@@ -148,11 +158,14 @@
             copier.is_on = has_trouble
         await asyncio.sleep(WINDOW_S)
         for copier in copiers:
-            copier.is_on = False
+            copier.end()
 
     await asyncio.gather(
         trouble(), *(requester(number) for number in range(REQUESTERS))
     )
+    copies = sum(copier.copies for copier in copiers)
+    window_answers = sum(copier.window_answers for copier in copiers)
+    print(f"second copies {copies} of {window_answers} answers in the window")
     return _judge(deployment, answers)
 
 
