--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -334,6 +334,8 @@
     ``TROUBLE=0`` leaves out the disruption. The argument is the path of the
     record.
     """
+    # A starter such as nohup ignores SIGHUP, and processes inherit that.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(pathlib.Path(sys.argv[1]))
     try:
