Take a refusal with another request's id for no answer

Cause: Dispatcher._handle_reply checked the request's id of an answer only if the answer did not say "not run". A second copy of the refusal of an earlier request, where the next answer is due on a kept connection, so counted as the refusal of a request that the replica was running. Ruled out: the pool's check for early bytes (it closes connections that are readable before they are used; the copy arrives after the request was sent), and h11's state (the copy is a proper response).

Now an answer that names another request is no answer, whatever it says: the outcome is unknown, 502 for what must not run twice. A refusal without an id still counts, since endpoints refuse requests without one so, but its connection is not kept: a second copy of it has no later request to meet. The engines' and services' port of sidecars has no id at all in answers, so each request has its own connection there (orders, memory, idempotent model calls shared them; bookings did not).

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -316,6 +316,9 @@
                     self._record_outcome(job, endpoint_state, outcome, sent_ms)
                 response.may_reuse_connection = (
                     endpoint_state.drain_notice is None
+                    # A second copy of a response that names no request could
+                    # pass for the response to the next one.
+                    and reply.correlation is gateway_calls.Correlation.OWN
                 )
                 return outcome
         except (errors.ConnectFailedError, errors.RequestWithdrawnError):
@@ -401,8 +404,7 @@
         response: http_client.StreamedResponse,
         exchange: http_server.Exchange,
     ) -> dispatch_job.SendResult:
-        if not reply.matches_request and not reply.not_run:
-            raise errors.BadMessageError("the answer is for another request")
+        _require_own_response(reply)
         if reply.not_run:
             await self._answers.read(response)
             if reply.status == _MISDIRECTED:
@@ -479,6 +481,24 @@
             )
 
 
+def _require_own_response(reply: gateway_calls.Reply) -> None:
+    """Checks that a response says something of the request that was sent.
+
+    A second copy of the response to an earlier request may arrive instead, and
+    tells nothing of this one, not even that it did not run. Only a refusal may
+    come without an id, as endpoints also refuse requests that carry none.
+
+    Raises:
+        errors.BadMessageError: It may be the response to another request.
+    """
+    match reply.correlation:
+        case gateway_calls.Correlation.OWN:
+            return
+        case gateway_calls.Correlation.UNNAMED if reply.not_run:
+            return
+    raise errors.BadMessageError("the answer is for another request")
+
+
 def _ended_by_endpoint(
     job: dispatch_job.Job, exchange: http_server.Exchange
 ) -> bool:
--- a/quetzalmill/endpoint_port.py
+++ b/quetzalmill/endpoint_port.py
@@ -3,6 +3,10 @@
 It implements the endpoints' HTTP protocols and classifies each failure as not
 executed or as unknown. Once the first byte of a request has been sent, a
 failure is unknown. Requests to endpoints never contain a caller's key.
+
+Nothing in a response names its request, and a faulty endpoint may send a
+second copy of a response where the next one is due. So each request has a
+connection of its own.
 """
 
 from collections.abc import AsyncIterator
@@ -74,7 +78,7 @@
                 request,
                 timeout_ms=timeout_ms,
                 idle_timeout_ms=timeout_ms,
-                new_connection=not call.idempotent,
+                new_connection=True,
                 max_body_bytes=MAX_ANSWER_BYTES,
             ) as response:
                 _require_ok(response.status)
@@ -198,7 +202,7 @@
                 address,
                 request,
                 timeout_ms=_ADMIN_TIMEOUT_MS,
-                idempotent=True,
+                new_connection=True,
                 max_body_bytes=MAX_ANSWER_BYTES,
             )
         except errors.HttpError as error:
--- a/quetzalmill/gateway_calls.py
+++ b/quetzalmill/gateway_calls.py
@@ -1,5 +1,6 @@
 """Calls as gateways see them, independent of their names on the wire."""
 
+import enum
 from typing import Protocol
 
 import attrs
@@ -82,6 +83,14 @@
     slots: int
 
 
+class Correlation(enum.Enum):
+    """Whose request a response answers, by the request id that it names."""
+
+    OWN = "own"
+    UNNAMED = "unnamed"
+    FOREIGN = "foreign"
+
+
 @attrs.frozen(kw_only=True)
 class Reply:
     """The head of an endpoint's response.
@@ -89,7 +98,7 @@
     Attributes:
         status: The HTTP status.
         headers: The headers for the caller.
-        matches_request: Whether it responds to the request that was sent.
+        correlation: Whether it names the request that was sent.
         is_genuine: Whether it carries the endpoint's signature.
         not_run: Whether the endpoint states that it did not run the request.
         load: The load that it reports, or None.
@@ -98,7 +107,7 @@
 
     status: int
     headers: dict[str, str]
-    matches_request: bool
+    correlation: Correlation
     is_genuine: bool
     not_run: bool
     load: Load | None
--- a/quetzalmill_emulator/platform_endpoint.py
+++ b/quetzalmill_emulator/platform_endpoint.py
@@ -5,12 +5,14 @@
 """
 
 import enum
+import weakref
 
 import attrs
 import trio
 
 from quetzalmill import http_message
 from quetzalmill import http_server
+from quetzalmill_emulator import raw_bytes
 
 SIGN = "1"
 """The value of ``Server-Leaving`` that is a drain notice."""
@@ -23,6 +25,8 @@
     """A fault that an endpoint injects into a request."""
 
     SHED = "shed"
+    SHED_UNNAMED = "shed unnamed"
+    LATE_COPY = "late copy"
     LOSE_ANSWER = "lose answer"
     FORGED = "forged"
     CROSSED = "crossed"
@@ -82,6 +86,7 @@
             to another endpoint.
         left: The number of requests whose caller disconnected during the
             stream.
+        late_copies: The number of refusals that were sent a second time.
         names_request: Whether the data of events contains the request id, so
             that a test detects mixed-up streams.
     """
@@ -103,7 +108,11 @@
         self.refused: list[Run] = []
         self.misdirected = 0
         self.left = 0
+        self.late_copies = 0
         self.names_request = False
+        self._refusals: weakref.WeakKeyDictionary[object, bytes] = (
+            weakref.WeakKeyDictionary()
+        )
 
     def successor(self) -> "PlatformEndpoint":
         """Returns the next instance of the same endpoint."""
@@ -136,11 +145,11 @@
             started_s=trio.current_time(),
             started_unix_ms=self.started_unix_ms,
         )
-        if fault is Fault.SHED:
-            self.refused.append(run)
-            answer = {"Not-Executed": "1", **self._drain_headers(run)}
-            await exchange.respond(503, headers=answer)
+        if fault in (Fault.SHED, Fault.SHED_UNNAMED):
+            await self._shed(exchange, run, fault)
             return
+        if fault is Fault.LATE_COPY:
+            await self._repeat_refusal(exchange)
         self.runs.append(run)
         await trio.sleep(self.pause_s)
         if fault is Fault.HANG:
@@ -163,6 +172,27 @@
                 "text/plain",
             )
 
+    async def _shed(
+        self, exchange: http_server.Exchange, run: Run, fault: Fault
+    ) -> None:
+        self.refused.append(run)
+        answer = {"Not-Executed": "1", **self._drain_headers(run)}
+        if fault is Fault.SHED:
+            answer["Attempt-Id"] = run.request_id
+        head = "".join(f"{name}: {answer[name]}\r\n" for name in answer)
+        self._refusals[raw_bytes.connection_of(exchange)] = (
+            "HTTP/1.1 503 Service Unavailable\r\n"
+            f"{head}Content-Length: 0\r\n\r\n"
+        ).encode()
+        await exchange.respond(503, headers=answer)
+
+    async def _repeat_refusal(self, exchange: http_server.Exchange) -> None:
+        """Sends the refusal of an earlier request on this connection again."""
+        refusal = self._refusals.get(raw_bytes.connection_of(exchange))
+        if refusal is not None:
+            self.late_copies += 1
+            await raw_bytes.send(exchange, refusal)
+
     def _drain_headers(self, run: Run | None = None) -> dict[str, str]:
         """Returns the ``Server-Leaving`` header, if one is set."""
         if self.leaving is None:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -76,7 +76,7 @@
     reply = gateway_calls.Reply(
         status=200,
         headers={},
-        matches_request=True,
+        correlation=gateway_calls.Correlation.OWN,
         is_genuine=True,
         not_run=False,
         load=None,
--- a/tests/test_gateway_troubles.py
+++ b/tests/test_gateway_troubles.py
@@ -6,11 +6,13 @@
 import pathlib
 import signal
 
+import pytest
 import trio
 
 from quetzalmill import errors
 from quetzalmill import http_client
 from quetzalmill import http_message
+from quetzalmill_emulator import platform_endpoint
 from quetzalmill_load import platform_cluster
 from tests import gateway_case
 
@@ -138,3 +140,41 @@
             assert not other.runs
 
         gateway_case.run(tmp_path, case)
+
+
+class TestLateCopyOfRefusal:
+    """A refusal that an endpoint sends again where another answer is due."""
+
+    @pytest.mark.parametrize(
+        ("refusal", "status", "copies"),
+        [
+            (platform_endpoint.Fault.SHED, 502, 1),
+            # A connection that may repeat it is closed instead of reused.
+            (platform_endpoint.Fault.SHED_UNNAMED, 200, 0),
+        ],
+    )
+    def test_late_copy_of_refusal_does_not_run_booking_twice(
+        self,
+        tmp_path: pathlib.Path,
+        refusal: platform_endpoint.Fault,
+        status: int,
+        copies: int,
+    ) -> None:
+        """The copy is not taken for the refusal of a booking that runs."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            apps = [
+                await cluster.add_endpoint(f"app-{number}", "app")
+                for number in range(2)
+            ]
+            gateway = await cluster.add_gateway()
+            for app in apps:
+                app.faults = [refusal, platform_endpoint.Fault.LATE_COPY]
+            _, refused = await cluster.call(gateway, "/book/1")
+            _, response = await cluster.call(gateway, "/book/1")
+            assert refused.status == 503
+            assert sum(app.late_copies for app in apps) == copies
+            assert sum(len(app.runs) for app in apps) == 1
+            assert response.status == status
+
+        gateway_case.run(tmp_path, case)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -122,32 +122,39 @@
         assert sent.body == b"prompt"
 
     @pytest.mark.parametrize(
-        ("status", "headers", "matches_request", "is_genuine", "not_run"),
+        ("status", "headers", "correlation", "is_genuine", "not_run"),
         [
             (
                 200,
                 {"attempt-id": "a1", "response-signature": "s"},
-                True,
+                "own",
                 True,
                 False,
             ),
-            (200, {"attempt-id": "a2"}, False, False, False),
-            (503, {"not-executed": "1"}, False, False, True),
-            (421, {}, False, False, True),
-            (503, {}, False, False, False),
+            (200, {"attempt-id": "a2"}, "foreign", False, False),
+            (503, {"not-executed": "1"}, "unnamed", False, True),
+            (
+                503,
+                {"not-executed": "1", "attempt-id": "a2"},
+                "foreign",
+                False,
+                True,
+            ),
+            (421, {}, "unnamed", False, True),
+            (503, {}, "unnamed", False, False),
         ],
     )
     def test_reply(
         self,
         status: int,
         headers: dict[str, str],
-        matches_request: bool,
+        correlation: str,
         is_genuine: bool,
         not_run: bool,
     ) -> None:
         call = _DIALECT.decode_call(_request(attempt_id="a1"))
         reply = _DIALECT.decode_reply(call, "e1", status, headers)
-        assert reply.matches_request == matches_request
+        assert reply.correlation.value == correlation
         assert reply.is_genuine == is_genuine
         assert reply.not_run == not_run
 
