Keep gateways running whatever an entry of the registry holds

Cause: registry.decode named the errors it expects one by one. The JSON library raises RecursionError for deep nesting, and float() OverflowError for a number of 400 digits; both escaped into the task that follows the store, in the process's main nursery. The same pattern stood in each decoder of platform/, which did not use codec: desired state (also a limit or a list of keys of another type), pages and refusals of the store. Header values had it too: int() raises ValueError above 4,300 digits, so a Server-Load or an event id of that length failed a request that had run, and a Prompt-Prefix one that had not. Ruled out: follow.py itself (it skips what the decoder refuses), and msgspec's stack (it raises in time).

--- a/quetzalmill/codec.py
+++ b/quetzalmill/codec.py
@@ -66,3 +66,5 @@
         return msgspec.convert(value, type=expected)
     except msgspec.ValidationError as error:
         raise errors.CodecError(str(error)) from error
+    except RecursionError as error:
+        raise errors.CodecError("the value is nested too deeply") from error
--- a/quetzalmill/event_relay.py
+++ b/quetzalmill/event_relay.py
@@ -21,6 +21,9 @@
 of the users' engines."""
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_MAX_ID_DIGITS = 20
+"""The length of the longest event ids that are compared as numbers."""
+
 _BAD_GATEWAY = 502
 
 
@@ -129,12 +132,16 @@
         new, last = event.event_id, self.last_id
         return (
             self._is_resumed
-            and new.isdecimal()
-            and last.isdecimal()
+            and _is_number(new)
+            and _is_number(last)
             and int(new) <= int(last)
         )
 
 
+def _is_number(event_id: str) -> bool:
+    return event_id.isdecimal() and len(event_id) <= _MAX_ID_DIGITS
+
+
 def _split_events(data: bytes) -> list[bytes]:
     """Splits after each event; the last element is an incomplete event."""
     parts = []
--- a/quetzalmill/http_message.py
+++ b/quetzalmill/http_message.py
@@ -6,6 +6,8 @@
 
 from quetzalmill import errors
 
+MAX_PORT = 65_535
+
 MAX_QUERY_FIELDS = 64
 """The maximum number of query fields of one request."""
 
--- a/quetzalmill_emulator/platform_store.py
+++ b/quetzalmill_emulator/platform_store.py
@@ -74,7 +74,11 @@
     def put(self, topic: str, key: str, value: Any | None) -> None:
         """Appends a keyed record as the operator or an endpoint would."""
         encoded = b"" if value is None else msgspec.json.encode(value)
-        content = bytes([len(key)]) + key.encode() + encoded
+        self.put_bytes(topic, key, encoded)
+
+    def put_bytes(self, topic: str, key: str, value: bytes) -> None:
+        """Appends a keyed record whose value may be anything."""
+        content = bytes([len(key)]) + key.encode() + value
         self.part(topic).append([content])
 
     def forget(self, topic: str) -> None:
--- a/tests/test_event_relay.py
+++ b/tests/test_event_relay.py
@@ -56,6 +56,14 @@
         assert relay.feed(_event(3)).data == _event(3)
         assert relay.outcome(complete=True).events == 3
 
+    def test_event_id_of_thousands_of_digits(self) -> None:
+        """Python refuses to convert numbers of more than 4,300 digits."""
+        relay = event_relay.EventRelay()
+        event = b"id: " + b"9" * 5_000 + b"\ndata: e1\n\n"
+        relay.feed(event)
+        relay.resume()
+        assert relay.feed(event).data == event
+
     def test_repeated_events_are_sent_once(self) -> None:
         """The new endpoint ignores the resume position and starts over."""
         relay = event_relay.EventRelay()
--- a/tests/test_gateway_troubles.py
+++ b/tests/test_gateway_troubles.py
@@ -142,6 +142,32 @@
         gateway_case.run(tmp_path, case)
 
 
+class TestUnreadableEntry:
+    """An entry of another writer among those of the endpoints."""
+
+    def test_unreadable_entry_does_not_end_gateways(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Gateways that run and that start go on without the entry."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("app-1", "app")
+            gateway = await cluster.add_gateway()
+            cluster.store.put_bytes("keyed.servers", "other", b"[" * 2_000)
+
+            async def has_read_it() -> bool:
+                return "endpoint_unreadable" in gateway.log()
+
+            await cluster.until(has_read_it)
+            started = await cluster.add_gateway()
+            for each in (gateway, started):
+                _, response = await cluster.call(each, "/lookup/1")
+                assert response.status == 200
+                assert each.process.poll() is None
+
+        gateway_case.run(tmp_path, case)
+
+
 class TestLateCopyOfRefusal:
     """A refusal that an endpoint sends again where another answer is due."""
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,9 +1,15 @@
 """Tests of the decoders of the platform's headers, documents and settings."""
 
+from collections.abc import Callable
+import contextlib
+import functools
+import json
 import pathlib
 import sys
 from typing import Any
 
+import hypothesis
+from hypothesis import strategies as st
 import msgspec
 import pytest
 
@@ -292,18 +298,125 @@
             {"addr": None},
             {"service": 3},
             {"slots": "many"},
+            {"slots": -1},
+            {"slots": 10**400},
+            {"coldLeftMs": 10**400},
+            {"coldLeftMs": "1"},
+            {"born": "17"},
+            {"zone": 7},
+            {"addr": "127.0.0.1:99999"},
+            {"addr": "10.0.0.9:0"},
+            {"addr": "desk.example:80"},
         ],
     )
     def test_entry_with_an_invalid_field(self, change: dict[str, Any]) -> None:
-        value = msgspec.json.encode({**self._ENTRY, **change})
+        value = json.dumps({**self._ENTRY, **change}).encode()
         with pytest.raises(errors.CodecError):
             registry.decode("e1", value)
 
-    @pytest.mark.parametrize("value", [b"\xff\x00", b"[]", b"null", b"{}"])
+    @pytest.mark.parametrize(
+        "value", [b"\xff\x00", b"[]", b"null", b"{}", b"[" * 2_000]
+    )
     def test_not_an_entry(self, value: bytes) -> None:
         with pytest.raises(errors.CodecError):
             registry.decode("e1", value)
 
+    @pytest.mark.parametrize("endpoint_id", ["", "a b ", "\xe9", "a\r\nb: c"])
+    def test_id_that_no_header_can_carry(self, endpoint_id: str) -> None:
+        with pytest.raises(errors.CodecError):
+            registry.decode(endpoint_id, msgspec.json.encode(self._ENTRY))
+
+
+_NESTED = b"[" * 2_000 + b"]" * 2_000
+
+_VALUES = st.one_of(
+    st.sampled_from(
+        [b"1e999", b"9" * 400, b"9" * 5_000, b"-1", b"null", b'"nan"', _NESTED]
+    ),
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+        lambda inner: (
+            st.lists(inner, max_size=3)
+            | st.dictionaries(st.text(), inner, max_size=3)
+        ),
+        max_leaves=5,
+    ).map(lambda value: json.dumps(value).encode()),
+)
+"""JSON values of all types, among them some that exhaust a number or stack."""
+
+
+def _document(fields: dict[str, Any], name: str, value: bytes) -> bytes:
+    """Returns a JSON object with one field replaced by any bytes."""
+    encoded = {key: json.dumps(fields[key]).encode() for key in fields}
+    encoded[name] = value
+    return (
+        b"{"
+        + b",".join(
+            json.dumps(key).encode() + b":" + encoded[key] for key in encoded
+        )
+        + b"}"
+    )
+
+
+class TestUnreadableInput:
+    """Whatever others write, decoders raise only the errors they document."""
+
+    @staticmethod
+    def _decode(decode: Callable[[], object]) -> None:
+        with contextlib.suppress(errors.QuetzalmillError):
+            decode()
+
+    @hypothesis.given(
+        st.sampled_from([*TestRegistry._ENTRY, "other"]), _VALUES, st.binary()
+    )
+    def test_unreadable_entry_does_not_end_the_gateway(
+        self, name: str, value: bytes, noise: bytes
+    ) -> None:
+        """A gateway reads all entries in its main task group."""
+        document = _document(TestRegistry._ENTRY, name, value)
+        for data in (document, document[: len(document) // 2], noise, value):
+            self._decode(functools.partial(registry.decode, "e1", data))
+
+    @hypothesis.given(
+        st.sampled_from([*platform_cluster.desired_state(), "other"]), _VALUES
+    )
+    def test_desired_state(self, name: str, value: bytes) -> None:
+        state = platform_cluster.desired_state()
+        document = _document(state, name, value)
+        for data in (document, document[: len(document) // 2], value):
+            self._decode(functools.partial(desired_state.decode, data))
+
+    @hypothesis.given(st.data(), _VALUES)
+    def test_entry_of_desired_state(
+        self, data: st.DataObject, value: bytes
+    ) -> None:
+        state = platform_cluster.desired_state()
+        kind = data.draw(st.sampled_from(["routes", "services", "tenants"]))
+        entry = data.draw(st.sampled_from(state[kind]))
+        name = data.draw(st.sampled_from([*entry, "other"]))
+        nested = b"[" + _document(entry, name, value) + b"]"
+        document = _document(state, kind, nested)
+        self._decode(lambda: desired_state.decode(document))
+
+    @pytest.mark.parametrize(
+        "header",
+        ["server-load", "server-leaving", "retry-after", "attempt-id"],
+    )
+    @pytest.mark.parametrize(
+        "value", ["9" * 5_000, "0,0," + "9" * 5_000, "1," * 3_000, "\xe9", ""]
+    )
+    def test_header_of_a_response(self, header: str, value: str) -> None:
+        call = _DIALECT.decode_call(_request(attempt_id="a1"))
+        _DIALECT.decode_reply(call, "e1", 200, {header: value})
+
+    @pytest.mark.parametrize(
+        "header",
+        ["deadline_ms", "token_budget", "token_usage", "prompt_prefix"],
+    )
+    @pytest.mark.parametrize("value", ["9" * 5_000, "a:" + "9" * 5_000, "\xe9"])
+    def test_header_of_a_request(self, header: str, value: str) -> None:
+        self._decode(lambda: _DIALECT.decode_call(_request(**{header: value})))
+
 
 class TestSettings:
     """The settings file of the platform."""
