Handle signals from a process's start until it has exited

Cause: Gateway._wait_for_stop_signal opened the receiver after all addresses were open and left it at the first SIGTERM. Before and after, the default actions held. The same: a second SIGTERM or SIGINT in a shutdown, any signal while the interpreter ends (it restores the default action of handled signals), and SIGHUP at any time for entries and sidecars. Ruled out: the grace period (the process ended 7 s before it), and the reload itself.

Now early_signals records signals from the first statement on, before the slow imports; process_signals handles them, early ones first, from before the first address opens until the shutdown is complete; then they are ignored. A second request to stop is logged and changes nothing, also of SIGINT. Not covered: the time from exec to the first statement, some 20 ms in which only the starter can set an action.

GatewaySettings moved to a module of its own, unchanged.

--- a/quetzalmill/commands_daemon.py
+++ b/quetzalmill/commands_daemon.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from quetzalmill import commands_exit
+from quetzalmill import early_signals
 from quetzalmill import errors
 from quetzalmill import settings
 
@@ -28,13 +29,16 @@
     Returns:
         The exit code of the process.
     """
+    early_signals.install()
     try:
         loaded = _load(role, path)
     except errors.SettingsError as error:
         for problem in error.problems:
             print(problem, file=sys.stderr)
         return commands_exit.ExitCode.USAGE
-    return int(import_daemon(role).run(loaded))
+    exit_code = int(import_daemon(role).run(loaded))
+    early_signals.ignore()
+    return exit_code
 
 
 def import_daemon(role: str) -> Any:
--- a/quetzalmill/daemon.py
+++ b/quetzalmill/daemon.py
@@ -1,7 +1,6 @@
-"""Identity, announcement and signals of entries and sidecars."""
+"""Identity and announcement of entries and sidecars."""
 
 from collections.abc import Awaitable, Callable
-import signal
 
 import attrs
 import trio
@@ -95,13 +94,6 @@
         await _try_append(port, record)
 
 
-async def wait_for_signal() -> None:
-    """Returns when the process is asked to stop."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        async for _ in received:
-            return
-
-
 def run(main: Callable[[], Awaitable[int]]) -> int:
     """Runs a daemon's main function on one event loop; returns its result."""
 
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Awaitable, Callable
-import signal
 from typing import Any
 
 import attrs
@@ -24,6 +23,7 @@
 from quetzalmill import gateway_handler
 from quetzalmill import gateway_messages
 from quetzalmill import gateway_metrics
+from quetzalmill import gateway_settings
 from quetzalmill import gateway_state
 from quetzalmill import gateway_turns
 from quetzalmill import http_client
@@ -37,6 +37,7 @@
 from quetzalmill import peer_calls
 from quetzalmill import peer_http
 from quetzalmill import peer_link
+from quetzalmill import process_signals
 from quetzalmill import response_memory
 from quetzalmill import route_table
 from quetzalmill import turn_expiry
@@ -65,46 +66,6 @@
 _log = logs.get("gateway")
 
 
-@attrs.frozen(kw_only=True)
-class GatewaySettings:
-    """The settings of one gateway.
-
-    Attributes:
-        host: Its host.
-        failure_domain: Its host's failure domain.
-        callers_address: Where callers connect.
-        ready_address: Where readiness is served.
-        peer_address: Where peers send heartbeats and control calls.
-        calls_port: The port of datagram calls, the same on all hosts.
-        metrics_address: Where metrics and the state dump are served.
-        seeds: Initial addresses of peers.
-        parts: The number of partitions of each topic.
-        memory_mb: The memory that the process may use.
-        link_mbps: The bandwidth of the host's link; 0 if unknown.
-        rate_slack: Requests beyond a team's rate that the operators tolerate.
-        drain_ms: How long endpoints keep serving after their drain notice.
-        grace_ms: The time from SIGTERM to SIGKILL.
-        out_of_rotation_ms: The time from reporting not ready until no new
-            connections arrive.
-    """
-
-    host: str
-    failure_domain: str
-    callers_address: str
-    ready_address: str
-    peer_address: str
-    calls_port: int
-    metrics_address: str
-    seeds: tuple[str, ...]
-    parts: int
-    memory_mb: float
-    link_mbps: float
-    rate_slack: float
-    drain_ms: float
-    grace_ms: float
-    out_of_rotation_ms: float
-
-
 DecodeTable = Callable[[bytes], route_table.RouteTable]
 """Decodes a route table; raises ``errors.CodecError``."""
 
@@ -122,11 +83,11 @@
 
     def __init__(
         self,
-        settings: GatewaySettings,
+        settings: gateway_settings.GatewaySettings,
         store: keyed_store.KeyedStore,
         dialect: gateway_calls.Dialect,
         decode_table: DecodeTable,
-        reload: Callable[[], GatewaySettings],
+        reload: Callable[[], gateway_settings.GatewaySettings],
     ) -> None:
         self._settings = settings
         self._store = store
@@ -165,6 +126,7 @@
                 address, self.clock.now_ms()
             ),
         )
+        self._stop_requested = trio.Event()
         self._stopping = trio.Event()
         self._callers_drained = trio.Event()
 
@@ -173,10 +135,18 @@
     ) -> None:
         """Runs until SIGTERM or SIGINT, then finishes running requests.
 
+        Signals are handled from before the first address is open until the
+        process has shut down.
+
         Args:
             follow: Tasks that keep configuration and endpoints up to date.
         """
         async with trio.open_nursery() as nursery:
+            await nursery.start(
+                process_signals.handle,
+                self._stop_requested.set,
+                self._reload_settings,
+            )
             self._wire(nursery)
             link = peer_link.PeerLink(self.state, self._settings.peer_address)
             await nursery.start(link.run)
@@ -193,7 +163,7 @@
                 nursery.start_soon(task, self)
             await self._serve_all(nursery)
             _log.info("process_started", host=self.state.host)
-            await self._wait_for_stop_signal()
+            await self._stop_requested.wait()
             await self._drain(link)
             await self._control.aclose()
             nursery.cancel_scope.cancel()
@@ -461,15 +431,6 @@
         self.metrics.set_state("endpoints", len(self.state.pool))
         self.metrics.set_state("turns_held", len(self._cache))
 
-    async def _wait_for_stop_signal(self) -> None:
-        with trio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            async for number in signals:
-                if number != signal.SIGHUP:
-                    return
-                self._reload_settings()
-
     def _reload_settings(self) -> None:
         """Adds new seeds; other changes take effect at a restart."""
         try:
--- /dev/null
+++ b/quetzalmill/gateway_settings.py
@@ -0,0 +1,43 @@
+"""The settings of one gateway process."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class GatewaySettings:
+    """The settings of one gateway.
+
+    Attributes:
+        host: Its host.
+        failure_domain: Its host's failure domain.
+        callers_address: Where callers connect.
+        ready_address: Where readiness is served.
+        peer_address: Where peers send heartbeats and control calls.
+        calls_port: The port of datagram calls, the same on all hosts.
+        metrics_address: Where metrics and the state dump are served.
+        seeds: Initial addresses of peers.
+        parts: The number of partitions of each topic.
+        memory_mb: The memory that the process may use.
+        link_mbps: The bandwidth of the host's link; 0 if unknown.
+        rate_slack: Requests beyond a team's rate that the operators tolerate.
+        drain_ms: How long endpoints keep serving after their drain notice.
+        grace_ms: The time from SIGTERM to SIGKILL.
+        out_of_rotation_ms: The time from reporting not ready until no new
+            connections arrive.
+    """
+
+    host: str
+    failure_domain: str
+    callers_address: str
+    ready_address: str
+    peer_address: str
+    calls_port: int
+    metrics_address: str
+    seeds: tuple[str, ...]
+    parts: int
+    memory_mb: float
+    link_mbps: float
+    rate_slack: float
+    drain_ms: float
+    grace_ms: float
+    out_of_rotation_ms: float
--- a/quetzalmill/process_core.py
+++ b/quetzalmill/process_core.py
@@ -24,6 +24,7 @@
 from quetzalmill import logs
 from quetzalmill import metrics as metrics_module
 from quetzalmill import objects
+from quetzalmill import process_signals
 from quetzalmill import settings as settings_module
 from quetzalmill import suspects as suspects_module
 
@@ -85,6 +86,7 @@
             self.client, settings.log_address, timeout_ms=LOG_TIMEOUT_MS
         )
         self.stopping = trio.Event()
+        self._stop_requested = trio.Event()
         self._replaced = trio.Event()
         self._served = trio.Event()
         self.store.on_change(self.fleet.configuration_changed)
@@ -140,11 +142,16 @@
         role = self.identity.spec.role
         _log.info("process_started", role=role, host=self.identity.host)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._cancel_when_replaced, nursery.cancel_scope)
-            await daemon.wait_for_signal()
+            await nursery.start(
+                process_signals.handle,
+                self._stop_requested.set,
+                _report_no_reload,
+            )
+            nursery.start_soon(self._stop_when_replaced)
+            await self._stop_requested.wait()
+            if not self._replaced.is_set():
+                await drain()
             nursery.cancel_scope.cancel()
-        if not self._replaced.is_set():
-            await drain()
         _log.info("process_ended", role=role, host=self.identity.host)
 
     def dump(self) -> dict[str, Any]:
@@ -172,9 +179,9 @@
             },
         }
 
-    async def _cancel_when_replaced(self, scope: trio.CancelScope) -> None:
+    async def _stop_when_replaced(self) -> None:
         await self._replaced.wait()
-        scope.cancel()
+        self._stop_requested.set()
 
     def _quarantines_changed(self) -> None:
         self.suspects.configuration_changed(
@@ -182,6 +189,10 @@
         )
 
 
+def _report_no_reload() -> None:
+    _log.info("settings_not_reloaded", reason="they are read at a start only")
+
+
 def report_error(error: BaseException) -> None:
     """Logs an exception that a request handler did not catch."""
     _log.error("handler_failed", reason=repr(error))
--- a/quetzalmill_load/processes.py
+++ b/quetzalmill_load/processes.py
@@ -135,6 +135,10 @@
         """Lets a frozen process go on."""
         self._popen.send_signal(signal.SIGCONT)
 
+    def send_signal(self, number: int) -> None:
+        """Sends a signal; does nothing once the process has ended."""
+        self._popen.send_signal(number)
+
     def signal_terminate(self) -> None:
         """Asks the process to end and returns at once."""
         self._popen.terminate()
--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -7,6 +7,7 @@
 import trio
 
 from quetzalmill import gateway
+from quetzalmill import gateway_settings
 from quetzalmill import http_server
 from tests import memory_store
 
@@ -31,7 +32,7 @@
 
         monkeypatch.setattr(http_server, "serve", serve)
         one = gateway.Gateway(
-            gateway.GatewaySettings(
+            gateway_settings.GatewaySettings(
                 host="h",
                 failure_domain="a",
                 callers_address="10.0.0.1:1",
