Let other tasks run beside a body in endless tiny chunks

Cause, two parts. EventRelay.feed appended each piece to the incomplete event and searched all of it again, so its time grew with the square of the pieces. And no checkpoint was reached while chunks came from bytes already received: one receive of 64 kB holds 10,900 such chunks; StreamedResponse returned them at once, and Exchange.send of nothing does not wait. Ruled out: the limit of 262,144 bytes alone (it held, after all that time), and h11 (linear).

On related paths the same: SseParser and the frames between processes joined and split the incomplete line for each piece; requests of callers in tiny chunks; ResponseMemory and StreamedResponse.read kept a list of chunks, which for two bytes a chunk takes over twenty times what is counted. A large piece may hold thousands of events, which the relay handled in one go. Comments without end, each a whole event, were limited by the deadline only.

Now each byte is searched once (LineBuffer, EventRelay._split), other tasks run after 64 chunks or 4 kB of a stream, bodies are collected in place, and the limit counts all bytes since the last event that carries data.

--- a/quetzalmill/answer.py
+++ b/quetzalmill/answer.py
@@ -8,6 +8,7 @@
 
 from quetzalmill import codec
 from quetzalmill import errors
+from quetzalmill import line_buffer
 from quetzalmill import messages
 
 _LAST_KINDS = (
@@ -123,7 +124,7 @@
         self._call = call
         self._attempt = attempt
         self._next_position = 0
-        self._rest = b""
+        self._lines = line_buffer.LineBuffer()
         self.mismatched = 0
 
     def feed(self, piece: bytes) -> list[messages.Frame]:
@@ -133,8 +134,10 @@
             errors.CodecError: A line is not a frame.
             errors.ConnectionLostError: An earlier frame is missing.
         """
-        *lines, self._rest = (self._rest + piece).split(b"\n")
-        frames = [codec.from_json(line, messages.Frame) for line in lines]
+        frames = [
+            codec.from_json(line, messages.Frame)
+            for line in self._lines.feed(piece)
+        ]
         matching = [frame for frame in frames if self._accept(frame)]
         self.mismatched += len(frames) - len(matching)
         return matching
--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -41,6 +41,10 @@
 """Minimum time left before the deadline for sending a request; no endpoint can
 answer in less."""
 
+MAX_RELAYED_BYTES = 4_096
+"""The most bytes of a stream that are searched for events before other tasks
+run. They may hold more than a thousand events."""
+
 PROBE_TIMEOUT_MS = 300.0
 """Timeout for the connection that checks whether an endpoint is alive."""
 
@@ -446,10 +450,15 @@
         try:
             with trio.fail_after(max(0.0, remaining_ms) / 1000.0):
                 async for piece in response:
-                    events = relay.feed(piece)
-                    if job.allowance is not None:
-                        await job.allowance.wait_for_release(relay, events)
-                    await exchange.send(events.data)
+                    for start in range(0, len(piece), MAX_RELAYED_BYTES):
+                        if start:
+                            await trio.lowlevel.checkpoint()
+                        events = relay.feed(
+                            piece[start : start + MAX_RELAYED_BYTES]
+                        )
+                        if job.allowance is not None:
+                            await job.allowance.wait_for_release(relay, events)
+                        await exchange.send(events.data)
                 await exchange.send(relay.finish())
         except (errors.HttpError, trio.TooSlowError) as error:
             _log.info(
--- a/quetzalmill/event_relay.py
+++ b/quetzalmill/event_relay.py
@@ -4,8 +4,9 @@
 A caller receives complete events only, so that a stream that is resumed at
 another endpoint continues after the last complete event.
 
-The bytes without a complete event are limited, as a faulty server may send
-them endlessly.
+The bytes without a complete event that carries data are limited, as a faulty
+server may send them endlessly. They may come a few at a time, so each byte is
+searched only once.
 """
 
 import re
@@ -17,10 +18,11 @@
 from quetzalmill import sse
 
 MAX_EVENT_BYTES = 262_144
-"""The most bytes without a complete event; a hundred times the largest events
-of the users' engines."""
+"""The most bytes without a complete event that carries data; a hundred times
+the largest events of the users' engines."""
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_MAX_END_BYTES = 4
 _MAX_ID_DIGITS = 20
 """The length of the longest event ids that are compared as numbers."""
 
@@ -54,7 +56,8 @@
         self.status = 0
         self.last_id = ""
         self._outputs: list[bytes] = []
-        self._incomplete = b""
+        self._incomplete = bytearray()
+        self._bytes_without_data = 0
         self._parser = sse.SseParser(MAX_EVENT_BYTES)
         self._is_resumed = False
 
@@ -78,7 +81,8 @@
         An incomplete event of the previous endpoint is discarded, as the next
         one sends it again.
         """
-        self._incomplete = b""
+        self._incomplete = bytearray()
+        self._bytes_without_data = 0
         self._parser = sse.SseParser(MAX_EVENT_BYTES)
         self._is_resumed = True
 
@@ -89,22 +93,24 @@
             errors.BadMessageError: There are too many bytes without an event,
                 or an event is not UTF-8.
         """
-        *ended, self._incomplete = _split_events(self._incomplete + piece)
-        if len(self._incomplete) > MAX_EVENT_BYTES:
-            raise errors.BadMessageError(
-                "the stream goes on without an event", _BAD_GATEWAY
-            )
         before_id = self.last_id
         forwarded: list[bytes] = []
         outputs: list[bytes] = []
-        for raw in ended:
+        for raw in self._split(piece):
             events = self._parser.feed(raw)
+            self._bytes_without_data += len(raw)
+            if events:
+                self._bytes_without_data = 0
             if events and self._is_repeated(events[-1]):
                 continue
             forwarded.append(raw)
             outputs += [event.data.encode() for event in events]
             if events and events[-1].event_id:
                 self.last_id = events[-1].event_id
+        if self._bytes_without_data + len(self._incomplete) > MAX_EVENT_BYTES:
+            raise errors.BadMessageError(
+                "the stream goes on without an event", _BAD_GATEWAY
+            )
         self._outputs += outputs
         return Events(b"".join(forwarded), outputs, before_id)
 
@@ -115,8 +121,8 @@
 
     def finish(self) -> bytes:
         """Returns the bytes left at the end of a complete body."""
-        incomplete, self._incomplete = self._incomplete, b""
-        return incomplete
+        incomplete, self._incomplete = self._incomplete, bytearray()
+        return bytes(incomplete)
 
     def outcome(self, *, complete: bool) -> outcomes.Streamed:
         """Returns an outcome with the events that have been sent."""
@@ -127,6 +133,24 @@
             outputs=tuple(self._outputs),
         )
 
+    def _split(self, piece: bytes) -> list[bytes]:
+        """Returns the events that a piece completes; keeps the rest."""
+        # An event's end may have begun in an earlier piece.
+        search_start = max(0, len(self._incomplete) - _MAX_END_BYTES + 1)
+        self._incomplete += piece
+        ends = [
+            match.end()
+            for match in _EVENT_END.finditer(self._incomplete, search_start)
+        ]
+        if not ends:
+            return []
+        data = bytes(self._incomplete)
+        self._incomplete = bytearray(data[ends[-1] :])
+        return [
+            data[start:end]
+            for start, end in zip([0, *ends], ends, strict=False)
+        ]
+
     def _is_repeated(self, event: sse.Event) -> bool:
         """Returns whether a resumed stream repeats an event already sent."""
         new, last = event.event_id, self.last_id
@@ -140,13 +164,3 @@
 
 def _is_number(event_id: str) -> bool:
     return event_id.isdecimal() and len(event_id) <= _MAX_ID_DIGITS
-
-
-def _split_events(data: bytes) -> list[bytes]:
-    """Splits after each event; the last element is an incomplete event."""
-    parts = []
-    start = 0
-    for end in _EVENT_END.finditer(data):
-        parts.append(data[start : end.end()])
-        start = end.end()
-    return [*parts, data[start:]]
--- a/quetzalmill/http_client.py
+++ b/quetzalmill/http_client.py
@@ -23,6 +23,9 @@
 """Interim (1xx) responses accepted before the final one; servers usually send
 one or two."""
 _DEFAULT_MAX_BODY_BYTES = 16_777_216
+_MAX_CHUNKS_AT_ONCE = 64
+"""Chunks that are parsed from received bytes before other tasks run. A server
+may send chunks of one byte, of which a single receive returns thousands."""
 _BAD_GATEWAY = 502
 
 _Parsed = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
@@ -66,6 +69,7 @@
         self._connection = connection
         self._idle_timeout_ms = idle_timeout_ms
         self._remaining_bytes = max_body_bytes
+        self._chunks_at_once = 0
         self.status = head.status_code
         self.headers = http_message.join_headers(list(head.headers))
         self.may_reuse_connection = True
@@ -94,14 +98,22 @@
 
     async def read(self) -> bytes:
         """Reads the rest of the body; raises the errors of ``__anext__``."""
-        return b"".join([chunk async for chunk in self])
+        body = bytearray()
+        async for chunk in self:
+            body += chunk
+        return bytes(body)
 
     async def _next_event(self) -> _Parsed:
         # Data that has already arrived needs no timeout, and setting one costs
         # as much as parsing.
         event = self._connection.parse()
         if event is not h11.NEED_DATA:
+            self._chunks_at_once += 1
+            if self._chunks_at_once >= _MAX_CHUNKS_AT_ONCE:
+                self._chunks_at_once = 0
+                await trio.lowlevel.checkpoint()
             return event
+        self._chunks_at_once = 0
         with trio.move_on_after(self._idle_timeout_ms / 1000.0):
             return await self._connection.next_event()
         raise errors.ResponseTimeoutError("the response body stalled")
--- a/quetzalmill/http_reader.py
+++ b/quetzalmill/http_reader.py
@@ -1,6 +1,7 @@
 """Reads complete requests from a connection and enforces its limits."""
 
 from collections.abc import Awaitable, Callable
+import itertools
 
 import h11
 import trio
@@ -8,6 +9,9 @@
 from quetzalmill import errors
 from quetzalmill import http_message
 
+_MAX_CHUNKS_AT_ONCE = 64
+"""Chunks that are parsed from received bytes before other tasks run."""
+
 _Parsed = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
@@ -72,7 +76,9 @@
         if self._http.they_are_waiting_for_100_continue:
             await self._send_continue()
         body = bytearray()
-        while True:
+        for count in itertools.count(1):
+            if count % _MAX_CHUNKS_AT_ONCE == 0:
+                await trio.lowlevel.checkpoint()
             with trio.move_on_after(self._limits.idle_timeout_ms / 1000.0):
                 event = await self._next_event()
                 if not isinstance(event, h11.Data):
@@ -82,6 +88,7 @@
                     raise _body_too_large(limit_bytes)
                 continue
             raise errors.BadMessageError("the body did not end in time", 408)
+        raise AssertionError("unreachable")
 
     async def _send_continue(self) -> None:
         continue_response = h11.InformationalResponse(
--- a/quetzalmill/response_memory.py
+++ b/quetzalmill/response_memory.py
@@ -40,7 +40,8 @@
             errors.BadMessageError: It is too large for the free memory.
             errors.HttpError: Reading a chunk failed.
         """
-        chunks: list[bytes] = []
+        # A list would take many times the size of small chunks.
+        body = bytearray()
         response_bytes = 0
         try:
             async for chunk in incoming:
@@ -52,7 +53,7 @@
                         f"the answer goes on after {response_bytes} bytes",
                         _BAD_GATEWAY,
                     )
-                chunks.append(chunk)
-            return b"".join(chunks)
+                body += chunk
+            return bytes(body)
         finally:
             self.held_bytes -= response_bytes
--- a/quetzalmill/sse.py
+++ b/quetzalmill/sse.py
@@ -3,6 +3,7 @@
 import attrs
 
 from quetzalmill import errors
+from quetzalmill import line_buffer
 
 CONTENT_TYPE = "text/event-stream"
 DONE = "[DONE]"
@@ -38,7 +39,7 @@
 
     def __init__(self, max_event_bytes: int = _MAX_EVENT_BYTES) -> None:
         self._max_event_bytes = max_event_bytes
-        self._incomplete_line = b""
+        self._lines = line_buffer.LineBuffer()
         self._data: list[str] = []
         self._data_bytes = 0
         self._name = ""
@@ -50,16 +51,13 @@
         Raises:
             errors.BadMessageError: An event is too large or is not UTF-8.
         """
-        *lines, self._incomplete_line = (self._incomplete_line + chunk).split(
-            b"\n"
-        )
         events = []
-        for line in lines:
+        for line in self._lines.feed(chunk):
             event = self._parse_line(line.removesuffix(b"\r"))
             if event is not None:
                 events.append(event)
         if (
-            self._data_bytes + len(self._incomplete_line)
+            self._data_bytes + self._lines.incomplete_bytes
             > self._max_event_bytes
         ):
             raise errors.BadMessageError("an event is too large", 502)
--- a/quetzalmill_emulator/platform_endpoint.py
+++ b/quetzalmill_emulator/platform_endpoint.py
@@ -19,6 +19,9 @@
 
 _TRICKLE_S = 0.05
 _FLOOD_BYTES = 65_536
+_TINY_CHUNKS = b"1\r\nx\r\n" * 4_000
+"""A tenth of a second of chunks of one byte at 240 kB a second."""
+_TINY_CHUNKS_S = 0.1
 
 
 class Fault(enum.Enum):
@@ -35,6 +38,7 @@
     STALLED_STREAM = "stalled stream"
     TRICKLE = "trickle"
     ENDLESS_LINE = "endless line"
+    TINY_CHUNKS = "tiny chunks"
     ERROR = "error"
     HANG = "hang"
 
@@ -254,4 +258,8 @@
         case Fault.ENDLESS_LINE:
             while not exchange.disconnected:
                 await exchange.send(b"x" * _FLOOD_BYTES)
+        case Fault.TINY_CHUNKS:
+            while not exchange.disconnected:
+                await raw_bytes.send(exchange, _TINY_CHUNKS)
+                await trio.sleep(_TINY_CHUNKS_S)
     exchange.abort()
--- a/tests/test_event_relay.py
+++ b/tests/test_event_relay.py
@@ -1,5 +1,9 @@
 """Tests of forwarding streams event by event."""
 
+from collections.abc import Iterator
+import re
+import types
+
 import pytest
 
 from quetzalmill import errors
@@ -35,7 +39,29 @@
         assert relay.feed(_event(1) + b"id: 2\nda").data == _event(1)
         assert relay.feed(b"ta: e2\n\n").data == _event(2)
 
-    @pytest.mark.parametrize("filler", [b"x", b": y\n", b"data: z\n"])
+    def test_bytes_are_not_searched_again_for_each_piece(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Else a stream in pieces of one byte takes quadratic time."""
+        searched_bytes = 0
+        pattern = event_relay._EVENT_END
+
+        def finditer(data: bytes, start: int = 0) -> Iterator[re.Match[bytes]]:
+            nonlocal searched_bytes
+            searched_bytes += len(data) - start
+            return pattern.finditer(data, start)
+
+        monkeypatch.setattr(
+            event_relay, "_EVENT_END", types.SimpleNamespace(finditer=finditer)
+        )
+        relay = event_relay.EventRelay()
+        for _ in range(10_000):
+            relay.feed(b"x")
+        assert searched_bytes <= 5 * 10_000
+
+    @pytest.mark.parametrize(
+        "filler", [b"x", b": y\n", b"data: z\n", b": y\n\n", b"id: 1\n\n"]
+    )
     def test_bytes_without_an_event_are_limited(self, filler: bytes) -> None:
         relay = event_relay.EventRelay()
         sent_bytes = 0
--- a/tests/test_gateway_troubles.py
+++ b/tests/test_gateway_troubles.py
@@ -142,6 +142,43 @@
         gateway_case.run(tmp_path, case)
 
 
+class TestTinyChunks:
+    """A stream without an event, in endless chunks of one byte."""
+
+    _BOOKINGS = 20
+
+    def test_endless_tiny_chunks_do_not_block_the_gateway(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Bookings are answered meanwhile, and the stream ends in time."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=1)
+            await cluster.add_endpoint("app-1", "app")
+            engine.faults = [platform_endpoint.Fault.TINY_CHUNKS]
+            gateway = await cluster.add_gateway()
+            statuses: list[int] = []
+
+            async def turn() -> None:
+                with pytest.raises(errors.ConnectionLostError):
+                    await cluster.turn(gateway, b"hi")
+
+            async def book(delay_s: float) -> None:
+                await trio.sleep(delay_s)
+                _, response = await cluster.call(gateway, "/book/1")
+                statuses.append(response.status)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(turn)
+                while not engine.runs:
+                    await trio.sleep(0.01)
+                for number in range(self._BOOKINGS):
+                    nursery.start_soon(book, 0.15 * number)
+            assert statuses == [200] * self._BOOKINGS
+
+        gateway_case.run(tmp_path, case)
+
+
 class TestUnreadableEntry:
     """An entry of another writer among those of the endpoints."""
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -5,6 +5,7 @@
 import json
 import socket
 
+import h11
 import pytest
 import trio
 import trio.testing
@@ -13,6 +14,7 @@
 from quetzalmill import http_client
 from quetzalmill import http_connect
 from quetzalmill import http_message
+from quetzalmill import http_reader
 from quetzalmill import http_server
 from quetzalmill import sse
 
@@ -678,6 +680,106 @@
 _CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
+class TestTinyChunks:
+    """Bodies in chunks of one byte, thousands of which arrive at once."""
+
+    _CHUNKS = 5_000
+    _MAX_CHUNKS_AT_ONCE = 2 * 64
+    """Tasks are run in random order, so one may run twice in a row."""
+
+    def test_other_tasks_run_while_a_response_is_read(self) -> None:
+        async def script(stream: trio.SocketStream) -> None:
+            await stream.receive_some()
+            body = b"1\r\nx\r\n" * self._CHUNKS + b"0\r\n\r\n"
+            await stream.send_all(_CHUNKED + body)
+
+        async def main() -> None:
+            client = http_client.HttpClient()
+            count = _Turns()
+            async with (
+                _scripted(script) as address,
+                _counting(count),
+                client.stream(
+                    address, _GET, timeout_ms=_TIMEOUT_MS
+                ) as response,
+            ):
+                await self._read(count, response)
+
+        trio.run(main)
+
+    async def _read(
+        self, count: "_Turns", response: AsyncIterator[bytes]
+    ) -> None:
+        chunks_at_once = longest = chunks = 0
+        last_turn = count.turns
+        async for _ in response:
+            chunks += 1
+            chunks_at_once = (
+                chunks_at_once + 1 if count.turns == last_turn else 0
+            )
+            last_turn = count.turns
+            longest = max(longest, chunks_at_once)
+        assert chunks == self._CHUNKS
+        assert longest <= self._MAX_CHUNKS_AT_ONCE
+
+    def test_other_tasks_run_while_a_request_is_read(self) -> None:
+        count = _Turns()
+        turns_before = 0
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+        pieces = [
+            head + b"\r\n",
+            b"1\r\nx\r\n" * self._CHUNKS + b"0\r\n\r\n",
+        ]
+
+        async def receive() -> bytes:
+            nonlocal turns_before
+            await trio.lowlevel.checkpoint()
+            turns_before = count.turns
+            return pieces.pop(0)
+
+        async def main() -> None:
+            async with _counting(count):
+                reader = http_reader.RequestReader(
+                    h11.Connection(h11.SERVER),
+                    http_message.Limits(max_body_bytes=self._CHUNKS),
+                    receive,
+                    _write_nothing,
+                )
+                request = await reader.read()
+                assert len(request.body) == self._CHUNKS
+                assert count.turns - turns_before >= (
+                    self._CHUNKS // self._MAX_CHUNKS_AT_ONCE
+                )
+
+        trio.run(main)
+
+
+class _Turns:
+    """Counts how often another task has run."""
+
+    def __init__(self) -> None:
+        self.turns = 0
+
+    async def run(self) -> None:
+        while True:
+            await trio.lowlevel.checkpoint()
+            self.turns += 1
+
+
+@contextlib.asynccontextmanager
+async def _counting(count: _Turns) -> AsyncIterator[None]:
+    """Runs a task that counts its turns."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(count.run)
+        yield
+        nursery.cancel_scope.cancel()
+
+
+async def _write_nothing(data: bytes) -> None:
+    del data
+    await trio.lowlevel.checkpoint()
+
+
 class TestEndlessResponses:
     """Faulty servers that send bytes until the client closes."""
 
--- a/tests/test_response_memory.py
+++ b/tests/test_response_memory.py
@@ -1,6 +1,7 @@
 """Tests of the memory limit for buffered responses."""
 
 from collections.abc import AsyncIterator
+import tracemalloc
 
 import pytest
 import trio
@@ -50,6 +51,29 @@
         assert memory.held_bytes == 0
 
 
+class TestTinyChunks:
+    """A response in chunks of two bytes."""
+
+    def test_memory_is_not_a_multiple_of_the_body(self) -> None:
+        """A list of such chunks takes over twenty times their size."""
+        size_bytes = 200_000
+
+        async def tiny() -> AsyncIterator[bytes]:
+            for number in range(size_bytes // 2):
+                await trio.lowlevel.checkpoint()
+                yield number.to_bytes(3, "big")[1:]
+
+        memory = response_memory.ResponseMemory(_LIMIT_BYTES)
+        tracemalloc.start()
+        try:
+            data = trio.run(memory.read, tiny())
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert len(data) == size_bytes
+        assert peak_bytes < 8 * size_bytes
+
+
 class TestManyEndlessResponses:
     """200 endless responses at the same time as 200 complete ones."""
 
