--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -17,6 +17,7 @@
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_outcomes as outcomes
 from quetzalmill import http_client
+from quetzalmill import http_connection
 from quetzalmill import http_message
 from quetzalmill import http_server
 from quetzalmill import load_control
@@ -331,7 +332,7 @@
 
     def _hooks(
         self, job: dispatch_job.Job, endpoint_state: endpoint_pool.EndpointState
-    ) -> http_client.RequestHooks:
+    ) -> http_connection.RequestHooks:
         def on_interim(status: int, headers: dict[str, str]) -> None:
             endpoint_id = endpoint_state.endpoint.endpoint_id
             reply = self._dialect.decode_reply(
@@ -339,7 +340,7 @@
             )
             self._record_drain_notice(job, endpoint_state, reply)
 
-        return http_client.RequestHooks(
+        return http_connection.RequestHooks(
             may_send=lambda: self._pool.may_send(
                 endpoint_state, self._clock.now_ms()
             ),
@@ -405,7 +406,7 @@
         job: dispatch_job.Job,
         endpoint_state: endpoint_pool.EndpointState,
         reply: gateway_calls.Reply,
-        response: http_client.StreamedResponse,
+        response: http_connection.StreamedResponse,
         exchange: http_server.Exchange,
     ) -> dispatch_job.SendResult:
         _require_own_response(reply)
@@ -436,7 +437,7 @@
         self,
         job: dispatch_job.Job,
         reply: gateway_calls.Reply,
-        response: http_client.StreamedResponse,
+        response: http_connection.StreamedResponse,
         exchange: http_server.Exchange,
     ) -> outcomes.Streamed:
         """Relays a stream to the caller, without ending the response."""
--- a/quetzalmill/endpoint_port.py
+++ b/quetzalmill/endpoint_port.py
@@ -19,6 +19,7 @@
 from quetzalmill import codec
 from quetzalmill import errors
 from quetzalmill import http_client
+from quetzalmill import http_connection
 from quetzalmill import http_message
 from quetzalmill import messages
 from quetzalmill import sse
@@ -232,7 +233,7 @@
 
 
 async def _events_of(
-    response: http_client.StreamedResponse,
+    response: http_connection.StreamedResponse,
 ) -> AsyncIterator[bytes]:
     parser = sse.SseParser()
     async for piece in response:
--- a/quetzalmill/executor_link.py
+++ b/quetzalmill/executor_link.py
@@ -13,6 +13,7 @@
 from quetzalmill import executor
 from quetzalmill import fleet_view
 from quetzalmill import http_client
+from quetzalmill import http_connection
 from quetzalmill import http_message
 from quetzalmill import internal_api
 from quetzalmill import messages
@@ -124,7 +125,7 @@
 
     def _frames(
         self,
-        response: http_client.StreamedResponse,
+        response: http_connection.StreamedResponse,
         execution: messages.Execution,
     ) -> AsyncIterator[messages.Frame]:
         call = execution.call
--- /dev/null
+++ b/quetzalmill/http_connection.py
@@ -0,0 +1,246 @@
+"""One connection to an HTTP server, and the response that it carries."""
+
+from collections.abc import AsyncIterator, Callable
+import contextlib
+import select
+
+import attrs
+import h11
+import trio
+
+from quetzalmill import errors
+from quetzalmill import http_message
+
+_RECEIVE_BYTES = 65_536
+_MAX_HEAD_BYTES = 65_536
+_MAX_INTERIM_RESPONSES = 8
+"""Interim (1xx) responses accepted before the final one; servers usually send
+one or two."""
+_MAX_CHUNKS_AT_ONCE = 64
+"""Chunks that are parsed from received bytes before other tasks run. A server
+may send chunks of one byte, of which a single receive returns thousands."""
+_BAD_GATEWAY = 502
+
+_Parsed = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+
+
+@attrs.frozen(kw_only=True)
+class RequestHooks:
+    """Callbacks that run before the head of the final response arrives.
+
+    Attributes:
+        may_send: Called once connected, just before the first byte is sent;
+            returning False withdraws the request.
+        on_interim: Called with the status and headers of each interim (1xx)
+            response.
+    """
+
+    may_send: Callable[[], bool] = lambda: True
+    on_interim: Callable[[int, dict[str, str]], None] = lambda _, __: None
+
+
+class StreamedResponse(AsyncIterator[bytes]):
+    """A response whose body is read in chunks with ``async for``.
+
+    Attributes:
+        status: The HTTP status.
+        headers: Values by lower-case name; repeated ones joined by commas.
+        may_reuse_connection: Whether the connection may be reused for other
+            requests, if the server allows it.
+    """
+
+    def __init__(
+        self,
+        connection: "Connection",
+        head: h11.Response,
+        idle_timeout_ms: float,
+        max_body_bytes: int,
+    ) -> None:
+        self._connection = connection
+        self._idle_timeout_ms = idle_timeout_ms
+        self._remaining_bytes = max_body_bytes
+        self._chunks_at_once = 0
+        self.status = head.status_code
+        self.headers = http_message.join_headers(list(head.headers))
+        self.may_reuse_connection = True
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Returns itself."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Returns the next chunk of the body.
+
+        Raises:
+            errors.ConnectionLostError: The connection was lost within the body.
+            errors.ResponseTimeoutError: No chunk arrived in time.
+            errors.BadMessageError: The body is malformed or too large.
+        """
+        event = await self._next_event()
+        if not isinstance(event, h11.Data):
+            raise StopAsyncIteration
+        self._remaining_bytes -= len(event.data)
+        if self._remaining_bytes < 0:
+            raise errors.BadMessageError(
+                "the response body is too large", _BAD_GATEWAY
+            )
+        return bytes(event.data)
+
+    async def read(self) -> bytes:
+        """Reads the rest of the body; raises the errors of ``__anext__``."""
+        body = bytearray()
+        async for chunk in self:
+            body += chunk
+        return bytes(body)
+
+    async def _next_event(self) -> _Parsed:
+        # Data that has already arrived needs no timeout, and setting one costs
+        # as much as parsing.
+        event = self._connection.parse()
+        if event is not h11.NEED_DATA:
+            self._chunks_at_once += 1
+            if self._chunks_at_once >= _MAX_CHUNKS_AT_ONCE:
+                self._chunks_at_once = 0
+                await trio.lowlevel.checkpoint()
+            return event
+        self._chunks_at_once = 0
+        with trio.move_on_after(self._idle_timeout_ms / 1000.0):
+            return await self._connection.next_event()
+        raise errors.ResponseTimeoutError("the response body stalled")
+
+
+@attrs.define(eq=False)
+class Connection:
+    """A connection that carries one exchange at a time."""
+
+    address: str
+    stream: trio.SocketStream
+    idle_since_s: float = 0.0
+    received_bytes: int = 0
+    http: h11.Connection = attrs.field(
+        factory=lambda: h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
+        )
+    )
+
+    async def exchange(
+        self,
+        request: http_message.Request,
+        deadline_s: float,
+        hooks: RequestHooks,
+    ) -> h11.Response:
+        """Sends a request and reads the head of its response."""
+        self.received_bytes = 0
+        try:
+            data = self._encode(request)
+            if not hooks.may_send():
+                raise errors.RequestWithdrawnError("the request was withdrawn")
+            with trio.move_on_at(deadline_s):
+                return await self._exchange(data, hooks)
+            raise errors.ResponseTimeoutError("no response in time")
+        except BaseException:
+            self.close()
+            raise
+
+    async def next_event(self) -> _Parsed:
+        """Reads the next protocol event of the response."""
+        event = self.parse()
+        while event is h11.NEED_DATA:
+            data = await self._receive()
+            self.http.receive_data(data)
+            event = self.parse(at_eof=not data)
+        return event
+
+    def parse(self, *, at_eof: bool = False) -> _Parsed:
+        """Parses the next protocol event from the data received so far.
+
+        Args:
+            at_eof: Whether the connection has ended.
+        """
+        try:
+            event = self.http.next_event()
+        except h11.RemoteProtocolError as error:
+            if at_eof:
+                raise _connection_lost() from error
+            raise errors.BadMessageError(str(error), _BAD_GATEWAY) from error
+        if isinstance(event, h11.ConnectionClosed):
+            raise _connection_lost()
+        return event
+
+    def is_alive(self) -> bool:
+        """Returns whether the server has neither closed nor sent data."""
+        poll = select.poll()
+        poll.register(self.stream.socket.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    def prepare_reuse(self) -> bool:
+        """Prepares for another exchange; returns whether that is possible."""
+        if self.http.states != {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
+            return False
+        if self.http.trailing_data[0]:
+            # Data after the end of a response belongs to no request.
+            return False
+        self.http.start_next_cycle()
+        return True
+
+    def close(self) -> None:
+        """Closes the connection immediately."""
+        self.stream.socket.close()
+
+    def _encode(self, request: http_message.Request) -> bytes:
+        try:
+            headers = _request_headers(request, self.address)
+            head = h11.Request(
+                method=request.method, target=request.target(), headers=headers
+            )
+            data = self.http.send(head) or b""
+            if request.body:
+                data += self.http.send(h11.Data(data=request.body)) or b""
+            return data + (self.http.send(h11.EndOfMessage()) or b"")
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            raise errors.BadMessageError(str(error)) from error
+
+    async def _exchange(self, data: bytes, hooks: RequestHooks) -> h11.Response:
+        # A server that refuses a large request may respond and close while the
+        # request is still being sent, so the response is read even if sending
+        # fails.
+        with contextlib.suppress(trio.BrokenResourceError):
+            await self.stream.send_all(data)
+        for _ in range(_MAX_INTERIM_RESPONSES + 1):
+            event = await self.next_event()
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise errors.BadMessageError("no response head", _BAD_GATEWAY)
+            hooks.on_interim(
+                event.status_code,
+                http_message.join_headers(list(event.headers)),
+            )
+        raise errors.BadMessageError("interim heads go on", _BAD_GATEWAY)
+
+    async def _receive(self) -> bytes:
+        try:
+            data = bytes(await self.stream.receive_some(_RECEIVE_BYTES))
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise _connection_lost() from error
+        self.received_bytes += len(data)
+        return data
+
+
+def _request_headers(
+    request: http_message.Request, address: str
+) -> list[tuple[bytes, bytes]]:
+    headers = [(b"host", (request.host or address).encode())]
+    headers += [
+        (name.encode(), value.encode("latin-1"))
+        for name, value in request.headers.items()
+        if name.lower() not in http_message.HOP_BY_HOP
+    ]
+    if request.body or request.method not in ("GET", "HEAD"):
+        length = str(len(request.body)).encode()
+        headers.append((b"content-length", length))
+    return headers
+
+
+def _connection_lost() -> errors.ConnectionLostError:
+    return errors.ConnectionLostError("the server ended the connection")
--- a/tests/test_leaving_sends.py
+++ b/tests/test_leaving_sends.py
@@ -19,6 +19,7 @@
 from quetzalmill import gateway_outcomes as outcomes
 from quetzalmill import http_client
 from quetzalmill import http_connect
+from quetzalmill import http_connection
 from quetzalmill import http_message
 from quetzalmill import http_server
 from quetzalmill import leaving_watch
@@ -417,7 +418,7 @@
                 await gateway.run()
                 first.ends_after_answer = True
                 allowed = [True, False]
-                hooks = http_client.RequestHooks(
+                hooks = http_connection.RequestHooks(
                     may_send=lambda: allowed.pop(0)
                 )
                 with pytest.raises(errors.ConnectionLostError):
