Never pass a response on as whole that has lost its end

Reported by other operators: a replica stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

What a run shows here, each byte a cut, through a gateway, for bodies framed by a length, by chunks and by the end of the connection: a head cut before its blank line never became an answer (h11 holds it back), nor did a body with a length or chunks that lost bytes. But a success without a length or chunks whose connection ended right after the head was passed on as 200 with an empty body, and so was a stream with no event in it. And a body that ended inside an event was relayed to the last byte and ended as complete, in any framing; a turn of that kind was stored.

Cause: EventRelay.finish returned what was left at the end of a body and nothing looked at it; nothing told a body that the end of the connection ends from one with its own end.

Now a success that may have a body, but has no length or chunks and not one byte, is a lost connection; so is a stream without any event that ends so, and a body that ends inside an event, whatever its framing: it is resumed or tried again where its route allows, and else ends for the caller as a broken stream. Comments and blank lines may follow the last event. Not to be told, and delivered: a plain body that the end of the connection cuts after its first byte, and such a stream cut between two events.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -460,7 +460,10 @@
                         if job.allowance is not None:
                             await job.allowance.wait_for_release(relay, events)
                         await exchange.send(events.data)
-                await exchange.send(relay.finish())
+                rest = relay.finish()
+                if not relay.events and not response.is_delimited:
+                    raise errors.ConnectionLostError("no event came")
+                await exchange.send(rest)
         except (errors.HttpError, trio.TooSlowError) as error:
             _log.info(
                 "stream_broke_off",
--- a/quetzalmill/event_relay.py
+++ b/quetzalmill/event_relay.py
@@ -120,9 +120,18 @@
         self.last_id = events.before_id
 
     def finish(self) -> bytes:
-        """Returns the bytes left at the end of a complete body."""
-        incomplete, self._incomplete = self._incomplete, bytearray()
-        return bytes(incomplete)
+        """Returns the bytes left at the end of a body: blanks and comments.
+
+        Raises:
+            errors.ConnectionLostError: The body ended inside an event.
+        """
+        rest = bytes(self._incomplete)
+        if any(
+            line and not line.startswith(b":") for line in rest.splitlines()
+        ):
+            raise errors.ConnectionLostError("the stream ended inside an event")
+        self._incomplete = bytearray()
+        return rest
 
     def outcome(self, *, complete: bool) -> outcomes.Streamed:
         """Returns an outcome with the events that have been sent."""
--- a/quetzalmill/http_client.py
+++ b/quetzalmill/http_client.py
@@ -134,6 +134,7 @@
             head,
             timeout_ms if idle_timeout_ms is None else idle_timeout_ms,
             max_body_bytes,
+            is_delimited=http_connection.is_delimited(request.method, head),
         )
         try:
             yield response
--- a/quetzalmill/http_connection.py
+++ b/quetzalmill/http_connection.py
@@ -20,6 +20,7 @@
 """Chunks that are parsed from received bytes before other tasks run. A server
 may send chunks of one byte, of which a single receive returns thousands."""
 _BAD_GATEWAY = 502
+_STATUSES_WITHOUT_BODY = (204, 304)
 
 _Parsed = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
@@ -47,6 +48,8 @@
         headers: Values by lower-case name; repeated ones joined by commas.
         may_reuse_connection: Whether the connection may be reused for other
             requests, if the server allows it.
+        is_delimited: Whether the body's end is marked by a length or chunks;
+            otherwise the end of the connection ends it, also an early one.
     """
 
     def __init__(
@@ -55,6 +58,8 @@
         head: h11.Response,
         idle_timeout_ms: float,
         max_body_bytes: int,
+        *,
+        is_delimited: bool,
     ) -> None:
         self._connection = connection
         self._idle_timeout_ms = idle_timeout_ms
@@ -63,6 +68,8 @@
         self.status = head.status_code
         self.headers = http_message.join_headers(list(head.headers))
         self.may_reuse_connection = True
+        self.is_delimited = is_delimited
+        self._has_body = False
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         """Returns itself."""
@@ -78,7 +85,9 @@
         """
         event = await self._next_event()
         if not isinstance(event, h11.Data):
+            self._require_body()
             raise StopAsyncIteration
+        self._has_body = True
         self._remaining_bytes -= len(event.data)
         if self._remaining_bytes < 0:
             raise errors.BadMessageError(
@@ -93,6 +102,15 @@
             body += chunk
         return bytes(body)
 
+    def _require_body(self) -> None:
+        """Checks that a success without a length or chunks has a body.
+
+        A server with nothing to send says so with a length of 0.
+        """
+        is_success = 200 <= self.status < 300
+        if is_success and not self.is_delimited and not self._has_body:
+            raise _connection_lost()
+
     async def _next_event(self) -> _Parsed:
         # Data that has already arrived needs no timeout, and setting one costs
         # as much as parsing.
@@ -227,6 +245,14 @@
         return data
 
 
+def is_delimited(method: str, head: h11.Response) -> bool:
+    """Returns whether the end of a response's body is marked in it."""
+    if method == "HEAD" or head.status_code in _STATUSES_WITHOUT_BODY:
+        return True
+    names = {name for name, _ in head.headers}
+    return bool(names & {b"content-length", b"transfer-encoding"})
+
+
 def _request_headers(
     request: http_message.Request, address: str
 ) -> list[tuple[bytes, bytes]]:
--- a/quetzalmill_emulator/platform_endpoint.py
+++ b/quetzalmill_emulator/platform_endpoint.py
@@ -39,10 +39,21 @@
     TRICKLE = "trickle"
     ENDLESS_LINE = "endless line"
     TINY_CHUNKS = "tiny chunks"
+    CUT_HEAD = "cut head"
+    CUT_EVENT = "cut event"
+    UNDELIMITED = "undelimited"
     ERROR = "error"
     HANG = "hang"
 
 
+class Framing(enum.Enum):
+    """What marks the end of a response's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
 @attrs.define(kw_only=True)
 class Run:
     """A request that reached an endpoint.
@@ -91,6 +102,9 @@
         left: The number of requests whose caller disconnected during the
             stream.
         late_copies: The number of refusals that were sent a second time.
+        framing: If set, each response is sent at once with this framing, and
+            ends its connection.
+        sent_bytes: How many bytes of such a response are sent; None for all.
         names_request: Whether the data of events contains the request id, so
             that a test detects mixed-up streams.
     """
@@ -113,6 +127,8 @@
         self.misdirected = 0
         self.left = 0
         self.late_copies = 0
+        self.framing: Framing | None = None
+        self.sent_bytes: int | None = None
         self.names_request = False
         self._refusals: weakref.WeakKeyDictionary[object, bytes] = (
             weakref.WeakKeyDictionary()
@@ -163,7 +179,13 @@
             exchange.abort()
             return
         answer = self._answer_headers(run, fault)
-        if fault is Fault.ERROR:
+        if self.framing is not None:
+            raw = self.raw_response(answer, self.framing)
+            await raw_bytes.send(exchange, raw[: self.sent_bytes])
+            exchange.abort()
+        elif fault in (Fault.CUT_HEAD, Fault.CUT_EVENT, Fault.UNDELIMITED):
+            await self._send_undelimited(exchange, answer, fault)
+        elif fault is Fault.ERROR:
             await exchange.respond(500, b"failed", answer, "text/plain")
         elif self._events:
             first = int(headers.get("last-event-id", "0")) + 1
@@ -171,11 +193,52 @@
         else:
             await exchange.respond(
                 200,
-                f"done by {self.endpoint_id}".encode(),
+                self._body(),
                 answer,
                 "text/plain",
             )
 
+    def raw_response(self, answer: dict[str, str], framing: Framing) -> bytes:
+        """Returns the bytes of a whole response.
+
+        Args:
+            answer: Its headers.
+            framing: What marks the end of its body.
+        """
+        body = self._body()
+        if self._events:
+            name = answer["Attempt-Id"] + "-" if self.names_request else ""
+            body = b"".join(
+                _event(name, number) for number in range(1, self._events + 1)
+            )
+            answer = {**answer, "Content-Type": "text/event-stream"}
+        match framing:
+            case Framing.LENGTH:
+                answer = {**answer, "Content-Length": str(len(body))}
+            case Framing.CHUNKS:
+                answer = {**answer, "Transfer-Encoding": "chunked"}
+                body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        head = "".join(f"{name}: {answer[name]}\r\n" for name in answer)
+        return f"HTTP/1.1 200 OK\r\n{head}\r\n".encode() + body
+
+    async def _send_undelimited(
+        self,
+        exchange: http_server.Exchange,
+        answer: dict[str, str],
+        fault: Fault,
+    ) -> None:
+        """Sends a response that ends with its connection, whole or cut."""
+        raw = self.raw_response(answer, Framing.CONNECTION)
+        if fault is Fault.CUT_HEAD:
+            raw = raw[: raw.index(b"\r\n\r\n") // 2]
+        elif fault is Fault.CUT_EVENT and self._events:
+            raw = raw[:-1]
+        await raw_bytes.send(exchange, raw)
+        exchange.abort()
+
+    def _body(self) -> bytes:
+        return f"done by {self.endpoint_id}".encode()
+
     async def _shed(
         self, exchange: http_server.Exchange, run: Run, fault: Fault
     ) -> None:
@@ -236,12 +299,15 @@
             if exchange.disconnected:
                 self.left += 1
                 return
-            event = f"id: {number}\ndata: {name}e{number}\n\n"
-            await exchange.send(event.encode())
+            await exchange.send(_event(name, number))
             await trio.sleep(self.pause_s)
         await exchange.finish()
 
 
+def _event(name: str, number: int) -> bytes:
+    return f"id: {number}\ndata: {name}e{number}\n\n".encode()
+
+
 async def _inject_stream_fault(
     exchange: http_server.Exchange, fault: Fault
 ) -> None:
--- /dev/null
+++ b/tests/test_cut_responses.py
@@ -0,0 +1,137 @@
+"""Tests of endpoints' responses that are cut at any byte, then closed."""
+
+import pathlib
+
+import pytest
+import trio
+
+from quetzalmill import errors
+from quetzalmill import http_client
+from quetzalmill import http_message
+from quetzalmill_emulator import platform_endpoint
+from quetzalmill_load import platform_cluster
+from tests import gateway_case
+
+_Framing = platform_endpoint.Framing
+_EVENTS = 2
+_ENDS = (b"\n\n", b"\r\n\r\n")
+
+
+@pytest.mark.parametrize("framing", _Framing)
+class TestEveryCut:
+    """Responses through a gateway, cut after each of their bytes."""
+
+    def test_cut_response_of_service_is_not_delivered_as_whole(
+        self, framing: platform_endpoint.Framing, tmp_path: pathlib.Path
+    ) -> None:
+        """A cut head never becomes a success with an empty or short body."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            app = await cluster.add_endpoint("app-1", "app")
+            app.framing = framing
+            gateway = await cluster.add_gateway()
+            raw = _raw_response(app, framing)
+            head_bytes = raw.index(b"\r\n\r\n") + 4
+            for sent_bytes in range(len(raw) + 1):
+                app.sent_bytes = sent_bytes
+                _, response = await cluster.call(gateway, "/book/1")
+                if sent_bytes == len(raw):
+                    assert response.status == 200
+                    assert response.body == b"done by app-1"
+                elif framing is _Framing.CONNECTION and (
+                    sent_bytes > head_bytes
+                ):
+                    # Nothing tells this end from the whole body's.
+                    assert response.body == raw[head_bytes:sent_bytes]
+                else:
+                    assert response.status == 502, sent_bytes
+
+        gateway_case.run(tmp_path, case)
+
+    def test_stream_cut_inside_an_event_does_not_look_complete(
+        self, framing: platform_endpoint.Framing, tmp_path: pathlib.Path
+    ) -> None:
+        """Callers get complete events only, and an end only after one."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=_EVENTS)
+            engine.framing = framing
+            gateway = await cluster.add_gateway()
+            raw = _raw_response(engine, framing)
+            for sent_bytes in range(len(raw) + 1):
+                engine.sent_bytes = sent_bytes
+                try:
+                    _, response = await cluster.turn(
+                        gateway, b"hi", program=f"p{sent_bytes}"
+                    )
+                except errors.ConnectionLostError:
+                    assert sent_bytes < len(raw)
+                    continue
+                if response.status == 200:
+                    assert response.body.endswith(_ENDS)
+                    assert raw[:sent_bytes].endswith(response.body) or (
+                        sent_bytes == len(raw)
+                    )
+                else:
+                    assert response.status == 502
+            assert response.body.count(b"data:") == _EVENTS
+
+        gateway_case.run(tmp_path, case)
+
+
+class TestClient:
+    """Responses without a length or chunks, read by the client."""
+
+    @pytest.mark.parametrize(
+        ("method", "status", "is_whole"),
+        [
+            ("GET", 200, False),
+            ("POST", 201, False),
+            ("HEAD", 200, True),
+            ("GET", 204, True),
+            ("GET", 304, True),
+            ("GET", 500, True),
+        ],
+    )
+    def test_connection_that_ends_after_the_head(
+        self, method: str, status: int, is_whole: bool
+    ) -> None:
+        """A success without any body has been cut off, if it may have one."""
+
+        async def serve(stream: trio.SocketStream) -> None:
+            async with stream:
+                await stream.receive_some()
+                await stream.send_all(b"HTTP/1.1 %d X\r\n\r\n" % status)
+
+        async def run() -> http_message.Response:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            port = listeners[0].socket.getsockname()[1]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+                try:
+                    return await http_client.HttpClient().request(
+                        f"127.0.0.1:{port}",
+                        http_message.Request(method=method, path="/"),
+                        timeout_ms=2_000.0,
+                    )
+                finally:
+                    nursery.cancel_scope.cancel()
+
+        if is_whole:
+            assert trio.run(run).status == status
+            return
+        with pytest.RaisesGroup(errors.ConnectionLostError):
+            trio.run(run)
+
+
+def _raw_response(
+    endpoint: platform_endpoint.PlatformEndpoint,
+    framing: platform_endpoint.Framing,
+) -> bytes:
+    """Returns a response as long as those to the requests of the cluster."""
+    answer = {
+        "Attempt-Id": "0" * 16,
+        "Response-Signature": f"signed-{endpoint.endpoint_id}",
+        "Server-Load": "1,0,8",
+    }
+    return endpoint.raw_response(answer, framing)
--- a/tests/test_event_relay.py
+++ b/tests/test_event_relay.py
@@ -34,6 +34,24 @@
         assert outcome.outputs == (b"e1", b"e2", b"e3", b"e4", b"e5")
         assert relay.last_id == "5"
 
+    @pytest.mark.parametrize("size", range(1, 16))
+    @pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+    def test_body_that_ends_inside_an_event_is_not_complete(
+        self, line_end: bytes, size: int
+    ) -> None:
+        """Also if only the blank line or half of a line end is missing."""
+        event = _event(2).replace(b"\n", line_end)
+        relay = event_relay.EventRelay()
+        relay.feed(_event(1) + event[:size])
+        with pytest.raises(errors.ConnectionLostError):
+            relay.finish()
+
+    @pytest.mark.parametrize("rest", [b"", b"\n", b"\r\n", b": bye", b": a\n"])
+    def test_body_may_end_after_an_event(self, rest: bytes) -> None:
+        relay = event_relay.EventRelay()
+        sent = relay.feed(_event(1) + rest).data + relay.finish()
+        assert sent == _event(1) + rest
+
     def test_incomplete_event_is_held_back(self) -> None:
         relay = event_relay.EventRelay()
         assert relay.feed(_event(1) + b"id: 2\nda").data == _event(1)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -54,6 +54,25 @@
         assert found.next_offset == len(_RECORDS)
 
 
+class TestCutReads:
+    """Reads whose body ends early, without a length that tells it."""
+
+    def test_record_that_is_cut_is_not_taken_for_a_short_one(self) -> None:
+        """Its value would be an entry or a turn with its end missing."""
+        records = [
+            keyed_store.KeyedRecord(key, b"v" * 9) for key in ("one", "two")
+        ]
+        body = bytes(16) + store_module._encode(records)
+        ends = [16, 16 + (len(body) - 16) // 2, len(body)]
+        for size in range(16, len(body) + 1):
+            if size in ends:
+                found = store_module._decode(body[:size])
+                assert found == records[: ends.index(size)]
+            else:
+                with pytest.raises(errors.NotExecutedError):
+                    store_module._decode(body[:size])
+
+
 class TestPages:
     """Reads of many pages, some of which fail."""
 
