Answer every request before the grace period of a shutdown ends

Reported by other operators: in a planned stop, requests that came late in the grace were taken and passed on; at its end they were cut with no answer, among them requests that may not be repeated. It can happen here.

Cause: a gateway that shuts down took each request that reached it, whatever time was left, for 3 s on all connections and up to 0.5 s more on new ones; at the end of the grace the process's nursery was cancelled, which closes connections without a response. A booking with 4 s to its deadline, taken at 3.3 s, ran past 7.2 s, the end.

Now shutdown.Period decides: a request is taken if its deadline falls into the period, or, while callers are still routed here, if four average durations fit into it; else it is refused at once, 503, to be sent again at once, and its connection is closed. What still runs 300 ms before the end gets a final response: 503 if it was not sent to an endpoint, 504 if it was. A stream that has begun can only be cut.

--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -453,6 +453,11 @@
         self.state.leaving = True
         link.send_now()
         settings = self._settings
+        self._handler.shutdown.begin(
+            self.clock.now_ms(),
+            rotation_ms=settings.out_of_rotation_ms,
+            grace_ms=settings.grace_ms,
+        )
         with trio.move_on_after(settings.grace_ms / 1000.0):
             await trio.sleep(settings.out_of_rotation_ms / 1000.0)
             self._stopping.set()
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -19,6 +19,7 @@
 from quetzalmill import load_control
 from quetzalmill import logs
 from quetzalmill import route_table
+from quetzalmill import shutdown as shutdown_module
 from quetzalmill import team_buckets
 from quetzalmill import turn_allowance
 
@@ -40,6 +41,11 @@
 DURABLE_WRITE_MS = 150.0
 """Time reserved, of a turn's remaining time, for storing it durably."""
 
+_SHUT_DOWN = outcomes.Refused(
+    status=503, reason="the gateway shuts down", retry_after_ms=0.0
+)
+"""Other gateways take the request at once."""
+
 _log = logs.get("gateway")
 
 
@@ -55,6 +61,7 @@
 
     Attributes:
         random: Breaks ties.
+        shutdown: Decides what is still taken, and ends it in time.
     """
 
     def __init__(
@@ -71,6 +78,7 @@
         self._turns = turns
         self._metrics = metrics
         self.random = random.Random()
+        self.shutdown = shutdown_module.Shutdown()
 
     async def handle(
         self, request: http_message.Request, exchange: http_server.Exchange
@@ -89,7 +97,10 @@
         outcome: outcomes.Outcome = outcomes.CallerLeft()
         with trio.CancelScope() as scope:
             exchange.cancel_on_disconnect(scope)
-            outcome = await active.run()
+            with self.shutdown.limit() as limit:
+                outcome = await active.run()
+            if limit.cancelled_caught:
+                outcome = active.outcome_at_shutdown()
             await self._answer(exchange, outcome, active)
         if not exchange.started:
             # The caller has disconnected.
@@ -104,6 +115,9 @@
     ) -> None:
         match outcome:
             case outcomes.Refused():
+                if self.shutdown.period is not None:
+                    # The caller's next request would be refused as well.
+                    exchange.close_connection()
                 await _refuse(exchange, outcome)
             case outcomes.Unknown():
                 body = outcomes.problem_body(outcome.reason, "unknown")
@@ -217,6 +231,9 @@
             return outcomes.Refused(
                 status=503, reason="the route's service is not configured"
             )
+        refused = self._check_shutdown(service)
+        if refused is not None:
+            return refused
         if self._is_turn():
             return await self._run_turn(service)
         self.prepared_ms = self._state.clock.now_ms()
@@ -257,6 +274,27 @@
             )
         )
 
+    def _check_shutdown(
+        self, service: route_table.Service
+    ) -> outcomes.Refused | None:
+        """Returns why a shutdown leaves no time for it; None if it does."""
+        period = self._handler.shutdown.period
+        if period is None or period.admits(
+            self._state.clock.now_ms(),
+            deadline_ms=self._deadline_ms(),
+            average_ms=self._state.pool.durations.average_ms(service.name),
+        ):
+            return None
+        return _SHUT_DOWN
+
+    def outcome_at_shutdown(self) -> outcomes.Outcome:
+        """Returns the outcome if the shutdown ends the request now."""
+        if self.job is None or not self.job.sends:
+            return _SHUT_DOWN
+        if self.job.relay.started:
+            return self.job.relay.outcome(complete=False)
+        return outcomes.Unknown(status=504, reason="the gateway shuts down")
+
     async def _acquire_rate(self) -> outcomes.Refused | None:
         """Takes a token of the team's rate; returns a refusal or None."""
         return _refuse_over_rate(
--- a/quetzalmill/http_server.py
+++ b/quetzalmill/http_server.py
@@ -96,6 +96,7 @@
         self._has_body = request.method != "HEAD"
         self._disconnected = trio.Event()
         self._scope: trio.CancelScope | None = None
+        self._closes = False
         self.started = False
         self.finished = False
 
@@ -120,6 +121,10 @@
         if self._scope is not None:
             self._scope.cancel()
 
+    def close_connection(self) -> None:
+        """Announces with the response that the connection closes after it."""
+        self._closes = True
+
     async def respond(
         self,
         status: int,
@@ -172,7 +177,9 @@
 
     def _head(self, status: int, headers: dict[str, str]) -> bytes:
         self.started = True
-        return self._connection.encode_head(status, headers)
+        return self._connection.encode_head(
+            status, headers, closes=self._closes
+        )
 
     async def _write(self, data: bytes) -> None:
         if self.disconnected:
@@ -339,9 +346,18 @@
         """Returns the bytes of a part of the response."""
         return self._http.send(event) or b""
 
-    def encode_head(self, status: int, headers: dict[str, str]) -> bytes:
-        """Returns the bytes of a response head."""
-        if self._server.stopping.is_set():
+    def encode_head(
+        self, status: int, headers: dict[str, str], *, closes: bool = False
+    ) -> bytes:
+        """Returns the bytes of a response head.
+
+        Args:
+            status: The HTTP status.
+            headers: The headers.
+            closes: Whether the connection closes after the response; it does
+                in any case once the server stops.
+        """
+        if closes or self._server.stopping.is_set():
             headers = {**headers, "connection": "close"}
         return self.encode(
             h11.Response(status_code=status, headers=list(headers.items()))
