Soak: signals in series, unreadable entries, late, cut and tiny answers

SIGHUP waits until a started process has run its first statement: before that only its parent could change the default action.

--- a/quetzalmill_soak/schedule.py
+++ b/quetzalmill_soak/schedule.py
@@ -35,16 +35,30 @@
 
 @attrs.frozen(kw_only=True)
 class StopGateway:
-    """A gateway is stopped with SIGTERM and restarted once it has exited."""
+    """A gateway is stopped with SIGTERM and restarted once it has exited.
+
+    Attributes:
+        gateway: The index of the gateway.
+        repeated: The name of a signal that is sent until it has exited; empty
+            for none.
+    """
 
     gateway: int
+    repeated: str = ""
 
 
 @attrs.frozen(kw_only=True)
 class ReloadGateway:
-    """A gateway is told to reload its settings with SIGHUP."""
+    """A gateway is told to reload its settings with SIGHUP.
+
+    Attributes:
+        gateway: The index of the gateway.
+        for_s: The period in which it is told again and again, also while it
+            stops and starts; 0 for once.
+    """
 
     gateway: int
+    for_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -132,6 +146,19 @@
     away_s: float
 
 
+@attrs.frozen(kw_only=True)
+class UnreadableEntry:
+    """Another writer puts a record among the entries of the endpoints.
+
+    Attributes:
+        name: Its key.
+        value: Its content.
+    """
+
+    name: str
+    value: bytes = attrs.field(repr=False)
+
+
 @attrs.frozen(kw_only=True)
 class ReplaceKey:
     """The operator withdraws the key of one team and issues another."""
@@ -151,6 +178,7 @@
     | ResetLink
     | EndpointFails
     | EndpointLeaves
+    | UnreadableEntry
     | ReplaceKey
 )
 
@@ -175,6 +203,8 @@
         services: The number of plain endpoints.
         callers: The number of concurrent callers.
         faults: The number of faults of one run.
+        extra_faults: The number of further faults, of the kinds that were
+            added after the first seeds were recorded.
         length_s: The period in which faults start.
     """
 
@@ -183,10 +213,19 @@
     services: int = 3
     callers: int = 12
     faults: int = 10
+    extra_faults: int = 4
     length_s: float = 12.0
 
 
 _ENDPOINT_FAULTS = ("shed", "lose answer", "forged", "crossed", "cut stream")
+_EXTRA_ENDPOINT_FAULTS = (
+    "late copy",
+    "tiny chunks",
+    "cut head",
+    "cut event",
+    "undelimited",
+)
+_UNREADABLE = (b"[" * 2_000, b'{"coldLeftMs":' + b"9" * 400 + b"}", b"\xff")
 _MAX_OUTAGE_S = 4.0
 _MAX_CUT_S = 3.0
 _MAX_DELAY_MS = 120.0
@@ -207,6 +246,15 @@
         )
         for _ in range(size.faults)
     ]
+    # These have a generator of their own for the same reason.
+    extra_rng = random.Random(f"extra {seed}")
+    entries += [
+        Entry(
+            extra_rng.uniform(0.5, size.length_s),
+            _extra_fault(extra_rng, size),
+        )
+        for _ in range(size.extra_faults)
+    ]
     return sorted(entries, key=lambda entry: entry.at_s)
 
 
@@ -260,3 +308,23 @@
         ReplaceKey(),
     ]
     return rng.choice(kinds)
+
+
+def _extra_fault(rng: random.Random, size: Size) -> Fault:
+    gateway = rng.randrange(size.gateways)
+    faults: list[Fault] = [
+        StopGateway(
+            gateway=gateway,
+            repeated=rng.choice(("SIGHUP", "SIGTERM", "SIGINT")),
+        ),
+        ReloadGateway(gateway=gateway, for_s=rng.uniform(0.5, 4.0)),
+        UnreadableEntry(
+            name=f"other-{rng.randrange(3)}", value=rng.choice(_UNREADABLE)
+        ),
+        EndpointFails(
+            endpoint=rng.randrange(size.engines + size.services),
+            how=rng.choice(_EXTRA_ENDPOINT_FAULTS),
+            count=rng.randint(1, 3),
+        ),
+    ]
+    return rng.choice(faults)
--- a/quetzalmill_soak/world.py
+++ b/quetzalmill_soak/world.py
@@ -24,6 +24,7 @@
 """The rate of one of the two teams; its callers exceed it."""
 
 _STOP_TIMEOUT_S = 12.0
+_SIGNAL_PAUSE_S = 0.02
 
 
 class World:
@@ -84,17 +85,26 @@
                     self._signal(number, signal.SIGSTOP)
                     await trio.sleep(for_s)
                     self._signal(number, signal.SIGCONT)
-            case schedule.StopGateway(gateway=number):
+            case schedule.StopGateway(gateway=number, repeated=repeated):
                 async with self._disturbed(fault, number):
-                    await self._stop(number)
-            case schedule.ReloadGateway(gateway=number):
-                self._signal(number, signal.SIGHUP)
+                    await self._stop(number, repeated)
+            case schedule.ReloadGateway(gateway=number, for_s=for_s):
+                self._reload(number)
+                with trio.move_on_after(for_s):
+                    while for_s:
+                        await trio.sleep(_SIGNAL_PAUSE_S)
+                        self._reload(number)
+            case schedule.UnreadableEntry(name=name, value=value):
+                self.cluster.store.put_bytes("keyed.servers", name, value)
             case schedule.ReplaceKey():
                 self._replace_key()
             case schedule.EndpointFails(endpoint=number, how=how, count=count):
                 name = self._endpoints[number]
                 endpoint = self.cluster.endpoints[name]
-                endpoint.faults += [platform_endpoint.Fault(how)] * count
+                failures = [platform_endpoint.Fault(how)]
+                if failures == [platform_endpoint.Fault.LATE_COPY]:
+                    failures.insert(0, platform_endpoint.Fault.SHED)
+                endpoint.faults += failures * count
                 async with self._disturbed(fault, None):
                     await trio.sleep(1.0)
             case schedule.EndpointLeaves():
@@ -182,12 +192,22 @@
         for number in numbers:
             await self._restart(number)
 
-    async def _stop(self, number: int) -> None:
+    def _reload(self, number: int) -> None:
+        """Sends SIGHUP, unless the process has yet to run its first statement.
+
+        Until then only its parent could change the default action.
+        """
+        if _handles_signals(self.cluster.gateways[number].process.pid):
+            self._signal(number, signal.SIGHUP)
+
+    async def _stop(self, number: int, repeated: str) -> None:
         self._signal(number, signal.SIGTERM)
         process = self.cluster.gateways[number].process
         with trio.move_on_after(_STOP_TIMEOUT_S):
             while process.poll() is None:
-                await trio.sleep(0.02)
+                await trio.sleep(_SIGNAL_PAUSE_S)
+                if repeated and process.poll() is None:
+                    process.send_signal(signal.Signals[repeated])
         self._signal(number, signal.SIGKILL)
         await self._restart(number)
 
@@ -264,6 +284,17 @@
         self.cluster.store.put("keyed.op", "config", state)
 
 
+def _handles_signals(pid: int) -> bool:
+    """Returns whether a process catches or ignores SIGHUP."""
+    try:
+        status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return False
+    masks = dict(line.split(":", 1) for line in status.splitlines())
+    handled = int(masks["SigCgt"], 16) | int(masks["SigIgn"], 16)
+    return bool(handled & 1 << (signal.SIGHUP - 1))
+
+
 @contextlib.asynccontextmanager
 async def run(
     path: pathlib.Path, seed: int, size: schedule.Size
