--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -25,6 +25,7 @@
 from quetzalmill import response_memory
 from quetzalmill import retry_timeout
 from quetzalmill import route_table
+from quetzalmill import stream_body
 
 MAX_CONNECT_FAILURES = 4
 """Failed connection attempts after which a request is refused."""
@@ -42,10 +43,6 @@
 """Minimum time left before the deadline for sending a request; no endpoint can
 answer in less."""
 
-MAX_RELAYED_BYTES = 4_096
-"""The most bytes of a stream that are searched for events before other tasks
-run. They may hold more than a thousand events."""
-
 PROBE_TIMEOUT_MS = 300.0
 """Timeout for the connection that checks whether an endpoint is alive."""
 
@@ -409,7 +406,7 @@
         response: http_connection.StreamedResponse,
         exchange: http_server.Exchange,
     ) -> dispatch_job.SendResult:
-        _require_own_response(reply)
+        gateway_calls.require_own(reply)
         if reply.not_run:
             await self._answers.read(response)
             if reply.status == _MISDIRECTED:
@@ -450,20 +447,7 @@
         remaining_ms = job.deadline_ms + STREAM_GRACE_MS - self._clock.now_ms()
         try:
             with trio.fail_after(max(0.0, remaining_ms) / 1000.0):
-                async for piece in response:
-                    for start in range(0, len(piece), MAX_RELAYED_BYTES):
-                        if start:
-                            await trio.lowlevel.checkpoint()
-                        events = relay.feed(
-                            piece[start : start + MAX_RELAYED_BYTES]
-                        )
-                        if job.allowance is not None:
-                            await job.allowance.wait_for_release(relay, events)
-                        await exchange.send(events.data)
-                rest = relay.finish()
-                if not relay.events and not response.is_delimited:
-                    raise errors.ConnectionLostError("no event came")
-                await exchange.send(rest)
+                await stream_body.relay(job, response, exchange)
         except (errors.HttpError, trio.TooSlowError) as error:
             _log.info(
                 "stream_broke_off",
@@ -494,24 +478,6 @@
             )
 
 
-def _require_own_response(reply: gateway_calls.Reply) -> None:
-    """Checks that a response says something of the request that was sent.
-
-    A second copy of the response to an earlier request may arrive instead, and
-    tells nothing of this one, not even that it did not run. Only a refusal may
-    come without an id, as endpoints also refuse requests that carry none.
-
-    Raises:
-        errors.BadMessageError: It may be the response to another request.
-    """
-    match reply.correlation:
-        case gateway_calls.Correlation.OWN:
-            return
-        case gateway_calls.Correlation.UNNAMED if reply.not_run:
-            return
-    raise errors.BadMessageError("the answer is for another request")
-
-
 def _ended_by_endpoint(
     job: dispatch_job.Job, exchange: http_server.Exchange
 ) -> bool:
--- a/quetzalmill/gateway_calls.py
+++ b/quetzalmill/gateway_calls.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from quetzalmill import errors
 from quetzalmill import http_message
 
 
@@ -114,6 +115,24 @@
     is_draining: bool
 
 
+def require_own(reply: Reply) -> None:
+    """Checks that a response says something of the request that was sent.
+
+    A second copy of the response to an earlier request may arrive instead, and
+    tells nothing of this one, not even that it did not run. Only a refusal may
+    come without an id, as endpoints also refuse requests that carry none.
+
+    Raises:
+        errors.BadMessageError: It may be the response to another request.
+    """
+    match reply.correlation:
+        case Correlation.OWN:
+            return
+        case Correlation.UNNAMED if reply.not_run:
+            return
+    raise errors.BadMessageError("the answer is for another request")
+
+
 class Dialect(Protocol):
     """Translates between a platform's HTTP headers and the types here."""
 
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -12,6 +12,7 @@
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_metrics
 from quetzalmill import gateway_outcomes as outcomes
+from quetzalmill import gateway_responses
 from quetzalmill import gateway_state
 from quetzalmill import gateway_turns
 from quetzalmill import http_message
@@ -88,7 +89,7 @@
         try:
             call = self._dialect.decode_call(request)
         except errors.BadMessageError as error:
-            await _refuse(
+            await gateway_responses.refuse(
                 exchange,
                 outcomes.Refused(status=error.status, reason=str(error)),
             )
@@ -101,41 +102,16 @@
                 outcome = await active.run()
             if limit.cancelled_caught:
                 outcome = active.outcome_at_shutdown()
-            await self._answer(exchange, outcome, active)
+            if self.shutdown.period is not None:
+                gateway_responses.close_if_refused(exchange, outcome)
+            await gateway_responses.send(
+                exchange, outcome, end_is_durable=active.end_is_durable
+            )
         if not exchange.started:
             # The caller has disconnected.
             exchange.abort()
         self._record(active, outcome, exchange)
 
-    async def _answer(
-        self,
-        exchange: http_server.Exchange,
-        outcome: outcomes.Outcome,
-        active: "_ActiveRequest",
-    ) -> None:
-        match outcome:
-            case outcomes.Refused():
-                if self.shutdown.period is not None:
-                    # The caller's next request would be refused as well.
-                    exchange.close_connection()
-                await _refuse(exchange, outcome)
-            case outcomes.Unknown():
-                body = outcomes.problem_body(outcome.reason, "unknown")
-                await exchange.respond(outcome.status, body)
-            case outcomes.Answered():
-                headers = dict(outcome.headers)
-                content_type = headers.pop("content-type", "")
-                await exchange.respond(
-                    outcome.status, outcome.body, headers, content_type
-                )
-            case outcomes.Streamed(complete=True):
-                if active.end_is_durable:
-                    await exchange.finish()
-                else:
-                    exchange.abort()
-            case _:
-                exchange.abort()
-
     def _record(
         self,
         active: "_ActiveRequest",
@@ -502,16 +478,6 @@
                     crashes.ended_well(self._fingerprint())
 
 
-async def _refuse(
-    exchange: http_server.Exchange, refused: outcomes.Refused
-) -> None:
-    headers = {}
-    if refused.retry_after_ms is not None:
-        headers["retry-after"] = outcomes.retry_after(refused.retry_after_ms)
-    body = outcomes.problem_body(refused.reason, "no")
-    await exchange.respond(refused.status, body, headers)
-
-
 def _refuse_over_rate(
     admission: team_buckets.Admission,
 ) -> outcomes.Refused | None:
--- a/quetzalmill/http_server.py
+++ b/quetzalmill/http_server.py
@@ -7,25 +7,19 @@
 """
 
 from collections.abc import Awaitable, Callable
-import errno
 import json
 import os
-import socket
 
 import h11
 import trio
 
 from quetzalmill import errors
+from quetzalmill import http_listener
 from quetzalmill import http_message
 from quetzalmill import http_reader
 
 _RECEIVE_BYTES = 16_384
-_BACKLOG = 1024
 _BACKLOG_WAIT_S = 0.01
-_ACCEPT_RETRY_S = 0.1
-_ACCEPT_RETRY_ERRNOS = frozenset(
-    {errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS}
-)
 _LINGER_S = 1.0
 _LINGER_BYTES = 1_048_576
 _FIRST_REQUEST_GRACE_S = 0.5
@@ -73,7 +67,7 @@
             change; ``max_connections`` is still taken from ``limits``.
         task_status: Reports the port that the server listens on.
     """
-    listener = await _listen(address)
+    listener = await http_listener.listen(address)
     server = _Server(
         handler, limits, stopping, on_error, current_limits or (lambda: limits)
     )
@@ -241,16 +235,16 @@
     ) -> None:
         while True:
             await self._capacity.acquire()
-            accepted = await _accept_one(listener)
+            accepted = await http_listener.accept(listener)
             connections.start_soon(self._serve_connection, accepted)
 
     async def _accept_backlog(
         self, listener: trio.socket.SocketType, connections: trio.Nursery
     ) -> None:
         """Accepts the connections that are already in the listen backlog."""
-        for _ in range(_BACKLOG):
+        for _ in range(http_listener.BACKLOG):
             with trio.move_on_after(_BACKLOG_WAIT_S) as scope:
-                accepted = await _accept_one(listener)
+                accepted = await http_listener.accept(listener)
                 connections.start_soon(self._serve_connection, accepted)
             if scope.cancelled_caught:
                 return
@@ -470,37 +464,6 @@
                 remaining_bytes -= len(data)
 
 
-async def _listen(address: str) -> trio.socket.SocketType:
-    host, port = http_message.split_address(address)
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = trio.socket.socket(family, socket.SOCK_STREAM)
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        await listener.bind((host, port))
-        listener.listen(_BACKLOG)
-    except BaseException:
-        listener.close()
-        raise
-    return listener
-
-
-async def _accept_one(
-    listener: trio.socket.SocketType,
-) -> trio.socket.SocketType:
-    while True:
-        try:
-            accepted, _ = await listener.accept()
-        except OSError as error:
-            # The caller disconnected before it was accepted, or the process is
-            # temporarily out of descriptors; neither stops the server.
-            if error.errno in _ACCEPT_RETRY_ERRNOS:
-                await trio.sleep(_ACCEPT_RETRY_S)
-            elif error.errno == errno.EBADF:
-                raise
-        else:
-            return accepted
-
-
 def _without_framing(headers: dict[str, str] | None) -> dict[str, str]:
     """Returns the headers without those that only the connection may set."""
     return {
--- /dev/null
+++ b/quetzalmill/stream_body.py
@@ -0,0 +1,37 @@
+"""Relays the body of an endpoint's stream to the caller."""
+
+import trio
+
+from quetzalmill import dispatch_job
+from quetzalmill import errors
+from quetzalmill import http_connection
+from quetzalmill import http_server
+
+MAX_BYTES_AT_ONCE = 4_096
+"""The most bytes of a stream that are searched for events before other tasks
+run. They may hold more than a thousand events."""
+
+
+async def relay(
+    job: dispatch_job.Job,
+    response: http_connection.StreamedResponse,
+    exchange: http_server.Exchange,
+) -> None:
+    """Sends the complete events of a body, as far as its budget allows.
+
+    Raises:
+        errors.HttpError: The body broke off, inside an event or before any, or
+            the caller has disconnected.
+    """
+    async for piece in response:
+        for start in range(0, len(piece), MAX_BYTES_AT_ONCE):
+            if start:
+                await trio.lowlevel.checkpoint()
+            events = job.relay.feed(piece[start : start + MAX_BYTES_AT_ONCE])
+            if job.allowance is not None:
+                await job.allowance.wait_for_release(job.relay, events)
+            await exchange.send(events.data)
+    rest = job.relay.finish()
+    if not job.relay.events and not response.is_delimited:
+        raise errors.ConnectionLostError("the stream ended without an event")
+    await exchange.send(rest)
