Drop a turn that the store refuses for good instead of repeating it

Cause: TurnWriter wrote a batch until the store took it. A record over recordBytes never is taken, so all later turns of its partition waited behind it; peers that were asked to write it got stuck the same way. Every failure of a write was treated alike, and recordBytes was read nowhere. Ruled out: the store's availability (other partitions went on), and the cache.

Now a refusal that depends on the request, not on the store's condition, is RejectedError. The writer then writes the turns of that batch one by one, drops the one that is refused, with a log line, and reports it; its stream is cut at once, not at its deadline. A turn whose input alone exceeds a record is refused before it runs, 413. Turns between a record and maxBodyBytes are thus told so, not served: keeping them would need records in parts.

--- a/quetzalmill/errors.py
+++ b/quetzalmill/errors.py
@@ -73,6 +73,10 @@
     """An endpoint refused a request that others would refuse as well."""
 
 
+class RejectedError(NotExecutedError):
+    """The external system refused a request that it would refuse again."""
+
+
 class ThrottledError(NotExecutedError):
     """The external system temporarily accepts no more requests."""
 
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -275,7 +275,12 @@
             ),
         )
         self._handler = gateway_handler.GatewayHandler(
-            self.state, self._dialect, dispatcher, turns, self.metrics
+            self.state,
+            self._dialect,
+            dispatcher,
+            turns,
+            self.metrics,
+            self._settings.record_bytes,
         )
 
     def _control_handlers(
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -42,11 +42,6 @@
 DURABLE_WRITE_MS = 150.0
 """Time reserved, of a turn's remaining time, for storing it durably."""
 
-_SHUT_DOWN = outcomes.Refused(
-    status=503, reason="the gateway shuts down", retry_after_ms=0.0
-)
-"""Other gateways take the request at once."""
-
 _log = logs.get("gateway")
 
 
@@ -59,6 +54,7 @@
         dispatcher: Sends requests to endpoints.
         turns: Prepares and completes turns.
         metrics: Counts requests.
+        record_bytes: The size of the store's largest record; 0 if unknown.
 
     Attributes:
         random: Breaks ties.
@@ -72,12 +68,14 @@
         dispatcher: dispatch.Dispatcher,
         turns: gateway_turns.Turns,
         metrics: gateway_metrics.GatewayMetrics,
+        record_bytes: int = 0,
     ) -> None:
         self._state = state
         self._dialect = dialect
         self._dispatcher = dispatcher
         self._turns = turns
         self._metrics = metrics
+        self.record_bytes = record_bytes
         self.random = random.Random()
         self.shutdown = shutdown_module.Shutdown()
 
@@ -261,12 +259,12 @@
             average_ms=self._state.pool.durations.average_ms(service.name),
         ):
             return None
-        return _SHUT_DOWN
+        return outcomes.SHUT_DOWN
 
     def outcome_at_shutdown(self) -> outcomes.Outcome:
         """Returns the outcome if the shutdown ends the request now."""
         if self.job is None or not self.job.sends:
-            return _SHUT_DOWN
+            return outcomes.SHUT_DOWN
         if self.job.relay.started:
             return self.job.relay.outcome(complete=False)
         return outcomes.Unknown(status=504, reason="the gateway shuts down")
@@ -312,6 +310,10 @@
         assert self.route is not None
         turns = self._handler.turns
         is_stored = self.route.stateful
+        if is_stored and 0 < self._handler.record_bytes < len(
+            self.call.http.body
+        ):
+            return outcomes.TOO_LARGE_TO_STORE
         refused = self._check_start(service)
         if refused is not None:
             return refused
--- a/quetzalmill/gateway_outcomes.py
+++ b/quetzalmill/gateway_outcomes.py
@@ -72,6 +72,16 @@
 
 Outcome = Refused | Answered | Streamed | Unknown | CallerLeft
 
+SHUT_DOWN = Refused(
+    status=503, reason="the gateway shuts down", retry_after_ms=0.0
+)
+"""Other gateways take the request at once."""
+
+TOO_LARGE_TO_STORE = Refused(
+    status=413, reason="the turn is larger than the store's records"
+)
+"""It could run, but not be kept, and so not end whole."""
+
 
 def problem_body(reason: str, ran: str) -> bytes:
     """Returns the body of a response that the gateway itself generates."""
--- a/quetzalmill/gateway_settings.py
+++ b/quetzalmill/gateway_settings.py
@@ -24,6 +24,7 @@
         grace_ms: The time from SIGTERM to SIGKILL.
         out_of_rotation_ms: The time from reporting not ready until no new
             connections arrive.
+        record_bytes: The size of the store's largest record; 0 if unknown.
     """
 
     host: str
@@ -41,3 +42,4 @@
     drain_ms: float
     grace_ms: float
     out_of_rotation_ms: float
+    record_bytes: int = 0
--- a/quetzalmill/turn_keeper.py
+++ b/quetzalmill/turn_keeper.py
@@ -65,14 +65,19 @@
     async def make_durable(
         self, turn: conversations.Turn, *, timeout_ms: float
     ) -> bool:
-        """Returns whether a turn became durable within ``timeout_ms``."""
-        done = self._enqueue(turn)
+        """Returns whether a turn became durable within ``timeout_ms``.
+
+        Returns at once if the store refuses it for good.
+        """
+        queued = self._enqueue(turn)
         with trio.move_on_after(timeout_ms / 1000.0):
             if self._store_reached():
                 with trio.move_on_after(STORE_WAIT_MS / 1000.0):
-                    await done.wait()
-            if not done.is_set():
-                await self._wait_with_peers(turn, done)
+                    await queued.done.wait()
+            if not queued.done.is_set():
+                await self._wait_with_peers(turn, queued.done)
+            if queued.is_rejected:
+                return False
             self._cache.add(turn)
             return True
         return False
@@ -83,12 +88,12 @@
         """Writes a turn on behalf of a peer."""
         if not self._store_reached():
             return gateway_messages.StoreReply(durable=False)
-        done = self._enqueue(message.turn)
+        queued = self._enqueue(message.turn)
         with trio.move_on_after(PEER_WRITE_TIMEOUT_MS / 1000.0):
-            await done.wait()
-        return gateway_messages.StoreReply(durable=done.is_set())
+            await queued.done.wait()
+        return gateway_messages.StoreReply(durable=queued.is_durable)
 
-    def _enqueue(self, turn: conversations.Turn) -> trio.Event:
+    def _enqueue(self, turn: conversations.Turn) -> turn_store.QueuedTurn:
         return self._writers[self._partition_of(turn.team)].put(turn)
 
     async def _wait_with_peers(
--- a/quetzalmill/turn_store.py
+++ b/quetzalmill/turn_store.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import enum
 
 import attrs
 import trio
@@ -38,16 +39,37 @@
 
 
 @attrs.define(eq=False)
-class _QueuedTurn:
+class QueuedTurn:
+    """A turn that is to be written.
+
+    Attributes:
+        turn: The turn.
+        is_rejected: Whether the store refused it for good.
+        done: Set once it is durable or rejected.
+    """
+
     turn: conversations.Turn
+    is_rejected: bool = False
     done: trio.Event = attrs.field(factory=trio.Event)
 
+    @property
+    def is_durable(self) -> bool:
+        """Whether the store has it."""
+        return self.done.is_set() and not self.is_rejected
+
+
+class _Result(enum.Enum):
+    WRITTEN = enum.auto()
+    FAILED = enum.auto()
+    REJECTED = enum.auto()
+
 
 class TurnWriter:
     """Writes turns of one partition, batching those that are queued.
 
     Queued turns are written eventually, however long the store is unavailable,
-    unless the process ends.
+    unless the process ends. One that the store refuses for good, such as one
+    larger than its records, is dropped, so that it does not hold up the others.
     """
 
     def __init__(
@@ -61,17 +83,17 @@
         self._store = store
         self._nursery = nursery
         self._store_answered = record_store_availability
-        self._queue: list[_QueuedTurn] = []
+        self._queue: list[QueuedTurn] = []
         self._writing = False
 
-    def put(self, turn: conversations.Turn) -> trio.Event:
-        """Queues a turn; the event is set once it is durable."""
-        queued = _QueuedTurn(turn)
+    def put(self, turn: conversations.Turn) -> QueuedTurn:
+        """Queues a turn and returns its progress."""
+        queued = QueuedTurn(turn)
         self._queue.append(queued)
         if not self._writing:
             self._writing = True
             self._nursery.start_soon(self._write_all)
-        return queued.done
+        return queued
 
     @property
     def queue_length(self) -> int:
@@ -80,22 +102,32 @@
 
     async def _write_all(self) -> None:
         wait_ms = _MIN_RETRY_PAUSE_MS
+        # How many of the first turns are written one by one, since the store
+        # refused the batch that they were in.
+        singles = 0
         try:
             while self._queue:
-                batch = self._next_batch()
-                if await self._write(batch):
-                    del self._queue[: len(batch)]
-                    for each in batch:
-                        each.done.set()
-                    wait_ms = _MIN_RETRY_PAUSE_MS
-                else:
-                    await trio.sleep(wait_ms / 1000.0)
-                    wait_ms = min(2.0 * wait_ms, _MAX_RETRY_PAUSE_MS)
+                batch = self._queue[:1] if singles else self._next_batch()
+                result = await self._write(batch)
+                match result:
+                    case _Result.FAILED:
+                        await trio.sleep(wait_ms / 1000.0)
+                        wait_ms = min(2.0 * wait_ms, _MAX_RETRY_PAUSE_MS)
+                        continue
+                    case _Result.REJECTED if len(batch) > 1:
+                        singles = len(batch)
+                        continue
+                del self._queue[: len(batch)]
+                for each in batch:
+                    each.is_rejected = result is _Result.REJECTED
+                    each.done.set()
+                singles = max(0, singles - len(batch))
+                wait_ms = _MIN_RETRY_PAUSE_MS
         finally:
             self._writing = False
 
-    def _next_batch(self) -> list[_QueuedTurn]:
-        batch: list[_QueuedTurn] = []
+    def _next_batch(self) -> list[QueuedTurn]:
+        batch: list[QueuedTurn] = []
         batch_bytes = 0
         for each in self._queue:
             batch_bytes += each.turn.size_bytes()
@@ -104,7 +136,7 @@
             batch.append(each)
         return batch
 
-    async def _write(self, batch: list[_QueuedTurn]) -> bool:
+    async def _write(self, batch: list[QueuedTurn]) -> _Result:
         records = [
             keyed_store.KeyedRecord(
                 each.turn.turn_id, codec.to_msgpack(each.turn)
@@ -115,6 +147,16 @@
             await self._store.append(
                 TOPIC, self._part, records, timeout_ms=WRITE_TIMEOUT_MS
             )
+        except errors.RejectedError as error:
+            self._store_answered(True)
+            _log.warning(
+                "turn_write_rejected",
+                part=self._part,
+                turn_ids=",".join(each.turn.turn_id for each in batch),
+                size_bytes=sum(each.turn.size_bytes() for each in batch),
+                reason=str(error),
+            )
+            return _Result.REJECTED
         except errors.ExternalSystemError as error:
             self._store_answered(False)
             _log.warning(
@@ -123,9 +165,9 @@
                 turns=len(batch),
                 reason=str(error),
             )
-            return False
+            return _Result.FAILED
         self._store_answered(True)
-        return True
+        return _Result.WRITTEN
 
 
 @attrs.define(eq=False)
--- a/quetzalmill_emulator/platform_store.py
+++ b/quetzalmill_emulator/platform_store.py
@@ -16,6 +16,9 @@
 from quetzalmill import http_server
 
 _LENGTH = struct.Struct(">I")
+RECORD_BYTES = 262_144
+"""The largest record; the platform names no status for a larger one."""
+
 _OFFSETS = struct.Struct(">QQ")
 _PAGE_ITEMS = 500
 _MAX_KEPT_ANSWERS = 5
@@ -109,6 +112,9 @@
     ) -> None:
         partition = self._partition(request)
         contents = _split(request.body)
+        if max(map(len, contents), default=0) > RECORD_BYTES:
+            await _answer(exchange, 413, {"why": "a record is too large"})
+            return
         if "epoch" in request.query:
             status, answer = _append_fenced(partition, request.query, contents)
         else:
--- a/quetzalmill_load/platform_cluster.py
+++ b/quetzalmill_load/platform_cluster.py
@@ -449,6 +449,7 @@
 [platform]
 addr = "{store}"
 parts = 4
+recordBytes = {platform_store.RECORD_BYTES}
 """
 
 
--- a/tests/test_gateway_troubles.py
+++ b/tests/test_gateway_troubles.py
@@ -13,6 +13,7 @@
 from quetzalmill import http_client
 from quetzalmill import http_message
 from quetzalmill_emulator import platform_endpoint
+from quetzalmill_emulator import platform_store
 from quetzalmill_load import platform_cluster
 from tests import gateway_case
 
@@ -179,6 +180,46 @@
         gateway_case.run(tmp_path, case)
 
 
+class TestLargeTurn:
+    """A turn that is larger than a record of the store."""
+
+    def test_large_turn_does_not_stop_later_turns_of_its_team(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Those after it complete at each gateway.
+
+        Its input fits into a record, but not together with its output.
+        """
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("llm-1", "llm", events=2)
+            gateways = [await cluster.add_gateway() for _ in range(2)]
+            large = b"x" * platform_store.RECORD_BYTES
+            with trio.fail_after(2.0), pytest.raises(errors.HttpError):
+                await cluster.turn(gateways[0], large, program="large")
+            for gateway in gateways:
+                for number in range(2):
+                    _, response = await cluster.turn(
+                        gateway, b"hi", program=f"{gateway.name}-{number}"
+                    )
+                    assert response.status == 200
+
+        gateway_case.run(tmp_path, case)
+
+    def test_turn_that_cannot_be_stored_is_refused_at_once(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=2)
+            gateway = await cluster.add_gateway()
+            large = b"x" * (platform_store.RECORD_BYTES + 1)
+            _, response = await cluster.turn(gateway, large)
+            assert response.status == 413
+            assert not engine.runs
+
+        gateway_case.run(tmp_path, case)
+
+
 class TestUnreadableEntry:
     """An entry of another writer among those of the endpoints."""
 
--- a/tests/test_turn_store.py
+++ b/tests/test_turn_store.py
@@ -211,3 +211,66 @@
         return result
 
     return trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class _SmallRecords(memory_store.MemoryStore):
+    """Refuses records of more than a thousand bytes for good."""
+
+    async def append(
+        self,
+        topic: str,
+        part: int,
+        records: list[keyed_store.KeyedRecord],
+        *,
+        timeout_ms: float,
+    ) -> None:
+        """Appends all records or none."""
+        if any(len(each.value or b"") > 1_000 for each in records):
+            raise errors.RejectedError("a record is too large")
+        await super().append(topic, part, records, timeout_ms=timeout_ms)
+
+
+class TestRejectedTurn:
+    """A turn that the store refuses however often it is written."""
+
+    @pytest.mark.parametrize("position", [0, 1, 2])
+    def test_rejected_turn_does_not_hold_up_those_beside_it(
+        self, position: int
+    ) -> None:
+        """All are queued at once and so in one batch."""
+        store = _SmallRecords()
+
+        async def run() -> list[bool]:
+            async with trio.open_nursery() as nursery:
+                writer = turn_store.TurnWriter(
+                    0, store, nursery, lambda _: None
+                )
+                queued = [
+                    writer.put(_sized(f"t{number}", number == position))
+                    for number in range(3)
+                ]
+                with trio.fail_after(10.0):
+                    for each in queued:
+                        await each.done.wait()
+                    later = writer.put(_sized("t9", is_large=False))
+                    await later.done.wait()
+            return [each.is_durable for each in (*queued, later)]
+
+        durable = trio.run(
+            run, clock=trio.testing.MockClock(autojump_threshold=0)
+        )
+        assert durable == [number != position for number in (0, 1, 2, 9)]
+        assert store.value(turn_store.TOPIC, 0, "t9") is not None
+
+
+def _sized(turn_id: str, is_large: bool) -> conversations.Turn:
+    return conversations.Turn(
+        turn_id=turn_id,
+        team="weddings",
+        program_id="p",
+        previous_id="",
+        input=b"x" * (5_000 if is_large else 10),
+        outputs=(),
+        ended_unix_ms=0,
+        ran_on="",
+    )
