Give a program whose id holds a slash one budget, not two

Cause: a gateway asks the owner of the partition of the whole program id; the owner took the id to be what follows the last slash of the account "team/id", so it answered from another partition's ledger. Now the id is what follows the first slash, and a slash in a team's name is replaced in the account. Accounts of ids and teams without a slash stay as they are, so stored bounds hold on.

--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -332,7 +332,7 @@
         return gateway_messages.HandOverReply(epoch=epoch, accounts=accounts)
 
     def _part_of(self, account: str) -> int:
-        return self.state.partition_of(account.rpartition("/")[2])
+        return self.state.partition_of(gateway_turns.program_of(account))
 
     def _serve_table(
         self, message: gateway_messages.FetchTable
--- a/quetzalmill/gateway_turns.py
+++ b/quetzalmill/gateway_turns.py
@@ -34,6 +34,11 @@
 _RELEASE_RETRY_MS = 50.0
 _MAX_RELEASE_RETRY_MS = 400.0
 
+_SEPARATOR = "/"
+_REPLACEMENT = "\x1f"
+"""Stands for the separator in a team's name; no name holds it, and the account
+stays as short, as it is part of a store key."""
+
 _log = logs.get("gateway_turns")
 
 
@@ -425,4 +430,9 @@
 
 
 def _account(call: gateway_calls.Call, team: str) -> str:
-    return f"{team}/{call.program_id}"
+    return f"{team.replace(_SEPARATOR, _REPLACEMENT)}/{call.program_id}"
+
+
+def program_of(account: str) -> str:
+    """Returns the program id of a budget account; it may hold any character."""
+    return account.partition(_SEPARATOR)[2]
--- a/tests/test_budget_gateways.py
+++ b/tests/test_budget_gateways.py
@@ -145,3 +145,30 @@
         new_connection=True,
     )
     return len(json.loads(response.body)["owned_parts"])
+
+
+class TestProgramIds:
+    """Program ids with characters that the account's name uses itself."""
+
+    def test_program_id_with_a_slash_has_one_budget(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Each gateway asks the same owner, whatever the id's last part is."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=5)
+            gateways = [await cluster.add_gateway() for _ in range(2)]
+            for number in range(_PARTS):
+                program = f"{number}/a/{number}"
+                engine.runs.clear()
+                for turn in range(10):
+                    await cluster.turn(
+                        gateways[turn % 2],
+                        b"loop",
+                        budget=100,
+                        program=program,
+                    )
+                # A turn sends five events of nine tokens and reserves fifty.
+                assert len(engine.runs) * 45 <= 100 + 50
+
+        gateway_case.run(tmp_path, case)
