Forward header values beyond ASCII instead of losing the response

Cause: the client decodes headers as Latin-1, the server handed them to h11 as text, which it encodes as ASCII only. Now the server encodes them as they were decoded.

Evidence: test_header_beyond_ascii_does_not_lose_the_response failed before and passes now. Beside it the loop that reads a body is written plainly again.

--- a/quetzalmill/http_reader.py
+++ b/quetzalmill/http_reader.py
@@ -1,7 +1,6 @@
 """Reads complete requests from a connection and enforces its limits."""
 
 from collections.abc import Awaitable, Callable
-import itertools
 
 import h11
 import trio
@@ -76,8 +75,10 @@
         if self._http.they_are_waiting_for_100_continue:
             await self._send_continue()
         body = bytearray()
-        for count in itertools.count(1):
-            if count % _MAX_CHUNKS_AT_ONCE == 0:
+        chunks = 0
+        while True:
+            chunks += 1
+            if chunks % _MAX_CHUNKS_AT_ONCE == 0:
                 await trio.lowlevel.checkpoint()
             with trio.move_on_after(self._limits.idle_timeout_ms / 1000.0):
                 event = await self._next_event()
@@ -88,7 +89,6 @@
                     raise _body_too_large(limit_bytes)
                 continue
             raise errors.BadMessageError("the body did not end in time", 408)
-        raise AssertionError("unreachable")
 
     async def _send_continue(self) -> None:
         continue_response = h11.InformationalResponse(
--- a/quetzalmill/http_server.py
+++ b/quetzalmill/http_server.py
@@ -354,7 +354,13 @@
         if closes or self._server.stopping.is_set():
             headers = {**headers, "connection": "close"}
         return self.encode(
-            h11.Response(status_code=status, headers=list(headers.items()))
+            h11.Response(
+                status_code=status,
+                headers=[
+                    (name.encode("ascii"), value.encode("latin-1"))
+                    for name, value in headers.items()
+                ],
+            )
         )
 
     async def _serve_one(self) -> bool:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -134,6 +134,25 @@
 
         trio.run(main)
 
+    def test_header_beyond_ascii_does_not_lose_the_response(self) -> None:
+        """Headers of endpoints are forwarded as they are."""
+
+        async def handler(
+            request: http_message.Request, exchange: http_server.Exchange
+        ) -> None:
+            del request
+            await exchange.respond(200, b"ok", {"X-Name": "Kov\xe1cs"})
+
+        async def run() -> http_message.Response:
+            async with _serving(handler) as served:
+                return await http_client.HttpClient().request(
+                    served.address, _GET, timeout_ms=_TIMEOUT_MS
+                )
+
+        response = trio.run(run)
+        assert response.headers["x-name"] == "Kov\xe1cs"
+        assert response.body == b"ok"
+
     def test_connections_are_kept_and_reused(self) -> None:
         peers: set[int] = set()
 
