Ask again for events that came in one piece with an unreadable one

What callers would see: a resumed stream with events missing. EventRelay.feed set the id of the last event while it read a piece; when a later event of the same piece was not UTF-8, or too large, none of the piece was sent, but the stream went on after them at the next endpoint. Now the id is set with the outputs, once the whole piece is read. Found by reading.

Evidence: test_events_before_an_unreadable_one_are_asked_for_again failed before (last id 2 instead of 1) and passes now.

--- a/quetzalmill/event_relay.py
+++ b/quetzalmill/event_relay.py
@@ -93,7 +93,8 @@
             errors.BadMessageError: There are too many bytes without an event,
                 or an event is not UTF-8.
         """
-        before_id = self.last_id
+        # Kept apart until all are read: after an error none of them is sent.
+        last_id = self.last_id
         forwarded: list[bytes] = []
         outputs: list[bytes] = []
         for raw in self._split(piece):
@@ -101,16 +102,17 @@
             self._bytes_without_data += len(raw)
             if events:
                 self._bytes_without_data = 0
-            if events and self._is_repeated(events[-1]):
+            if events and self._is_repeated(events[-1], last_id):
                 continue
             forwarded.append(raw)
             outputs += [event.data.encode() for event in events]
             if events and events[-1].event_id:
-                self.last_id = events[-1].event_id
+                last_id = events[-1].event_id
         if self._bytes_without_data + len(self._incomplete) > MAX_EVENT_BYTES:
             raise errors.BadMessageError(
                 "the stream goes on without an event", _BAD_GATEWAY
             )
+        before_id, self.last_id = self.last_id, last_id
         self._outputs += outputs
         return Events(b"".join(forwarded), outputs, before_id)
 
@@ -160,14 +162,13 @@
             for start, end in zip([0, *ends], ends, strict=False)
         ]
 
-    def _is_repeated(self, event: sse.Event) -> bool:
+    def _is_repeated(self, event: sse.Event, last_id: str) -> bool:
         """Returns whether a resumed stream repeats an event already sent."""
-        new, last = event.event_id, self.last_id
         return (
             self._is_resumed
-            and _is_number(new)
-            and _is_number(last)
-            and int(new) <= int(last)
+            and _is_number(event.event_id)
+            and _is_number(last_id)
+            and int(event.event_id) <= int(last_id)
         )
 
 
--- a/tests/test_event_relay.py
+++ b/tests/test_event_relay.py
@@ -108,6 +108,15 @@
         relay.resume()
         assert relay.feed(event).data == event
 
+    def test_events_before_an_unreadable_one_are_asked_for_again(self) -> None:
+        """They came in one piece with it, so they were not sent."""
+        relay = event_relay.EventRelay()
+        relay.feed(_event(1))
+        with pytest.raises(errors.BadMessageError):
+            relay.feed(_event(2) + b"id: 3\ndata: \xff\n\n")
+        assert relay.last_id == "1"
+        assert relay.outcome(complete=False).outputs == (b"e1",)
+
     def test_repeated_events_are_sent_once(self) -> None:
         """The new endpoint ignores the resume position and starts over."""
         relay = event_relay.EventRelay()
