Test that a cut stream with a length or chunks is never a success

test_stream_cut_inside_an_event_does_not_look_complete accepted a 200 for them as long as its body ended after an event; only the test in stream_body.py asked for the whole.

--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -68,6 +68,8 @@
                     assert sent_bytes < len(raw)
                     continue
                 if response.status == 200:
+                    if framing is not _Framing.CONNECTION:
+                        assert sent_bytes == len(raw)
                     assert response.body.endswith(_ENDS)
                     assert raw[:sent_bytes].endswith(response.body) or (
                         sent_bytes == len(raw)
