--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -410,7 +410,7 @@
         response: http_connection.StreamedResponse,
         exchange: http_server.Exchange,
     ) -> dispatch_job.SendResult:
-        gateway_calls.require_own(reply)
+        gateway_calls.require_own(reply, job.call)
         if reply.not_run:
             await self._answers.read(response)
             if reply.status == _MISDIRECTED:
--- a/quetzalmill/gateway_calls.py
+++ b/quetzalmill/gateway_calls.py
@@ -120,12 +120,13 @@
     return reply.correlation is Correlation.FOREIGN
 
 
-def require_own(reply: Reply) -> None:
+def require_own(reply: Reply, call: Call) -> None:
     """Checks that a response says something of the request that was sent.
 
     A second copy of the response to an earlier request may arrive instead, and
     tells nothing of this one, not even that it did not run. Only a refusal may
-    come without an id, as endpoints also refuse requests that carry none.
+    come without an id, as endpoints also refuse requests that carry none, and
+    any response to a request without one.
 
     Raises:
         errors.BadMessageError: It may be the response to another request.
@@ -133,7 +134,7 @@
     match reply.correlation:
         case Correlation.OWN:
             return
-        case Correlation.UNNAMED if reply.not_run:
+        case Correlation.UNNAMED if reply.not_run or not call.request_id:
             return
     raise errors.BadMessageError("the answer is for another request")
 
--- a/tests/test_gateway_troubles.py
+++ b/tests/test_gateway_troubles.py
@@ -282,6 +282,25 @@
 
         gateway_case.run(tmp_path, case)
 
+    def test_refusal_of_request_without_id_does_not_refuse_the_next_one(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Nothing would tell its copy from a refusal of the next request."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            app = await cluster.add_endpoint("app-1", "app")
+            app.faults = [
+                platform_endpoint.Fault.SHED,
+                platform_endpoint.Fault.LATE_COPY,
+            ]
+            gateway = await cluster.add_gateway()
+            await cluster.call(gateway, "/book/1", headers={"Attempt-Id": ""})
+            _, response = await cluster.call(gateway, "/book/1")
+            assert app.late_copies == 0
+            assert response.status == 200
+
+        gateway_case.run(tmp_path, case)
+
     def test_late_copy_of_refusal_does_not_break_a_turn_off(
         self, tmp_path: pathlib.Path
     ) -> None:
--- a/tests/test_leaving_sends.py
+++ b/tests/test_leaving_sends.py
@@ -184,9 +184,7 @@
             priority=None,
         )
 
-    async def run(
-        self, route: route_table.Route = _LOOKUP
-    ) -> outcomes.Outcome:
+    async def run(self, route: route_table.Route = _LOOKUP) -> outcomes.Outcome:
         return await self.dispatcher.run(self.job(route), self.exchange)
 
     def notice(self, known: endpoint_pool.EndpointState, notice: str) -> None:
