--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -72,6 +72,45 @@
                 with pytest.raises(errors.NotExecutedError):
                     store_module._decode(body[:size])
 
+    def test_turns_behind_a_cut_do_not_seem_to_be_missing(self) -> None:
+        """A body cut between two records looks whole, but names the end."""
+        records = [keyed_store.KeyedRecord(key, b"v") for key in ("one", "two")]
+        first_bytes = 16 + len(store_module._encode(records[:1]))
+        for sent_bytes in range(first_bytes):
+            with pytest.RaisesGroup(errors.NotExecutedError):
+                trio.run(_changes_cut, records, sent_bytes)
+        # Bodies that hold one record each are enough.
+        found = trio.run(_changes_cut, records, first_bytes)
+        assert found.records == records
+
+
+async def _changes_cut(
+    records: list[keyed_store.KeyedRecord], sent_bytes: int
+) -> keyed_store.Records:
+    """Reads from a store that closes after some bytes of each body."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        async with stream:
+            request = await stream.receive_some()
+            start = int(request.partition(b"from=")[2].partition(b"&")[0])
+            body = (len(records)).to_bytes(8, "big") + bytes(8)
+            body += store_module._encode(records[start:])
+            await stream.send_all(
+                b"HTTP/1.1 200 OK\r\n\r\n" + body[:sent_bytes]
+            )
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        store = store_module.PlatformStore(http_client.HttpClient(), address)
+        try:
+            return await store.changes(
+                "turns", 0, 0, wait_ms=0.0, timeout_ms=_TIMEOUT_MS
+            )
+        finally:
+            nursery.cancel_scope.cancel()
+
 
 class TestPages:
     """Reads of many pages, some of which fail."""
