Take an unreadable answer of the log for a failed call

What callers would see: an entry or a sidecar that ends, with all its requests, when the log service answers 200 or 410 with a body that does not decode.

No deployment has shown it.

Now an append has an unknown outcome then, and a read has failed, as for any answer that was lost; both are retried as such.

--- a/quetzalmill/log_port.py
+++ b/quetzalmill/log_port.py
@@ -47,6 +47,20 @@
     end: int
 
 
+@attrs.frozen(kw_only=True)
+class _Appended:
+    """The log's answer to an append."""
+
+    first_offset: int
+
+
+@attrs.frozen(kw_only=True)
+class _NotKept:
+    """The log's answer to a read before the first record that it keeps."""
+
+    first_offset: int = 1
+
+
 class LogPort(Protocol):
     """The operations of the log service that the system uses."""
 
@@ -110,9 +124,12 @@
             raise self._failed(
                 errors.NotExecutedError(f"the log answered {response.status}")
             )
-        return int(
-            codec.from_json(response.body, dict[str, int])["first_offset"]
-        )
+        try:
+            return codec.from_json(response.body, _Appended).first_offset
+        except errors.CodecError as error:
+            raise self._failed(
+                errors.OutcomeUnknownError(f"an unreadable answer: {error}")
+            ) from error
 
     async def read(
         self, stream: str, from_offset: int, *, limit: int, wait_ms: float
@@ -137,14 +154,19 @@
             )
         except errors.HttpError as error:
             raise self._failed(errors.NotExecutedError(str(error))) from error
-        if response.status == _STATUS_GONE:
-            error_body = codec.from_json(response.body, dict[str, Any])
-            raise errors.RetentionError(int(error_body.get("first_offset", 1)))
-        if response.status != 200:
+        try:
+            if response.status == _STATUS_GONE:
+                kept = codec.from_json(response.body, _NotKept)
+                raise errors.RetentionError(kept.first_offset)
+            if response.status == 200:
+                return codec.from_json(response.body, Page)
+        except errors.CodecError as error:
             raise self._failed(
-                errors.NotExecutedError(f"the log answered {response.status}")
-            )
-        return codec.from_json(response.body, Page)
+                errors.NotExecutedError(f"an unreadable answer: {error}")
+            ) from error
+        raise self._failed(
+            errors.NotExecutedError(f"the log answered {response.status}")
+        )
 
     def _failed(
         self, error: errors.ExternalSystemError
