Answer calls that outlast an entry's shutdown instead of cutting them

What callers saw: the connection of a call closed without an answer when its entry's drain timeout ended; for a booking the worst outcome, as nothing says what became of it.

Cause: the end of the timeout cancelled what still ran, as the end of the grace period did at gateways. What a sidecar cuts is not lost: its entry answers, or repeats what may be repeated.

Now an entry limits its calls by the same shutdown as a gateway: 300 ms before the timeout ends each gets 504, outcome unknown, with leave to come back at once; the program's home knows the call. A stream that has begun is cut.

--- a/quetzalmill/callers_api.py
+++ b/quetzalmill/callers_api.py
@@ -7,12 +7,12 @@
 
 from collections.abc import Callable
 import secrets
-from typing import Any
 
 import attrs
 
 from quetzalmill import admission as admission_module
 from quetzalmill import caller_requests
+from quetzalmill import caller_responses
 from quetzalmill import clock as clock_module
 from quetzalmill import codec
 from quetzalmill import configuration
@@ -27,6 +27,7 @@
 from quetzalmill import objects
 from quetzalmill import problems
 from quetzalmill import selectors
+from quetzalmill import shutdown as shutdown_module
 from quetzalmill import sse
 from quetzalmill import suspects as suspects_module
 
@@ -62,7 +63,12 @@
 
 
 class CallersApi:
-    """Handles callers' requests."""
+    """Handles callers' requests.
+
+    Attributes:
+        running: The number of requests that are being handled.
+        shutdown: Ends those that still run when a shutdown has to end.
+    """
 
     def __init__(
         self,
@@ -87,6 +93,7 @@
         self._metrics = metrics
         self._clock = clock
         self.running = 0
+        self.shutdown = shutdown_module.Shutdown()
 
     async def handle(
         self, request: http_message.Request, exchange: http_server.Exchange
@@ -94,7 +101,10 @@
         """Handles one request; turns a ``CallerError`` into a response."""
         self.running += 1
         try:
-            await self._route(request, exchange)
+            with self.shutdown.limit() as limit:
+                await self._route(request, exchange)
+            if limit.cancelled_caught:
+                raise _shut_down()
         except problems.CallerError as error:
             self._count_error(error)
             _log.info(
@@ -105,6 +115,10 @@
                 ran=error.ran.value,
                 program=request.headers.get(caller_requests.PROGRAM_HEADER),
             )
+            if exchange.started:
+                # Only an incomplete stream can report it.
+                exchange.abort()
+                return
             await exchange.respond(
                 error.status,
                 problems.body_of(error),
@@ -265,7 +279,7 @@
         await exchange.respond(
             last.status,
             last.data,
-            _answer_headers(call, last),
+            caller_responses.answer_headers(call, last),
             content_type=last.content_type or "application/json",
         )
 
@@ -313,7 +327,9 @@
             )
         else:
             await start_response()
-            await exchange.send(sse.encode_event(_final_chunk(call, last)))
+            await exchange.send(
+                sse.encode_event(caller_responses.final_chunk(call, last))
+            )
             await exchange.send(sse.encode_event(sse.DONE))
         await exchange.finish()
 
@@ -466,35 +482,16 @@
         raise
 
 
-def _answer_headers(
-    call: messages.Call, last: messages.Frame
-) -> dict[str, str]:
-    headers = {
-        caller_requests.PROGRAM_HEADER: call.program,
-        caller_requests.CALL_HEADER: str(call.number),
-    }
-    if not call.single:
-        headers[caller_requests.HISTORY_HEADER] = str(
-            last.details.get("history", "")
-        )
-        durable = bool(last.details.get("durable"))
-        headers["quetzalmill-durable"] = str(durable).lower()
-    return headers
-
-
-def _final_chunk(call: messages.Call, last: messages.Frame) -> str:
-    details: dict[str, Any] = {
-        "program": call.program,
-        "call": call.number,
-        **last.details,
-    }
-    chunk = {
-        "object": "chat.completion.chunk",
-        "choices": [],
-        "quetzalmill": details,
-    }
-    return codec.to_json(chunk).decode()
-
-
 def _key_unknown(message: str) -> problems.CallerError:
     return problems.CallerError(401, "key_unknown", message)
+
+
+def _shut_down() -> problems.CallerError:
+    """Returns the error for a call that outlasts its entry's shutdown."""
+    return problems.CallerError(
+        504,
+        "shut_down",
+        "the entry shuts down before the call has ended",
+        ran=messages.Ran.UNKNOWN,
+        retry_after_ms=0.0,
+    )
--- a/quetzalmill/entry.py
+++ b/quetzalmill/entry.py
@@ -158,6 +158,11 @@
     async def _drain(self) -> None:
         """Stops being ready, then completes the running requests."""
         timeout_ms = self._settings.drain_timeout_ms
+        self._callers_api.shutdown.begin(
+            self._core.clock.now_ms(),
+            rotation_ms=BALANCER_NOTICE_MS,
+            grace_ms=timeout_ms,
+        )
         with trio.move_on_after(timeout_ms / 1000.0):
             await self._start_shutdown()
             await trio.sleep(BALANCER_NOTICE_MS / 1000.0)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -119,9 +119,7 @@
 
 def requests_at(system: deployment.Deployment, index: int) -> int:
     """Returns the number of requests that an engine has received."""
-    address = system.engines[index].address
-    seen = harness.call(address, "GET", "/debug/requests").body
-    return len(seen["requests"])
+    return len(_seen(system.engines[index]))
 
 
 def drain_by_operator(system: deployment.Deployment, host: str) -> None:
@@ -183,6 +181,71 @@
             conversation.ask("after its home has gone")
 
 
+class TestShutdownTimeout:
+    """SIGTERM to an entry whose calls outlast its drain timeout."""
+
+    _DRAIN_TIMEOUT_MS = 3_000
+
+    def test_call_that_outlasts_the_drain_timeout_is_answered(self) -> None:
+        """Its connection must not close without an answer."""
+        with deployment.running(
+            drain_timeout_ms=self._DRAIN_TIMEOUT_MS
+        ) as system:
+            engine = system.fleet.emulator("engine", "--decode-ms", "50")
+            system.start_sidecar()
+            spec = {"host": "side-0", "address": engine.address, "slots": 2}
+            system.publish_ok(
+                deployment.change("model", "planner", {"selector": ""}),
+                deployment.change("endpoint", "engine-0", spec),
+            )
+            system.wait_shares_settled()
+            system.add_team("keepers")
+            replies: list[harness.Reply] = []
+            callers = [
+                threading.Thread(
+                    target=lambda: replies.append(_long_call(system)),
+                    daemon=True,
+                )
+                for _ in range(4)
+            ]
+            for caller in callers:
+                caller.start()
+            harness.eventually(
+                lambda: len(_seen(engine)) >= 2, what="calls run at the engine"
+            )
+            system.entries[0].process.signal_terminate()
+            for caller in callers:
+                caller.join(2.0 * self._DRAIN_TIMEOUT_MS / 1000.0)
+            assert [reply.status for reply in replies] == [504] * len(callers)
+            assert {reply.body["ran"] for reply in replies} == {"unknown"}
+            assert system.entries[0].process.wait_end(5) == 0
+
+
+def _seen(engine: harness.Process) -> list[Any]:
+    """Returns the requests that an engine has received."""
+    body = harness.call(engine.address, "GET", "/debug/requests").body
+    requests: list[Any] = body["requests"]
+    return requests
+
+
+def _long_call(system: deployment.Deployment) -> harness.Reply:
+    """Sends a call of a minute whose answer is not streamed."""
+    body = {
+        "model": "planner",
+        "max_tokens": LONG_TOKENS,
+        "answer_tokens": LONG_TOKENS,
+        "messages": [{"role": "user", "content": "long"}],
+    }
+    key = system.keys["keepers"]
+    return harness.call(
+        system.entries[0].http,
+        "POST",
+        "/v1/chat/completions",
+        body,
+        deployment.bearer(key),
+    )
+
+
 class TestLeaving:
     """A process shutting down gets no new work and transfers its programs."""
 
