Charge a turn that another owner granted after this one ran out of time

What callers would see: a program that gets more tokens than its budget, by half of a turn's limit; or a turn that stops halfway until its deadline.

Cause: an owner whose request ran out of time before its claim ended recorded the turn as settled at 0 tokens, and kept that for the accounts that the claim adopts. If the turn had been granted by another owner meanwhile, and that owner's accounts were adopted, the running turn lost its reservation: what it sent was charged nowhere, and it was refused its remaining tokens.

Ruled out by reading: zombies that grant within their stored bounds, the slack of one turn across successors, lowered bounds beside writes in flight, lost replies of a hand-over, settlements that come twice.

Now the request withdraws only its own reservation, in the term in which it was made. Red before: test_turn_given_up_here_is_charged_if_another_owner_granted_it (40 tokens granted beside 10 and 60 of 100).

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -127,27 +127,25 @@
 
         Returns the reply itself, not an awaitable, if no write is needed.
         """
-        if self._term is not None:
-            outcome = self._reserve_in(self._term, message)
+        term = self._term
+        reserved_in: budget_term.BudgetTerm | None = None
+        if term is not None:
+            if not term.ledger.has_turn(message.program_id, message.turn_id):
+                reserved_in = term
+            outcome = self._reserve_in(term, message)
             if isinstance(outcome, gateway_messages.ReserveReply):
                 return outcome
-        return self._reserve_in_time(message)
+        return self._reserve_in_time(message, reserved_in)
 
     async def _reserve_in_time(
-        self, message: gateway_messages.ReserveTurn
+        self,
+        message: gateway_messages.ReserveTurn,
+        reserved_in: budget_term.BudgetTerm | None,
     ) -> gateway_messages.ReserveReply:
         try:
             with trio.fail_after(RESERVE_TIMEOUT_MS / 1000.0):
-                return await self._reserve(message)
+                return await self._reserve(message, reserved_in)
         except trio.TooSlowError:
-            self.settle(
-                gateway_messages.SettleTurn(
-                    program_id=message.program_id,
-                    turn_id=message.turn_id,
-                    used_tokens=0,
-                    holder="",
-                )
-            )
             return _undecided("the store did not answer in time")
         except errors.ExternalSystemError as error:
             return _undecided(str(error))
@@ -223,14 +221,9 @@
             # progress may adopt accounts that still have the reservation.
             self._recent_turns.postpone(message)
             return
-        lower = term.ledger.settle(
-            message.program_id,
-            message.turn_id,
-            message.used_tokens,
-            may_lower=not term.is_writing,
+        _settle_in(
+            term, message.program_id, message.turn_id, message.used_tokens
         )
-        if lower is not None:
-            term.write_soon({message.program_id: lower})
 
     def forget_idle(self, idle_ms: float) -> None:
         """Drops programs unused for ``idle_ms``, here and from the store."""
@@ -241,14 +234,32 @@
         term.write_soon(dict.fromkeys(old))
 
     async def _reserve(
-        self, message: gateway_messages.ReserveTurn
+        self,
+        message: gateway_messages.ReserveTurn,
+        reserved_in: budget_term.BudgetTerm | None,
     ) -> gateway_messages.ReserveReply:
+        """Reserves tokens and stores the bound.
+
+        Args:
+            message: The request.
+            reserved_in: The term in which it has made its reservation already.
+        """
         term = await self._current_term()
+        if not term.ledger.has_turn(message.program_id, message.turn_id):
+            reserved_in = term
         outcome = self._reserve_in(term, message)
         if isinstance(outcome, gateway_messages.ReserveReply):
             return outcome
         if outcome.bound is not None:
-            await term.write(message.program_id, outcome.bound)
+            try:
+                await term.write(message.program_id, outcome.bound)
+            except trio.Cancelled:
+                # Too late. Only this request's own reservation is withdrawn:
+                # another owner may have granted the turn meanwhile, and its
+                # accounts, which count, may be adopted here.
+                if reserved_in is term:
+                    _settle_in(term, message.program_id, message.turn_id, 0)
+                raise
         return self._granted(message, outcome)
 
     def known_epoch(self) -> int:
@@ -448,6 +459,20 @@
             )
 
 
+def _settle_in(
+    term: budget_term.BudgetTerm,
+    program_id: str,
+    turn_id: str,
+    used_tokens: int,
+) -> None:
+    """Settles a turn in a term's accounts; stores a lower bound if it can."""
+    lower = term.ledger.settle(
+        program_id, turn_id, used_tokens, may_lower=not term.is_writing
+    )
+    if lower is not None:
+        term.write_soon({program_id: lower})
+
+
 def _spent_reason(spent: program_budgets.Spent) -> str:
     return f"{spent.granted_tokens} of {spent.budget_tokens} tokens are granted"
 
--- a/quetzalmill/program_budgets.py
+++ b/quetzalmill/program_budgets.py
@@ -373,6 +373,11 @@
         program.is_estimated = False
         return program
 
+    def has_turn(self, program_id: str, turn_id: str) -> bool:
+        """Returns whether a turn has a reservation."""
+        program = self.programs.get(program_id)
+        return program is not None and turn_id in program.turns
+
     def made_durable(self, program_id: str, bound: StoredBound) -> None:
         """Records that a bound was stored."""
         program = self.programs.get(program_id)
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -551,6 +551,28 @@
 
         _run(case)
 
+    def test_turn_given_up_here_is_charged_if_another_owner_granted_it(
+        self,
+    ) -> None:
+        """Its gateway asked here first, in vain, as the claim took too long.
+
+        The claim then adopts the other owner's accounts, in which the turn is
+        still running.
+        """
+
+        async def case(gateways: _Gateways) -> None:
+            first, second = gateways.owner(), gateways.owner()
+            gateways.peers.others = [first]
+            assert (await _reserve_turn(first, "0", 10)).granted
+            gateways.listening_ms = 2_000.0
+            assert not (await _reserve_turn(second, "1", 60)).granted
+            assert (await _reserve_turn(first, "1", 60)).granted
+            await trio.sleep(1.0)
+            assert (await _reserve_turn(second, "2", 40)).spent
+            assert (await _release(second, "1", 60)).granted
+
+        _run(case)
+
     def test_two_gateways_that_both_claim_do_not_keep_fencing_each_other(
         self,
     ) -> None:
