Keep waiting for an endpoint when there is no other one

What callers saw: 502 for a look-up after 250 ms, with seconds of its time left, while its service had only one usable endpoint, and that one was slow; the same for a resumable stream with a long gap between events.

Cause: a request that is overdue leaves its endpoint so that another has time for it; nothing asked whether another existed.

So a safe request whose answer was lost is also sent to its endpoint again if there is no other, within its route's attempts.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -106,7 +106,9 @@
             remaining_ms = job.deadline_ms - self._clock.now_ms()
             if remaining_ms < MIN_REMAINING_MS:
                 break
-            endpoint_state = self._choose(job)
+            endpoint_state = self._choose(
+                job, may_repeat=response_lost and job.route.is_safe
+            )
             if endpoint_state is None:
                 if not job.tried and any(
                     known.endpoint.service == job.service.name
@@ -180,15 +182,15 @@
         return self._random.uniform(100.0, 400.0)
 
     def _choose(
-        self, job: dispatch_job.Job
+        self, job: dispatch_job.Job, *, may_repeat: bool
     ) -> endpoint_pool.EndpointState | None:
+        """Chooses an endpoint; one tried before only if there is no other."""
         now_ms = self._clock.now_ms()
         usable = self._pool.usable(job.service.name, now_ms)
-        untried = [
-            each
-            for each in usable
-            if each.endpoint.endpoint_id not in job.tried
-        ]
+        tried = job.tried
+        untried = [e for e in usable if e.endpoint.endpoint_id not in tried]
+        if may_repeat and not untried:
+            untried = usable
         uncached = {
             each.endpoint.endpoint_id: self.prefixes.uncached_tokens(
                 each.endpoint.endpoint_id, job.call.prompt_parts
@@ -212,6 +214,7 @@
         best = endpoint_choice.choose(estimates, self._random)
         if best is None:
             return None
+        job.has_alternative = len(untried) > 1
         job.load = best.endpoint_state.load(now_ms)
         job.uncached_tokens = best.uncached_tokens
         return best.endpoint_state
@@ -290,6 +293,7 @@
         max_wait_ms = self._retry_timeout.max_wait_ms(
             job.route,
             sends=job.sends,
+            has_alternative=job.has_alternative,
             remaining_ms=remaining_ms,
             average_ms=self._latencies.average_ms(job.route.name),
         )
@@ -350,12 +354,11 @@
 
     def _idle_ms(self, job: dispatch_job.Job, remaining_ms: float) -> float:
         """Returns the longest gap allowed within an endpoint's response."""
-        is_last = job.sends >= job.route.max_attempts
-        if not job.route.resumable or is_last or not job.route.max_event_gap_ms:
+        route = job.route
+        may_resume = job.sends < route.max_attempts and job.has_alternative
+        if not (route.resumable and may_resume and route.max_event_gap_ms):
             return remaining_ms
-        return min(
-            remaining_ms, STALL_GAP_MULTIPLE * job.route.max_event_gap_ms
-        )
+        return min(remaining_ms, STALL_GAP_MULTIPLE * route.max_event_gap_ms)
 
     def _record_outcome(
         self,
--- a/quetzalmill/dispatch_job.py
+++ b/quetzalmill/dispatch_job.py
@@ -23,6 +23,8 @@
         priority: Its priority at the endpoint.
         tried: Endpoints that were chosen for it.
         sends: How many endpoints have received it.
+        has_alternative: Whether another endpoint could get it after the last
+            chosen one.
         ran_on: The endpoint that responded last.
         endpoint_died: Whether an endpoint died while running it.
         load: Requests at the last chosen endpoint, without this one.
@@ -41,6 +43,7 @@
     priority: int | None
     tried: list[str] = attrs.field(factory=list)
     sends: int = 0
+    has_alternative: bool = False
     ran_on: str = ""
     endpoint_died: bool = False
     load: int = 0
--- a/quetzalmill/retry_timeout.py
+++ b/quetzalmill/retry_timeout.py
@@ -37,6 +37,7 @@
         route: route_table.Route,
         *,
         sends: int,
+        has_alternative: bool,
         remaining_ms: float,
         average_ms: float,
     ) -> float:
@@ -45,10 +46,12 @@
         Args:
             route: The request's route.
             sends: How many endpoints have already received the request.
+            has_alternative: Whether another endpoint is left for a retry;
+                without one, waiting is all that can succeed.
             remaining_ms: The time until its deadline.
             average_ms: The average latency of the route; 0 if unknown.
         """
-        is_last = sends + 1 >= route.max_attempts
+        is_last = sends + 1 >= route.max_attempts or not has_alternative
         if not route.is_retryable or is_last:
             return remaining_ms
         self._early_retries.first_attempt()
--- a/quetzalmill/route_table.py
+++ b/quetzalmill/route_table.py
@@ -67,10 +67,15 @@
     max_event_gap_ms: float
     resumable: bool = False
 
+    @property
+    def is_safe(self) -> bool:
+        """Whether a request may run more than once, at any endpoint."""
+        return self.retry_mode is RetryMode.SAFE
+
     @property
     def is_retryable(self) -> bool:
-        """Whether a request may run more than once."""
-        return self.retry_mode is RetryMode.SAFE or self.resumable
+        """Whether a request may run more than once, or a stream go on."""
+        return self.is_safe or self.resumable
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/test_gateway_troubles.py
+++ b/tests/test_gateway_troubles.py
@@ -246,6 +246,59 @@
         gateway_case.run(tmp_path, case)
 
 
+class TestOnlyEndpoint:
+    """The only usable endpoint of a service is slow."""
+
+    _PAUSE_S = 0.6
+    """Longer than a look-up's objective, and than four gaps between events."""
+
+    def test_overdue_lookup_is_not_given_up_without_another_endpoint(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            app = await cluster.add_endpoint("app-1", "app")
+            app.pause_s = self._PAUSE_S
+            gateway = await cluster.add_gateway()
+            _, response = await cluster.call(gateway, "/lookup/1")
+            assert response.status == 200
+            assert len(app.runs) == 1
+
+        gateway_case.run(tmp_path, case)
+
+    def test_lookup_whose_answer_is_lost_is_sent_there_again(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """A booking is not."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            app = await cluster.add_endpoint("app-1", "app")
+            gateway = await cluster.add_gateway()
+            for path, status, runs in (
+                ("/lookup/1", 200, 2),
+                ("/book/1", 502, 1),
+            ):
+                app.faults = [platform_endpoint.Fault.LOSE_ANSWER]
+                app.runs.clear()
+                _, response = await cluster.call(gateway, path)
+                assert (response.status, len(app.runs)) == (status, runs)
+
+        gateway_case.run(tmp_path, case)
+
+    def test_stalled_stream_is_not_cut_without_another_endpoint(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=3)
+            engine.pause_s = self._PAUSE_S
+            gateway = await cluster.add_gateway()
+            path = platform_cluster.QUOTE_PATH + "1"
+            _, response = await cluster.turn(gateway, b"hello", path=path)
+            assert response.body.endswith(b"data: e3\n\n")
+            assert len(engine.runs) == 1
+
+        gateway_case.run(tmp_path, case)
+
+
 class TestLateCopyOfRefusal:
     """A refusal that an endpoint sends again where another answer is due."""
 
--- a/tests/test_retry_timeout.py
+++ b/tests/test_retry_timeout.py
@@ -14,10 +14,15 @@
     route: route_table.Route = routes.LOOKUP,
     *,
     sends: int = 0,
+    has_alternative: bool = True,
     average_ms: float = 40.0,
 ) -> float:
     return timeout.max_wait_ms(
-        route, sends=sends, remaining_ms=_LEFT_MS, average_ms=average_ms
+        route,
+        sends=sends,
+        has_alternative=has_alternative,
+        remaining_ms=_LEFT_MS,
+        average_ms=average_ms,
     )
 
 
@@ -37,6 +42,10 @@
         timeout = retry_timeout.RetryTimeout()
         assert _max_wait_ms(timeout, sends=1) == _LEFT_MS
 
+    def test_only_endpoint_gets_all_the_time(self) -> None:
+        timeout = retry_timeout.RetryTimeout()
+        assert _max_wait_ms(timeout, has_alternative=False) == _LEFT_MS
+
     def test_request_that_runs_once_waits_for_its_endpoint(self) -> None:
         timeout = retry_timeout.RetryTimeout()
         booking = attrs.evolve(
