Keep a gateway running whatever datagrams its peers' port receives

What callers would see: a gateway that answers nothing while datagrams arrive faster than it reads them, or one that ends, with all its requests, when a heartbeat names an address such as 10.0.0.1:70000.

Cause: the loop that reads heartbeats reached no checkpoint while another one was there, and sending handled errors of the system only, not those of an address.

Now other tasks run, and heartbeats go out, after 256 datagrams; an address that is no IP address and port is refused by one function, and logged where a heartbeat is sent. A fleet sends fewer datagrams in an interval, so nothing changes for it.

Red before: test_endless_datagrams_do_not_block_other_tasks (never ended) and the three cases of test_unusable_address_in_a_heartbeat_does_not_end_the_gateway (OverflowError, ValueError).

--- a/quetzalmill/http_message.py
+++ b/quetzalmill/http_message.py
@@ -98,7 +98,10 @@
     host, colon, port = address.rpartition(":")
     if not colon or not host:
         raise ValueError(f"{address!r} is not an address such as 10.0.0.1:80")
-    return host.strip("[]"), int(port)
+    number = int(port)
+    if not 0 <= number <= MAX_PORT:
+        raise ValueError(f"{number} is not a port")
+    return host.strip("[]"), number
 
 
 def join_headers(raw: list[tuple[bytes, bytes]]) -> dict[str, str]:
--- a/quetzalmill/peer_link.py
+++ b/quetzalmill/peer_link.py
@@ -22,6 +22,9 @@
 received together, as waking up for each costs more than reading it."""
 
 _MAX_DATAGRAM_BYTES = 60_000
+_MAX_DATAGRAMS_AT_ONCE = 256
+"""Datagrams that are read before other tasks run; a fleet sends fewer in an
+interval."""
 
 _log = logs.get("peer_link")
 
@@ -57,7 +60,7 @@
     async def _send_and_receive(self) -> None:
         send_at_s = trio.current_time()
         while True:
-            self._receive()
+            has_more = self._receive()
             now_s = trio.current_time()
             if now_s >= send_at_s:
                 self._state.tick()
@@ -66,25 +69,27 @@
                 beat_s = self._state.peers.heartbeat_interval_ms() / 1000.0
                 send_at_s = max(send_at_s + beat_s, now_s)
             self._send(self._relays.relay(self._state.clock.now_ms()))
-            await trio.sleep(RECEIVE_INTERVAL_MS / 1000.0)
+            pause_ms = 0.0 if has_more else RECEIVE_INTERVAL_MS
+            await trio.sleep(pause_ms / 1000.0)
 
-    def _receive(self) -> None:
-        """Applies all heartbeats that have arrived."""
-        while True:
+    def _receive(self) -> bool:
+        """Applies heartbeats that have arrived; returns whether some remain."""
+        for _ in range(_MAX_DATAGRAMS_AT_ONCE):
             try:
                 data = self._socket.recv(_MAX_DATAGRAM_BYTES)
                 received = self._relays.receive(data)
             except BlockingIOError:
-                return
+                return False
             except OSError as error:
                 _log.info("beat_not_received", reason=str(error))
-                return
+                return False
             except errors.CodecError as error:
                 _log.warning("beat_unreadable", reason=str(error))
             else:
                 for heartbeat in received.heartbeats:
                     self._state.apply_report(heartbeat)
                 self._send(received.forwarded)
+        return True
 
     def _send(self, outgoing: list[beat_relays.Outgoing]) -> None:
         for each in outgoing:
@@ -92,6 +97,6 @@
                 self._socket.sendto(
                     each.data, http_message.split_address(each.address)
                 )
-            except OSError as error:
+            except (OSError, ValueError) as error:
                 # The next heartbeat contains the same information.
                 _log.info("beat_not_sent", peer=each.address, reason=str(error))
