Soak: judge how processes end, silent gateways and torn ends of streams

Causes: a copy was due only if the next request came on the connection of the refusal, which is rare with four gateways; nothing looked at exit codes; nobody waited for a gateway that is busy, as the faults excuse lost requests; and a stream that lacks only its last line end has all its events.

Now a late copy waits for a request on such a connection; an end of a process that its signals do not explain is noted; a gateway that is silent to readiness checks for two seconds, the users' two misses, is noted unless it was ended, stopped or paused; a stream that looks complete ends with an event. SIGTERM, like SIGHUP, is held back until a process has run its first statement.

--- a/quetzalmill_emulator/platform_endpoint.py
+++ b/quetzalmill_emulator/platform_endpoint.py
@@ -127,6 +127,7 @@
         self.misdirected = 0
         self.left = 0
         self.late_copies = 0
+        self._copies_due = 0
         self.framing: Framing | None = None
         self.sent_bytes: int | None = None
         self.names_request = False
@@ -169,8 +170,9 @@
             await self._shed(exchange, run, fault)
             return
         if fault is Fault.LATE_COPY:
-            await self._repeat_refusal(exchange)
+            self._copies_due += 1
             fault = None
+        await self._repeat_refusal(exchange)
         self.runs.append(run)
         await trio.sleep(self.pause_s)
         if fault is Fault.HANG:
@@ -255,9 +257,13 @@
         await exchange.respond(503, headers=answer)
 
     async def _repeat_refusal(self, exchange: http_server.Exchange) -> None:
-        """Sends the refusal of an earlier request on this connection again."""
+        """Sends the refusal of an earlier request on this connection again.
+
+        A copy that is due waits for the next request on such a connection.
+        """
         refusal = self._refusals.get(raw_bytes.connection_of(exchange))
-        if refusal is not None:
+        if refusal is not None and self._copies_due:
+            self._copies_due -= 1
             self.late_copies += 1
             await raw_bytes.send(exchange, refusal)
 
--- a/quetzalmill_soak/checks.py
+++ b/quetzalmill_soak/checks.py
@@ -19,6 +19,8 @@
 EVENTS = 4
 """The number of events in each engine's stream."""
 
+_EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+
 APPLY_S = 2.0
 """The users' bound on the time until a desired state is applied."""
 
@@ -152,6 +154,8 @@
     numbers = re.findall(rb"^id: (\d+)$", attempt.answer, re.MULTILINE)
     if [int(number) for number in numbers] != list(range(1, len(numbers) + 1)):
         return "events are missing or stand twice"
+    if not attempt.answer.endswith(_EVENT_ENDS):
+        return "a stream that ends inside an event and looks complete"
     own = attempt.request_id.encode()
     if len(numbers) != EVENTS or not all(
         data.startswith(own) for data in outputs(attempt.answer)
--- a/quetzalmill_soak/main.py
+++ b/quetzalmill_soak/main.py
@@ -57,13 +57,16 @@
             )
             for number in range(size.callers)
         ]
-        async with trio.open_nursery() as nursery:
-            for caller in all_callers:
-                nursery.start_soon(caller.run, started_s + size.length_s)
-            for entry in entries:
-                nursery.start_soon(_apply_later, world, entry, started_s)
-        await world.heal()
-        recovered = await _recovers_in_time(world, all_callers)
+        async with trio.open_nursery() as watching:
+            watching.start_soon(world.watch.run)
+            async with trio.open_nursery() as nursery:
+                for caller in all_callers:
+                    nursery.start_soon(caller.run, started_s + size.length_s)
+                for entry in entries:
+                    nursery.start_soon(_apply_later, world, entry, started_s)
+            await world.heal()
+            recovered = await _recovers_in_time(world, all_callers)
+            watching.cancel_scope.cancel()
         budgets = {
             program: budget
             for caller in all_callers
@@ -73,6 +76,7 @@
         broken = checks.judge(
             world.record, world.runs(), budgets, rates, world.refused()
         )
+        broken += world.watch.broken
         if not recovered:
             broken.append(f"not served {RECOVER_S:.0f} s after the last fault")
         attempts = world.record.attempts
--- a/quetzalmill_soak/world.py
+++ b/quetzalmill_soak/world.py
@@ -16,6 +16,7 @@
 from quetzalmill_emulator import platform_endpoint
 from quetzalmill_load import platform_cluster
 from quetzalmill_soak import checks
+from quetzalmill_soak import gateway_watch
 from quetzalmill_soak import record as record_module
 from quetzalmill_soak import schedule
 
@@ -23,6 +24,10 @@
 LIMITED_RATE = checks.Rate(per_s=25.0, burst=25.0)
 """The rate of one of the two teams; its callers exceed it."""
 
+_REFUSALS_TO_COPY = [platform_endpoint.Fault.SHED] * 4
+"""Refusals before a late copy, so that a later request comes on the connection
+of one of them."""
+
 _STOP_TIMEOUT_S = 12.0
 _SIGNAL_PAUSE_S = 0.02
 
@@ -33,6 +38,7 @@
     Attributes:
         cluster: The gateways and the emulators.
         record: The record of the run.
+        watch: Watches the gateways' processes.
         keys: The current key of each team.
     """
 
@@ -44,6 +50,7 @@
     ) -> None:
         self.cluster = cluster
         self.record = record_module.Record()
+        self.watch = gateway_watch.GatewayWatch(cluster, self.record)
         self.keys = {
             "weddings": platform_cluster.KEY,
             LIMITED_TEAM: "key-of-rallies",
@@ -53,7 +60,6 @@
         self._version = 1
         self._endpoints: list[str] = []
         self._draining: set[str] = set()
-        self._lost_until_s = 0.0
 
     async def start(self) -> None:
         """Starts the system and waits until it serves."""
@@ -82,18 +88,18 @@
                     await self._kill(everyone, for_s)
             case schedule.PauseGateway(gateway=number, for_s=for_s):
                 async with self._disturbed(fault, number):
-                    self._signal(number, signal.SIGSTOP)
+                    self.watch.signal(number, signal.SIGSTOP)
                     await trio.sleep(for_s)
-                    self._signal(number, signal.SIGCONT)
+                    self.watch.signal(number, signal.SIGCONT)
             case schedule.StopGateway(gateway=number, repeated=repeated):
                 async with self._disturbed(fault, number):
                     await self._stop(number, repeated)
             case schedule.ReloadGateway(gateway=number, for_s=for_s):
-                self._reload(number)
+                self._signal_if_handled(number, signal.SIGHUP)
                 with trio.move_on_after(for_s):
                     while for_s:
                         await trio.sleep(_SIGNAL_PAUSE_S)
-                        self._reload(number)
+                        self._signal_if_handled(number, signal.SIGHUP)
             case schedule.UnreadableEntry(name=name, value=value):
                 self.cluster.store.put_bytes("keyed.servers", name, value)
             case schedule.ReplaceKey():
@@ -103,7 +109,8 @@
                 endpoint = self.cluster.endpoints[name]
                 failures = [platform_endpoint.Fault(how)]
                 if failures == [platform_endpoint.Fault.LATE_COPY]:
-                    failures.insert(0, platform_endpoint.Fault.SHED)
+                    failures = _REFUSALS_TO_COPY + failures
+                    failures += failures
                 endpoint.faults += failures * count
                 async with self._disturbed(fault, None):
                     await trio.sleep(1.0)
@@ -143,6 +150,8 @@
 
     async def heal(self) -> None:
         """Clears all remaining faults; waits until all gateways are ready."""
+        for number in range(self._size.gateways):
+            self.watch.check_end(number)
         self.cluster.store.down = False
         self.cluster.store.lost_answers = 0
         await trio.to_thread.run_sync(self._proxy.heal)
@@ -180,35 +189,36 @@
         yield
         disturbance.to_s = trio.current_time()
 
-    def _signal(self, number: int, which: int) -> None:
-        process = self.cluster.gateways[number].process
-        if process.poll() is None:
-            process.send_signal(which)
-
     async def _kill(self, numbers: list[int], for_s: float) -> None:
         for number in numbers:
-            self._signal(number, signal.SIGKILL)
+            self.watch.signal(number, signal.SIGKILL)
         await trio.sleep(for_s)
         for number in numbers:
             await self._restart(number)
 
-    def _reload(self, number: int) -> None:
-        """Sends SIGHUP, unless the process has yet to run its first statement.
+    def _signal_if_handled(self, number: int, which: int) -> bool:
+        """Sends a signal unless the process has yet to run its first statement.
 
-        Until then only its parent could change the default action.
+        Until then only its parent could change the default action. Returns
+        whether it was sent.
         """
-        if _handles_signals(self.cluster.gateways[number].process.pid):
-            self._signal(number, signal.SIGHUP)
+        if not _handles_signals(self.cluster.gateways[number].process.pid):
+            return False
+        self.watch.signal(number, which)
+        return True
 
     async def _stop(self, number: int, repeated: str) -> None:
-        self._signal(number, signal.SIGTERM)
         process = self.cluster.gateways[number].process
         with trio.move_on_after(_STOP_TIMEOUT_S):
+            while process.poll() is None and not self._signal_if_handled(
+                number, signal.SIGTERM
+            ):
+                await trio.sleep(_SIGNAL_PAUSE_S)
             while process.poll() is None:
                 await trio.sleep(_SIGNAL_PAUSE_S)
-                if repeated and process.poll() is None:
-                    process.send_signal(signal.Signals[repeated])
-        self._signal(number, signal.SIGKILL)
+                if repeated:
+                    self.watch.signal(number, signal.Signals[repeated])
+        self.watch.signal(number, signal.SIGKILL)
         await self._restart(number)
 
     async def _restart(self, number: int) -> None:
@@ -219,7 +229,7 @@
             while gateway.process.poll() is None:
                 await trio.sleep(0.01)
         if gateway.process.poll() is not None:
-            self.cluster.start_again(gateway)
+            self.watch.start_again(number)
             await self._until_ready(gateway)
 
     async def _until_ready(self, gateway: platform_cluster.Gateway) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,16 @@
 """Tests of the fault soak: its checks, its schedule, and a few seeds."""
 
 import pathlib
+import signal
+import types
+from typing import Any
 
 import attrs
 import pytest
 
 from quetzalmill_emulator import platform_endpoint
 from quetzalmill_soak import checks
+from quetzalmill_soak import gateway_watch
 from quetzalmill_soak import main
 from quetzalmill_soak import record as record_module
 from quetzalmill_soak import schedule
@@ -103,6 +107,11 @@
                 attrs.evolve(_TURN, kind="booking", answer=b"done by"),
                 [_RUN],
             ),
+            (
+                "ends inside an event",
+                attrs.evolve(_TURN, answer=_STREAM[:-1]),
+                [_RUN],
+            ),
             ("another body", _TURN, [attrs.evolve(_RUN, body=b"")]),
             ("another team", _TURN, [attrs.evolve(_RUN, team="rallies")]),
             (
@@ -261,6 +270,53 @@
         assert _judge(lookup, [_RUN] * 32, rate=rate)
 
 
+class _Process:
+    """A gateway's process that has ended, or runs if ``code`` is None."""
+
+    def __init__(self, code: int | None) -> None:
+        self._code = code
+
+    def poll(self) -> int | None:
+        """Returns the exit code."""
+        return self._code
+
+    def send_signal(self, number: int) -> None:
+        """Ends the process as the default action does."""
+        self._code = -number
+
+
+class TestGatewayWatch:
+    """Ends of gateways' processes, by the signals that they were sent."""
+
+    @pytest.mark.parametrize(
+        ("sent", "code", "count"),
+        [
+            (None, None, 0),
+            # It ended by itself, for example after an unreadable entry.
+            (None, 1, 1),
+            (None, 0, 1),
+            (signal.SIGKILL, None, 0),
+            # The default action of a signal that it should have handled.
+            (signal.SIGHUP, None, 1),
+            (signal.SIGTERM, None, 1),
+        ],
+    )
+    def test_end_that_no_signal_explains_is_noted(
+        self, sent: int | None, code: int | None, count: int
+    ) -> None:
+        gateway = types.SimpleNamespace(process=_Process(code))
+        cluster: Any = types.SimpleNamespace(gateways=[gateway])
+        watch = gateway_watch.GatewayWatch(cluster, record_module.Record())
+        if sent is not None:
+            watch.signal(0, sent)
+        watch.check_end(0)
+        assert len(watch.broken) == count
+
+    def test_stopped_process_ends_with_zero(self) -> None:
+        stopped = {int(signal.SIGTERM), int(signal.SIGHUP)}
+        assert gateway_watch.expected_codes(stopped) == {0}
+
+
 class TestSchedule:
     """The schedule that is drawn from a seed."""
 
