Soak: send repeated signals only to the process that is being stopped

Now they go out only while the gateway still runs as the same process, and so does the SIGKILL at the end of a stop.

--- a/quetzalmill_soak/world.py
+++ b/quetzalmill_soak/world.py
@@ -9,6 +9,7 @@
 import copy
 import pathlib
 import signal
+import subprocess
 
 import trio
 
@@ -216,11 +217,18 @@
                 await trio.sleep(_SIGNAL_PAUSE_S)
             while process.poll() is None:
                 await trio.sleep(_SIGNAL_PAUSE_S)
-                if repeated:
+                # An overlapping fault may have replaced the process.
+                if repeated and self._runs(number, process):
                     self.watch.signal(number, signal.Signals[repeated])
-        self.watch.signal(number, signal.SIGKILL)
+        if self._runs(number, process):
+            self.watch.signal(number, signal.SIGKILL)
         await self._restart(number)
 
+    def _runs(self, number: int, process: subprocess.Popen[bytes]) -> bool:
+        """Returns whether a gateway still runs as this process."""
+        current = self.cluster.gateways[number].process
+        return current is process and process.poll() is None
+
     async def _restart(self, number: int) -> None:
         """Restarts a gateway unless an overlapping fault already did."""
         gateway = self.cluster.gateways[number]
