Start processes of tests with the default actions of signals

Seen: pytest did not end by SIGINT or SIGTERM in a whole run; SigIgn of its process had SIGHUP, SIGINT and SIGTERM. A test that runs a daemon's command line in the process leaves them ignored, and started processes inherit that. A process that handles no signal then passes for one that does, in every test that runs later: the tests of signals proved less than they said in a whole run; by themselves they did not.

Now each test restores the handlers, and processes are started with the default actions, whatever their starter ignores (nohup does the same).

Red before: test_signals_that_tests_ignore_are_not_ignored_by_processes.

--- a/quetzalmill_load/platform_cluster.py
+++ b/quetzalmill_load/platform_cluster.py
@@ -456,7 +456,7 @@
 def _start(
     settings: pathlib.Path, log_path: pathlib.Path
 ) -> subprocess.Popen[bytes]:
-    with log_path.open("ab") as log:
+    with log_path.open("ab") as log, processes.default_signal_actions():
         return subprocess.Popen(
             [sys.executable, "-m", "quetzalmill_platform"],
             cwd=_ROOT,
--- a/quetzalmill_load/processes.py
+++ b/quetzalmill_load/processes.py
@@ -6,7 +6,8 @@
 machine does not change what is measured.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+import contextlib
 import http.client
 import json
 import os
@@ -20,6 +21,7 @@
 import time
 from typing import Any, Self
 
+from quetzalmill import early_signals
 from quetzalmill import errors
 
 MAX_PROCESSES = 150
@@ -42,6 +44,27 @@
 _draws = random.SystemRandom()
 
 
+@contextlib.contextmanager
+def default_signal_actions() -> Iterator[None]:
+    """Lets processes that are started in it begin with the default actions.
+
+    Ignored signals stay ignored in a new program, which would hide that it does
+    not handle them itself. Only for the main thread.
+    """
+    ignored = [
+        number
+        for number in early_signals.HANDLED
+        if signal.getsignal(number) is signal.SIG_IGN
+    ]
+    for number in ignored:
+        signal.signal(number, signal.SIG_DFL)
+    try:
+        yield
+    finally:
+        for number in ignored:
+            signal.signal(number, signal.SIG_IGN)
+
+
 class LoadError(errors.QuetzalmillError):
     """A measurement could not be made."""
 
@@ -62,7 +85,11 @@
         self.address = ""
         self._stdout = directory / f"{name}.stdout"
         self._stderr = directory / f"{name}.stderr"
-        with self._stdout.open("ab") as out, self._stderr.open("ab") as err:
+        with (
+            self._stdout.open("ab") as out,
+            self._stderr.open("ab") as err,
+            default_signal_actions(),
+        ):
             self._popen = subprocess.Popen(
                 [sys.executable, "-m", module, *args],
                 cwd=directory,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,10 +7,13 @@
 
 from collections.abc import Iterator
 import pathlib
+import signal
 
 import pytest
 import structlog
 
+from quetzalmill import early_signals
+
 _KNOWN_RED = pathlib.Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 _PREFIX = "test: "
 
@@ -22,6 +25,15 @@
     structlog.reset_defaults()
 
 
+@pytest.fixture(autouse=True)
+def _signals_of_one_test() -> Iterator[None]:
+    """Restores the signal handlers, which a daemon's command line sets."""
+    before = {n: signal.getsignal(n) for n in early_signals.HANDLED}
+    yield
+    for number, handler in before.items():
+        signal.signal(number, handler)
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Marks the tests that are known to fail."""
     known = _known_red()
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -19,6 +19,26 @@
 """A library whose binary is mapped while a gateway still imports modules."""
 
 
+class TestStartedProcesses:
+    """What processes inherit from the process of the tests."""
+
+    def test_signals_that_tests_ignore_are_not_ignored_by_processes(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """A process would seem to handle what it only ignores."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            gateway = await cluster.add_gateway()
+            cluster.stop(gateway, signal.SIGKILL)
+            cluster.start_again(gateway)
+            status = pathlib.Path(f"/proc/{gateway.process.pid}/status")
+            ignored = status.read_text().partition("SigIgn:")[2].split()[0]
+            assert not int(ignored, 16) & 1 << (signal.SIGHUP - 1)
+
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        gateway_case.run(tmp_path, case)
+
+
 class TestGateway:
     """Signals to gateways as processes on the emulated platform."""
 
