--- a/quetzalmill/caller_responses.py
+++ b/quetzalmill/caller_responses.py
@@ -1,4 +1,4 @@
-"""Encodes the answers to callers, as far as they tell of calls and history."""
+"""Encodes a call's details in the headers and chunks of its response."""
 
 from typing import Any
 
