Log what each endpoint's answer named and was taken for

A request's line named the endpoints tried, not what each had answered: a refusal of this request and a copy of another's looked alike (`503: the endpoint refused with 503`), so the record could not tell the hypotheses apart. The line now holds `answers`: endpoint, connection and which of its requests, status, whose request the head names, and what it was taken for; skipped heads too. `quetzalmill_endpoint_answers_total` counts the same. No decision changes.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -22,6 +22,7 @@
 from quetzalmill import http_server
 from quetzalmill import load_control
 from quetzalmill import logs
+from quetzalmill import reply_reader
 from quetzalmill import response_memory
 from quetzalmill import retry_timeout
 from quetzalmill import route_table
@@ -82,6 +83,7 @@
         self._random = random.Random()
         self._latencies = endpoint_health.AverageLatencies()
         self._retry_timeout = retry_timeout.RetryTimeout()
+        self._replies = reply_reader.ReplyReader(pool, dialect, clock)
         self.prefixes = endpoint_choice.PrefixCacheIndex()
 
     async def run(
@@ -304,17 +306,10 @@
                 request,
                 timeout_ms=max_wait_ms,
                 idle_timeout_ms=self._idle_ms(job, remaining_ms),
-                hooks=self._hooks(job, endpoint_state),
+                hooks=self._replies.hooks(job, endpoint_state),
             ) as response:
-                reply = self._dialect.decode_reply(
-                    job.call,
-                    endpoint.endpoint_id,
-                    response.status,
-                    response.headers,
-                )
                 self._end_pending(endpoint_state, sent_ms)
-                self._record_drain_notice(job, endpoint_state, reply)
-                self._record_load(endpoint_state, reply)
+                reply = self._replies.read(job, endpoint_state, response.head)
                 outcome = await self._handle_reply(
                     job, endpoint_state, reply, response, exchange
                 )
@@ -331,27 +326,6 @@
             job.sends -= 1
             raise
 
-    def _hooks(
-        self, job: dispatch_job.Job, endpoint_state: endpoint_pool.EndpointState
-    ) -> http_connection.RequestHooks:
-        def decode(status: int, headers: dict[str, str]) -> gateway_calls.Reply:
-            endpoint_id = endpoint_state.endpoint.endpoint_id
-            return self._dialect.decode_reply(
-                job.call, endpoint_id, status, headers
-            )
-
-        return http_connection.RequestHooks(
-            may_send=lambda: self._pool.may_send(
-                endpoint_state, self._clock.now_ms()
-            ),
-            on_interim=lambda status, headers: self._record_drain_notice(
-                job, endpoint_state, decode(status, headers)
-            ),
-            is_foreign=lambda status, headers: gateway_calls.is_foreign(
-                decode(status, headers)
-            ),
-        )
-
     def _idle_ms(self, job: dispatch_job.Job, remaining_ms: float) -> float:
         """Returns the longest gap allowed within an endpoint's response."""
         route = job.route
@@ -384,27 +358,6 @@
             case outcomes.Streamed():
                 health.record_failure(now_ms)
 
-    def _record_drain_notice(
-        self,
-        job: dispatch_job.Job,
-        endpoint_state: endpoint_pool.EndpointState,
-        reply: gateway_calls.Reply,
-    ) -> None:
-        if reply.is_draining:
-            self._pool.record_drain_notice(
-                endpoint_state, job.call.request_id, self._clock.now_ms()
-            )
-
-    def _record_load(
-        self,
-        endpoint_state: endpoint_pool.EndpointState,
-        reply: gateway_calls.Reply,
-    ) -> None:
-        if reply.load is not None:
-            endpoint_state.reported_running = reply.load.running
-            endpoint_state.reported_waiting = reply.load.waiting
-            endpoint_state.reported_ms = self._clock.now_ms()
-
     async def _handle_reply(
         self,
         job: dispatch_job.Job,
--- a/quetzalmill/dispatch_job.py
+++ b/quetzalmill/dispatch_job.py
@@ -9,6 +9,32 @@
 from quetzalmill import turn_allowance
 
 
+@attrs.frozen(kw_only=True)
+class EndpointAnswer:
+    """The head of a final response, as it is logged.
+
+    Attributes:
+        endpoint_id: The endpoint that the request was sent to.
+        connection: The numbers of the connection and of its exchange.
+        status: The HTTP status.
+        names: Whose request it names: ``own``, ``unnamed`` or ``foreign``.
+        claim: What it was taken for.
+    """
+
+    endpoint_id: str
+    connection: str
+    status: int
+    names: str
+    claim: str
+
+    def __str__(self) -> str:
+        """Returns a word for the log."""
+        return (
+            f"{self.endpoint_id}@{self.connection}:{self.status}"
+            f":{self.names}:{self.claim}"
+        )
+
+
 @attrs.define(kw_only=True, eq=False)
 class Job:
     """One request being dispatched.
@@ -23,6 +49,7 @@
         priority: Its priority at the endpoint.
         tried: Endpoints that were chosen for it.
         sends: How many endpoints have received it.
+        answers: The heads that came back, skipped ones too.
         has_alternative: Whether another endpoint could get it after the last
             chosen one.
         ran_on: The endpoint that responded last.
@@ -43,6 +70,7 @@
     priority: int | None
     tried: list[str] = attrs.field(factory=list)
     sends: int = 0
+    answers: list[EndpointAnswer] = attrs.field(factory=list)
     has_alternative: bool = False
     ran_on: str = ""
     endpoint_died: bool = False
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -126,6 +126,8 @@
         job = active.job
         route = "" if active.route is None else active.route.name
         self._metrics.request(kind, route, took_ms)
+        for answer in job.answers if job else ():
+            self._metrics.answer(answer.names, answer.claim)
         table = self._state.table
         _log.info(
             "request",
@@ -137,6 +139,7 @@
             program_id=active.call.program_id or None,
             table=None if table is None else table.version,
             tried=",".join(job.tried) if job else None,
+            answers=",".join(map(str, job.answers)) if job else None,
             ready_ms=round(active.prepared_ms - active.arrived_ms)
             if active.prepared_ms
             else None,
--- a/quetzalmill/gateway_metrics.py
+++ b/quetzalmill/gateway_metrics.py
@@ -25,6 +25,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._answers = prometheus_client.Counter(
+            "quetzalmill_endpoint_answers",
+            "Heads of final responses by whose request they name (own, unnamed,"
+            " foreign) and what they were taken for.",
+            ["names", "claim"],
+            registry=self._registry,
+        )
         self._claims = prometheus_client.Histogram(
             "quetzalmill_claim_seconds",
             "Time that claims of partitions of budgets took, by outcome.",
@@ -57,6 +64,15 @@
         self._requests.labels(route, outcome).inc()
         self._latency.labels(outcome).observe(took_ms / 1000.0)
 
+    def answer(self, names: str, claim: str) -> None:
+        """Counts the head of an endpoint's response.
+
+        Args:
+            names: Whose request it names.
+            claim: What it was taken for.
+        """
+        self._answers.labels(names, claim).inc()
+
     def claim(self, succeeded: bool, took_ms: float) -> None:
         """Records the duration of a claim of a budget partition."""
         outcome = "claimed" if succeeded else "failed"
--- a/quetzalmill/http_connection.py
+++ b/quetzalmill/http_connection.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Callable
 import contextlib
+import itertools
 import select
 
 import attrs
@@ -10,7 +11,6 @@
 
 from quetzalmill import errors
 from quetzalmill import http_message
-from quetzalmill import logs
 
 _RECEIVE_BYTES = 65_536
 _MAX_HEAD_BYTES = 65_536
@@ -30,11 +30,27 @@
 _BAD_GATEWAY = 502
 _STATUSES_WITHOUT_BODY = (204, 304)
 
-_log = logs.get("http_connection")
-
 _Parsed = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
+@attrs.frozen(kw_only=True)
+class ResponseHead:
+    """The head of a response, and where it arrived.
+
+    Attributes:
+        status: The HTTP status.
+        headers: Values by lower-case name; repeated ones joined by commas.
+        connection: The number of the connection within this process.
+        exchange: Which of the connection's requests it follows, 1 for the
+            first.
+    """
+
+    status: int
+    headers: dict[str, str]
+    connection: int
+    exchange: int
+
+
 @attrs.frozen(kw_only=True)
 class RequestHooks:
     """Callbacks that run before the head of the final response arrives.
@@ -42,23 +58,21 @@
     Attributes:
         may_send: Called once connected, just before the first byte is sent;
             returning False withdraws the request.
-        on_interim: Called with the status and headers of each interim (1xx)
-            response.
-        is_foreign: Called with the status and headers of a final response;
-            returning True skips it, as it responds to another request.
+        on_interim: Called with the head of each interim (1xx) response.
+        is_foreign: Called with the head of a final response; returning True
+            skips it, as it responds to another request.
     """
 
     may_send: Callable[[], bool] = lambda: True
-    on_interim: Callable[[int, dict[str, str]], None] = lambda _, __: None
-    is_foreign: Callable[[int, dict[str, str]], bool] = lambda _, __: False
+    on_interim: Callable[[ResponseHead], None] = lambda _: None
+    is_foreign: Callable[[ResponseHead], bool] = lambda _: False
 
 
 class StreamedResponse(AsyncIterator[bytes]):
     """A response whose body is read in chunks with ``async for``.
 
     Attributes:
-        status: The HTTP status.
-        headers: Values by lower-case name; repeated ones joined by commas.
+        head: Its head.
         may_reuse_connection: Whether the connection may be reused for other
             requests, if the server allows it.
         is_delimited: Whether the body's end is marked by a length or chunks;
@@ -78,12 +92,21 @@
         self._idle_timeout_ms = idle_timeout_ms
         self._remaining_bytes = max_body_bytes
         self._chunks_at_once = 0
-        self.status = head.status_code
-        self.headers = http_message.join_headers(list(head.headers))
+        self.head = connection.describe(head)
         self.may_reuse_connection = True
         self.is_delimited = is_delimited
         self._has_body = False
 
+    @property
+    def status(self) -> int:
+        """The HTTP status."""
+        return self.head.status
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Values by lower-case name; repeated ones joined by commas."""
+        return self.head.headers
+
     def __aiter__(self) -> AsyncIterator[bytes]:
         """Returns itself."""
         return self
@@ -142,10 +165,17 @@
 
 @attrs.define(eq=False)
 class Connection:
-    """A connection that carries one exchange at a time."""
+    """A connection that carries one exchange at a time.
+
+    Attributes:
+        number: Its number within this process.
+        exchanges: The number of requests that it has carried.
+    """
 
     address: str
     stream: trio.SocketStream
+    number: int = attrs.field(factory=itertools.count(1).__next__)
+    exchanges: int = 0
     idle_since_s: float = 0.0
     received_bytes: int = 0
     skipped_responses: int = 0
@@ -160,6 +190,7 @@
         """Sends a request and reads the head of its response."""
         self.received_bytes = 0
         self.skipped_responses = 0
+        self.exchanges += 1
         try:
             data = self._encode(request)
             if not hooks.may_send():
@@ -198,6 +229,17 @@
             raise _connection_lost()
         return event
 
+    def describe(
+        self, head: h11.Response | h11.InformationalResponse
+    ) -> ResponseHead:
+        """Returns a head that arrived on this connection."""
+        return ResponseHead(
+            status=head.status_code,
+            headers=http_message.join_headers(list(head.headers)),
+            connection=self.number,
+            exchange=self.exchanges,
+        )
+
     def is_alive(self) -> bool:
         """Returns whether the server has neither closed nor sent data."""
         poll = select.poll()
@@ -245,8 +287,7 @@
             await self.stream.send_all(data)
         while True:
             head = await self._read_head(hooks)
-            headers = http_message.join_headers(list(head.headers))
-            if not hooks.is_foreign(head.status_code, headers):
+            if not hooks.is_foreign(self.describe(head)):
                 return head
             if not self.skipped_responses:
                 remaining_s = scope.deadline - trio.current_time()
@@ -260,10 +301,7 @@
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise errors.BadMessageError("no response head", _BAD_GATEWAY)
-            hooks.on_interim(
-                event.status_code,
-                http_message.join_headers(list(event.headers)),
-            )
+            hooks.on_interim(self.describe(event))
         raise errors.BadMessageError("interim heads go on", _BAD_GATEWAY)
 
     async def _skip(
@@ -275,11 +313,6 @@
             errors.BadMessageError: No other response can follow it.
         """
         self.skipped_responses += 1
-        _log.warning(
-            "foreign_response_skipped",
-            address=self.address,
-            status=head.status_code,
-        )
         if self.skipped_responses > _MAX_FOREIGN_RESPONSES:
             raise _only_foreign()
         response = StreamedResponse(
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -767,7 +767,7 @@
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
             port = listeners[0].socket.getsockname()[1]
             hooks = http_connection.RequestHooks(
-                is_foreign=lambda _, headers: headers["to"] != "me"
+                is_foreign=lambda head: head.headers["to"] != "me"
             )
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(trio.serve_listeners, serve, listeners)
