Believe a response only of the request that it names

Callers saw: bookings refused as not run that had run (503), and bookings that ran at two endpoints.

Cause: a refusal that names no request was believed of whatever request its connection carried, and any 421 counted as one. An endpoint that sends an earlier refusal again, late and without its id, so refused the next request.

Fix: response_claims decides in one place what a head says of a request. It says something only if it names it, refusals too. A head without an id on a kept connection is skipped and the own one awaited; on a new connection, where no late response can come, it is a lost answer at once. A request without an id is sent on a new connection, the only thing that ties an answer to it. Load reports count only from such heads too.

test_gateway_troubles expected a refusal without an id to be believed of a request with one. The protocol refuses only requests without an id so; the test now expects 502, one endpoint asked, no copy believed, and the next booking served, which is as strict.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -23,6 +23,7 @@
 from quetzalmill import load_control
 from quetzalmill import logs
 from quetzalmill import reply_reader
+from quetzalmill import response_claims
 from quetzalmill import response_memory
 from quetzalmill import retry_timeout
 from quetzalmill import route_table
@@ -306,20 +307,21 @@
                 request,
                 timeout_ms=max_wait_ms,
                 idle_timeout_ms=self._idle_ms(job, remaining_ms),
+                new_connection=response_claims.needs_new_connection(job.call),
                 hooks=self._replies.hooks(job, endpoint_state),
             ) as response:
                 self._end_pending(endpoint_state, sent_ms)
-                reply = self._replies.read(job, endpoint_state, response.head)
+                reply, claim = self._replies.read(
+                    job, endpoint_state, response.head
+                )
                 outcome = await self._handle_reply(
-                    job, endpoint_state, reply, response, exchange
+                    job, endpoint_state, reply, claim, response, exchange
                 )
                 if _ended_by_endpoint(job, exchange):
                     self._record_outcome(job, endpoint_state, outcome, sent_ms)
                 response.may_reuse_connection = (
                     endpoint_state.drain_notice is None
-                    # A second copy of a response that names no request could
-                    # pass for the response to the next one.
-                    and reply.correlation is gateway_calls.Correlation.OWN
+                    and response_claims.may_keep_connection(reply)
                 )
                 return outcome
         except (errors.ConnectFailedError, errors.RequestWithdrawnError):
@@ -363,19 +365,22 @@
         job: dispatch_job.Job,
         endpoint_state: endpoint_pool.EndpointState,
         reply: gateway_calls.Reply,
+        claim: response_claims.Claim,
         response: http_connection.StreamedResponse,
         exchange: http_server.Exchange,
     ) -> dispatch_job.SendResult:
-        gateway_calls.require_own(reply, job.call)
-        if reply.not_run:
-            await self._answers.read(response)
-            if reply.status == _MISDIRECTED:
-                endpoint_pool.failed(endpoint_state, self._clock.now_ms())
-            return dispatch_job.TryNext(
-                f"the endpoint refused with {reply.status}"
-            )
-        if not reply.is_genuine:
-            raise errors.BadMessageError("the answer is not the endpoint's")
+        match claim:
+            case response_claims.NotRun():
+                await self._answers.read(response)
+                if reply.status == _MISDIRECTED:
+                    endpoint_pool.failed(endpoint_state, self._clock.now_ms())
+                return dispatch_job.TryNext(
+                    f"the endpoint refused with {reply.status}"
+                )
+            case response_claims.Unclear(reason=reason):
+                raise errors.BadMessageError(reason)
+            case response_claims.Unrelated():
+                raise errors.BadMessageError("the answer is not to the request")
         endpoint_pool.succeeded(endpoint_state)
         job.ran_on = endpoint_state.endpoint.endpoint_id
         self.prefixes.record(job.ran_on, job.call.prompt_parts)
--- a/quetzalmill/gateway_calls.py
+++ b/quetzalmill/gateway_calls.py
@@ -5,7 +5,6 @@
 
 import attrs
 
-from quetzalmill import errors
 from quetzalmill import http_message
 
 
@@ -94,14 +93,14 @@
 
 @attrs.frozen(kw_only=True)
 class Reply:
-    """The head of an endpoint's response.
+    """The head of an endpoint's response, before any of it is believed.
 
     Attributes:
         status: The HTTP status.
         headers: The headers for the caller.
         correlation: Whether it names the request that was sent.
         is_genuine: Whether it carries the endpoint's signature.
-        not_run: Whether the endpoint states that it did not run the request.
+        not_run: Whether it states that its request was not run.
         load: The load that it reports, or None.
         is_draining: Whether the addressed endpoint states that it is draining.
     """
@@ -115,30 +114,6 @@
     is_draining: bool
 
 
-def is_foreign(reply: Reply) -> bool:
-    """Returns whether a response answers another request for certain."""
-    return reply.correlation is Correlation.FOREIGN
-
-
-def require_own(reply: Reply, call: Call) -> None:
-    """Checks that a response says something of the request that was sent.
-
-    A second copy of the response to an earlier request may arrive instead, and
-    tells nothing of this one, not even that it did not run. Only a refusal may
-    come without an id, as endpoints also refuse requests that carry none, and
-    any response to a request without one.
-
-    Raises:
-        errors.BadMessageError: It may be the response to another request.
-    """
-    match reply.correlation:
-        case Correlation.OWN:
-            return
-        case Correlation.UNNAMED if reply.not_run or not call.request_id:
-            return
-    raise errors.BadMessageError("the answer is for another request")
-
-
 class Dialect(Protocol):
     """Translates between a platform's HTTP headers and the types here."""
 
--- a/quetzalmill/reply_reader.py
+++ b/quetzalmill/reply_reader.py
@@ -6,6 +6,14 @@
 from quetzalmill import gateway_calls
 from quetzalmill import http_connection
 from quetzalmill import logs
+from quetzalmill import response_claims
+
+_LOG_WORDS: dict[type[response_claims.Claim], str] = {
+    response_claims.Unrelated: "skipped",
+    response_claims.NotRun: "not_run",
+    response_claims.Ran: "ran",
+    response_claims.Unclear: "unclear",
+}
 
 _log = logs.get("dispatch")
 
@@ -40,9 +48,10 @@
 
         def is_foreign(head: http_connection.ResponseHead) -> bool:
             reply = self._decode(job, endpoint_state, head)
-            if not gateway_calls.is_foreign(reply):
+            claim = _claim_of(reply, job, head)
+            if not isinstance(claim, response_claims.Unrelated):
                 return False
-            self._record_skipped(job, endpoint_state, head, reply)
+            self._record_skipped(job, endpoint_state, head, reply, claim)
             return True
 
         return http_connection.RequestHooks(
@@ -58,17 +67,19 @@
         job: dispatch_job.Job,
         endpoint_state: endpoint_pool.EndpointState,
         head: http_connection.ResponseHead,
-    ) -> gateway_calls.Reply:
-        """Decodes the head of a response and records what it reports."""
+    ) -> tuple[gateway_calls.Reply, response_claims.Claim]:
+        """Decodes the head of a response and records what it reports.
+
+        Returns the head and what it says of the request.
+        """
         reply = self._decode(job, endpoint_state, head)
+        claim = _claim_of(reply, job, head)
         self._record_drain_notice(job, endpoint_state, reply)
-        if reply.load is not None:
-            endpoint_state.reported_running = reply.load.running
-            endpoint_state.reported_waiting = reply.load.waiting
-            endpoint_state.reported_ms = self._clock.now_ms()
-        claim = "not_run" if reply.not_run else "ran"
+        match claim:
+            case response_claims.NotRun() | response_claims.Ran():
+                self._record_load(endpoint_state, reply.load)
         _add_answer(job, endpoint_state, head, reply, claim)
-        return reply
+        return reply, claim
 
     def _decode(
         self,
@@ -94,14 +105,25 @@
                 endpoint_state, job.call.request_id, self._clock.now_ms()
             )
 
+    def _record_load(
+        self,
+        endpoint_state: endpoint_pool.EndpointState,
+        load: gateway_calls.Load | None,
+    ) -> None:
+        if load is not None:
+            endpoint_state.reported_running = load.running
+            endpoint_state.reported_waiting = load.waiting
+            endpoint_state.reported_ms = self._clock.now_ms()
+
     def _record_skipped(
         self,
         job: dispatch_job.Job,
         endpoint_state: endpoint_pool.EndpointState,
         head: http_connection.ResponseHead,
         reply: gateway_calls.Reply,
+        claim: response_claims.Claim,
     ) -> None:
-        _add_answer(job, endpoint_state, head, reply, "skipped")
+        _add_answer(job, endpoint_state, head, reply, claim)
         _log.warning(
             "foreign_response_skipped",
             request_id=job.call.request_id,
@@ -115,7 +137,7 @@
     endpoint_state: endpoint_pool.EndpointState,
     head: http_connection.ResponseHead,
     reply: gateway_calls.Reply,
-    claim: str,
+    claim: response_claims.Claim,
 ) -> None:
     job.answers.append(
         dispatch_job.EndpointAnswer(
@@ -123,6 +145,14 @@
             connection=f"{head.connection}.{head.exchange}",
             status=head.status,
             names=reply.correlation.value,
-            claim=claim,
+            claim=_LOG_WORDS[type(claim)],
         )
     )
+
+
+def _claim_of(
+    reply: gateway_calls.Reply,
+    job: dispatch_job.Job,
+    head: http_connection.ResponseHead,
+) -> response_claims.Claim:
+    return response_claims.claim_of(reply, job.call, exchange=head.exchange)
--- /dev/null
+++ b/quetzalmill/response_claims.py
@@ -0,0 +1,103 @@
+"""Decides what the head of an endpoint's response may be believed to say.
+
+An endpoint may send the response to an earlier request once more where the next
+one is due, whole or cut, or bytes that belong to no request. So a head says
+something of a request only if it names that request. All readers of endpoints'
+responses decide here.
+"""
+
+import attrs
+
+from quetzalmill import gateway_calls
+
+_MISDIRECTED = 421
+
+
+@attrs.frozen
+class Unrelated:
+    """It says nothing of the request, whose own response may follow."""
+
+
+@attrs.frozen
+class NotRun:
+    """The endpoint did not run the request and will not."""
+
+
+@attrs.frozen
+class Ran:
+    """The endpoint ran the request, and this is its response."""
+
+
+@attrs.frozen
+class Unclear:
+    """It is the response to the request, which may or may not have run."""
+
+    reason: str
+
+
+Claim = Unrelated | NotRun | Ran | Unclear
+
+
+def claim_of(
+    reply: gateway_calls.Reply, call: gateway_calls.Call, *, exchange: int
+) -> Claim:
+    """Returns what a final response says of the request that was sent.
+
+    Args:
+        reply: The head of the response.
+        call: The request.
+        exchange: Which of its connection's requests it is, 1 for the first.
+    """
+    is_first = exchange == 1
+    match reply.correlation:
+        case gateway_calls.Correlation.FOREIGN:
+            return Unrelated()
+        case gateway_calls.Correlation.UNNAMED if call.request_id and is_first:
+            # No late response can come here, so no other one will follow.
+            return Unclear("the answer names no request")
+        case gateway_calls.Correlation.UNNAMED if not is_first:
+            return Unrelated()
+    if reply.not_run:
+        return NotRun()
+    if not reply.is_genuine:
+        return Unclear("the answer is not the endpoint's")
+    return Ran()
+
+
+def needs_new_connection(call: gateway_calls.Call) -> bool:
+    """Returns whether only a new connection ties responses to a request."""
+    return not call.request_id
+
+
+def may_keep_connection(reply: gateway_calls.Reply) -> bool:
+    """Returns whether a connection may carry requests after a response.
+
+    A second copy of a response that names no request could pass for the
+    response to a request without an id.
+    """
+    return reply.correlation is gateway_calls.Correlation.OWN
+
+
+def speaks_for_endpoint(
+    endpoint_id: str,
+    answered_by: str | None,
+    status: int,
+    correlation: gateway_calls.Correlation,
+) -> bool:
+    """Returns whether a head may be believed about the endpoint itself.
+
+    It may be late and answer another request, or come from another endpoint
+    that has taken over the address. One that names no request, such as an
+    interim head, still comes from the process at the other end.
+
+    Args:
+        endpoint_id: The endpoint that the request was sent to.
+        answered_by: The endpoint that the head names; None without one.
+        status: The HTTP status.
+        correlation: Whose request the head names.
+    """
+    if answered_by is None and status == _MISDIRECTED:
+        return False
+    if answered_by not in (None, endpoint_id):
+        return False
+    return correlation is not gateway_calls.Correlation.FOREIGN
--- a/tests/test_gateway_troubles.py
+++ b/tests/test_gateway_troubles.py
@@ -302,19 +302,8 @@
 class TestLateCopyOfRefusal:
     """A refusal that an endpoint sends again where another answer is due."""
 
-    @pytest.mark.parametrize(
-        ("refusal", "copies"),
-        [
-            (platform_endpoint.Fault.SHED, 1),
-            # A connection that may repeat it is closed instead of reused.
-            (platform_endpoint.Fault.SHED_UNNAMED, 0),
-        ],
-    )
     def test_late_copy_of_refusal_does_not_run_booking_twice(
-        self,
-        tmp_path: pathlib.Path,
-        refusal: platform_endpoint.Fault,
-        copies: int,
+        self, tmp_path: pathlib.Path
     ) -> None:
         """The booking that runs gets its own answer, not the copy."""
 
@@ -325,11 +314,42 @@
             ]
             gateway = await cluster.add_gateway()
             for app in apps:
-                app.faults = [refusal, platform_endpoint.Fault.LATE_COPY]
+                app.faults = [
+                    platform_endpoint.Fault.SHED,
+                    platform_endpoint.Fault.LATE_COPY,
+                ]
             _, refused = await cluster.call(gateway, "/book/1")
             _, response = await cluster.call(gateway, "/book/1")
             assert refused.status == 503
-            assert sum(app.late_copies for app in apps) == copies
+            assert sum(app.late_copies for app in apps) == 1
+            assert sum(len(app.runs) for app in apps) == 1
+            assert response.status == 200
+
+        gateway_case.run(tmp_path, case)
+
+    def test_refusal_that_names_no_request_refuses_none(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """It is a lost answer, and its connection, which may repeat it, ends.
+
+        The booking is not sent to another endpoint.
+        """
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            apps = [
+                await cluster.add_endpoint(f"app-{number}", "app")
+                for number in range(2)
+            ]
+            gateway = await cluster.add_gateway()
+            for app in apps:
+                app.faults = [platform_endpoint.Fault.SHED_UNNAMED]
+            _, lost = await cluster.call(gateway, "/book/1")
+            assert lost.status == 502
+            assert sum(len(app.refused) for app in apps) == 1
+            for app in apps:
+                app.faults = [platform_endpoint.Fault.LATE_COPY]
+            _, response = await cluster.call(gateway, "/book/1")
+            assert sum(app.late_copies for app in apps) == 0
             assert sum(len(app.runs) for app in apps) == 1
             assert response.status == 200
 
--- a/tests/test_response_claims.py
+++ b/tests/test_response_claims.py
@@ -245,6 +245,21 @@
         assert runs == ["a1"]
         assert isinstance(outcome, outcomes.Unknown)
 
+    def test_answer_without_an_id_on_a_new_connection_is_lost_at_once(
+        self,
+    ) -> None:
+        """Nothing late can come there, so no other answer is awaited."""
+
+        async def case() -> None:
+            endpoints = [_Endpoint(lambda _, __: _refusal()) for _ in range(2)]
+            async with _gateway(*endpoints) as gateway:
+                with trio.fail_after(_DEADLINE_MS / 2.0 / 1000.0):
+                    outcome = await gateway.book("a1")
+                assert isinstance(outcome, outcomes.Unknown)
+                assert sum(len(each.runs) for each in endpoints) == 1
+
+        trio.run(case)
+
 
 class TestContradictions:
     """Heads that name the request but cannot be true of it."""
