Take an answer that contradicts itself for a lost one

Callers saw: 503, a promise that a request has not run, for one that had.

Cause: a head that states that its request was not run was believed whatever else it said: with the endpoint's proof of a run, with a success, with a 500. And an endpoint's own 408, 421, 429 or 503 with its proof, which does not state that the request was not run, was passed on to the caller, where it promises it.

Fix: such a head is the request's own, but says nothing definite, so the request is neither refused nor sent to another endpoint; callers get 502.

--- a/quetzalmill/response_claims.py
+++ b/quetzalmill/response_claims.py
@@ -2,8 +2,8 @@
 
 An endpoint may send the response to an earlier request once more where the next
 one is due, whole or cut, or bytes that belong to no request. So a head says
-something of a request only if it names that request. All readers of endpoints'
-responses decide here.
+something of a request only if it names that request, and something definite
+only if its parts agree. All readers of endpoints' responses decide here.
 """
 
 import attrs
@@ -11,6 +11,9 @@
 from quetzalmill import gateway_calls
 
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
+_PROMISES = frozenset({408, _MISDIRECTED, 429, _UNAVAILABLE})
+"""Statuses that tell a caller that its request has not run and will not."""
 
 
 @attrs.frozen
@@ -58,9 +61,14 @@
         case gateway_calls.Correlation.UNNAMED if not is_first:
             return Unrelated()
     if reply.not_run:
+        if reply.is_genuine or not _is_refusal(reply.status):
+            return Unclear("the answer says both that it ran and did not run")
         return NotRun()
     if not reply.is_genuine:
         return Unclear("the answer is not the endpoint's")
+    if reply.status in _PROMISES:
+        # Passed on, the status would promise what the endpoint did not state.
+        return Unclear(f"the endpoint ran it and answered {reply.status}")
     return Ran()
 
 
@@ -101,3 +109,7 @@
     if answered_by not in (None, endpoint_id):
         return False
     return correlation is not gateway_calls.Correlation.FOREIGN
+
+
+def _is_refusal(status: int) -> bool:
+    return 400 <= status < 500 or status == _UNAVAILABLE
