Reject a head that parts of two responses make up

Callers saw: 503 for a booking that ran; or its answer's proof with the status of another.

Cause: a copy of a response that is cut off inside its head, followed by the next request's own answer, parses as one head. It has the copy's status or statement, and the id and proof of the request that ran: `Not-Executed: 1HTTP/1.1 200 X` is a header, `500 InteHTTP/1.1 200 X` a status with its reason.

Fix: a status line inside a reason or a value marks such a head, and it is malformed; so is one with both a length and chunks, which RFC 9112 (6.1) takes for an attempt to split responses. The answer is lost, nothing is refused.

--- a/quetzalmill/http_connection.py
+++ b/quetzalmill/http_connection.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator, Callable
 import contextlib
 import itertools
+import re
 import select
 
 import attrs
@@ -24,6 +25,7 @@
 _FOREIGN_WAIT_FRACTION = 0.9
 """Fraction of the remaining time in which the awaited response must follow, so
 that its loss is reported before the time is over."""
+_STATUS_LINE = re.compile(rb"HTTP/1\.\d \d{3}")
 _MAX_CHUNKS_AT_ONCE = 64
 """Chunks that are parsed from received bytes before other tasks run. A server
 may send chunks of one byte, of which a single receive returns thousands."""
@@ -297,10 +299,11 @@
     async def _read_head(self, hooks: RequestHooks) -> h11.Response:
         for _ in range(_MAX_INTERIM_RESPONSES + 1):
             event = await self.next_event()
+            if not isinstance(event, h11.Response | h11.InformationalResponse):
+                raise errors.BadMessageError("no response head", _BAD_GATEWAY)
+            _require_one_head(event)
             if isinstance(event, h11.Response):
                 return event
-            if not isinstance(event, h11.InformationalResponse):
-                raise errors.BadMessageError("no response head", _BAD_GATEWAY)
             hooks.on_interim(self.describe(event))
         raise errors.BadMessageError("interim heads go on", _BAD_GATEWAY)
 
@@ -350,6 +353,24 @@
     return bool(names & {b"content-length", b"transfer-encoding"})
 
 
+def _require_one_head(head: h11.Response | h11.InformationalResponse) -> None:
+    """Checks that a head is not made of the parts of several.
+
+    The rest of a response that was cut off within its head would pass for the
+    rest of the next one's.
+
+    Raises:
+        errors.BadMessageError: It contains another status line, or two framings
+            of its body.
+    """
+    texts = [bytes(head.reason), *(bytes(value) for _, value in head.headers)]
+    if any(_STATUS_LINE.search(text) for text in texts):
+        raise errors.BadMessageError("a head within a head", _BAD_GATEWAY)
+    names = [name for name, _ in head.headers]
+    if b"content-length" in names and b"transfer-encoding" in names:
+        raise errors.BadMessageError("a body framed twice", _BAD_GATEWAY)
+
+
 def _request_headers(
     request: http_message.Request, address: str
 ) -> list[tuple[bytes, bytes]]:
--- a/tests/test_response_claims.py
+++ b/tests/test_response_claims.py
@@ -227,12 +227,16 @@
             ),
             pytest.param(b"HTTP/1.1 421 Misd", id="421 reason"),
             pytest.param(b"HTTP/1.1 503 Serv", id="503 reason"),
+            pytest.param(b"HTTP/1.1 500 Inte", id="500 reason"),
         ],
     )
     def test_cut_copy_glued_to_the_response_refuses_nothing(
         self, cut: bytes
     ) -> None:
-        """One head seems to hold the copy's refusal and the booking's id."""
+        """One head seems to hold the copy's status and the booking's id.
+
+        Nor does the booking's proof reach the caller with that status.
+        """
         outcome, runs = _book_after_refusal(
             lambda request_id, _: cut + _success(request_id)
         )
