Never send a request twice on a connection to an endpoint

Callers saw nothing yet; found by asking what a named response can be mistaken for. A request that goes to an endpoint again (a resumed stream, a look-up without another endpoint, a caller that uses its id again) could use the connection of its first send. A late copy of the refusal of the first then names the second too, and refuses it though it runs.

Fix: a connection remembers the last names that it carried, and a request of such a name takes another one.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -308,6 +308,7 @@
                 timeout_ms=max_wait_ms,
                 idle_timeout_ms=self._idle_ms(job, remaining_ms),
                 new_connection=response_claims.needs_new_connection(job.call),
+                request_name=job.call.request_id,
                 hooks=self._replies.hooks(job, endpoint_state),
             ) as response:
                 self._end_pending(endpoint_state, sent_ms)
--- a/quetzalmill/http_client.py
+++ b/quetzalmill/http_client.py
@@ -106,6 +106,7 @@
         idempotent: bool = False,
         max_body_bytes: int = _DEFAULT_MAX_BODY_BYTES,
         hooks: http_connection.RequestHooks = _NO_HOOKS,
+        request_name: str = "",
     ) -> AsyncIterator[http_connection.StreamedResponse]:
         """Sends a request and yields the response with its body unread.
 
@@ -124,11 +125,17 @@
                 connection turns out to be closed.
             max_body_bytes: The maximum size of the response body.
             hooks: Callbacks that run before the response head arrives.
+            request_name: What its responses name it by; pooled connections
+                that have carried this name are not used.
         """
         deadline_s = trio.current_time() + timeout_ms / 1000.0
+        kept = None
+        if not new_connection:
+            kept = self._take_idle(address, request_name)
         connection, head = await self._open(
-            address, request, deadline_s, new_connection, idempotent, hooks
+            address, request, deadline_s, kept, idempotent, hooks
         )
+        connection.record_name(request_name)
         response = http_connection.StreamedResponse(
             connection,
             head,
@@ -165,11 +172,10 @@
         address: str,
         request: http_message.Request,
         deadline_s: float,
-        new_connection: bool,
+        kept: http_connection.Connection | None,
         idempotent: bool,
         hooks: http_connection.RequestHooks,
     ) -> tuple[http_connection.Connection, h11.Response]:
-        kept = None if new_connection else self._take_idle(address)
         if kept is not None:
             try:
                 return kept, await kept.exchange(request, deadline_s, hooks)
@@ -216,12 +222,18 @@
             raise errors.ConnectFailedError(f"{address}: {error}") from error
         raise errors.ConnectFailedError(f"{address}: connecting timed out")
 
-    def _take_idle(self, address: str) -> http_connection.Connection | None:
+    def _take_idle(
+        self, address: str, request_name: str
+    ) -> http_connection.Connection | None:
         connections = self._idle.get(address, [])
         oldest_s = trio.current_time() - self._idle_timeout_ms / 1000.0
         while connections:
             connection = connections.pop()
-            if connection.idle_since_s >= oldest_s and connection.is_alive():
+            if (
+                connection.idle_since_s >= oldest_s
+                and not connection.has_carried(request_name)
+                and connection.is_alive()
+            ):
                 return connection
             connection.close()
         self._idle.pop(address, None)
--- a/quetzalmill/http_connection.py
+++ b/quetzalmill/http_connection.py
@@ -1,5 +1,6 @@
 """One connection to an HTTP server, and the response that it carries."""
 
+import collections
 from collections.abc import AsyncIterator, Callable
 import contextlib
 import itertools
@@ -25,6 +26,9 @@
 _FOREIGN_WAIT_FRACTION = 0.9
 """Fraction of the remaining time in which the awaited response must follow, so
 that its loss is reported before the time is over."""
+_MAX_RECORDED_NAMES = 32
+"""The requests of a connection, the latest ones, that are remembered because
+late responses may name them."""
 _STATUS_LINE = re.compile(rb"HTTP/1\.\d \d{3}")
 _MAX_CHUNKS_AT_ONCE = 64
 """Chunks that are parsed from received bytes before other tasks run. A server
@@ -181,6 +185,9 @@
     idle_since_s: float = 0.0
     received_bytes: int = 0
     skipped_responses: int = 0
+    _names: collections.deque[str] = attrs.field(
+        factory=lambda: collections.deque(maxlen=_MAX_RECORDED_NAMES)
+    )
     http: h11.Connection = attrs.field(factory=lambda: _new_client())
 
     async def exchange(
@@ -248,6 +255,15 @@
         poll.register(self.stream.socket.fileno(), select.POLLIN)
         return not poll.poll(0)
 
+    def record_name(self, request_name: str) -> None:
+        """Records what the responses to the current request name."""
+        if request_name:
+            self._names.append(request_name)
+
+    def has_carried(self, request_name: str) -> bool:
+        """Returns whether a late response may name this request."""
+        return request_name in self._names
+
     def prepare_reuse(self) -> bool:
         """Prepares for another exchange; returns whether that is possible."""
         if self.http.states != {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
--- a/quetzalmill/response_claims.py
+++ b/quetzalmill/response_claims.py
@@ -4,6 +4,10 @@
 one is due, whole or cut, or bytes that belong to no request. So a head says
 something of a request only if it names that request, and something definite
 only if its parts agree. All readers of endpoints' responses decide here.
+
+``http_connection`` does its part before: it rejects heads that two responses
+have run together in, keeps no connection on which bytes are left, and never
+sends the same request on a connection twice.
 """
 
 import attrs
--- a/tests/test_response_claims.py
+++ b/tests/test_response_claims.py
@@ -265,6 +265,27 @@
         trio.run(case)
 
 
+class TestConnections:
+    """On which connections a request is sent."""
+
+    def test_request_is_not_sent_twice_on_a_connection(self) -> None:
+        """A late response would name the second one too."""
+
+        def respond(request_id: str, exchange: int) -> bytes:
+            copy = _refusal(("Attempt-Id", request_id)) if exchange > 1 else b""
+            return copy + _success(request_id)
+
+        async def case() -> None:
+            endpoint = _Endpoint(respond, refuses=1)
+            async with _gateway(endpoint) as gateway:
+                refused = await gateway.book("a1")
+                assert isinstance(refused, outcomes.Refused)
+                answered = await gateway.book("a1")
+                assert isinstance(answered, outcomes.Answered)
+
+        trio.run(case)
+
+
 class TestContradictions:
     """Heads that name the request but cannot be true of it."""
 
