--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -739,6 +739,23 @@
         with pytest.RaisesGroup(errors.HttpError, allow_unwrapped=True):
             self._response(foreign, 1_000)
 
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"HTTP/1.1 200 OK\r\nTo: me\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n",
+            b"HTTP/1.1 503 BuHTTP/1.1 200 OK\r\nTo: me\r\n\r\n",
+            b"HTTP/1.1 503 X\r\nA: 1HTTP/1.1 200 OK\r\nTo: me\r\n\r\n",
+            b"HTTP/1.1 103 X\r\nA: 1HTTP/1.1 200 OK\r\nTo: me\r\n\r\n",
+        ],
+    )
+    def test_parts_of_two_heads_do_not_make_one(self, head: bytes) -> None:
+        """A response that was cut off in its head, and the next one."""
+        with pytest.RaisesGroup(
+            pytest.RaisesExc(errors.BadMessageError, match="head within|twice")
+        ):
+            self._response(head + b"3\r\nown\r\n0\r\n\r\n", 1_000)
+
     def test_wait_behind_a_foreign_response_is_bounded(self) -> None:
         """Nothing follows it, and the server keeps the connection open.
 
