--- a/quetzalmill_load/platform_cluster.py
+++ b/quetzalmill_load/platform_cluster.py
@@ -214,6 +214,7 @@
             "service": service,
             "addr": address,
             "zone": "a",
+            "version": "v1",
             "slots": 8,
             "state": "ready",
             "coldLeftMs": 0,
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,126 @@
+"""Real gateways and entries of other writers among those of the endpoints."""
+
+import json
+import pathlib
+import socket
+from typing import Any
+
+import trio
+
+from quetzalmill_load import platform_cluster
+from tests import gateway_case
+
+_DEEP = b"[" * 3_000 + b"]" * 3_000
+_VALUES = (
+    b"1e400",
+    b"NaN",
+    b"9" * 400,
+    b"9" * 5_000,
+    b"-1",
+    b"null",
+    b"true",
+    b"[]",
+    b'"\\ud800"',
+    b'"\xff"',
+    _DEEP,
+)
+"""Values that no field of an entry has; some exhaust a number or the stack."""
+
+_PORTS = ("0", "-1", "65536", "99999", "9" * 5_000, "+80", "")
+_NOISE = (b"", b" ", b"{", b"\x00\xff", b"[]", b"7", _DEEP, b"[" * 3_000)
+_LOOKUP_PAUSE_S = 0.02
+
+
+def _odd_entries(sound: dict[str, Any]) -> list[bytes]:
+    """Returns entries that each differ from a sound one in one field."""
+    encoded = {name: json.dumps(sound[name]).encode() for name in sound}
+    variants = [
+        {key: value for key, value in encoded.items() if key != name}
+        for name in sound
+        if name != "born"
+    ]
+    variants += [
+        {**encoded, name: value}
+        for name in sound
+        for value in _VALUES
+        if not (name == "version" and value == b"9" * 400)
+    ]
+    host = sound["addr"].partition(":")[0]
+    variants += [
+        {**encoded, "addr": json.dumps(f"{host}:{port}").encode()}
+        for port in _PORTS
+    ]
+    variants.append({**encoded, "state": b'"resting"'})
+    variants += [{**encoded, "other": value} for value in (_DEEP, b'"\xff"')]
+    documents = [
+        b"{"
+        + b",".join(b'"%s":%s' % (name.encode(), entry[name]) for name in entry)
+        + b"}"
+        for entry in variants
+    ]
+    return [each for each in [*documents, *_NOISE] if each]
+
+
+class _Lookups:
+    """Look-ups that go on in the background; their statuses are counted."""
+
+    def __init__(
+        self,
+        cluster: platform_cluster.Cluster,
+        gateway: platform_cluster.Gateway,
+    ) -> None:
+        self._cluster = cluster
+        self._gateway = gateway
+        self.statuses: list[int] = []
+
+    async def run(self) -> None:
+        """Sends look-ups one after another until cancelled."""
+        while True:
+            _, response = await self._cluster.call(self._gateway, "/lookup/1")
+            self.statuses.append(response.status)
+            await trio.sleep(_LOOKUP_PAUSE_S)
+
+
+class TestManyOddEntries:
+    """Many odd entries at once, all with an address where nobody listens."""
+
+    def test_odd_entries_do_not_disturb_lookups_or_end_the_following(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Such entries were taken for endpoints; look-ups got 503."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("app-1", "app")
+            gateway = await cluster.add_gateway()
+            with socket.create_server(("127.0.0.1", 0)) as closed:
+                port = closed.getsockname()[1]
+            odd = _odd_entries(
+                {**cluster.entries["app-1"], "addr": f"127.0.0.1:{port}"}
+            )
+            lookups = _Lookups(cluster, gateway)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(lookups.run)
+                await trio.sleep(0.3)
+                for number, value in enumerate(odd):
+                    cluster.store.put_bytes(
+                        "keyed.servers", f"odd-{number}", value
+                    )
+                # Look-ups go to the new endpoint only if it is followed.
+                await trio.sleep(2.0)
+                added = await cluster.add_endpoint("app-2", "app")
+                with trio.fail_after(5.0):
+                    while not added.runs:
+                        await trio.sleep(0.05)
+                nursery.cancel_scope.cancel()
+            assert set(lookups.statuses) == {200}
+            assert gateway.process.poll() is None
+
+            cluster.stop(gateway)
+            cluster.start_again(gateway)
+            await cluster.until(lambda: cluster.is_ready(gateway))
+            lookups = _Lookups(cluster, gateway)
+            with trio.move_on_after(1.0):
+                await lookups.run()
+            assert set(lookups.statuses) == {200}
+
+        gateway_case.run(tmp_path, case)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -272,9 +272,11 @@
         "service": "llm",
         "addr": "10.0.0.9:80",
         "zone": "a",
+        "version": "v1",
         "slots": 24,
         "state": "ready",
         "coldLeftMs": 0,
+        "callSeq": 4,
         "born": 17,
     }
 
@@ -307,6 +309,30 @@
             {"addr": "127.0.0.1:99999"},
             {"addr": "10.0.0.9:0"},
             {"addr": "desk.example:80"},
+            {"addr": "10.0.0.9:+80"},
+            {"addr": "10.0.0.9:8_0"},
+            {"addr": "10.0.0.9:\u0668\u0660"},
+            {"addr": "0.0.0.0:80"},
+            {"addr": "224.0.0.1:80"},
+            {"addr": "fe80::1%\0:80"},
+            {"service": ""},
+            {"service": "x" * 256},
+            {"zone": None},
+            {"version": None},
+            {"version": []},
+            {"version": 1.5},
+            {"version": "x" * 256},
+            {"slots": True},
+            {"slots": 8.0},
+            {"coldLeftMs": None},
+            {"coldLeftMs": True},
+            {"callSeq": None},
+            {"callSeq": "4"},
+            {"callSeq": -1},
+            {"callSeq": 4.5},
+            {"callSeq": 10**400},
+            {"born": None},
+            {"born": 17.5},
         ],
     )
     def test_entry_with_an_invalid_field(self, change: dict[str, Any]) -> None:
@@ -314,6 +340,42 @@
         with pytest.raises(errors.CodecError):
             registry.decode("e1", value)
 
+    @pytest.mark.parametrize("name", sorted({*_ENTRY} - {"born"}))
+    def test_entry_without_a_field_names_no_endpoint(self, name: str) -> None:
+        """A gateway would send requests to whatever it names."""
+        entry = {key: self._ENTRY[key] for key in self._ENTRY if key != name}
+        with pytest.raises(errors.CodecError):
+            registry.decode("e1", msgspec.json.encode(entry))
+
+    def test_entry_with_unreadable_bytes_in_another_field(self) -> None:
+        value = _document({**self._ENTRY, "other": 1}, "other", b'"\xff"')
+        with pytest.raises(errors.CodecError):
+            registry.decode("e1", value)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"version": 1},
+            {"coldLeftMs": 12.5},
+            {"callSeq": 0},
+            {"addr": "[::1]:80"},
+            {"stage": "both", "models": [{"name": "m", "adapters": []}]},
+        ],
+    )
+    def test_entry_that_an_endpoint_may_write(
+        self, change: dict[str, Any]
+    ) -> None:
+        """New fields come with new versions of the endpoints' software."""
+        value = msgspec.json.encode({**self._ENTRY, **change})
+        assert registry.decode("e1", value).slots == 24
+
+    def test_entry_without_its_start(self) -> None:
+        """The users' examples of entries have none."""
+        entry = {**self._ENTRY}
+        del entry["born"]
+        endpoint = registry.decode("e1", msgspec.json.encode(entry))
+        assert endpoint.started_unix_ms == 0
+
     @pytest.mark.parametrize(
         "value", [b"\xff\x00", b"[]", b"null", b"{}", b"[" * 2_000]
     )
