--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -124,3 +124,47 @@
             assert set(lookups.statuses) == {200}
 
         gateway_case.run(tmp_path, case)
+
+
+class TestOddEntryOfAnEndpoint:
+    """An odd entry in place of an endpoint's own, until its next one."""
+
+    def test_running_stream_continues_and_the_endpoint_is_used_again(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            engine = await cluster.add_endpoint("llm-1", "llm", events=20)
+            engine.pause_s = 0.1
+            gateway = await cluster.add_gateway()
+            bodies: list[bytes] = []
+
+            async def send() -> None:
+                _, response = await cluster.turn(gateway, b"hi")
+                bodies.append(response.body)
+
+            async def is_gone(endpoint_id: str) -> bool:
+                return any(
+                    "endpoint_gone" in line and endpoint_id in line
+                    for line in gateway.log().splitlines()
+                )
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send)
+                while not engine.runs:
+                    await trio.sleep(0.01)
+                other = await cluster.add_endpoint("llm-2", "llm", events=2)
+                cluster.store.put_bytes("keyed.servers", "llm-1", b"{")
+                await cluster.until(lambda: is_gone("llm-1"))
+                _, response = await cluster.turn(gateway, b"hi", program="p2")
+                assert response.status == 200
+                assert len(other.runs) == 1
+            assert bodies[0].endswith(b"data: e20\n\n")
+            assert len(engine.runs) == 1
+            cluster.put_entry("llm-1")
+            cluster.remove_entry("llm-2")
+            await cluster.until(lambda: is_gone("llm-2"))
+            _, response = await cluster.turn(gateway, b"hi", program="p3")
+            assert response.status == 200
+            assert len(engine.runs) == 2
+
+        gateway_case.run(tmp_path, case)
