Delete no entry by a record that ends within its key

A record of another writer whose length of the key exceeds the record was read as the deletion of the part that is there: `\x06app-1` removed the endpoint `app-1` from every gateway that followed the change, until its next entry. Whether the users' store accepts such a record is not specified.

Such a record now deletes the empty key, which nothing has, like an empty record. It still counts as a record, so that the next offset stays right.

--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,8 +1,11 @@
 """Tests of the client of the platform's store against an emulated store."""
 
 from collections.abc import Awaitable, Callable
+import struct
 from typing import TypeVar
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 import trio
 
@@ -84,6 +87,32 @@
         assert found.records == records
 
 
+class TestOddRecords:
+    """Records of another writer, whose keys no endpoint has."""
+
+    @pytest.mark.parametrize("content", [b"", b"\xff", b"\x06app-1"])
+    def test_record_that_ends_within_its_key_does_not_delete_that_part(
+        self, content: bytes
+    ) -> None:
+        """An endpoint whose id is that part of the key would be removed."""
+        sound = keyed_store.KeyedRecord("app-2", b"v")
+        body = bytes(16) + struct.pack(">I", len(content)) + content
+        body += store_module._encode([sound])
+        assert store_module._decode(body) == [
+            keyed_store.KeyedRecord("", None),
+            sound,
+        ]
+
+    @hypothesis.given(st.lists(st.binary(max_size=300)))
+    def test_every_record_counts_for_the_next_offset(
+        self, contents: list[bytes]
+    ) -> None:
+        body = bytes(16) + b"".join(
+            struct.pack(">I", len(content)) + content for content in contents
+        )
+        assert len(store_module._decode(body)) == len(contents)
+
+
 async def _changes_cut(
     records: list[keyed_store.KeyedRecord], sent_bytes: int
 ) -> keyed_store.Records:
