Take no page whose end is not an offset

A page with a negative or huge `end` was accepted, and the next read started there; the store refuses such a read, and a gateway would have repeated it without end.

--- a/tests/test_store_pages.py
+++ b/tests/test_store_pages.py
@@ -74,6 +74,16 @@
         with pytest.raises(errors.CodecError):
             store_pages.decode(_page([_SOUND_ITEM, item]))
 
+    @pytest.mark.parametrize(
+        "end", [b"-1", b"1e400", b"1.5", b"null", b"9" * 400, b"9" * 5_000]
+    )
+    def test_page_whose_end_is_no_offset(self, end: bytes) -> None:
+        """The store would refuse each read from there."""
+        odd = b'{"key":"\xff","value":"dg==","offset":1}'
+        for items in ([_SOUND_ITEM], [_SOUND_ITEM, odd]):
+            with pytest.raises(errors.CodecError):
+                store_pages.decode(_page(items, end))
+
     @hypothesis.given(
         st.one_of(
             st.binary(),
