--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,4 +1,4 @@
-"""Real gateways and entries of other writers among those of the endpoints."""
+"""Real gateways and odd records of other writers in the topics they follow."""
 
 import json
 import pathlib
@@ -168,3 +168,44 @@
             assert len(engine.runs) == 2
 
         gateway_case.run(tmp_path, case)
+
+
+class TestOddDesiredState:
+    """A desired state with a version that is too large a number."""
+
+    def test_huge_version_does_not_end_gateways(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Gateways go on with the one before, and follow the next one."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("app-1", "app")
+            gateway = await cluster.add_gateway()
+            state = platform_cluster.desired_state()
+            huge = json.dumps({**state, "version": 10**30}).encode()
+            cluster.store.put_bytes("keyed.op", "config", huge)
+
+            async def has_read_it() -> bool:
+                return "table_" in gateway.log().partition("table_applied")[2]
+
+            async def has_next() -> bool:
+                _, response = await cluster.call(gateway, "/next/1")
+                return response.status == 200
+
+            await cluster.until(has_read_it)
+            await trio.sleep(1.0)
+            _, response = await cluster.call(gateway, "/lookup/1")
+            assert response.status == 200
+            routes = [
+                *state["routes"],
+                {**state["routes"][2], "name": "n", "pathPrefix": "/next/"},
+            ]
+            cluster.store.put(
+                "keyed.op",
+                "config",
+                platform_cluster.desired_state(2, routes=routes),
+            )
+            await cluster.until(has_next)
+            assert gateway.process.poll() is None
+
+        gateway_case.run(tmp_path, case)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -259,6 +259,15 @@
         table = desired_state.decode(msgspec.json.encode(state))
         assert [route.name for route in table.routes] == ["lookup", "book"]
 
+    @pytest.mark.parametrize(
+        "version", [-1, 2**63, 2**70, True, 1.5, "7", None]
+    )
+    def test_version_that_no_heartbeat_can_carry(self, version: Any) -> None:
+        """A gateway that applied it ended at its next heartbeat."""
+        document = json.dumps(platform_cluster.desired_state(version)).encode()
+        with pytest.raises(errors.CodecError):
+            desired_state.decode(document)
+
     @pytest.mark.parametrize("document", [b"", b"[]", b"{}", b"\xff", b"7"])
     def test_not_a_desired_state(self, document: bytes) -> None:
         with pytest.raises(errors.CodecError):
