--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -539,6 +539,9 @@
             ("[7780, 7795]", "[7795, 7780]", "internalPorts"),
             ('"10.1.0.11:8368"', '"front"', "listen.front"),
             ('["10.2.0.34:8367"]', '"all"', "seeds"),
+            ("parts = 12", "parts = 0x" + "f" * 5_000, "platform.parts"),
+            ("[7780, 7795]", f"[0x{'f' * 5_000}, 1]", "internalPorts"),
+            ('"10.200.1.7:8362"', f'"{"x" * 90_000}"', "platform.addr"),
         ],
     )
     def test_error_names_the_invalid_field(
@@ -547,6 +550,7 @@
         with pytest.raises(errors.SettingsError) as raised:
             self._load(tmp_path, self._GOOD.replace(good, bad))
         assert len(raised.value.problems) == 1
+        assert len(raised.value.problems[0]) < 1_000
         assert f"{name} is " in raised.value.problems[0]
         assert "must be" in raised.value.problems[0]
 
