Send no datagram to an address that is not an IP address and port

A record of another writer in the topic of the gateways' addresses, or a heartbeat, whose address holds a NUL character ended every gateway that read it, and again after each start: callers' connections were refused. A name of a host was looked up in the event loop, which blocks all tasks meanwhile.

Cause: the socket raises `TypeError` for such a host, which nothing expected, and looks names up itself. Datagram calls let `ValueError` escape as well.

`split_address` now accepts printable ASCII only. Datagrams go to IPv4 addresses only; a call to another address fails with the documented error.

Evidence: without the change, tests/test_peer_link.py::TestFaultySender and tests/test_odd_entries.py::TestOddMember fail with "TypeError: host name must not contain null character", the second as its gateway ends, and three cases of tests/test_peer_calls.py::TestCalls with ValueError or TypeError. The time that a look-up takes was not measured.

--- a/quetzalmill/http_message.py
+++ b/quetzalmill/http_message.py
@@ -96,7 +96,8 @@
         ValueError: The text is not an address and port.
     """
     host, colon, port = address.rpartition(":")
-    if not colon or not host:
+    if not colon or not host or not (host.isascii() and host.isprintable()):
+        # Sockets raise other errors for a host with such characters.
         raise ValueError(f"{address!r} is not an address such as 10.0.0.1:80")
     number = int(port)
     if not 0 <= number <= MAX_PORT:
--- a/quetzalmill/peer_calls.py
+++ b/quetzalmill/peer_calls.py
@@ -140,14 +140,19 @@
             ack_timeout_ms: How long to wait for an acknowledgement or reply.
 
         Raises:
-            errors.ControlCallError: No reply came within ``timeout_ms``, or no
-                acknowledgement within ``ack_timeout_ms``; the call may or may
-                not have taken effect.
+            errors.ControlCallError: ``address`` is unusable, no reply came
+                within ``timeout_ms``, or no acknowledgement within
+                ``ack_timeout_ms``; the call may or may not have taken effect.
         """
         number = next(self._numbers)
         frame = _Frame(number, method.name, codec.to_msgpack(message))
         data = codec.to_msgpack(frame)
-        target = (http_message.split_address(address)[0], self._port)
+        try:
+            target = (datagrams.split_address(address)[0], self._port)
+        except ValueError as error:
+            raise errors.ControlCallError(
+                f"{method.name} to {address}: {error}"
+            ) from error
         pending = self._pending[number] = _PendingCall()
         try:
             with trio.move_on_after(timeout_ms / 1000.0):
--- a/quetzalmill/peer_link.py
+++ b/quetzalmill/peer_link.py
@@ -14,7 +14,6 @@
 from quetzalmill import datagrams
 from quetzalmill import errors
 from quetzalmill import gateway_state
-from quetzalmill import http_message
 from quetzalmill import logs
 
 RECEIVE_INTERVAL_MS = 100.0
@@ -95,7 +94,7 @@
         for each in outgoing:
             try:
                 self._socket.sendto(
-                    each.data, http_message.split_address(each.address)
+                    each.data, datagrams.split_address(each.address)
                 )
             except (OSError, ValueError) as error:
                 # The next heartbeat contains the same information.
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,6 +5,7 @@
 import socket
 from typing import Any
 
+import pytest
 import trio
 
 from quetzalmill_load import platform_cluster
@@ -209,3 +210,27 @@
             assert gateway.process.poll() is None
 
         gateway_case.run(tmp_path, case)
+
+
+class TestOddMember:
+    """A record of another writer among the addresses of the gateways."""
+
+    @pytest.mark.parametrize(
+        "key", ["fe80::1%\0:80", "x:80", "::1:0", "", "\n"]
+    )
+    def test_address_to_which_nothing_can_be_sent_does_not_end_gateways(
+        self, tmp_path: pathlib.Path, key: str
+    ) -> None:
+        """Each gateway reads the addresses when it starts."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("app-1", "app")
+            cluster.store.put_bytes("keyed.members", key, b"host")
+            gateway = await cluster.add_gateway()
+            # It sends a heartbeat to each address five times a second.
+            await trio.sleep(0.6)
+            _, response = await cluster.call(gateway, "/lookup/1")
+            assert response.status == 200
+            assert gateway.process.poll() is None
+
+        gateway_case.run(tmp_path, case)
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -110,6 +110,21 @@
 
         trio.run(main)
 
+    @pytest.mark.parametrize("address", ["nowhere", "a:70000", "x:1", "\0:1"])
+    def test_call_to_an_unusable_address_fails_at_once(
+        self, address: str
+    ) -> None:
+        """A heartbeat may name any address as its sender's."""
+
+        async def main() -> None:
+            async with _running(_Callee()) as (caller, _):
+                with pytest.raises(errors.ControlCallError):
+                    await caller.call(
+                        address, _DOUBLE, _Number(4), timeout_ms=50.0
+                    )
+
+        trio.run(main)
+
     def test_lost_call_is_sent_again(self) -> None:
         """Datagrams sent before the callee has started are lost."""
         callee = _Callee()
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -63,7 +63,17 @@
 
         trio.run(run)
 
-    @pytest.mark.parametrize("known", ["10.0.0.1:70000", "nowhere", "a:b"])
+    @pytest.mark.parametrize(
+        "known",
+        [
+            "10.0.0.1:70000",
+            "nowhere",
+            "a:b",
+            "\0:80",
+            "::1:80",
+            "a" * 300 + ":1",
+        ],
+    )
     def test_unusable_address_in_a_heartbeat_does_not_end_the_gateway(
         self, known: str
     ) -> None:
@@ -84,3 +94,9 @@
                 nursery.cancel_scope.cancel()
 
         trio.run(run)
+
+    @pytest.mark.parametrize("address", ["peer.example:80", "localhost:80"])
+    def test_name_of_a_peer_is_not_looked_up(self, address: str) -> None:
+        """A socket's look-up would block every task until it is answered."""
+        with pytest.raises(ValueError, match="not permitted|Expected 4 octets"):
+            datagrams.split_address(address)
