--- /dev/null
+++ b/tests/late_copies.py
@@ -0,0 +1,53 @@
+"""A server that repeats each answer where the next one is due."""
+
+from collections.abc import AsyncIterator, Callable
+import contextlib
+
+import attrs
+import trio
+
+RECEIVE_BYTES = 65_536
+
+Answer = Callable[[bytes], bytes]
+"""Returns the bytes of the answer to a request, of which it gets the bytes."""
+
+
+def reply(status: int, body: bytes = b"", headers: bytes = b"") -> Answer:
+    """Returns the answer with a status and a body, whatever is asked."""
+    head = b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n"
+    data = head % (status, headers, len(body)) + body
+    return lambda _: data
+
+
+@attrs.define
+class LateCopies:
+    """Answers requests in order, on each connection after a late copy.
+
+    Attributes:
+        answers: The answers that remain.
+        connections: How many connections were made.
+        copies: How many answers were sent once more.
+    """
+
+    answers: list[Answer]
+    connections: int = 0
+    copies: int = 0
+
+    @contextlib.asynccontextmanager
+    async def serving(self) -> AsyncIterator[str]:
+        """Serves inside the context and yields the address."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+            yield f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+            nursery.cancel_scope.cancel()
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        copy = b""
+        async with stream:
+            while request := bytes(await stream.receive_some(RECEIVE_BYTES)):
+                own = self.answers.pop(0)(request)
+                self.copies += bool(copy)
+                await stream.send_all(copy + own)
+                copy = own
