Make each call of the log service on a connection of its own

Nothing in an answer of the log names its request. A copy of an earlier answer that came where the next one was due made a record durable that the log had refused, told an operator that a record in force was certainly not appended, and gave a new home another stream's page, in which the calls are missing that the old home has started. Callers would see a call run twice after a takeover, and operators a refused change in force.

A new connection has carried no earlier request. An entry reads twice a second and a home appends at most 50 times, both beside requests that cost far more; the processes' other connections are kept as before.

--- a/quetzalmill/log_port.py
+++ b/quetzalmill/log_port.py
@@ -3,6 +3,10 @@
 It speaks the log's HTTP protocol and reports each failure as not executed or
 as of unknown outcome. It neither retries nor interprets records: its callers
 know which record ids to look for after a lost reply.
+
+Nothing in an answer names its request, and a copy of an earlier answer on a
+kept connection would decide whether records are durable. So each call has a
+connection of its own.
 """
 
 from typing import Any, Protocol
@@ -108,7 +112,10 @@
         )
         try:
             response = await self._client.request(
-                self._address, request, timeout_ms=self._timeout_ms
+                self._address,
+                request,
+                timeout_ms=self._timeout_ms,
+                new_connection=True,
             )
         except errors.ConnectFailedError as error:
             raise self._failed(errors.NotExecutedError(str(error))) from error
@@ -149,7 +156,7 @@
                 self._address,
                 request,
                 timeout_ms=self._timeout_ms + wait_ms,
-                idempotent=True,
+                new_connection=True,
                 max_body_bytes=MAX_PAGE_BYTES,
             )
         except errors.HttpError as error:
--- a/quetzalmill/process_core.py
+++ b/quetzalmill/process_core.py
@@ -83,7 +83,10 @@
         self.client = http_client.HttpClient()
         self.control = control.ControlClient()
         self.log_port = log_port.HttpLogPort(
-            self.client, settings.log_address, timeout_ms=LOG_TIMEOUT_MS
+            # The log's client uses each connection once.
+            http_client.HttpClient(max_idle=0),
+            settings.log_address,
+            timeout_ms=LOG_TIMEOUT_MS,
         )
         self.stopping = trio.Event()
         self._stop_requested = trio.Event()
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -16,6 +16,7 @@
 from quetzalmill import errors
 from quetzalmill import http_client
 from quetzalmill import keyed_store
+from quetzalmill import log_port
 from quetzalmill_platform import store as store_module
 from tests import late_copies
 
@@ -151,10 +152,56 @@
         assert [each.records for each in found] == [[], [_RECORD]]
 
 
+class TestLog:
+    """The log service, of whose answers none names a request."""
+
+    def test_copy_does_not_make_a_record_durable(self) -> None:
+        """A call whose record is not in the log may run again elsewhere."""
+
+        async def use(address: str) -> None:
+            port = _port(address)
+            await port.append("calls", [1])
+            with pytest.raises(errors.NotExecutedError):
+                await port.append("calls", [2])
+
+        _ask([late_copies.reply(200, b'{"first_offset": 4}'), _BUSY], use)
+
+    def test_copy_of_a_refusal_is_not_taken_for_not_appended(self) -> None:
+        """An operator would be told that a record in force is not."""
+
+        async def use(address: str) -> int:
+            port = _port(address)
+            with pytest.raises(errors.NotExecutedError):
+                await port.append("config", [1])
+            return await port.append("config", [1])
+
+        appended = late_copies.reply(200, b'{"first_offset": 4}')
+        assert _ask([_BUSY, appended], use) == 4
+
+    def test_page_holds_the_stream_that_was_asked_for(self) -> None:
+        """A new home would miss the calls that the old one has started."""
+
+        async def use(address: str) -> list[log_port.Page]:
+            port = _port(address)
+            return [
+                await port.read(stream, 1, limit=9, wait_ms=0.0)
+                for stream in ("a", "b")
+            ]
+
+        pages = _ask([_log_page("a", 2), _log_page("b", 2)], use)
+        assert [page.records[0].data for page in pages] == ["a", "b"]
+
+
 def _store(address: str) -> store_module.PlatformStore:
     return store_module.PlatformStore(http_client.HttpClient(), address)
 
 
+def _port(address: str) -> log_port.HttpLogPort:
+    return log_port.HttpLogPort(
+        http_client.HttpClient(), address, timeout_ms=_TIMEOUT_MS
+    )
+
+
 def _page(key: str, end: int) -> late_copies.Answer:
     items = [{"key": key, "value": "", "offset": end - 1}]
     page = {"items": items, "hasMore": False, "end": end}
@@ -164,3 +211,8 @@
 def _changes(end: int, *records: keyed_store.KeyedRecord) -> late_copies.Answer:
     body = struct.pack(">QQ", end, 0) + store_module._encode(list(records))
     return late_copies.reply(200, body)
+
+
+def _log_page(data: str, end: int) -> late_copies.Answer:
+    page = {"records": [{"offset": end - 1, "data": data}], "end": end}
+    return late_copies.reply(200, json.dumps(page).encode())
