Name the control calls between gateways in their answers

A gateway took any 200 on a kept connection for the answer to its call. If a faulty peer sent an earlier answer once more where the next one was due, a turn counted as stored that no gateway had stored, a turn as certainly unknown that exists (404, which ends a program), another chain as the one that was asked for, and another partition's accounts as exact ones of this partition.

Each call now has a random id, which the answer repeats. An answer with another id fails the call like a lost one, and the idle connections to the peer are closed. An answer without an id is believed as before, since gateways of the earlier version send none and run beside new ones during an update; a request without one gets an answer without one. So a copy that such a gateway repeats is still believed until it is replaced.

Weighed against a connection for each call: chains and accounts are asked for while a turn waits, between failure domains, and the peers run our own code.

--- a/quetzalmill/http_server.py
+++ b/quetzalmill/http_server.py
@@ -91,6 +91,7 @@
         self._disconnected = trio.Event()
         self._scope: trio.CancelScope | None = None
         self._closes = False
+        self._added_headers: dict[str, str] = {}
         self.started = False
         self.finished = False
 
@@ -119,6 +120,10 @@
         """Announces with the response that the connection closes after it."""
         self._closes = True
 
+    def add_header(self, name: str, value: str) -> None:
+        """Adds a header to the response, whatever sends it."""
+        self._added_headers[name] = value
+
     async def respond(
         self,
         status: int,
@@ -172,7 +177,7 @@
     def _head(self, status: int, headers: dict[str, str]) -> bytes:
         self.started = True
         return self._connection.encode_head(
-            status, headers, closes=self._closes
+            status, {**headers, **self._added_headers}, closes=self._closes
         )
 
     async def _write(self, data: bytes) -> None:
--- a/quetzalmill/peer_http.py
+++ b/quetzalmill/peer_http.py
@@ -15,6 +15,7 @@
 from quetzalmill import codec
 from quetzalmill import control_method
 from quetzalmill import errors
+from quetzalmill import exchange_ids
 from quetzalmill import http_client
 from quetzalmill import http_message
 from quetzalmill import http_server
@@ -60,18 +61,21 @@
     ) -> Any:
         """Makes one call and returns its reply.
 
-        An existing connection may stall forever while new ones work, so a
-        failed call also closes the idle connections to its address.
+        An existing connection may stall forever while new ones work, or carry
+        an answer to an earlier call, so a failed call also closes the idle
+        connections to its address.
 
         Raises:
             errors.ControlCallError: No reply came within ``timeout_ms``; the
                 call may or may not have taken effect.
         """
-        request = http_message.Request(
-            method="POST",
-            path=f"/{method.name}",
-            headers={"content-type": _CONTENT_TYPE},
-            body=codec.to_msgpack(message),
+        request = exchange_ids.named(
+            http_message.Request(
+                method="POST",
+                path=f"/{method.name}",
+                headers={"content-type": _CONTENT_TYPE},
+                body=codec.to_msgpack(message),
+            )
         )
         try:
             response = await self._http.request(
@@ -80,6 +84,7 @@
                 timeout_ms=timeout_ms,
                 max_body_bytes=MAX_MESSAGE_BYTES,
             )
+            exchange_ids.require_own(request, response.headers)
             if response.status != _OK:
                 raise errors.ControlCallError(
                     f"{method.name} to {address} got {response.status}"
@@ -132,6 +137,7 @@
     async def _answer(
         self, request: http_message.Request, exchange: http_server.Exchange
     ) -> None:
+        exchange_ids.repeat(request, exchange)
         found = self._handlers.get(request.path)
         if found is None:
             await exchange.respond(_NOT_FOUND)
--- a/tests/late_copies.py
+++ b/tests/late_copies.py
@@ -6,6 +6,8 @@
 import attrs
 import trio
 
+from quetzalmill import exchange_ids
+
 RECEIVE_BYTES = 65_536
 
 Answer = Callable[[bytes], bytes]
@@ -19,6 +21,20 @@
     return lambda _: data
 
 
+def named(answer: Answer) -> Answer:
+    """Returns an answer that repeats the id in the head of its request."""
+    prefix = exchange_ids.HEADER.encode() + b": "
+
+    def name(request: bytes) -> bytes:
+        head, end, body = answer(request).partition(b"\r\n\r\n")
+        for line in request.partition(b"\r\n\r\n")[0].split(b"\r\n"):
+            if line.startswith(prefix):
+                head += b"\r\n" + line
+        return head + end + body
+
+    return name
+
+
 @attrs.define
 class LateCopies:
     """Answers requests in order, on each connection after a late copy.
