Name the requests between entries and sidecars in their answers

An entry took any refusal on a kept connection for one of its own request, a home any 503 or 4xx for "not delivered". If a faulty peer sent an earlier answer once more, or a late second one, a program's call was refused with "not run" though it ran, a program was shown to the caller of another one or got another one's new home, and an execution counted as one that was not started.

Frames were named before; what refuses a request was not.

The requests carry an id that the answer repeats, as control calls between gateways do. An answer to another request counts as a lost connection, after which calls are sent again, as their home knows them by number; single calls that are not idempotent have a connection of their own as before. An answer without an id, from a process of an earlier version, is believed.

--- a/quetzalmill/executor_link.py
+++ b/quetzalmill/executor_link.py
@@ -10,6 +10,7 @@
 from quetzalmill import configuration
 from quetzalmill import control
 from quetzalmill import errors
+from quetzalmill import exchange_ids
 from quetzalmill import executor
 from quetzalmill import fleet_view
 from quetzalmill import http_client
@@ -69,10 +70,12 @@
         if not execution.instance:
             execution = attrs.evolve(execution, instance=process.instance)
         idempotent = execution.call.idempotent
-        request = http_message.Request(
-            method="POST",
-            path=internal_api.EXECUTIONS_PATH,
-            body=codec.to_msgpack(execution),
+        request = exchange_ids.named(
+            http_message.Request(
+                method="POST",
+                path=internal_api.EXECUTIONS_PATH,
+                body=codec.to_msgpack(execution),
+            )
         )
         async with self._client.stream(
             process.http_address,
@@ -84,6 +87,7 @@
             idempotent=idempotent,
             max_body_bytes=internal_api.MAX_ANSWER_BYTES,
         ) as response:
+            exchange_ids.require_own(request, response.headers)
             _require_ok(host, response.status)
             yield self._frames(response, execution)
 
--- a/quetzalmill/home_link.py
+++ b/quetzalmill/home_link.py
@@ -20,6 +20,7 @@
 from quetzalmill import codec
 from quetzalmill import configuration
 from quetzalmill import errors
+from quetzalmill import exchange_ids
 from quetzalmill import fleet_view
 from quetzalmill import http_client
 from quetzalmill import http_message
@@ -186,17 +187,26 @@
         Raises:
             errors.HttpError: The request failed; it may be repeated.
         """
-        return await self._client.request(
-            target.address,
+        request = exchange_ids.named(
             http_message.Request(
                 method=method,
                 path=path,
                 query=_query(target) | (query or {}),
                 body=body,
-            ),
+            )
+        )
+        response = await self._client.request(
+            target.address,
+            request,
             timeout_ms=3 * self._timeout_ms,
             idempotent=True,
         )
+        try:
+            exchange_ids.require_own(request, response.headers)
+        except errors.ConnectionLostError:
+            self._client.close_idle(target.address)
+            raise
+        return response
 
     @contextlib.asynccontextmanager
     async def call(
@@ -215,11 +225,13 @@
             HomeGoneError: The home was declared failed.
             NoLongerAllowedError: ``is_key_valid`` became false.
         """
-        request = http_message.Request(
-            method="POST",
-            path=internal_api.CALLS_PATH,
-            query=_query(target),
-            body=codec.to_msgpack(call),
+        request = exchange_ids.named(
+            http_message.Request(
+                method="POST",
+                path=internal_api.CALLS_PATH,
+                query=_query(target),
+                body=codec.to_msgpack(call),
+            )
         )
         active = _ActiveCall(
             home=target.home,
@@ -267,6 +279,7 @@
             idempotent=not call.single or call.idempotent,
             max_body_bytes=internal_api.MAX_ANSWER_BYTES,
         ) as response:
+            exchange_ids.require_own(request, response.headers)
             if response.status == 200:
                 reader = answer.FrameReader(call.program, call.number)
                 yield reader.read(response, self._count_mismatched)
--- a/quetzalmill/sidecar_api.py
+++ b/quetzalmill/sidecar_api.py
@@ -11,6 +11,7 @@
 from quetzalmill import codec
 from quetzalmill import completion
 from quetzalmill import errors
+from quetzalmill import exchange_ids
 from quetzalmill import executor as executor_module
 from quetzalmill import home as home_module
 from quetzalmill import home_errors
@@ -46,6 +47,7 @@
         self, request: http_message.Request, exchange: http_server.Exchange
     ) -> None:
         """Handles one request."""
+        exchange_ids.repeat(request, exchange)
         match (request.method, request.path):
             case ("GET", "/state"):
                 await exchange.respond(200, codec.to_json(self._dump()))
--- a/tests/late_copies.py
+++ b/tests/late_copies.py
@@ -1,7 +1,8 @@
 """A server that repeats each answer where the next one is due."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 import contextlib
+from typing import TypeVar
 
 import attrs
 import trio
@@ -13,6 +14,9 @@
 Answer = Callable[[bytes], bytes]
 """Returns the bytes of the answer to a request, of which it gets the bytes."""
 
+_MAX_S = 10.0
+_Result = TypeVar("_Result")
+
 
 def reply(status: int, body: bytes = b"", headers: bytes = b"") -> Answer:
     """Returns the answer with a status and a body, whatever is asked."""
@@ -41,11 +45,13 @@
 
     Attributes:
         answers: The answers that remain.
+        late: What is sent late instead of a copy, if given.
         connections: How many connections were made.
         copies: How many answers were sent once more.
     """
 
     answers: list[Answer]
+    late: Answer | None = None
     connections: int = 0
     copies: int = 0
 
@@ -66,4 +72,19 @@
                 own = self.answers.pop(0)(request)
                 self.copies += bool(copy)
                 await stream.send_all(copy + own)
-                copy = own
+                copy = own if self.late is None else self.late(request)
+
+
+def ask(
+    answers: list[Answer],
+    use: Callable[[str], Awaitable[_Result]],
+    late: Answer | None = None,
+) -> _Result:
+    """Runs ``use`` with the address of a server that sends late copies."""
+
+    async def run() -> _Result:
+        async with LateCopies(answers, late).serving() as address:
+            with trio.fail_after(_MAX_S):
+                return await use(address)
+
+    return trio.run(run)
