--- a/tests/late_copies.py
+++ b/tests/late_copies.py
@@ -81,9 +81,16 @@
     late: Answer | None = None,
 ) -> _Result:
     """Runs ``use`` with the address of a server that sends late copies."""
+    return ask_server(LateCopies(answers, late), use)
+
+
+def ask_server(
+    server: LateCopies, use: Callable[[str], Awaitable[_Result]]
+) -> _Result:
+    """Runs ``use`` with the address of a server."""
 
     async def run() -> _Result:
-        async with LateCopies(answers, late).serving() as address:
+        async with server.serving() as address:
             with trio.fail_after(_MAX_S):
                 return await use(address)
 
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator, Awaitable
 import contextlib
 import socket
+from typing import Any
 
 import attrs
 import pytest
@@ -185,3 +186,60 @@
                 assert reply == _Number(4)
 
         trio.run(main)
+
+
+class TestLateCopies:
+    """A callee that repeats its replies where the next one is due."""
+
+    @pytest.mark.parametrize("callers", [1, 2])
+    def test_copy_does_not_answer_the_next_call(self, callers: int) -> None:
+        """Each call has a number, which is random in another process."""
+        port = int(processes.free_address().rpartition(":")[2])
+
+        async def main() -> list[int]:
+            found = []
+            with (
+                trio.fail_after(_LIMIT_S),
+                trio.socket.socket(type=socket.SOCK_DGRAM) as callee,
+            ):
+                await callee.bind((_CALLEE.partition(":")[0], port))
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(_answer_with_copies, callee)
+                    for number in range(callers):
+                        found += await _double_some(port, 3 * number)
+                    nursery.cancel_scope.cancel()
+            return found
+
+        assert trio.run(main) == [0, 2, 4, 6, 8, 10][: 3 * callers]
+
+
+async def _double_some(port: int, start: int) -> list[int]:
+    """Calls three times from a process of its own."""
+    caller = _calls(_CALLER, port, _Callee())
+    async with trio.open_nursery() as nursery:
+        await nursery.start(caller.run)
+        found = [
+            await caller.call(
+                _CALLEE, _DOUBLE, _Number(start + each), timeout_ms=5_000.0
+            )
+            for each in range(3)
+        ]
+        nursery.cancel_scope.cancel()
+    return [each.value for each in found]
+
+
+async def _answer_with_copies(callee: trio.socket.SocketType) -> None:
+    """Sends all earlier replies before each reply."""
+    copies: list[bytes] = []
+    while True:
+        data, source = await callee.recvfrom(1_000)
+        call = codec.from_msgpack(data, dict[str, Any])
+        number = codec.from_msgpack(call["payload"], _Number).value
+        reply = {
+            "number": call["number"],
+            "method": "",
+            "payload": codec.to_msgpack(_Number(2 * number)),
+        }
+        copies.append(codec.to_msgpack(reply))
+        for each in copies:
+            await callee.sendto(each, source)
