Test that copies of answers give nothing to operators and control calls

A copy of the host list is one read old at most, and the list lags behind anyway, so it stays on kept connections.

--- a/tests/late_copies.py
+++ b/tests/late_copies.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 import contextlib
+import re
 from typing import TypeVar
 
 import attrs
@@ -9,8 +10,6 @@
 
 from quetzalmill import exchange_ids
 
-RECEIVE_BYTES = 65_536
-
 Answer = Callable[[bytes], bytes]
 """Returns the bytes of the answer to a request, of which it gets the bytes."""
 
@@ -67,14 +66,28 @@
     async def _serve(self, stream: trio.SocketStream) -> None:
         self.connections += 1
         copy = b""
-        async with stream:
-            while request := bytes(await stream.receive_some(RECEIVE_BYTES)):
+        with contextlib.suppress(trio.BrokenResourceError):
+            while request := await _receive(stream):
                 own = self.answers.pop(0)(request)
                 self.copies += bool(copy)
                 await stream.send_all(copy + own)
                 copy = own if self.late is None else self.late(request)
 
 
+async def _receive(stream: trio.SocketStream) -> bytes:
+    """Returns the bytes of one request; empty at the connection's end."""
+    request = b""
+    while True:
+        head, end, body = request.partition(b"\r\n\r\n")
+        length = re.search(rb"(?i)\r\ncontent-length: (\d+)", head)
+        if end and (length is None or len(body) >= int(length[1])):
+            return request
+        data = bytes(await stream.receive_some())
+        if not data:
+            return b""
+        request += data
+
+
 def ask(
     answers: list[Answer],
     use: Callable[[str], Awaitable[_Result]],
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -9,11 +9,17 @@
 import struct
 
 import pytest
+import trio
 
+from quetzalmill import codec
 from quetzalmill import errors
+from quetzalmill import host_list
 from quetzalmill import http_client
 from quetzalmill import keyed_store
 from quetzalmill import log_port
+from quetzalmill import objects
+from quetzalmill import operator_client
+from quetzalmill import settings_rules
 from quetzalmill_platform import store as store_module
 from tests import late_copies
 
@@ -22,6 +28,7 @@
 _BUSY = late_copies.reply(503, b"{}")
 _FENCED = late_copies.reply(409, b'{"why": "fenced", "epoch": 9}')
 _RECORD = keyed_store.KeyedRecord("program", b"10")
+_CHANGE = objects.ConfigRecord(record_id="1", author="", changes=[])
 _FENCE = keyed_store.Fence("budgets", 3)
 
 
@@ -175,6 +182,60 @@
         assert [page.records[0].data for page in pages] == ["a", "b"]
 
 
+class TestOperator:
+    """The operator's client has a connection for each request."""
+
+    def test_each_outcome_is_that_of_the_record_sent(self) -> None:
+        """A copy would call a record refused that is in force, or back."""
+
+        async def use(address: str) -> list[operator_client.Outcome]:
+            host, _, port = address.partition(":")
+            client = operator_client.OperatorClient(
+                [settings_rules.Address(host, int(port))]
+            )
+            return [
+                await trio.to_thread.run_sync(
+                    client.publish, _CHANGE, _TIMEOUT_MS
+                )
+                for _ in range(3)
+            ]
+
+        outcomes: list[operator_client.Outcome] = [
+            operator_client.Unavailable("busy"),
+            operator_client.Accepted(4),
+            operator_client.Conflict(4, "team/field"),
+        ]
+        answers = [
+            late_copies.reply(status, codec.to_json(outcome))
+            for status, outcome in zip((503, 200, 409), outcomes, strict=True)
+        ]
+        assert late_copies.ask(answers, use)[1:] == outcomes[1:]
+
+
+class TestHostList:
+    """All answers of the list answer the same question."""
+
+    def test_copy_is_one_read_old_at_most(self) -> None:
+        """The list lags behind anyway; the read after it is current."""
+
+        async def use(address: str) -> list[str]:
+            hosts = host_list.HttpHostList(
+                http_client.HttpClient(), address, timeout_ms=_TIMEOUT_MS
+            )
+            return [(await hosts.read())[0].host for _ in range(3)]
+
+        answers = [
+            late_copies.reply(
+                200, b'{"hosts": [{"host": "%d", "state": "live"}]}' % number
+            )
+            for number in range(3)
+        ]
+        found = late_copies.ask(answers, use)
+        assert found[0] == "0"
+        assert found[1] in ("0", "1")
+        assert found[2] == "2"
+
+
 def _store(address: str) -> store_module.PlatformStore:
     return store_module.PlatformStore(http_client.HttpClient(), address)
 
