Believe "nothing was appended" of the log only from its refusals

An append that the log answered 500, 502 or 504 counted as not executed, though such a status says nothing of it: an operator was told that a change was certainly not appended that may be in force, and a home appended a batch again without looking for it. Only 503 and a 4xx say so now; any other status leaves the outcome unknown, for which all writers look before they append again.

Evidence: the cases 204, 500, 502 and 504 of the new test failed before with "NotExecutedError() is not an instance of OutcomeUnknownError".

--- a/quetzalmill/log_port.py
+++ b/quetzalmill/log_port.py
@@ -23,6 +23,7 @@
 
 _STATUS_GONE = 410
 _STATUS_TOO_MANY = 429
+_STATUS_UNAVAILABLE = 503
 
 
 @attrs.frozen(kw_only=True)
@@ -127,10 +128,16 @@
             raise self._failed(
                 errors.ThrottledError("the log takes no more appends now")
             )
-        if response.status != 200:
+        if _is_refusal(response.status):
             raise self._failed(
                 errors.NotExecutedError(f"the log answered {response.status}")
             )
+        if response.status != 200:
+            raise self._failed(
+                errors.OutcomeUnknownError(
+                    f"the log answered {response.status}"
+                )
+            )
         try:
             return codec.from_json(response.body, _Appended).first_offset
         except errors.CodecError as error:
@@ -181,3 +188,12 @@
         """Counts a failure and returns it."""
         self.failed_calls += 1
         return error
+
+
+def _is_refusal(status: int) -> bool:
+    """Returns whether a status says that nothing was appended.
+
+    Others, such as that of a failure within the log or of a proxy before it,
+    say nothing of it.
+    """
+    return status == _STATUS_UNAVAILABLE or 400 <= status < 500
--- a/tests/test_log_port.py
+++ b/tests/test_log_port.py
@@ -82,3 +82,26 @@
                 body,
                 lambda port: port.read("config", 1, limit=1, wait_ms=0),
             )
+
+
+class TestStatuses:
+    """What the status of an answer says of an append."""
+
+    @pytest.mark.parametrize(
+        ("status", "error"),
+        [
+            (400, errors.NotExecutedError),
+            (429, errors.ThrottledError),
+            (503, errors.NotExecutedError),
+            (204, errors.OutcomeUnknownError),
+            (500, errors.OutcomeUnknownError),
+            (502, errors.OutcomeUnknownError),
+            (504, errors.OutcomeUnknownError),
+        ],
+    )
+    def test_only_a_refusal_says_that_nothing_was_appended(
+        self, status: int, error: type[errors.ExternalSystemError]
+    ) -> None:
+        """An operator is told that a refused record is not in force."""
+        with pytest.RaisesGroup(pytest.RaisesExc(error)):
+            _with_log(status, b"{}", lambda log: log.append("config", [1]))
