Take a refused question whether a call ran for no answer

An entry that refuses a program's call asks its home whether an earlier request may have run it. The home's refusal of the question, such as of a body that it cannot read or a path that an earlier version lacks, has a body with "ran": "no" about the question itself, and passed for the answer: the caller would be told "not run" of a call that ran. Only a 200 is an answer now.

Evidence: the cases 400, 404 and 503 of TestPriorRuns failed before with "<Ran.NO> is <Ran.UNKNOWN>".

--- a/quetzalmill/forwarding.py
+++ b/quetzalmill/forwarding.py
@@ -163,6 +163,9 @@
             response = await self._link.request(
                 target, "POST", internal_api.RAN_PATH, codec.to_msgpack(call)
             )
+            if response.status != 200:
+                # A refusal of the question says nothing of the call.
+                return messages.Ran.UNKNOWN
             reply = codec.from_json(response.body, internal_api.RanReply)
         except (errors.HttpError, errors.CodecError):
             return messages.Ran.UNKNOWN
--- a/tests/test_exchange_ids.py
+++ b/tests/test_exchange_ids.py
@@ -19,6 +19,7 @@
 from quetzalmill import exchange_ids
 from quetzalmill import executor_link
 from quetzalmill import fleet_view
+from quetzalmill import forwarding
 from quetzalmill import gateway_messages
 from quetzalmill import home_link
 from quetzalmill import http_client
@@ -178,6 +179,36 @@
         assert late_copies.ask([_frames("a")], use) is messages.FrameKind.END
 
 
+class TestPriorRuns:
+    """What a home answers when an entry asks whether a call has run."""
+
+    @pytest.mark.parametrize(
+        ("status", "ran", "expected"),
+        [
+            (200, messages.Ran.NO, messages.Ran.NO),
+            (200, messages.Ran.YES, messages.Ran.YES),
+            (400, messages.Ran.NO, messages.Ran.UNKNOWN),
+            (404, messages.Ran.NO, messages.Ran.UNKNOWN),
+            (503, messages.Ran.NO, messages.Ran.UNKNOWN),
+        ],
+    )
+    def test_refusal_of_the_question_says_nothing_of_the_call(
+        self, status: int, ran: messages.Ran, expected: messages.Ran
+    ) -> None:
+        """The caller would be told "not run" of a call that ran."""
+        problem = internal_api.Problem(code="code", message="text", ran=ran)
+        answer = late_copies.reply(status, codec.to_json(problem))
+
+        async def use(address: str) -> messages.Ran:
+            link = _home_link()
+            home_of = unittest.mock.Mock(return_value=_target(address))
+            with unittest.mock.patch.object(link, "home_of", home_of):
+                forwarder = forwarding.Forwarder(link, clock.SystemClock())
+                return await forwarder.prior_run_status(_program_call("a"))
+
+        assert late_copies.ask([answer], use) is expected
+
+
 class TestExecutors:
     """Executions that a home sends to other sidecars."""
 
