--- a/quetzalmill/log_port.py
+++ b/quetzalmill/log_port.py
@@ -3,6 +3,10 @@
 It speaks the log's HTTP protocol and reports each failure as not executed or
 as of unknown outcome. It neither retries nor interprets records: its callers
 know which record ids to look for after a lost reply.
+
+Nothing in an answer names its request, and a copy of an earlier answer on a
+kept connection would decide whether records are durable. So each call has a
+connection of its own.
 """
 
 from typing import Any, Protocol
@@ -19,6 +23,7 @@
 
 _STATUS_GONE = 410
 _STATUS_TOO_MANY = 429
+_STATUS_UNAVAILABLE = 503
 
 
 @attrs.frozen(kw_only=True)
@@ -108,7 +113,10 @@
         )
         try:
             response = await self._client.request(
-                self._address, request, timeout_ms=self._timeout_ms
+                self._address,
+                request,
+                timeout_ms=self._timeout_ms,
+                new_connection=True,
             )
         except errors.ConnectFailedError as error:
             raise self._failed(errors.NotExecutedError(str(error))) from error
@@ -120,10 +128,16 @@
             raise self._failed(
                 errors.ThrottledError("the log takes no more appends now")
             )
-        if response.status != 200:
+        if _is_refusal(response.status):
             raise self._failed(
                 errors.NotExecutedError(f"the log answered {response.status}")
             )
+        if response.status != 200:
+            raise self._failed(
+                errors.OutcomeUnknownError(
+                    f"the log answered {response.status}"
+                )
+            )
         try:
             return codec.from_json(response.body, _Appended).first_offset
         except errors.CodecError as error:
@@ -149,7 +163,7 @@
                 self._address,
                 request,
                 timeout_ms=self._timeout_ms + wait_ms,
-                idempotent=True,
+                new_connection=True,
                 max_body_bytes=MAX_PAGE_BYTES,
             )
         except errors.HttpError as error:
@@ -174,3 +188,12 @@
         """Counts a failure and returns it."""
         self.failed_calls += 1
         return error
+
+
+def _is_refusal(status: int) -> bool:
+    """Returns whether a status says that nothing was appended.
+
+    Others, such as that of a failure within the log or of a proxy before it,
+    say nothing of it.
+    """
+    return status == _STATUS_UNAVAILABLE or 400 <= status < 500
