Let emulated endpoints send what may precede an answer; name requests in 421s

Existing faults keep their names and bytes. An endpoint's 421 now echoes the request's id, as PROTOCOL.md (Replicas) has it for all responses.

--- a/quetzalmill_emulator/platform_endpoint.py
+++ b/quetzalmill_emulator/platform_endpoint.py
@@ -12,6 +12,7 @@
 
 from quetzalmill import http_message
 from quetzalmill import http_server
+from quetzalmill_emulator import late_copies
 from quetzalmill_emulator import raw_bytes
 
 SIGN = "1"
@@ -46,6 +47,9 @@
     HANG = "hang"
 
 
+AnyFault = Fault | late_copies.LateCopy | late_copies.SignedFailure
+
+
 class Framing(enum.Enum):
     """What marks the end of a response's body."""
 
@@ -101,7 +105,7 @@
             to another endpoint.
         left: The number of requests whose caller disconnected during the
             stream.
-        late_copies: The number of refusals that were sent a second time.
+        late_copies: The number of late copies that were sent.
         framing: If set, each response is sent at once with this framing, and
             ends its connection.
         sent_bytes: How many bytes of such a response are sent; None for all.
@@ -120,18 +124,18 @@
         self.started_unix_ms = started_unix_ms
         self._events = events
         self.pause_s = pause_ms / 1000.0
-        self.faults: list[Fault] = []
+        self.faults: list[AnyFault] = []
         self.leaving: str | None = None
         self.runs: list[Run] = []
         self.refused: list[Run] = []
         self.misdirected = 0
         self.left = 0
         self.late_copies = 0
-        self._copies_due = 0
+        self._copies_due: list[late_copies.LateCopy] = []
         self.framing: Framing | None = None
         self.sent_bytes: int | None = None
         self.names_request = False
-        self._refusals: weakref.WeakKeyDictionary[object, bytes] = (
+        self._refusals: weakref.WeakKeyDictionary[object, tuple[str, bytes]] = (
             weakref.WeakKeyDictionary()
         )
 
@@ -154,6 +158,8 @@
         if headers.get("expect-instance") != self.endpoint_id:
             self.misdirected += 1
             answer = {"Instance-Id": self.endpoint_id, **self._drain_headers()}
+            if "attempt-id" in headers:
+                answer["Attempt-Id"] = headers["attempt-id"]
             await exchange.respond(421, headers=answer)
             return
         fault = self.faults.pop(0) if self.faults else None
@@ -169,10 +175,13 @@
         if fault in (Fault.SHED, Fault.SHED_UNNAMED):
             await self._shed(exchange, run, fault)
             return
-        if fault is Fault.LATE_COPY:
-            self._copies_due += 1
+        if isinstance(fault, late_copies.LateCopy):
+            self._copies_due.append(fault)
+            fault = None
+        elif fault is Fault.LATE_COPY:
+            self._copies_due.append(late_copies.LateCopy())
             fault = None
-        await self._repeat_refusal(exchange)
+        await self._repeat_refusal(exchange, run)
         self.runs.append(run)
         await trio.sleep(self.pause_s)
         if fault is Fault.HANG:
@@ -181,6 +190,12 @@
         if fault is Fault.LOSE_ANSWER:
             exchange.abort()
             return
+        if isinstance(fault, late_copies.SignedFailure):
+            answer = self._answer_headers(run, None)
+            await exchange.respond(
+                fault.status, b"failed", answer, "text/plain"
+            )
+            return
         answer = self._answer_headers(run, fault)
         if self.framing is not None:
             raw = self.raw_response(answer, self.framing)
@@ -250,22 +265,33 @@
         if fault is Fault.SHED:
             answer["Attempt-Id"] = run.request_id
         head = "".join(f"{name}: {answer[name]}\r\n" for name in answer)
-        self._refusals[raw_bytes.connection_of(exchange)] = (
+        refusal = (
             "HTTP/1.1 503 Service Unavailable\r\n"
             f"{head}Content-Length: 0\r\n\r\n"
         ).encode()
+        connection = raw_bytes.connection_of(exchange)
+        self._refusals[connection] = run.request_id, refusal
         await exchange.respond(503, headers=answer)
 
-    async def _repeat_refusal(self, exchange: http_server.Exchange) -> None:
+    async def _repeat_refusal(
+        self, exchange: http_server.Exchange, run: Run
+    ) -> None:
         """Sends the refusal of an earlier request on this connection again.
 
         A copy that is due waits for the next request on such a connection.
         """
-        refusal = self._refusals.get(raw_bytes.connection_of(exchange))
-        if refusal is not None and self._copies_due:
-            self._copies_due -= 1
-            self.late_copies += 1
-            await raw_bytes.send(exchange, refusal)
+        earlier = self._refusals.get(raw_bytes.connection_of(exchange))
+        if earlier is None or not self._copies_due:
+            return
+        copy = self._copies_due.pop(0)
+        self.late_copies += 1
+        other_id, data = earlier
+        if copy != late_copies.LateCopy():
+            data = late_copies.encode(copy, other_id, run.request_id)
+        if copy.glued or late_copies.is_cut(copy):
+            raw_bytes.glue(exchange, data)
+        else:
+            await raw_bytes.send(exchange, data)
 
     def _drain_headers(self, run: Run | None = None) -> dict[str, str]:
         """Returns the ``Server-Leaving`` header, if one is set."""
--- a/quetzalmill_emulator/raw_bytes.py
+++ b/quetzalmill_emulator/raw_bytes.py
@@ -19,3 +19,15 @@
         errors.ConnectionLostError: The client has disconnected.
     """
     await exchange._connection.write(data)
+
+
+def glue(exchange: http_server.Exchange, data: bytes) -> None:
+    """Sends bytes in one write with the next ones on the connection."""
+    connection = exchange._connection
+    write = connection.write
+
+    async def write_glued(rest: bytes) -> None:
+        connection.write = write  # type: ignore[method-assign]
+        await write(data + rest)
+
+    connection.write = write_glued  # type: ignore[method-assign,assignment]
