--- a/tests/test_gateway_troubles.py
+++ b/tests/test_gateway_troubles.py
@@ -12,11 +12,15 @@
 from quetzalmill import errors
 from quetzalmill import http_client
 from quetzalmill import http_message
+from quetzalmill_emulator import late_copies
 from quetzalmill_emulator import platform_endpoint
 from quetzalmill_emulator import platform_store
 from quetzalmill_load import platform_cluster
 from tests import gateway_case
 
+_NOT_RUN = (408, 421, 429, 503)
+"""Statuses that promise that a request has not run."""
+
 
 class TestPlannedStop:
     """SIGTERM while callers keep sending requests on their connections."""
@@ -302,39 +306,90 @@
 class TestLateCopyOfRefusal:
     """A refusal that an endpoint sends again where another answer is due."""
 
-    @pytest.mark.parametrize(
-        ("refusal", "copies"),
-        [
-            (platform_endpoint.Fault.SHED, 1),
-            # A connection that may repeat it is closed instead of reused.
-            (platform_endpoint.Fault.SHED_UNNAMED, 0),
-        ],
-    )
+    @pytest.mark.parametrize("apps", [1, 2])
+    @pytest.mark.parametrize("copy", late_copies.FORMS, ids=str)
     def test_late_copy_of_refusal_does_not_run_booking_twice(
-        self,
-        tmp_path: pathlib.Path,
-        refusal: platform_endpoint.Fault,
-        copies: int,
+        self, tmp_path: pathlib.Path, copy: late_copies.LateCopy, apps: int
     ) -> None:
-        """The booking that runs gets its own answer, not the copy."""
+        """Nor is the booking, which runs, refused as not run.
+
+        It gets its own answer if a whole copy names another request or none.
+        """
 
         async def case(cluster: platform_cluster.Cluster) -> None:
-            apps = [
+            endpoints = [
                 await cluster.add_endpoint(f"app-{number}", "app")
-                for number in range(2)
+                for number in range(apps)
             ]
             gateway = await cluster.add_gateway()
-            for app in apps:
-                app.faults = [refusal, platform_endpoint.Fault.LATE_COPY]
+            for endpoint in endpoints:
+                endpoint.faults = [platform_endpoint.Fault.SHED, copy]
             _, refused = await cluster.call(gateway, "/book/1")
             _, response = await cluster.call(gateway, "/book/1")
             assert refused.status == 503
-            assert sum(app.late_copies for app in apps) == copies
-            assert sum(len(app.runs) for app in apps) == 1
+            assert "retry-after" in refused.headers
+            assert sum(each.late_copies for each in endpoints) == 1
+            assert sum(len(each.runs) for each in endpoints) == 1
+            assert response.status not in _NOT_RUN
+            if _names_another_request_or_none(copy):
+                assert response.status == 200
+            if response.status == 200:
+                assert response.body.startswith(b"done by app-")
+            assert gateway.process.poll() is None
+
+        gateway_case.run(tmp_path, case)
+
+    def test_refusal_that_names_no_request_is_not_believed(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """It may be the copy of another one, and so may what follows it.
+
+        Endpoints name the request in all responses to one that has an id.
+        """
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            app = await cluster.add_endpoint("app-1", "app")
+            gateway = await cluster.add_gateway()
+            app.faults = [
+                platform_endpoint.Fault.SHED_UNNAMED,
+                platform_endpoint.Fault.LATE_COPY,
+            ]
+            _, unknown = await cluster.call(
+                gateway, "/book/1", headers={"Deadline-Ms": "1000"}
+            )
+            _, response = await cluster.call(gateway, "/book/1")
+            assert unknown.status in (502, 504)
+            assert app.late_copies == 0
+            assert len(app.runs) == 1
             assert response.status == 200
 
         gateway_case.run(tmp_path, case)
 
+    def test_booking_is_answered_in_time_after_a_copy_alone(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Its own answer, which is awaited behind the copy, never comes."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            app = await cluster.add_endpoint("app-1", "app")
+            gateway = await cluster.add_gateway()
+            app.faults = [
+                late_copies.LateCopy(names=late_copies.Names.NONE),
+                platform_endpoint.Fault.SHED,
+                platform_endpoint.Fault.HANG,
+            ]
+            for status in (200, 503):
+                _, response = await cluster.call(gateway, "/book/1")
+                assert response.status == status
+            with trio.fail_after(3.0):
+                _, response = await cluster.call(
+                    gateway, "/book/1", headers={"Deadline-Ms": "1000"}
+                )
+            assert app.late_copies == 1
+            assert response.status in (502, 504)
+
+        gateway_case.run(tmp_path, case)
+
     def test_refusal_of_request_without_id_does_not_refuse_the_next_one(
         self, tmp_path: pathlib.Path
     ) -> None:
@@ -354,17 +409,29 @@
 
         gateway_case.run(tmp_path, case)
 
+    @pytest.mark.parametrize(
+        "copy",
+        [
+            platform_endpoint.Fault.LATE_COPY,
+            late_copies.LateCopy(names=late_copies.Names.NONE),
+            late_copies.LateCopy(names=late_copies.Names.EMPTY, glued=True),
+            late_copies.LateCopy(
+                names=late_copies.Names.NONE, change=late_copies.Change.BARE_421
+            ),
+            late_copies.LateCopy(
+                names=late_copies.Names.NONE, change=late_copies.Change.SUCCESS
+            ),
+        ],
+        ids=str,
+    )
     def test_late_copy_of_refusal_does_not_break_a_turn_off(
-        self, tmp_path: pathlib.Path
+        self, tmp_path: pathlib.Path, copy: platform_endpoint.AnyFault
     ) -> None:
         """The turn's events, which follow the copy, are delivered whole."""
 
         async def case(cluster: platform_cluster.Cluster) -> None:
             engine = await cluster.add_endpoint("llm-1", "llm", events=3)
-            engine.faults = [
-                platform_endpoint.Fault.SHED,
-                platform_endpoint.Fault.LATE_COPY,
-            ]
+            engine.faults = [platform_endpoint.Fault.SHED, copy]
             gateway = await cluster.add_gateway()
             _, refused = await cluster.turn(gateway, b"hi", program="first")
             _, response = await cluster.turn(gateway, b"hi", program="second")
@@ -373,3 +440,42 @@
             assert response.body.count(b"data:") == 3
 
         gateway_case.run(tmp_path, case)
+
+
+def _names_another_request_or_none(copy: late_copies.LateCopy) -> bool:
+    """Returns whether a copy is whole and tells that it is not the answer."""
+    return not late_copies.is_cut(copy) and (
+        copy.change is late_copies.Change.INTERIM
+        or copy.names
+        in (
+            late_copies.Names.OTHER,
+            late_copies.Names.NONE,
+            late_copies.Names.EMPTY,
+        )
+    )
+
+
+class TestSignedFailure:
+    """A request runs, and its signed answer has a status of a refusal."""
+
+    @pytest.mark.parametrize("apps", [1, 2])
+    @pytest.mark.parametrize("status", _NOT_RUN)
+    def test_signed_failure_of_booking_that_ran_promises_nothing(
+        self, tmp_path: pathlib.Path, status: int, apps: int
+    ) -> None:
+        """To its caller the status would say that the booking did not run."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            endpoints = [
+                await cluster.add_endpoint(f"app-{number}", "app")
+                for number in range(apps)
+            ]
+            for endpoint in endpoints:
+                endpoint.faults = [late_copies.SignedFailure(status)]
+            gateway = await cluster.add_gateway()
+            _, response = await cluster.call(gateway, "/book/1")
+            assert sum(len(each.runs) for each in endpoints) == 1
+            assert response.status in (502, 504)
+            assert "response-signature" not in response.headers
+
+        gateway_case.run(tmp_path, case)
