Let the soak's endpoints mislead about what they ran; judge late answers

The soak's late copies of refusals were whole and named the other request, and none of its endpoints answered a request that ran with a signed 408, 421, 429 or 503: it could not bring about what the users saw.

A new rule asks for an answer within half a second of the caller's deadline, whatever endpoints send; a gateway that was ended, stopped or paused is excused.

--- a/quetzalmill_emulator/late_copies.py
+++ b/quetzalmill_emulator/late_copies.py
@@ -73,6 +73,8 @@
     status: int
 
 
+Misleading = LateCopy | SignedFailure
+
 FORMS: tuple[LateCopy, ...] = (
     LateCopy(),
     LateCopy(glued=True),
--- a/quetzalmill_emulator/platform_endpoint.py
+++ b/quetzalmill_emulator/platform_endpoint.py
@@ -47,7 +47,7 @@
     HANG = "hang"
 
 
-AnyFault = Fault | late_copies.LateCopy | late_copies.SignedFailure
+AnyFault = Fault | late_copies.Misleading
 
 
 class Framing(enum.Enum):
--- a/quetzalmill_soak/callers.py
+++ b/quetzalmill_soak/callers.py
@@ -190,12 +190,15 @@
             },
             body=body,
         )
+        attempt.wait_s = remaining_ms / 1000.0
         attempt.sent_s = trio.current_time()
         self._record.attempts.append(attempt)
         address = self._cluster.gateways[attempt.gateway].callers
         try:
             async with self._client.stream(
-                address, request, timeout_ms=remaining_ms
+                address,
+                request,
+                timeout_ms=remaining_ms + 1000.0 * checks.LATE_S,
             ) as response:
                 attempt.answered_s = trio.current_time()
                 attempt.headers = response.headers
--- a/quetzalmill_soak/checks.py
+++ b/quetzalmill_soak/checks.py
@@ -33,6 +33,9 @@
 DRAIN_S = 2.0
 """The users' time after which a draining endpoint gets no new requests."""
 
+LATE_S = 0.5
+"""The users' bound on how late an answer may be after its deadline."""
+
 STANDS_STILL = frozenset(
     {"KillGateway", "KillAll", "StopGateway", "PauseGateway"}
 )
@@ -102,7 +105,13 @@
         ):
             if problem := promise(attempt, ran):
                 broken.append(f"{problem}: {attempt} ran {ran}")
-        for rule in (_known_turn, _cut_without_fault, _withdrawn, _drained):
+        for rule in (
+            _known_turn,
+            _cut_without_fault,
+            _answered_in_time,
+            _withdrawn,
+            _drained,
+        ):
             if problem := rule(attempt, ran, record):
                 broken.append(f"{problem}: {attempt} ran {ran}")
         arrived = arrivals.get(attempt.request_id, [])
@@ -205,6 +214,26 @@
     return "cut without any fault but a planned stop"
 
 
+def _answered_in_time(
+    attempt: record_module.Attempt,
+    ran: list[platform_endpoint.Run],
+    record: record_module.Record,
+) -> str:
+    """Whatever endpoints send, callers get an answer within their deadline."""
+    del ran
+    ended_s = attempt.ended_s if attempt.answered_s is None else 0.0
+    if ended_s < attempt.sent_s + attempt.wait_s + LATE_S:
+        return ""
+    if record.disturbed(
+        attempt.gateway,
+        attempt.sent_s - SETTLE_S,
+        attempt.ended_s,
+        only=STANDS_STILL,
+    ):
+        return ""
+    return "not answered in time"
+
+
 def _withdrawn(
     attempt: record_module.Attempt,
     ran: list[platform_endpoint.Run],
--- a/quetzalmill_soak/record.py
+++ b/quetzalmill_soak/record.py
@@ -33,6 +33,7 @@
         program_id: The id of its program; empty if it has none.
         body: The body that an endpoint must receive.
         continues: Whether it names a completed turn as its predecessor.
+        wait_s: The time within which its caller wants an answer.
         sent_s: When it was sent.
         answered_s: When the response headers arrived; None if they did not.
         ended_s: When the response or the connection ended.
@@ -51,6 +52,7 @@
     program_id: str = ""
     body: bytes = attrs.field(default=b"", repr=False)
     continues: bool = False
+    wait_s: float = float("inf")
     sent_s: float = 0.0
     answered_s: float | None = None
     ended_s: float = 0.0
--- a/quetzalmill_soak/schedule.py
+++ b/quetzalmill_soak/schedule.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from quetzalmill_emulator import late_copies
+
 
 @attrs.frozen(kw_only=True)
 class KillGateway:
@@ -128,6 +130,19 @@
     count: int
 
 
+@attrs.frozen(kw_only=True)
+class EndpointMisleads:
+    """An endpoint sends what may pass for a refusal of requests that run.
+
+    Attributes:
+        endpoint: The index of the endpoint.
+        answers: What it sends, one for a request.
+    """
+
+    endpoint: int
+    answers: tuple[late_copies.Misleading, ...]
+
+
 @attrs.frozen(kw_only=True)
 class EndpointLeaves:
     """An endpoint drains, stops and restarts as a new instance.
@@ -177,6 +192,7 @@
     | DelayLink
     | ResetLink
     | EndpointFails
+    | EndpointMisleads
     | EndpointLeaves
     | UnreadableEntry
     | ReplaceKey
@@ -205,6 +221,7 @@
         faults: The number of faults of one run.
         extra_faults: The number of further faults, of the kinds that were
             added after the first seeds were recorded.
+        misleading: The number of faults of the kind that was added last.
         length_s: The period in which faults start.
     """
 
@@ -214,6 +231,7 @@
     callers: int = 12
     faults: int = 10
     extra_faults: int = 4
+    misleading: int = 2
     length_s: float = 12.0
 
 
@@ -225,6 +243,10 @@
     "cut event",
     "undelimited",
 )
+_MISLEADING: tuple[late_copies.Misleading, ...] = (
+    *late_copies.FORMS,
+    *(late_copies.SignedFailure(status) for status in (408, 421, 429, 503)),
+)
 _UNREADABLE = (b"[" * 2_000, b'{"coldLeftMs":' + b"9" * 400 + b"}", b"\xff")
 _MAX_OUTAGE_S = 4.0
 _MAX_CUT_S = 3.0
@@ -255,6 +277,14 @@
         )
         for _ in range(size.extra_faults)
     ]
+    misleading_rng = random.Random(f"misleading {seed}")
+    entries += [
+        Entry(
+            misleading_rng.uniform(0.5, size.length_s),
+            _misleading_fault(misleading_rng, size),
+        )
+        for _ in range(size.misleading)
+    ]
     return sorted(entries, key=lambda entry: entry.at_s)
 
 
@@ -328,3 +358,10 @@
         ),
     ]
     return rng.choice(faults)
+
+
+def _misleading_fault(rng: random.Random, size: Size) -> Fault:
+    return EndpointMisleads(
+        endpoint=rng.randrange(size.engines + size.services),
+        answers=tuple(rng.sample(_MISLEADING, 4)),
+    )
--- a/quetzalmill_soak/world.py
+++ b/quetzalmill_soak/world.py
@@ -115,6 +115,10 @@
                 endpoint.faults += failures * count
                 async with self._disturbed(fault, None):
                     await trio.sleep(1.0)
+            case schedule.EndpointMisleads(endpoint=number, answers=answers):
+                endpoint = self.cluster.endpoints[self._endpoints[number]]
+                for answer in answers:
+                    endpoint.faults += [*_REFUSALS_TO_COPY, answer]
             case schedule.EndpointLeaves():
                 await self._drain_endpoint(fault)
             case _:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -152,6 +152,21 @@
         record = record_module.Record(disturbances=[fault])
         assert _judge(_CUT, [_RUN], record)
 
+    def test_answer_comes_in_time_unless_the_gateway_stands_still(
+        self,
+    ) -> None:
+        """Also while endpoints answer nonsense or no store can be reached."""
+        silent = attrs.evolve(_CUT, wait_s=4.0, ended_s=104.6)
+        assert "not answered in time" in _judge(silent, [])[0]
+        assert not _judge(attrs.evolve(silent, ended_s=104.4), [])
+        assert not _judge(attrs.evolve(silent, answered_s=104.0), [])
+        for name, count in (("StoreDown", 1), ("PauseGateway", 0)):
+            fault = record_module.Disturbance(
+                name=name, gateway=0, from_s=99.0, to_s=101.0
+            )
+            record = record_module.Record(disturbances=[fault])
+            assert len(_judge(silent, [], record)) == count
+
     def test_withdrawn_key_works_no_longer_than_allowed(self) -> None:
         for at_s, count in ((98.5, 0), (97.5, 1)):
             record = record_module.Record(withdrawn={"k": at_s})
