--- a/tests/test_answer_log.py
+++ b/tests/test_answer_log.py
@@ -25,14 +25,14 @@
             gateway = await cluster.add_gateway()
             first, _ = await cluster.call(gateway, "/book/1")
             second, _ = await cluster.call(gateway, "/book/1")
-            lines = {
-                request_id: next(
-                    line
-                    for line in gateway.log().splitlines()
-                    if "event=request " in line and request_id in line
-                )
-                for request_id in (first, second)
-            }
+            lines: dict[str, str] = {}
+
+            async def is_logged() -> bool:
+                # A gateway logs a request after it has answered.
+                lines.update(_request_lines(gateway.log()))
+                return {first, second} <= lines.keys()
+
+            await cluster.until(is_logged)
             refused = re.search(
                 r"answers=app-1@(\d+)\.1:503:own:not_run ", lines[first]
             )
@@ -44,3 +44,13 @@
             )
 
         gateway_case.run(tmp_path, case)
+
+
+def _request_lines(log: str) -> dict[str, str]:
+    """Returns the lines of requests, by the request's id."""
+    lines = {}
+    for line in log.splitlines():
+        found = re.search(r"event=request .*request_id=(\w+) .*took_ms=", line)
+        if found is not None:
+            lines[found[1]] = line
+    return lines
