--- a/tests/test_response_claims.py
+++ b/tests/test_response_claims.py
@@ -284,6 +284,26 @@
 
         trio.run(case)
 
+    def test_request_is_not_sent_twice_with_others_between(self) -> None:
+        """A connection remembers more than the last request."""
+
+        def respond(request_id: str, exchange: int) -> bytes:
+            copy = b""
+            if exchange > 1 and request_id == "a1":
+                copy = _refusal(("Attempt-Id", request_id))
+            return copy + _success(request_id)
+
+        async def case() -> None:
+            endpoint = _Endpoint(respond, refuses=1)
+            async with _gateway(endpoint) as gateway:
+                refused = await gateway.book("a1")
+                assert isinstance(refused, outcomes.Refused)
+                for request_id in ("a2", "a3", "a1"):
+                    outcome = await gateway.book(request_id)
+                    assert isinstance(outcome, outcomes.Answered)
+
+        trio.run(case)
+
 
 class TestContradictions:
     """Heads that name the request but cannot be true of it."""
@@ -391,3 +411,91 @@
                 assert isinstance(outcome, outcomes.Refused)
 
         trio.run(case)
+
+
+class TestSpentBudgets:
+    """A 402 promises the caller of a turn that the turn does not run."""
+
+    def test_turn_that_ran_is_not_answered_402(self) -> None:
+        """An endpoint's own 402, with its proof, is no such promise."""
+        turn = attrs.evolve(
+            routes.LOOKUP,
+            name="turn",
+            retry_mode=route_table.RetryMode.STREAM,
+            stateful=True,
+        )
+
+        async def case() -> None:
+            endpoint = _Endpoint(
+                lambda request_id, _: _head(
+                    402,
+                    ("Content-Length", "0"),
+                    ("Attempt-Id", request_id),
+                    ("Response-Signature", "s"),
+                )
+            )
+            async with _gateway(endpoint) as gateway:
+                outcome = await gateway.book("a1", turn)
+                assert endpoint.runs == ["a1"]
+                assert isinstance(outcome, outcomes.Unknown)
+
+        trio.run(case)
+
+
+class TestSafeRequests:
+    """Requests that may run more than once, whatever they are answered."""
+
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    def test_endpoints_own_failure_is_passed_on_unchanged(
+        self, status: int
+    ) -> None:
+        """It promises nothing that a safe request could break."""
+
+        async def case() -> None:
+            endpoints = [
+                _Endpoint(
+                    lambda request_id, _: _head(
+                        status,
+                        ("Content-Length", "0"),
+                        ("Attempt-Id", request_id),
+                        ("Response-Signature", "s"),
+                    )
+                )
+                for _ in range(2)
+            ]
+            async with _gateway(*endpoints) as gateway:
+                outcome = await gateway.book("a1", routes.LOOKUP)
+                assert isinstance(outcome, outcomes.Answered)
+                assert outcome.status == status
+
+        trio.run(case)
+
+
+class TestHeadersThatQuoteHttp:
+    """A sound response may mention HTTP in a header of its own."""
+
+    @pytest.mark.parametrize(
+        "field",
+        [
+            ("Via", "HTTP/1.1 200 cache-3"),
+            ("Warning", '199 - "upstream said HTTP/1.1 503"'),
+        ],
+    )
+    def test_response_with_such_a_header_is_passed_on(
+        self, field: tuple[str, str]
+    ) -> None:
+        async def case() -> None:
+            endpoint = _Endpoint(
+                lambda request_id, _: _head(
+                    200,
+                    ("Content-Length", "0"),
+                    ("Attempt-Id", request_id),
+                    ("Response-Signature", "s"),
+                    field,
+                )
+            )
+            async with _gateway(endpoint) as gateway:
+                outcome = await gateway.book("a1")
+                assert isinstance(outcome, outcomes.Answered)
+
+        trio.run(case)
