Pass on responses whose headers mention HTTP

A sound response was lost if a header of its own quoted a status line (`Via`, `Warning`): 502 for a request that ran and was answered. TestHeadersThatQuoteHttp failed before.

--- a/quetzalmill/http_connection.py
+++ b/quetzalmill/http_connection.py
@@ -29,7 +29,9 @@
 _MAX_RECORDED_NAMES = 32
 """The requests of a connection, the latest ones, that are remembered because
 late responses may name them."""
-_STATUS_LINE = re.compile(rb"HTTP/1\.\d \d{3}")
+_STATUS_LINE_AT_END = re.compile(rb"HTTP/1\.\d \d{3}( [^\"]*)?$")
+_VIA = b"via"
+"""A header whose values may begin with a version of HTTP."""
 _MAX_CHUNKS_AT_ONCE = 64
 """Chunks that are parsed from received bytes before other tasks run. A server
 may send chunks of one byte, of which a single receive returns thousands."""
@@ -379,8 +381,9 @@
         errors.BadMessageError: It contains another status line, or two framings
             of its body.
     """
-    texts = [bytes(head.reason), *(bytes(value) for _, value in head.headers)]
-    if any(_STATUS_LINE.search(text) for text in texts):
+    texts = [bytes(head.reason)]
+    texts += [bytes(value) for name, value in head.headers if name != _VIA]
+    if any(_STATUS_LINE_AT_END.search(text) for text in texts):
         raise errors.BadMessageError("a head within a head", _BAD_GATEWAY)
     names = [name for name, _ in head.headers]
     if b"content-length" in names and b"transfer-encoding" in names:
