--- a/quetzalmill/reply_reader.py
+++ b/quetzalmill/reply_reader.py
@@ -155,4 +155,6 @@
     job: dispatch_job.Job,
     head: http_connection.ResponseHead,
 ) -> response_claims.Claim:
-    return response_claims.claim_of(reply, job.call, exchange=head.exchange)
+    return response_claims.claim_of(
+        reply, job.call, job.route, exchange=head.exchange
+    )
--- a/quetzalmill/response_claims.py
+++ b/quetzalmill/response_claims.py
@@ -13,11 +13,15 @@
 import attrs
 
 from quetzalmill import gateway_calls
+from quetzalmill import route_table
 
+_PAYMENT_REQUIRED = 402
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 _PROMISES = frozenset({408, _MISDIRECTED, 429, _UNAVAILABLE})
 """Statuses that tell a caller that its request has not run and will not."""
+_TURN_PROMISES = _PROMISES | {_PAYMENT_REQUIRED}
+"""Those of a turn, which 402 refuses if the program's budget is spent."""
 
 
 @attrs.frozen
@@ -46,13 +50,18 @@
 
 
 def claim_of(
-    reply: gateway_calls.Reply, call: gateway_calls.Call, *, exchange: int
+    reply: gateway_calls.Reply,
+    call: gateway_calls.Call,
+    route: route_table.Route,
+    *,
+    exchange: int,
 ) -> Claim:
     """Returns what a final response says of the request that was sent.
 
     Args:
         reply: The head of the response.
         call: The request.
+        route: Its route.
         exchange: Which of its connection's requests it is, 1 for the first.
     """
     if not _belongs_to(reply, call, exchange):
@@ -63,7 +72,7 @@
         return NotRun()
     if not reply.is_genuine:
         return Unclear("the answer is not the endpoint's")
-    if reply.status in _PROMISES:
+    if reply.status in _promises(call, route):
         # Passed on, the status would promise what the endpoint did not state.
         return Unclear(f"the endpoint ran it and answered {reply.status}")
     return Ran()
@@ -120,5 +129,15 @@
             return False
 
 
+def _promises(
+    call: gateway_calls.Call, route: route_table.Route
+) -> frozenset[int]:
+    """Returns the statuses that may not follow a run of the request."""
+    if route.is_safe:
+        return frozenset()
+    is_turn = route.stateful or call.budget_tokens is not None
+    return _TURN_PROMISES if is_turn else _PROMISES
+
+
 def _is_refusal(status: int) -> bool:
     return 400 <= status < 500 or status == _UNAVAILABLE
