--- a/tests/test_gateway_troubles.py
+++ b/tests/test_gateway_troubles.py
@@ -497,3 +497,23 @@
             assert "response-signature" not in response.headers
 
         gateway_case.run(tmp_path, case)
+
+
+class TestMisdirected:
+    """A booking that reaches an address that another endpoint has taken."""
+
+    def test_booking_is_sent_to_the_endpoint_that_can_run_it(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """A 421 on a new connection refuses it there, not for good."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            taken = await cluster.add_endpoint("app-0", "app")
+            await cluster.add_endpoint("app-1", "app")
+            gateway = await cluster.add_gateway()
+            taken.endpoint_id = "other-9"
+            while not taken.misdirected:
+                _, response = await cluster.call(gateway, "/book/1")
+                assert response.status == 200
+
+        gateway_case.run(tmp_path, case)
