--- a/tests/test_response_claims.py
+++ b/tests/test_response_claims.py
@@ -117,7 +117,7 @@
     def __init__(self, endpoints: tuple[_Endpoint, ...]) -> None:
         self._clock = clock_module.SystemClock()
         self._dialect = wire.PlatformDialect()
-        pool = endpoint_pool.EndpointPool()
+        self.pool = pool = endpoint_pool.EndpointPool()
         for number, endpoint in enumerate(endpoints, 1):
             pool.update(
                 endpoint_pool.Endpoint(
@@ -499,3 +499,37 @@
                 assert isinstance(outcome, outcomes.Answered)
 
         trio.run(case)
+
+
+class TestLoadReports:
+    """The load that an endpoint's responses report."""
+
+    @pytest.mark.parametrize(
+        ("fields", "running"),
+        [
+            ((("Attempt-Id", "a1"), ("Response-Signature", "s")), 7),
+            ((("Attempt-Id", "a1"),), 0),
+            ((("Response-Signature", "s"),), 0),
+            ((("Attempt-Id", "a0"), ("Response-Signature", "s")), 0),
+        ],
+    )
+    def test_load_counts_only_from_the_requests_own_response(
+        self, fields: tuple[tuple[str, str], ...], running: int
+    ) -> None:
+        """A late copy reports the load of an earlier time."""
+
+        async def case() -> None:
+            endpoint = _Endpoint(
+                lambda _, __: _head(
+                    200,
+                    ("Content-Length", "0"),
+                    ("Server-Load", "7,0,8"),
+                    *fields,
+                )
+            )
+            async with _gateway(endpoint) as gateway:
+                await gateway.book("a1")
+                (known,) = gateway.pool.all()
+                assert known.reported_running == running
+
+        trio.run(case)
