Call what a response is taken for a verdict, not a claim

From the review: a claim is already the act of a gateway that takes a partition of budgets, also in the metrics.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -23,8 +23,8 @@
 from quetzalmill import load_control
 from quetzalmill import logs
 from quetzalmill import reply_reader
-from quetzalmill import response_claims
 from quetzalmill import response_memory
+from quetzalmill import response_verdicts
 from quetzalmill import retry_timeout
 from quetzalmill import route_table
 from quetzalmill import stream_body
@@ -307,22 +307,22 @@
                 request,
                 timeout_ms=max_wait_ms,
                 idle_timeout_ms=self._idle_ms(job, remaining_ms),
-                new_connection=response_claims.needs_new_connection(job.call),
+                new_connection=response_verdicts.needs_new_connection(job.call),
                 request_name=job.call.request_id,
                 hooks=self._replies.hooks(job, endpoint_state),
             ) as response:
                 self._end_pending(endpoint_state, sent_ms)
-                reply, claim = self._replies.read(
+                reply, verdict = self._replies.read(
                     job, endpoint_state, response.head
                 )
                 outcome = await self._handle_reply(
-                    job, endpoint_state, reply, claim, response, exchange
+                    job, endpoint_state, reply, verdict, response, exchange
                 )
                 if _ended_by_endpoint(job, exchange):
                     self._record_outcome(job, endpoint_state, outcome, sent_ms)
                 response.may_reuse_connection = (
                     endpoint_state.drain_notice is None
-                    and response_claims.may_keep_connection(reply)
+                    and response_verdicts.may_keep_connection(reply)
                 )
                 return outcome
         except (errors.ConnectFailedError, errors.RequestWithdrawnError):
@@ -366,21 +366,21 @@
         job: dispatch_job.Job,
         endpoint_state: endpoint_pool.EndpointState,
         reply: gateway_calls.Reply,
-        claim: response_claims.Claim,
+        verdict: response_verdicts.Verdict,
         response: http_connection.StreamedResponse,
         exchange: http_server.Exchange,
     ) -> dispatch_job.SendResult:
-        match claim:
-            case response_claims.NotRun():
+        match verdict:
+            case response_verdicts.NotRun():
                 await self._answers.read(response)
                 if reply.status == _MISDIRECTED:
                     endpoint_pool.failed(endpoint_state, self._clock.now_ms())
                 return dispatch_job.TryNext(
                     f"the endpoint refused with {reply.status}"
                 )
-            case response_claims.Unclear(reason=reason):
+            case response_verdicts.Unclear(reason=reason):
                 raise errors.BadMessageError(reason)
-            case response_claims.Unrelated():
+            case response_verdicts.Unrelated():
                 raise errors.BadMessageError("the answer is not to the request")
         endpoint_pool.succeeded(endpoint_state)
         job.ran_on = endpoint_state.endpoint.endpoint_id
--- a/quetzalmill/dispatch_job.py
+++ b/quetzalmill/dispatch_job.py
@@ -17,21 +17,22 @@
         endpoint_id: The endpoint that the request was sent to.
         connection: The numbers of the connection and of its exchange.
         status: The HTTP status.
-        names: Whose request it names: ``own``, ``unnamed`` or ``foreign``.
-        claim: What it was taken for.
+        correlation: ``own``, ``unnamed`` or ``foreign``, by the request that it
+            names.
+        verdict: What it was taken for.
     """
 
     endpoint_id: str
     connection: str
     status: int
-    names: str
-    claim: str
+    correlation: str
+    verdict: str
 
     def __str__(self) -> str:
         """Returns a word for the log."""
         return (
             f"{self.endpoint_id}@{self.connection}:{self.status}"
-            f":{self.names}:{self.claim}"
+            f":{self.correlation}:{self.verdict}"
         )
 
 
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -127,7 +127,7 @@
         route = "" if active.route is None else active.route.name
         self._metrics.request(kind, route, took_ms)
         for answer in job.answers if job else ():
-            self._metrics.answer(answer.names, answer.claim)
+            self._metrics.answer(answer.correlation, answer.verdict)
         table = self._state.table
         _log.info(
             "request",
--- a/quetzalmill/gateway_metrics.py
+++ b/quetzalmill/gateway_metrics.py
@@ -29,7 +29,7 @@
             "quetzalmill_endpoint_answers",
             "Heads of final responses by whose request they name (own, unnamed,"
             " foreign) and what they were taken for.",
-            ["names", "claim"],
+            ["correlation", "verdict"],
             registry=self._registry,
         )
         self._claims = prometheus_client.Histogram(
@@ -64,14 +64,14 @@
         self._requests.labels(route, outcome).inc()
         self._latency.labels(outcome).observe(took_ms / 1000.0)
 
-    def answer(self, names: str, claim: str) -> None:
+    def answer(self, correlation: str, verdict: str) -> None:
         """Counts the head of an endpoint's response.
 
         Args:
-            names: Whose request it names.
-            claim: What it was taken for.
+            correlation: Whose request it names.
+            verdict: What it was taken for.
         """
-        self._answers.labels(names, claim).inc()
+        self._answers.labels(correlation, verdict).inc()
 
     def claim(self, succeeded: bool, took_ms: float) -> None:
         """Records the duration of a claim of a budget partition."""
--- a/quetzalmill/http_connection.py
+++ b/quetzalmill/http_connection.py
@@ -67,13 +67,13 @@
         may_send: Called once connected, just before the first byte is sent;
             returning False withdraws the request.
         on_interim: Called with the head of each interim (1xx) response.
-        is_foreign: Called with the head of a final response; returning True
+        is_unrelated: Called with the head of a final response; returning True
             skips it, as it responds to another request.
     """
 
     may_send: Callable[[], bool] = lambda: True
     on_interim: Callable[[ResponseHead], None] = lambda _: None
-    is_foreign: Callable[[ResponseHead], bool] = lambda _: False
+    is_unrelated: Callable[[ResponseHead], bool] = lambda _: False
 
 
 class StreamedResponse(AsyncIterator[bytes]):
@@ -307,7 +307,7 @@
             await self.stream.send_all(data)
         while True:
             head = await self._read_head(hooks)
-            if not hooks.is_foreign(self.describe(head)):
+            if not hooks.is_unrelated(self.describe(head)):
                 return head
             if not self.skipped_responses:
                 remaining_s = scope.deadline - trio.current_time()
@@ -372,22 +372,25 @@
 
 
 def _require_one_head(head: h11.Response | h11.InformationalResponse) -> None:
-    """Checks that a head is not made of the parts of several.
+    """Checks that a head does not contain parts of two responses.
 
-    The rest of a response that was cut off within its head would pass for the
-    rest of the next one's.
+    A response that was cut off within its head is continued by the next one.
 
     Raises:
-        errors.BadMessageError: It contains another status line, or two framings
-            of its body.
+        errors.BadMessageError: It contains a second status line, or both a
+            length and chunks.
     """
     texts = [bytes(head.reason)]
     texts += [bytes(value) for name, value in head.headers if name != _VIA]
     if any(_STATUS_LINE_AT_END.search(text) for text in texts):
-        raise errors.BadMessageError("a head within a head", _BAD_GATEWAY)
+        raise errors.BadMessageError(
+            "the head contains a status line", _BAD_GATEWAY
+        )
     names = [name for name, _ in head.headers]
     if b"content-length" in names and b"transfer-encoding" in names:
-        raise errors.BadMessageError("a body framed twice", _BAD_GATEWAY)
+        raise errors.BadMessageError(
+            "the head has both a length and chunks", _BAD_GATEWAY
+        )
 
 
 def _request_headers(
--- a/quetzalmill/reply_reader.py
+++ b/quetzalmill/reply_reader.py
@@ -6,13 +6,13 @@
 from quetzalmill import gateway_calls
 from quetzalmill import http_connection
 from quetzalmill import logs
-from quetzalmill import response_claims
+from quetzalmill import response_verdicts
 
-_LOG_WORDS: dict[type[response_claims.Claim], str] = {
-    response_claims.Unrelated: "skipped",
-    response_claims.NotRun: "not_run",
-    response_claims.Ran: "ran",
-    response_claims.Unclear: "unclear",
+_LOG_WORDS: dict[type[response_verdicts.Verdict], str] = {
+    response_verdicts.Unrelated: "skipped",
+    response_verdicts.NotRun: "not_run",
+    response_verdicts.Ran: "ran",
+    response_verdicts.Unclear: "unclear",
 }
 
 _log = logs.get("dispatch")
@@ -46,12 +46,12 @@
             reply = self._decode(job, endpoint_state, head)
             self._record_drain_notice(job, endpoint_state, reply)
 
-        def is_foreign(head: http_connection.ResponseHead) -> bool:
+        def is_unrelated(head: http_connection.ResponseHead) -> bool:
             reply = self._decode(job, endpoint_state, head)
-            claim = _claim_of(reply, job, head)
-            if not isinstance(claim, response_claims.Unrelated):
+            verdict = _judge(reply, job, head)
+            if not isinstance(verdict, response_verdicts.Unrelated):
                 return False
-            self._record_skipped(job, endpoint_state, head, reply, claim)
+            self._record_skipped(job, endpoint_state, head, reply, verdict)
             return True
 
         return http_connection.RequestHooks(
@@ -59,7 +59,7 @@
                 endpoint_state, self._clock.now_ms()
             ),
             on_interim=on_interim,
-            is_foreign=is_foreign,
+            is_unrelated=is_unrelated,
         )
 
     def read(
@@ -67,19 +67,19 @@
         job: dispatch_job.Job,
         endpoint_state: endpoint_pool.EndpointState,
         head: http_connection.ResponseHead,
-    ) -> tuple[gateway_calls.Reply, response_claims.Claim]:
+    ) -> tuple[gateway_calls.Reply, response_verdicts.Verdict]:
         """Decodes the head of a response and records what it reports.
 
         Returns the head and what it says of the request.
         """
         reply = self._decode(job, endpoint_state, head)
-        claim = _claim_of(reply, job, head)
+        verdict = _judge(reply, job, head)
         self._record_drain_notice(job, endpoint_state, reply)
-        match claim:
-            case response_claims.NotRun() | response_claims.Ran():
+        match verdict:
+            case response_verdicts.NotRun() | response_verdicts.Ran():
                 self._record_load(endpoint_state, reply.load)
-        _add_answer(job, endpoint_state, head, reply, claim)
-        return reply, claim
+        _add_answer(job, endpoint_state, head, reply, verdict)
+        return reply, verdict
 
     def _decode(
         self,
@@ -121,9 +121,9 @@
         endpoint_state: endpoint_pool.EndpointState,
         head: http_connection.ResponseHead,
         reply: gateway_calls.Reply,
-        claim: response_claims.Claim,
+        verdict: response_verdicts.Verdict,
     ) -> None:
-        _add_answer(job, endpoint_state, head, reply, claim)
+        _add_answer(job, endpoint_state, head, reply, verdict)
         _log.warning(
             "foreign_response_skipped",
             request_id=job.call.request_id,
@@ -137,24 +137,24 @@
     endpoint_state: endpoint_pool.EndpointState,
     head: http_connection.ResponseHead,
     reply: gateway_calls.Reply,
-    claim: response_claims.Claim,
+    verdict: response_verdicts.Verdict,
 ) -> None:
     job.answers.append(
         dispatch_job.EndpointAnswer(
             endpoint_id=endpoint_state.endpoint.endpoint_id,
             connection=f"{head.connection}.{head.exchange}",
             status=head.status,
-            names=reply.correlation.value,
-            claim=_LOG_WORDS[type(claim)],
+            correlation=reply.correlation.value,
+            verdict=_LOG_WORDS[type(verdict)],
         )
     )
 
 
-def _claim_of(
+def _judge(
     reply: gateway_calls.Reply,
     job: dispatch_job.Job,
     head: http_connection.ResponseHead,
-) -> response_claims.Claim:
-    return response_claims.claim_of(
+) -> response_verdicts.Verdict:
+    return response_verdicts.judge(
         reply, job.call, job.route, exchange=head.exchange
     )
--- a/quetzalmill/response_claims.py
+++ b/quetzalmill/response_verdicts.py
@@ -1,13 +1,13 @@
-"""Decides what the head of an endpoint's response may be believed to say.
+"""Judges what the head of an endpoint's response may be believed to say.
 
 An endpoint may send the response to an earlier request once more where the next
 one is due, whole or cut, or bytes that belong to no request. So a head says
 something of a request only if it names that request, and something definite
 only if its parts agree. All readers of endpoints' responses decide here.
 
-``http_connection`` does its part before: it rejects heads that two responses
-have run together in, keeps no connection on which bytes are left, and never
-sends the same request on a connection twice.
+``http_connection`` does its part before: it rejects heads that contain parts of
+two responses, keeps no connection on which bytes are left, and remembers which
+requests a connection has carried.
 """
 
 import attrs
@@ -46,16 +46,16 @@
     reason: str
 
 
-Claim = Unrelated | NotRun | Ran | Unclear
+Verdict = Unrelated | NotRun | Ran | Unclear
 
 
-def claim_of(
+def judge(
     reply: gateway_calls.Reply,
     call: gateway_calls.Call,
     route: route_table.Route,
     *,
     exchange: int,
-) -> Claim:
+) -> Verdict:
     """Returns what a final response says of the request that was sent.
 
     Args:
