Write no log line that blocks a process whose output is not read

One odd entry of another writer stopped a gateway whose output nobody read at that moment: no look-up was answered any more, the registry no longer followed. The gateway logged why the entry was unreadable, and the reason quoted its `state` of 200,000 characters.

Cause: a pipe that is writable accepts 4,096 bytes without blocking, not any line.

Lines are now written in pieces that a writable pipe accepts; the rest of a line is dropped where the pipe is full. Values but tracebacks are cut at 1,000 characters.

Evidence: without the change, tests/test_odd_entries.py::TestLongEntry fails with "no response in time", and tests/test_log_limits.py::TestUnblockedStream as its thread is still blocked after five seconds.

--- a/quetzalmill/log_limits.py
+++ b/quetzalmill/log_limits.py
@@ -14,6 +14,9 @@
 BURST_LINES = 200.0
 """Maximum burst of log lines for each event."""
 
+_MAX_CHAR_BYTES = 4
+_PIECE_CHARS = select.PIPE_BUF // _MAX_CHAR_BYTES
+
 
 @attrs.define
 class _TokenBucket:
@@ -62,8 +65,8 @@
     """Writes lines to a stream and drops those that would block.
 
     If the reader of a pipe stops reading, lines are lost, but the process does
-    not stall. Lines are short compared with what a pipe accepts once it is
-    writable.
+    not stall. A pipe that is writable accepts ``select.PIPE_BUF`` bytes; longer
+    lines are written in pieces, and end where the pipe is full.
 
     Args:
         stream: The stream to write to.
@@ -77,14 +80,19 @@
 
     def write(self, text: str) -> int:
         """Writes a line, or counts it as dropped."""
-        ready = self._poll.poll(0)
-        if ready and ready[0][1] & select.POLLOUT:
-            return self._stream.write(text)
-        self.dropped_lines += 1
+        for start in range(0, len(text), _PIECE_CHARS):
+            if not self._is_writable():
+                self.dropped_lines += 1
+                break
+            self._stream.write(text[start : start + _PIECE_CHARS])
+            self._stream.flush()
         return len(text)
 
     def flush(self) -> None:
         """Flushes the stream if it is writable."""
-        ready = self._poll.poll(0)
-        if ready and ready[0][1] & select.POLLOUT:
+        if self._is_writable():
             self._stream.flush()
+
+    def _is_writable(self) -> bool:
+        ready = self._poll.poll(0)
+        return bool(ready and ready[0][1] & select.POLLOUT)
--- a/quetzalmill/logs.py
+++ b/quetzalmill/logs.py
@@ -14,6 +14,9 @@
 
 MASK = "***"
 
+MAX_VALUE_CHARS = 1_000
+"""The longest value in a line but a traceback; the rest is left out."""
+
 _LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 _SECRET_NAMES = frozenset({"authorization", "api_key", "key", "secret"})
 _KEY_PATTERN = re.compile(r"\bqm_([0-9A-Za-z]+)_[0-9A-Za-z_-]+")
@@ -66,5 +69,7 @@
     if value is None or isinstance(value, bool | int | float):
         return value
     text = value if isinstance(value, str) else repr(value)
+    if len(text) > MAX_VALUE_CHARS and name != "exception":
+        text = f"{text[:MAX_VALUE_CHARS]}..."
     text = _CREDENTIALS_PATTERN.sub(rf"\1 {MASK}", text)
     return _KEY_PATTERN.sub(rf"qm_\1_{MASK}", text)
--- a/quetzalmill_load/platform_cluster.py
+++ b/quetzalmill_load/platform_cluster.py
@@ -284,7 +284,11 @@
         return endpoint
 
     async def add_gateway(
-        self, *, apart: bool = False, store_address: str = ""
+        self,
+        *,
+        apart: bool = False,
+        store_address: str = "",
+        output_read: bool = True,
     ) -> Gateway:
         """Starts a gateway and waits until it is ready.
 
@@ -293,6 +297,8 @@
                 ``store_apart_down`` cuts.
             store_address: Where it reaches the store, if neither that way nor
                 the usual one.
+            output_read: Whether its log is kept; if not, it goes into a pipe
+                that nobody reads.
         """
         name = f"front-{len(self.gateways)}"
         # Machines differ in their address; ports are alike on all of them.
@@ -304,7 +310,7 @@
         log_path = self._path / f"{name}.log"
         gateway = Gateway(
             name=name,
-            process=_start(settings, log_path),
+            process=_start(settings, log_path, output_read=output_read),
             callers=f"{ip}:{ports[0]}",
             ready=f"{ip}:{ports[1]}",
             metrics=f"{ip}:{boot.METRICS_PORT}",
@@ -455,14 +461,14 @@
 
 
 def _start(
-    settings: pathlib.Path, log_path: pathlib.Path
+    settings: pathlib.Path, log_path: pathlib.Path, *, output_read: bool = True
 ) -> subprocess.Popen[bytes]:
     with log_path.open("ab") as log, processes.default_signal_actions():
         return subprocess.Popen(
             [sys.executable, "-m", "quetzalmill_platform"],
             cwd=_ROOT,
-            stdout=log,
-            stderr=subprocess.STDOUT,
+            stdout=log if output_read else subprocess.PIPE,
+            stderr=log,
             env={
                 **os.environ,
                 "PYTHONPATH": f"{_ROOT}:{_ROOT / 'platform'}",
@@ -486,6 +492,7 @@
         finally:
             for gateway in cluster.gateways:
                 gateway.process.kill()
-                gateway.process.wait()
+                # Closes the pipe of an output that was not read, too.
+                gateway.process.communicate()
             await cluster.client.aclose()
             nursery.cancel_scope.cancel()
--- a/tests/test_log_limits.py
+++ b/tests/test_log_limits.py
@@ -1,11 +1,14 @@
 """Tests of the limits on logging."""
 
 import os
+import sys
+import threading
 
 import pytest
 import structlog
 
 from quetzalmill import log_limits
+from quetzalmill import logs
 
 
 class TestVolumeLimit:
@@ -40,6 +43,22 @@
         assert limit(None, "info", {"event": "request"})["left_out"] == 3
 
 
+class TestLongValues:
+    """Values of other writers, such as in the reason why one is unreadable."""
+
+    def test_long_value_is_cut_but_not_a_traceback(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        logs.configure(stream=sys.stdout)
+        try:
+            raise ValueError("y" * 5_000)
+        except ValueError:
+            logs.get("x").exception("failed", reason="x" * 200_000)
+        line = capsys.readouterr().out
+        assert line.count("x") < 2 * logs.MAX_VALUE_CHARS
+        assert line.count("y") > 5_000
+
+
 class TestUnblockedStream:
     """A pipe whose reader does not read."""
 
@@ -53,3 +72,25 @@
             assert unblocked.dropped_lines > 0
             os.read(reader, 1_000_000)
             stream.flush()
+
+    @pytest.mark.parametrize("char", ["x", "\U0001f512"])
+    def test_line_longer_than_a_pipe_accepts_does_not_block(
+        self, char: str
+    ) -> None:
+        """A gateway that logs one would serve nothing until it is read."""
+        reader, writer = os.pipe()
+        with os.fdopen(reader, "rb"), os.fdopen(writer, "w") as stream:
+            unblocked = log_limits.NonBlockingStream(stream)
+
+            def write() -> None:
+                unblocked.write(char * 200_000)
+                unblocked.flush()
+
+            thread = threading.Thread(target=write, daemon=True)
+            thread.start()
+            thread.join(5.0)
+            is_blocked = thread.is_alive()
+            while thread.is_alive():
+                os.read(reader, 1_000_000)
+            assert not is_blocked
+            assert unblocked.dropped_lines == 1
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -127,6 +127,26 @@
         gateway_case.run(tmp_path, case)
 
 
+class TestLongEntry:
+    """An entry that is logged while nobody reads the gateway's output."""
+
+    def test_long_value_in_an_entry_does_not_block_the_gateway(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """The log quoted the whole value; a pipe holds less than that."""
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("app-1", "app")
+            gateway = await cluster.add_gateway(output_read=False)
+            odd = {**cluster.entries["app-1"], "state": "x" * 200_000}
+            cluster.store.put("keyed.servers", "odd", odd)
+            await trio.sleep(1.0)
+            _, response = await cluster.call(gateway, "/lookup/1")
+            assert response.status == 200
+
+        gateway_case.run(tmp_path, case)
+
+
 class TestOddEntryOfAnEndpoint:
     """An odd entry in place of an endpoint's own, until its next one."""
 
