--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -147,6 +147,30 @@
         gateway_case.run(tmp_path, case)
 
 
+class TestUnprintableEntry:
+    """An entry that is logged where the output has another encoding."""
+
+    def test_character_that_the_output_lacks_does_not_end_the_gateway(
+        self, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setenv("PYTHONIOENCODING", "ascii")
+
+        async def case(cluster: platform_cluster.Cluster) -> None:
+            await cluster.add_endpoint("app-1", "app")
+            gateway = await cluster.add_gateway()
+            state = {**cluster.entries["app-1"], "state": "\xe9\u5f85"}
+            cluster.store.put("keyed.servers", "odd", state)
+
+            async def has_read_it() -> bool:
+                return "endpoint_unreadable" in gateway.log()
+
+            await cluster.until(has_read_it)
+            _, response = await cluster.call(gateway, "/lookup/1")
+            assert response.status == 200
+
+        gateway_case.run(tmp_path, case)
+
+
 class TestOddEntryOfAnEndpoint:
     """An odd entry in place of an endpoint's own, until its next one."""
 
