Keep a process running when the reader of its log closes the pipe

A gateway whose output is a pipe ended at its next log line once the reader had closed it: callers' connections were refused. `BrokenPipeError` left a task of the main task group.

The line now counts as dropped. A line and its end are written together, so a full pipe drops both or none.

--- a/quetzalmill/log_limits.py
+++ b/quetzalmill/log_limits.py
@@ -76,22 +76,33 @@
         self._stream = stream
         self._poll = select.poll()
         self._poll.register(stream.fileno(), select.POLLOUT)
+        self._unwritten = ""
         self.dropped_lines = 0
 
     def write(self, text: str) -> int:
-        """Writes a line, or counts it as dropped."""
+        """Keeps a line, or a part of it, until it is flushed."""
+        self._unwritten += text
+        return len(text)
+
+    def flush(self) -> None:
+        """Writes what was kept, or counts it as dropped."""
+        text, self._unwritten = self._unwritten, ""
         for start in range(0, len(text), _PIECE_CHARS):
-            if not self._is_writable():
+            if not self._write_piece(text[start : start + _PIECE_CHARS]):
                 self.dropped_lines += 1
                 break
-            self._stream.write(text[start : start + _PIECE_CHARS])
-            self._stream.flush()
-        return len(text)
 
-    def flush(self) -> None:
-        """Flushes the stream if it is writable."""
-        if self._is_writable():
+    def _write_piece(self, text: str) -> bool:
+        """Returns whether it was written."""
+        if not self._is_writable():
+            return False
+        try:
+            self._stream.write(text)
             self._stream.flush()
+        except OSError:
+            # The reader of a pipe has closed it, or a disk is full.
+            return False
+        return True
 
     def _is_writable(self) -> bool:
         ready = self._poll.poll(0)
--- a/tests/test_log_limits.py
+++ b/tests/test_log_limits.py
@@ -1,5 +1,6 @@
 """Tests of the limits on logging."""
 
+import contextlib
 import os
 import sys
 import threading
@@ -94,3 +95,15 @@
                 os.read(reader, 1_000_000)
             assert not is_blocked
             assert unblocked.dropped_lines == 1
+
+    def test_closed_pipe_does_not_end_the_process(self) -> None:
+        """A log line is no reason to end a task that logs one."""
+        reader, writer = os.pipe()
+        stream = os.fdopen(writer, "w")
+        unblocked = log_limits.NonBlockingStream(stream)
+        os.close(reader)
+        unblocked.write("x\n")
+        unblocked.flush()
+        assert unblocked.dropped_lines == 1
+        with contextlib.suppress(BrokenPipeError):
+            stream.close()
