Keep serving datagram calls after a reply that cannot be encoded

A request of a peer whose numbers add up to more than 64 bits in the reply ended the gateway: only the handler ran under the guard for failed calls, the encoding of its reply did not. Both do now; the caller times out, as for other failures.

Evidence: without the change, tests/test_peer_calls.py::TestCalls::test_reply_that_cannot_be_encoded_ends_no_other_call fails with OverflowError. Found by reading; no gateway was seen to send such a request.

--- a/quetzalmill/peer_calls.py
+++ b/quetzalmill/peer_calls.py
@@ -250,12 +250,12 @@
         """Answers a call, or returns its pending reply."""
         try:
             reply = handler(request)
+            if inspect.isawaitable(reply):
+                return reply
+            self._answer(reply, key)
         except Exception:
+            # The caller times out; other calls must continue.
             _log.exception("call_failed", peer=key[0][0])
-            return None
-        if inspect.isawaitable(reply):
-            return reply
-        self._answer(reply, key)
         return None
 
     async def _answer_later(self, reply: Awaitable[Any], key: _Key) -> None:
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -170,6 +170,22 @@
 
         trio.run(main)
 
+    def test_reply_that_cannot_be_encoded_ends_no_other_call(self) -> None:
+        """Numbers of a request may add up to more than a message can hold."""
+
+        async def main() -> None:
+            async with _running(_Callee()) as (caller, _):
+                with pytest.raises(errors.ControlCallError):
+                    await caller.call(
+                        _CALLEE, _DOUBLE, _Number(2**63), timeout_ms=400.0
+                    )
+                reply = await caller.call(
+                    _CALLEE, _DOUBLE, _Number(2), timeout_ms=5_000.0
+                )
+                assert reply == _Number(4)
+
+        trio.run(main)
+
     def test_missing_acknowledgement_fails_before_the_timeout(self) -> None:
         """A callee that is down sends no acknowledgement."""
 
