Note why three seeds of the soak fail; red

Seeds 2, 17 and 55 of tests/test_soak.py are red since endpoints mislead, on the code of: a turn that ran was refused, a booking ran at two endpoints, a booking that ran was refused.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -356,6 +356,8 @@
     notice, as long as its registry entry did not.
     17: a booking got no answer while its endpoint only answered other requests.
     1796416716: a reload signal ended a gateway that was still starting.
+    2, 17, 55: requests that ran were refused, or ran twice, as late copies and
+    signed failures were believed.
     """
 
     @pytest.mark.parametrize("seed", [1, 2, 17, 55, 1796416716])
