--- a/quetzalmill/dispatch_job.py
+++ b/quetzalmill/dispatch_job.py
@@ -29,7 +29,7 @@
     verdict: str
 
     def __str__(self) -> str:
-        """Returns a word for the log."""
+        """Returns the form that the log line of a request lists."""
         return (
             f"{self.endpoint_id}@{self.connection}:{self.status}"
             f":{self.correlation}:{self.verdict}"
--- a/quetzalmill/http_connection.py
+++ b/quetzalmill/http_connection.py
@@ -27,8 +27,8 @@
 """Fraction of the remaining time in which the awaited response must follow, so
 that its loss is reported before the time is over."""
 _MAX_RECORDED_NAMES = 32
-"""The requests of a connection, the latest ones, that are remembered because
-late responses may name them."""
+"""How many of its latest requests a connection remembers; late responses may
+name them."""
 _STATUS_LINE_AT_END = re.compile(rb"HTTP/1\.\d \d{3}( [^\"]*)?$")
 _VIA = b"via"
 """A header whose values may begin with a version of HTTP."""
@@ -68,7 +68,7 @@
             returning False withdraws the request.
         on_interim: Called with the head of each interim (1xx) response.
         is_unrelated: Called with the head of a final response; returning True
-            skips it, as it responds to another request.
+            skips it, as it is not the response to this request.
     """
 
     may_send: Callable[[], bool] = lambda: True
