Relay heartbeats between failure domains in medium fleets too

Up to 40 peers each gateway sent its heartbeats to every other one directly.

Relays are now used as soon as they send fewer copies of a heartbeat to other domains than there are peers in them, whatever the fleet's size. Small fleets keep direct heartbeats. The interval still grows beyond 40 peers only.

The tests fail with the old threshold: bytes of 33 gateways in 6 domains, and the fleet of 12 gateways that must have no relays fails where relays are always used.

--- a/quetzalmill/beat_relays.py
+++ b/quetzalmill/beat_relays.py
@@ -10,7 +10,9 @@
 own. Both relays send each heartbeat twice, to randomly chosen gateways, so that
 the loss of a datagram, of a relay or of half a domain delays few of them. There
 is no election: every gateway ranks the live ones, and as a heartbeat carries
-its instance and sequence number, disagreement does no harm.
+its instance and sequence number, disagreement does no harm. Small fleets, where
+relays would send more copies than there are gateways in other domains, use
+none.
 """
 
 from collections.abc import Iterable
@@ -23,12 +25,6 @@
 from quetzalmill import errors
 from quetzalmill import peers as peers_module
 
-RELAYS_PER_DOMAIN = 2
-"""Relays of a failure domain; one may fail without a gap."""
-
-SENDS_PER_HEARTBEAT = 2
-"""How often a relay sends a heartbeat to another domain."""
-
 RELAY_INTERVAL_MS = 200.0
 """The interval between sends of a relay; the heartbeat interval of small
 fleets."""
@@ -146,8 +142,13 @@
         if now_ms - self._relayed_ms < RELAY_INTERVAL_MS:
             return []
         self._relayed_ms = now_ms
-        self._is_relay = self._peers.is_relay(RELAYS_PER_DOMAIN, now_ms)
-        self._sent = [*self._sent[1 - SENDS_PER_HEARTBEAT :], self._collected]
+        self._is_relay = self._peers.is_relay(
+            peers_module.RELAYS_PER_DOMAIN, now_ms
+        )
+        self._sent = [
+            *self._sent[1 - peers_module.SENDS_PER_HEARTBEAT :],
+            self._collected,
+        ]
         self._collected = []
         relayed = [each for sent in self._sent for each in sent]
         if not relayed or not self._is_relay:
--- a/quetzalmill/peers.py
+++ b/quetzalmill/peers.py
@@ -26,11 +26,16 @@
 """How long a team's count is sent after its last request: five heartbeats, of
 which one most likely arrives; otherwise the next full one corrects it."""
 
-MAX_DIRECT_PEERS = 40
-"""The most peers to which heartbeats are sent directly and every
-``HEARTBEAT_MS``. With more, they are sent less often, so that the CPU time for
-receiving them does not grow, and reach other failure domains through relays
-(``beat_relays``)."""
+MAX_UNSLOWED_PEERS = 40
+"""The most peers to which heartbeats are sent every ``HEARTBEAT_MS``. With
+more, they are sent less often, so that the CPU time for receiving them does not
+grow."""
+
+RELAYS_PER_DOMAIN = 2
+"""Relays of a failure domain; one may fail without a gap."""
+
+SENDS_PER_HEARTBEAT = 2
+"""How often a relay sends a heartbeat to another domain."""
 
 LIVENESS_TIMEOUT_MS = 900.0
 """Time without a heartbeat after which a peer no longer counts as live: four
@@ -269,7 +274,19 @@
         return addresses
 
     def _is_relayed(self) -> bool:
-        return len(self._peers) > MAX_DIRECT_PEERS
+        """Returns whether heartbeats reach other domains through relays.
+
+        They do where relays send fewer copies of a heartbeat to other domains
+        than there are peers in them. A fleet with few gateways in each domain
+        sends fewer bytes directly, and its heartbeats arrive sooner.
+        """
+        remote = [
+            peer.heartbeat.failure_domain
+            for peer in self._peers.values()
+            if not self.is_in_own_domain(peer.heartbeat)
+        ]
+        copies = RELAYS_PER_DOMAIN * SENDS_PER_HEARTBEAT * len(set(remote))
+        return len(remote) > copies
 
     def _live_peers(self, now_ms: float) -> list[_Peer]:
         """Returns the peers whose last heartbeat is recent enough."""
@@ -287,7 +304,7 @@
         return HEARTBEAT_MS * self._slowdown()
 
     def _slowdown(self) -> float:
-        return max(1.0, len(self._peers) / MAX_DIRECT_PEERS)
+        return max(1.0, len(self._peers) / MAX_UNSLOWED_PEERS)
 
     def alive(self, now_ms: float) -> list[Heartbeat]:
         """Returns the last heartbeats of live peers."""
--- a/tests/test_beat_relays.py
+++ b/tests/test_beat_relays.py
@@ -113,7 +113,7 @@
             each
             for each in self.members.values()
             if each.heartbeat.failure_domain == domain
-            and each.table.is_relay(beat_relays.RELAYS_PER_DOMAIN, self.now_ms)
+            and each.table.is_relay(peers_module.RELAYS_PER_DOMAIN, self.now_ms)
         ]
 
     def _deliver(
@@ -160,6 +160,21 @@
         )
         assert fleet.cross_domain_bytes < direct_bytes / 10
 
+    def test_bytes_between_domains_of_a_medium_fleet(self) -> None:
+        """Direct heartbeats of 33 gateways cost more than relayed ones."""
+        fleet = _Fleet(33)
+        fleet.run(3_000.0)
+        fleet.cross_domain_bytes = 0
+        fleet.run(4_000.0)
+        direct_bytes = 33 * 27.5 * 20 * len(codec.to_msgpack(_heartbeat(1)))
+        assert fleet.cross_domain_bytes < direct_bytes / 2
+
+    def test_small_fleet_has_no_relays(self) -> None:
+        """Relays would send more copies than there are gateways to reach."""
+        fleet = _Fleet(12)
+        fleet.run(3_000.0)
+        assert not fleet.relays_of("d0")
+
     def test_losing_one_relay_per_domain_hides_no_peer(self) -> None:
         """One relay of each domain fails at the same time."""
         fleet = _Fleet(84)
@@ -207,7 +222,7 @@
         fleet.run(3_000.0)
         for domain in range(0, _DOMAINS, 2):
             relays = fleet.relays_of(f"d{domain}")
-            assert len(relays) == beat_relays.RELAYS_PER_DOMAIN
+            assert len(relays) == peers_module.RELAYS_PER_DOMAIN
             assert all(each.heartbeat.link_mbps == 300.0 for each in relays)
 
 
