Serve programs that start while the store is unavailable

Cause: during an outage of the store a program without a stored bound got no tokens, and the refusal came only after the owner had waited 1.2 s for the store.

Change: a program without a stored bound may send up to the limit of one turn before its bound is stored; other turns that need the store are refused at once after 600 ms of outage. An owner that lost the accounts before it deducts nothing later from programs it does not know. StoredBound and Program move to modules of their own, for size.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -8,7 +8,8 @@
 A new owner asks the previous one for its accounts, which are exact, and charges
 the stored bounds only if that one is gone. While the store is unavailable, an
 owner grants no more than its stored bounds, because grants have to survive the
-loss of all gateways.
+loss of all gateways; only a program without a stored bound may send up to the
+limit of one turn. Other turns are refused at once.
 """
 
 from collections.abc import Awaitable, Callable
@@ -25,8 +26,10 @@
 from quetzalmill import gateway_messages
 from quetzalmill import keyed_store
 from quetzalmill import logs
+from quetzalmill import outage_grants
 from quetzalmill import program_budgets
 from quetzalmill import recent_turns
+from quetzalmill import stored_bound
 
 RELEASE_TIMEOUT_MS = 400.0
 """How long a running turn waits for one reply. It then asks again, and may get
@@ -36,6 +39,10 @@
 """How long a turn waits for its reservation; the rest of its deadline must
 suffice to run it."""
 
+MIN_OUTAGE_MS = 600.0
+"""How long the store must have been unavailable before turns that need it are
+refused without waiting; three times what one lost answer costs."""
+
 _NO_EPOCH = 0
 
 _CLAIM_RETRY_PAUSE_MS = (50.0, 150.0)
@@ -84,6 +91,8 @@
             heartbeats of all live peers; only they have exact accounts.
         claim_ended: Called with whether a claim of the partition succeeded and
             how many milliseconds it took.
+        outage_ms: Returns for how long the store has not answered this
+            gateway; 0 while it does.
     """
 
     def __init__(
@@ -98,6 +107,7 @@
         held_partitions: set[int],
         listening_ms: Callable[[], float],
         claim_ended: Callable[[bool, float], None],
+        outage_ms: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._part = part
         self._store = store
@@ -109,6 +119,7 @@
         self._held_partitions: set[int] = held_partitions
         self._listening_ms = listening_ms
         self._claim_ended = claim_ended
+        self._outage_ms = outage_ms
         self._term: budget_term.BudgetTerm | None = None
         self._claim: _Claim | None = None
         self._last_accounts = _Accounts()
@@ -190,7 +201,7 @@
         self,
         term: budget_term.BudgetTerm,
         message: gateway_messages.ReleaseTurn,
-    ) -> gateway_messages.ReleaseReply | program_budgets.StoredBound:
+    ) -> gateway_messages.ReleaseReply | stored_bound.StoredBound:
         """Returns the reply, or the bound to store before trying again."""
         if self._recent_turns.has_ended(message.turn_id):
             return gateway_messages.ReleaseReply(
@@ -203,6 +214,7 @@
             most_tokens=message.most_tokens,
             before_tokens=message.before_tokens,
             now_ms=self._clock.now_ms(),
+            store_unavailable=not self._store_reached(),
         )
         if isinstance(outcome, program_budgets.Spent):
             return gateway_messages.ReleaseReply(
@@ -210,6 +222,9 @@
             )
         if outcome.bound is None:
             return gateway_messages.ReleaseReply(granted=True)
+        if outcome.is_provisional:
+            term.write_soon({message.program_id: outcome.bound})
+            return gateway_messages.ReleaseReply(granted=True)
         return outcome.bound
 
     def settle(self, message: gateway_messages.SettleTurn) -> None:
@@ -221,9 +236,7 @@
             # progress may adopt accounts that still have the reservation.
             self._recent_turns.postpone(message)
             return
-        _settle_in(
-            term, message.program_id, message.turn_id, message.used_tokens
-        )
+        term.settle(message.program_id, message.turn_id, message.used_tokens)
 
     def forget_idle(self, idle_ms: float) -> None:
         """Drops programs unused for ``idle_ms``, here and from the store."""
@@ -258,7 +271,7 @@
                 # another owner may have granted the turn meanwhile, and its
                 # accounts, which count, may be adopted here.
                 if reserved_in is term:
-                    _settle_in(term, message.program_id, message.turn_id, 0)
+                    term.settle(message.program_id, message.turn_id, 0)
                 raise
         return self._granted(message, outcome)
 
@@ -293,15 +306,15 @@
         if self._recent_turns.is_given_up(message.turn_id):
             # The caller left while this gateway was claiming the partition.
             return _undecided("the turn was given up before")
+        is_known = term.ledger.has_turn(message.program_id, message.turn_id)
         outcome = term.ledger.reserve(
             message.program_id,
             message.turn_id,
             budget_tokens=message.budget_tokens,
             most_tokens=message.most_tokens,
             now_ms=self._clock.now_ms(),
-            # While the store is unavailable, no turn starts that might have to
-            # stop halfway, and running turns keep their tokens below the bound.
-            release_all=not message.by_parts or not self._store_reached(),
+            release_all=not message.by_parts,
+            store_unavailable=not self._store_reached(),
         )
         if isinstance(outcome, program_budgets.Spent):
             return gateway_messages.ReserveReply(
@@ -310,6 +323,13 @@
         self._recent_turns.record_start(message.turn_id)
         if outcome.bound is None:
             return self._granted(message, outcome)
+        if outcome.is_provisional:
+            term.write_soon({message.program_id: outcome.bound})
+            return self._granted(message, outcome)
+        if not is_known and self._outage_ms() > MIN_OUTAGE_MS:
+            # The store may return too late for it.
+            term.settle(message.program_id, message.turn_id, 0)
+            return _undecided("the store is unavailable")
         return outcome
 
     def _granted(
@@ -406,11 +426,15 @@
                 # Another gateway may have opened a term since.
                 or self._peers.holders(self._part)
             )
-        ledger = program_budgets.BudgetLedger()
         now_ms = self._clock.now_ms()
-        for program_id, value in values.items():
-            ledger.load(program_id, program_budgets.decode_bound(value), now_ms)
         is_exact = last_epoch == self._last_accounts.epoch != _NO_EPOCH
+        ledger = program_budgets.BudgetLedger(
+            outage_grants.OutageGrants()
+            if is_exact or last_epoch == _NO_EPOCH
+            else outage_grants.OutageGrants(lost_ms=now_ms)
+        )
+        for program_id, value in values.items():
+            ledger.load(program_id, stored_bound.decode(value), now_ms)
         if is_exact:
             ledger.take_over(self._last_accounts.by_program, now_ms)
         term = budget_term.BudgetTerm(
@@ -459,20 +483,6 @@
             )
 
 
-def _settle_in(
-    term: budget_term.BudgetTerm,
-    program_id: str,
-    turn_id: str,
-    used_tokens: int,
-) -> None:
-    """Settles a turn in a term's accounts; stores a lower bound if it can."""
-    lower = term.ledger.settle(
-        program_id, turn_id, used_tokens, may_lower=not term.is_writing
-    )
-    if lower is not None:
-        term.write_soon({program_id: lower})
-
-
 def _spent_reason(spent: program_budgets.Spent) -> str:
     return f"{spent.granted_tokens} of {spent.budget_tokens} tokens are granted"
 
--- a/quetzalmill/budget_term.py
+++ b/quetzalmill/budget_term.py
@@ -9,6 +9,7 @@
 from quetzalmill import keyed_store
 from quetzalmill import logs
 from quetzalmill import program_budgets
+from quetzalmill import stored_bound
 
 TOPIC = "budgets"
 """The topic that holds a bound for each program."""
@@ -35,7 +36,7 @@
 @attrs.define(eq=False)
 class _PendingWrite:
     program_id: str
-    bound: program_budgets.StoredBound | None
+    bound: stored_bound.StoredBound | None
     done: trio.Event = attrs.field(factory=trio.Event)
     error: errors.ExternalSystemError | None = None
 
@@ -102,7 +103,7 @@
             self.ledger.made_durable(program_id, bound)
 
     async def write(
-        self, program_id: str, bound: program_budgets.StoredBound
+        self, program_id: str, bound: stored_bound.StoredBound
     ) -> None:
         """Returns once a bound is stored.
 
@@ -116,7 +117,7 @@
             raise pending.error
 
     def write_soon(
-        self, bounds: dict[str, program_budgets.StoredBound | None]
+        self, bounds: dict[str, stored_bound.StoredBound | None]
     ) -> None:
         """Stores or removes bounds in the background."""
         self._queue(
@@ -126,6 +127,14 @@
             ]
         )
 
+    def settle(self, program_id: str, turn_id: str, used_tokens: int) -> None:
+        """Settles a turn in the accounts; stores a lower bound if it can."""
+        lower = self.ledger.settle(
+            program_id, turn_id, used_tokens, may_lower=not self.is_writing
+        )
+        if lower is not None:
+            self.write_soon({program_id: lower})
+
     def _queue(self, pending: list[_PendingWrite]) -> None:
         self._pending += pending
         if self._pending and not self.is_writing:
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -223,6 +223,7 @@
                 self.state.holds,
                 self.state.listening_ms,
                 self.metrics.claim,
+                self.state.store_outage_ms,
             )
             for part in parts
         ]
--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -172,6 +172,12 @@
         """Returns whether the store answers this gateway."""
         return self._store_lost_ms is None
 
+    def store_outage_ms(self) -> float:
+        """Returns for how long the store has not answered this gateway."""
+        if self._store_lost_ms is None:
+            return 0.0
+        return self.clock.now_ms() - self._store_lost_ms
+
     def listening_ms(self) -> float:
         """Returns how much longer it listens for its peers' heartbeats."""
         since_ms = self.clock.now_ms() - self._started_ms
--- a/quetzalmill/program_budgets.py
+++ b/quetzalmill/program_budgets.py
@@ -22,8 +22,9 @@
 
 import attrs
 
-_SLACK_SUFFIX = "-"
-"""Suffix of a stored bound from which one turn's limit was deducted."""
+from quetzalmill import outage_grants as grants_module
+from quetzalmill import program_account
+from quetzalmill import stored_bound
 
 STEPS_PER_BUDGET = 8
 """Steps from zero to the whole budget in which the stored bound is raised."""
@@ -37,94 +38,6 @@
 cost a write for nearly every turn."""
 
 
-@attrs.define(kw_only=True)
-class Turn:
-    """The reservation of a turn that is not settled.
-
-    Attributes:
-        reserved_tokens: The most tokens that this account may still be charged
-            for the turn.
-        released_tokens: How many of these may be sent without a further
-            request.
-        before_tokens: Tokens that earlier owners released to the turn and that
-            the account already counts as spent.
-    """
-
-    reserved_tokens: int
-    released_tokens: int
-    before_tokens: int = 0
-
-
-@attrs.define(kw_only=True)
-class Program:
-    """The account of one program.
-
-    Attributes:
-        budget_tokens: The tokens that all its turns may generate.
-        spent_tokens: The tokens that settled turns sent.
-        turns: The turns that are not settled, by id.
-        durable_tokens: The stored bound, which a new owner would take as spent.
-        requested_tokens: The highest bound for which a write was requested;
-            the bound is not lowered while that write is in flight.
-        last_used_ms: When it was last used.
-        is_estimated: Whether ``spent_tokens`` is only a stored bound, from
-            which the token limit of one turn may be deducted.
-        slack_used: Whether this or an earlier owner has done so.
-        slack_is_durable: Whether the stored bound records it.
-    """
-
-    budget_tokens: int
-    spent_tokens: int = 0
-    turns: dict[str, Turn] = attrs.field(factory=dict)
-    durable_tokens: int = 0
-    requested_tokens: int = 0
-    last_used_ms: float = 0.0
-    is_estimated: bool = False
-    slack_used: bool = False
-    slack_is_durable: bool = False
-
-    @property
-    def granted_tokens(self) -> int:
-        """Tokens spent, plus all that unsettled turns have reserved."""
-        return self.spent_tokens + sum(
-            turn.reserved_tokens for turn in self.turns.values()
-        )
-
-    @property
-    def released_tokens(self) -> int:
-        """Tokens spent, plus all that unsettled turns may send now."""
-        return self.spent_tokens + sum(
-            turn.released_tokens for turn in self.turns.values()
-        )
-
-
-@attrs.frozen
-class StoredBound:
-    """The upper bound on a program's spending that the store holds.
-
-    Attributes:
-        tokens: The most tokens that may have been sent.
-        slack_used: Whether an owner has deducted one turn's limit from a bound.
-    """
-
-    tokens: int
-    slack_used: bool
-
-    def encode(self) -> bytes:
-        """Returns the value to store."""
-        return (
-            f"{self.tokens}{_SLACK_SUFFIX if self.slack_used else ''}".encode()
-        )
-
-
-def decode_bound(value: bytes) -> StoredBound:
-    """Parses a stored value."""
-    text = value.decode()
-    return StoredBound(
-        int(text.removesuffix(_SLACK_SUFFIX)), text.endswith(_SLACK_SUFFIX)
-    )
-
-
 @attrs.frozen
 class Granted:
     """The budget covers the turn.
@@ -135,11 +48,13 @@
         is_first: Whether its program had been granted nothing before.
         released_tokens: The tokens that it may then send without a further
             request.
+        is_provisional: Whether it may go on before the bound is stored.
     """
 
-    bound: StoredBound | None
+    bound: stored_bound.StoredBound | None
     is_first: bool
     released_tokens: int
+    is_provisional: bool = False
 
 
 @attrs.frozen
@@ -178,10 +93,18 @@
 
 
 class BudgetLedger:
-    """The accounts of the programs of one partition."""
+    """The accounts of the programs of one partition.
 
-    def __init__(self) -> None:
-        self.programs: dict[str, Program] = {}
+    Args:
+        outage_grants: What may be sent while the store is unavailable.
+    """
+
+    def __init__(
+        self,
+        outage_grants: grants_module.OutageGrants | None = None,
+    ) -> None:
+        self.programs: dict[str, program_account.Program] = {}
+        self._outage_grants = outage_grants or grants_module.OutageGrants()
 
     def accounts(self) -> dict[str, Account]:
         """Returns all accounts for handing over, by program."""
@@ -212,11 +135,11 @@
     def take_over(self, accounts: dict[str, Account], now_ms: float) -> None:
         """Adopts the exact accounts of the previous owner."""
         for program_id, account in accounts.items():
-            self.programs[program_id] = Program(
+            self.programs[program_id] = program_account.Program(
                 budget_tokens=account.durable_tokens,
                 spent_tokens=account.spent_tokens,
                 turns={
-                    turn_id: Turn(
+                    turn_id: program_account.Turn(
                         reserved_tokens=tokens,
                         released_tokens=account.released.get(turn_id, tokens),
                         before_tokens=account.before.get(turn_id, 0),
@@ -230,9 +153,11 @@
                 slack_is_durable=account.slack_is_durable,
             )
 
-    def load(self, program_id: str, bound: StoredBound, now_ms: float) -> None:
+    def load(
+        self, program_id: str, bound: stored_bound.StoredBound, now_ms: float
+    ) -> None:
         """Opens an account from the bound that an earlier owner stored."""
-        self.programs[program_id] = Program(
+        self.programs[program_id] = program_account.Program(
             budget_tokens=bound.tokens,
             spent_tokens=bound.tokens,
             durable_tokens=bound.tokens,
@@ -242,10 +167,10 @@
             slack_is_durable=bound.slack_used,
         )
 
-    def missing_bounds(self) -> dict[str, StoredBound]:
+    def missing_bounds(self) -> dict[str, stored_bound.StoredBound]:
         """Returns the bounds to write for programs whose stored one is low."""
         return {
-            program_id: StoredBound(
+            program_id: stored_bound.StoredBound(
                 max(program.released_tokens, program.durable_tokens),
                 program.slack_used,
             )
@@ -262,6 +187,7 @@
         most_tokens: int,
         now_ms: float,
         release_all: bool = False,
+        store_unavailable: bool = False,
     ) -> Granted | Spent:
         """Reserves the token limit of a turn if the budget covers it.
 
@@ -273,11 +199,15 @@
             now_ms: The time.
             release_all: Whether the whole limit is released at once, and the
                 stored bound has to cover all reservations.
+            store_unavailable: Whether bounds cannot be stored now.
         """
         program = self._open_account(
             program_id, budget_tokens, most_tokens, now_ms
         )
         is_first = program.granted_tokens == 0
+        # No turn starts below a stored bound that cannot be raised, as it might
+        # have to stop halfway or take what running turns still need.
+        release_all |= store_unavailable and program.durable_tokens > 0
         if turn_id not in program.turns:
             granted = program.granted_tokens
             if granted + most_tokens > budget_tokens:
@@ -285,7 +215,7 @@
             initial_tokens = (
                 most_tokens if release_all else initial_release(most_tokens)
             )
-            program.turns[turn_id] = Turn(
+            program.turns[turn_id] = program_account.Turn(
                 reserved_tokens=most_tokens, released_tokens=initial_tokens
             )
         covered_tokens = (
@@ -295,6 +225,8 @@
             _bound_for(program, covered_tokens),
             is_first,
             program.turns[turn_id].released_tokens,
+            store_unavailable
+            and self._may_precede_bound(program, covered_tokens, now_ms),
         )
 
     def release(
@@ -306,6 +238,7 @@
         most_tokens: int,
         before_tokens: int,
         now_ms: float,
+        store_unavailable: bool = False,
     ) -> Granted | Spent:
         """Releases the remaining tokens of a turn if the stored bound allows.
 
@@ -323,6 +256,7 @@
                 not know the turn, an earlier owner released them within the
                 stored bound, and only the remaining ones are reserved here.
             now_ms: The time.
+            store_unavailable: Whether bounds cannot be stored now.
         """
         program = self._open_account(
             program_id, budget_tokens, most_tokens, now_ms
@@ -333,21 +267,42 @@
             rest_tokens = max(0, most_tokens - before_tokens)
             if granted + rest_tokens > budget_tokens:
                 return Spent(granted, budget_tokens)
-            turn = Turn(
+            turn = program_account.Turn(
                 reserved_tokens=rest_tokens,
                 released_tokens=0,
                 before_tokens=before_tokens,
             )
             program.turns[turn_id] = turn
-        bound = _bound_for(
-            program,
+        covered_tokens = (
             program.released_tokens
             - turn.released_tokens
-            + turn.reserved_tokens,
+            + turn.reserved_tokens
+        )
+        bound = _bound_for(program, covered_tokens)
+        is_provisional = store_unavailable and self._may_precede_bound(
+            program, covered_tokens, now_ms
         )
-        if bound is None:
+        if bound is None or is_provisional:
             turn.released_tokens = turn.reserved_tokens
-        return Granted(bound, False, turn.before_tokens + turn.reserved_tokens)
+        return Granted(
+            bound,
+            False,
+            turn.before_tokens + turn.reserved_tokens,
+            is_provisional,
+        )
+
+    def _may_precede_bound(
+        self,
+        program: program_account.Program,
+        covered_tokens: int,
+        now_ms: float,
+    ) -> bool:
+        return self._outage_grants.may_precede_bound(
+            covered_tokens,
+            durable_tokens=program.durable_tokens,
+            limit_tokens=program.slack_tokens,
+            now_ms=now_ms,
+        )
 
     def _open_account(
         self,
@@ -355,7 +310,7 @@
         budget_tokens: int,
         most_tokens: int,
         now_ms: float,
-    ) -> Program:
+    ) -> program_account.Program:
         """Returns an account, creating it if needed.
 
         Deducts one turn's limit from an account that was opened from a stored
@@ -363,9 +318,15 @@
         """
         program = self.programs.get(program_id)
         if program is None:
-            program = Program(budget_tokens=budget_tokens)
+            program = program_account.Program(
+                budget_tokens=budget_tokens,
+                slack_used=self._outage_grants.is_slack_used(now_ms),
+            )
             self.programs[program_id] = program
         program.budget_tokens = budget_tokens
+        program.slack_tokens = min(
+            program.slack_tokens or most_tokens, most_tokens
+        )
         program.last_used_ms = now_ms
         if program.is_estimated and not program.slack_used:
             program.spent_tokens = max(0, program.spent_tokens - most_tokens)
@@ -378,7 +339,9 @@
         program = self.programs.get(program_id)
         return program is not None and turn_id in program.turns
 
-    def made_durable(self, program_id: str, bound: StoredBound) -> None:
+    def made_durable(
+        self, program_id: str, bound: stored_bound.StoredBound
+    ) -> None:
         """Records that a bound was stored."""
         program = self.programs.get(program_id)
         if program is not None:
@@ -392,7 +355,7 @@
         used_tokens: int,
         *,
         may_lower: bool = True,
-    ) -> StoredBound | None:
+    ) -> stored_bound.StoredBound | None:
         """Replaces a turn's reservation by the tokens that it sent.
 
         Args:
@@ -423,7 +386,7 @@
             return None
         program.durable_tokens = lower_tokens
         program.requested_tokens = lower_tokens
-        return StoredBound(lower_tokens, program.slack_used)
+        return stored_bound.StoredBound(lower_tokens, program.slack_used)
 
     def forget_idle(self, idle_ms: float, now_ms: float) -> list[str]:
         """Drops programs unused for ``idle_ms`` and returns their ids.
@@ -446,7 +409,9 @@
     return math.ceil(most_tokens * INITIAL_SHARE)
 
 
-def _bound_for(program: Program, covered_tokens: int) -> StoredBound | None:
+def _bound_for(
+    program: program_account.Program, covered_tokens: int
+) -> stored_bound.StoredBound | None:
     """Returns the bound to store so that it covers these tokens.
 
     None if the stored one does. The bound is rounded up to a step but leaves
@@ -467,10 +432,12 @@
     program.requested_tokens = max(
         bound_tokens, program.durable_tokens, program.requested_tokens
     )
-    return StoredBound(program.requested_tokens, program.slack_used)
+    return stored_bound.StoredBound(
+        program.requested_tokens, program.slack_used
+    )
 
 
-def _is_bound_in_flight(program: Program) -> bool:
+def _is_bound_in_flight(program: program_account.Program) -> bool:
     """Returns whether a requested bound is not stored yet."""
     return (
         program.requested_tokens > program.durable_tokens
@@ -478,7 +445,9 @@
     )
 
 
-def _needs_new_bound(program: Program, covered_tokens: int) -> bool:
+def _needs_new_bound(
+    program: program_account.Program, covered_tokens: int
+) -> bool:
     """Returns whether a new owner would charge a program too little."""
     return (
         covered_tokens > program.durable_tokens
--- a/tests/test_budget_releases.py
+++ b/tests/test_budget_releases.py
@@ -6,6 +6,7 @@
 import pytest
 
 from quetzalmill import program_budgets
+from quetzalmill import stored_bound
 
 _BUDGET = 100
 
@@ -39,11 +40,11 @@
 
 
 def _owner_from_bound(
-    bound: program_budgets.StoredBound,
+    bound: stored_bound.StoredBound,
 ) -> program_budgets.BudgetLedger:
     """Returns the accounts of an owner that knows only the stored bound."""
     ledger = program_budgets.BudgetLedger()
-    ledger.load("p", program_budgets.decode_bound(bound.encode()), 0.0)
+    ledger.load("p", stored_bound.decode(bound.encode()), 0.0)
     return ledger
 
 
@@ -55,7 +56,7 @@
         outcome = _reserve(ledger, "1", 60)
         assert isinstance(outcome, program_budgets.Granted)
         assert outcome.released_tokens == 30
-        assert outcome.bound == program_budgets.StoredBound(36, False)
+        assert outcome.bound == stored_bound.StoredBound(36, False)
         assert ledger.programs["p"].granted_tokens == 60
 
     def test_nothing_is_released_before_the_bound_is_stored(self) -> None:
@@ -67,7 +68,7 @@
         for _ in range(3):
             outcome = _release(ledger, "1", 60, 30)
             assert isinstance(outcome, program_budgets.Granted)
-            assert outcome.bound == program_budgets.StoredBound(60, False)
+            assert outcome.bound == stored_bound.StoredBound(60, False)
             assert ledger.programs["p"].released_tokens == 30
         assert outcome.bound is not None
         ledger.made_durable("p", outcome.bound)
@@ -80,7 +81,7 @@
     def test_unknown_turn_is_refused_what_the_budget_does_not_cover(
         self,
     ) -> None:
-        ledger = _owner_from_bound(program_budgets.StoredBound(90, True))
+        ledger = _owner_from_bound(stored_bound.StoredBound(90, True))
         assert isinstance(_release(ledger, "1", 30, 15), program_budgets.Spent)
         assert isinstance(
             _release(ledger, "2", 20, 10), program_budgets.Granted
@@ -119,7 +120,7 @@
         self._random = random.Random(seed)
         self._ledger = program_budgets.BudgetLedger()
         self._superseded = program_budgets.BudgetLedger()
-        self._stored: program_budgets.StoredBound | None = None
+        self._stored: stored_bound.StoredBound | None = None
         self._running: dict[str, _RunningTurn] = {}
         self.sent_tokens = 0
 
@@ -186,7 +187,7 @@
     def _is_durable(
         self,
         ledger: program_budgets.BudgetLedger,
-        bound: program_budgets.StoredBound | None,
+        bound: stored_bound.StoredBound | None,
     ) -> bool:
         if bound is None:
             return True
@@ -296,7 +297,7 @@
         self._budget_tokens = budget_tokens
         self._most_tokens = most_tokens
         self._ledger = program_budgets.BudgetLedger()
-        self._stored_bound = program_budgets.StoredBound(0, False)
+        self._stored_bound = stored_bound.StoredBound(0, False)
         self._running: dict[str, int] = {}
         self.asked = 0
         self.refused = 0
@@ -355,7 +356,7 @@
         self._running[turn_id] = self._most_tokens
         return True
 
-    def _write(self, bound: program_budgets.StoredBound | None) -> None:
+    def _write(self, bound: stored_bound.StoredBound | None) -> None:
         if bound is not None:
             self._stored_bound = bound
             self._ledger.made_durable("p", bound)
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -15,6 +15,7 @@
 from quetzalmill import gateway_messages
 from quetzalmill import keyed_store
 from quetzalmill import program_budgets
+from quetzalmill import stored_bound
 from tests import memory_store
 
 
@@ -68,20 +69,20 @@
     def test_one_turn_is_deducted_from_the_bound_only_once(self) -> None:
         """The budget may be exceeded by the limit of one turn, not of two."""
         first = program_budgets.BudgetLedger()
-        first.load("p", program_budgets.StoredBound(100, False), 0.0)
+        first.load("p", stored_bound.StoredBound(100, False), 0.0)
         outcome = _reserve(first, "1")
         assert isinstance(outcome, program_budgets.Granted)
-        assert outcome.bound == program_budgets.StoredBound(100, True)
+        assert outcome.bound == stored_bound.StoredBound(100, True)
         second = program_budgets.BudgetLedger()
         value = outcome.bound.encode()
-        second.load("p", program_budgets.decode_bound(value), 0.0)
+        second.load("p", stored_bound.decode(value), 0.0)
         assert isinstance(_reserve(second, "2"), program_budgets.Spent)
 
     def test_program_continues_after_a_crash_of_its_owner(self) -> None:
         """A turn's limit is half of the budget and it uses a twelfth."""
         sent_tokens = 0
         ledger = program_budgets.BudgetLedger()
-        bound = program_budgets.StoredBound(0, False)
+        bound = stored_bound.StoredBound(0, False)
         for turn in range(6):
             outcome = ledger.reserve(
                 "p", str(turn), budget_tokens=580, most_tokens=290, now_ms=0.0
@@ -131,7 +132,7 @@
         bound than the store has.
         """
         ledger = program_budgets.BudgetLedger()
-        ledger.load("p", program_budgets.StoredBound(96, False), 0.0)
+        ledger.load("p", stored_bound.StoredBound(96, False), 0.0)
         outcome = _reserve(ledger, "1", most_tokens=30)
         assert isinstance(outcome, program_budgets.Granted)
         assert outcome.bound is not None
@@ -157,7 +158,7 @@
         """Owners crash at random, with the last lower bound stored or not."""
         rng = random.Random(seed)
         ledger = program_budgets.BudgetLedger()
-        stored: program_budgets.StoredBound | None = None
+        stored: stored_bound.StoredBound | None = None
         running: list[str] = []
         sent_tokens = 0
         for turn in range(120):
@@ -197,10 +198,10 @@
 
 def _with_three_running_turns(
     *, release_all: bool = False
-) -> tuple[program_budgets.BudgetLedger, program_budgets.StoredBound]:
+) -> tuple[program_budgets.BudgetLedger, stored_bound.StoredBound]:
     """Returns a ledger with three running turns, and its stored bound."""
     ledger = program_budgets.BudgetLedger()
-    bound = program_budgets.StoredBound(0, False)
+    bound = stored_bound.StoredBound(0, False)
     for turn in range(3):
         outcome = _reserve(ledger, str(turn), release_all=release_all)
         assert isinstance(outcome, program_budgets.Granted)
@@ -871,7 +872,7 @@
 def _stored_bound(gateways: _Gateways) -> int:
     value = gateways.store.value("budgets", 0, "t/p")
     assert value is not None
-    return program_budgets.decode_bound(value).tokens
+    return stored_bound.decode(value).tokens
 
 
 class TestReleasesOfOwners:
