Test owners in an outage; spread the return of turns that it stops

The refusal of a turn whose budget cannot be reserved named 300 ms in an outage of the store too, so callers used up their retries within it. It now names the same random time as other refusals in an outage.

tests/test_budgets.py: an owner refuses at once what needs the store, leaves nothing reserved, serves a new program and stores its bound later.

--- a/quetzalmill/gateway_turns.py
+++ b/quetzalmill/gateway_turns.py
@@ -312,7 +312,11 @@
         return outcomes.Refused(
             status=503,
             reason=f"the budget cannot be reserved: {reason}",
-            retry_after_ms=_RETRY_AFTER_MS,
+            # An outage lasts for seconds, and all that it stops would return
+            # at the same time.
+            retry_after_ms=self._random.uniform(*_OUTAGE_RETRY_RANGE_MS)
+            if self._state.store_is_unavailable()
+            else _RETRY_AFTER_MS,
         )
 
     def _next_owner(self, part: int, asked: set[str]) -> str | None:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -270,6 +270,7 @@
     nursery: trio.Nursery
     listening_ms: float = 0.0
     claims: list[bool] = attrs.field(factory=list)
+    outage_ms: float = 0.0
 
     def owner(self) -> budget_owner.BudgetOwner:
         """Returns the owner on one more gateway."""
@@ -284,6 +285,7 @@
             set(),
             lambda: self.listening_ms,
             lambda succeeded, took_ms: self.claims.append(succeeded),
+            lambda: self.outage_ms,
         )
 
 
@@ -1076,3 +1078,49 @@
             assert not (await _release(first, "1", 60)).granted
 
         _run(case)
+
+
+class TestOutages:
+    """Turns that an owner is asked for while the store is unavailable."""
+
+    def test_turn_that_needs_the_store_is_refused_at_once(self) -> None:
+        """Guards against holding turns that cannot run until their end."""
+
+        async def case(gateways: _Gateways) -> None:
+            owner = gateways.owner()
+            assert (await _reserve_turn(owner, "1")).granted
+            gateways.store.down, gateways.outage_ms = True, 700.0
+            before_s = trio.current_time()
+            assert not (await _reserve_turn(owner, "2")).granted
+            assert trio.current_time() == before_s
+            gateways.store.down, gateways.outage_ms = False, 0.0
+            owner.settle(_settlement("1", 0))
+            # The refused turn has left nothing reserved.
+            assert (await _reserve_turn(owner, "3", 100)).granted
+
+        _run(case)
+
+    def test_new_program_starts_and_its_bound_is_stored_later(self) -> None:
+        """Guards against refusing all new programs in an outage."""
+
+        async def case(gateways: _Gateways) -> None:
+            owner = gateways.owner()
+            assert (await _reserve_turn(owner, "1")).granted
+            gateways.store.down, gateways.outage_ms = True, 700.0
+            reply = owner.reserve(
+                gateway_messages.ReserveTurn(
+                    program_id="t/new",
+                    turn_id="n",
+                    budget_tokens=100,
+                    most_tokens=30,
+                    by_parts=True,
+                )
+            )
+            assert isinstance(reply, gateway_messages.ReserveReply)
+            assert reply.granted and reply.is_first
+            assert gateways.store.value("budgets", 0, "t/new") is None
+            gateways.store.down, gateways.outage_ms = False, 0.0
+            await trio.sleep(2.0)
+            assert gateways.store.value("budgets", 0, "t/new") == b"24"
+
+        _run(case)
