Carry the offset of each record that is read from the store

Cause: a read returned only the offset after its last record, and pages of the newest records leave out those with an unreadable key, so a reader could not tell at which offset a record stands.

Change: KeyedRecord has an optional offset, set by both reads and left out of comparisons.

--- a/quetzalmill/keyed_store.py
+++ b/quetzalmill/keyed_store.py
@@ -33,10 +33,18 @@
 
 @attrs.frozen
 class KeyedRecord:
-    """The newest value of a key; None once the key was deleted."""
+    """The newest value of a key; None once the key was deleted.
+
+    Attributes:
+        key: The key.
+        value: The value, or None.
+        offset: The record's offset; None if it is not known, as in a record
+            to append.
+    """
 
     key: str
     value: bytes | None
+    offset: int | None = attrs.field(default=None, eq=False)
 
 
 @attrs.frozen
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -99,7 +99,7 @@
         """Returns the newest record of each key."""
         del timeout_ms
         await self._enter()
-        log = self._part(topic, part).log
+        log = _with_offsets(self._part(topic, part).log)
         newest = {record.key: record for record in log}
         return keyed_store.Records(
             records=[
@@ -128,7 +128,7 @@
         """Returns records from an offset on."""
         del wait_ms, timeout_ms
         await self._enter()
-        log = self._part(topic, part).log
+        log = _with_offsets(self._part(topic, part).log)
         return keyed_store.Records(
             records=log[from_offset:], next_offset=len(log)
         )
@@ -146,3 +146,11 @@
         if self.lost_answers:
             self.lost_answers -= 1
             raise errors.OutcomeUnknownError("the answer was lost")
+
+
+def _with_offsets(
+    log: list[keyed_store.KeyedRecord],
+) -> list[keyed_store.KeyedRecord]:
+    return [
+        attrs.evolve(record, offset=offset) for offset, record in enumerate(log)
+    ]
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -55,6 +55,10 @@
         found = trio.run(run)
         assert found.records == _RECORDS
         assert found.next_offset == len(_RECORDS)
+        # A record without its own offset would be ordered by the wrong one.
+        assert [each.offset for each in found.records] == [
+            *range(len(_RECORDS))
+        ]
 
 
 class TestCutReads:
--- a/tests/test_store_pages.py
+++ b/tests/test_store_pages.py
@@ -42,6 +42,7 @@
         odd = b'{"key":%s,"value":"dg==","offset":1}' % key
         page = store_pages.decode(_page([odd, _SOUND_ITEM, odd]))
         assert page == store_pages.Page([_SOUND], 3, has_more=True)
+        assert page.records[0].offset == 0
 
     def test_page_without_a_key_to_continue_from_is_unreadable(self) -> None:
         """Taken for the last page, it would hide the records behind it."""
