Send no requests to endpoints of evacuated failure domains

Cause: operators had no way to stop requests to a failure domain whose power or network is about to fail.

The pool leaves endpoints of evacuated domains out of the choice and withholds requests in may_send, also as a last resort. Heartbeats carry the report. With no other endpoint a request is refused with 503 "all endpoints are in evacuated domains".

Ruled out: a report of the evacuated domains alone. A gateway without the store would never learn of a withdrawal, and an old report would order again.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -113,11 +113,8 @@
                 job, may_repeat=response_lost and job.route.is_safe
             )
             if endpoint_state is None:
-                if not job.tried and any(
-                    known.endpoint.service == job.service.name
-                    for known in self._pool.all()
-                ):
-                    reason = "all endpoints leave"
+                if not job.tried:
+                    reason = self._reason_without_endpoint(job) or reason
                 break
             job.tried.append(endpoint_state.endpoint.endpoint_id)
             sends_before = job.sends
@@ -162,6 +159,22 @@
             status=503, reason=reason, retry_after_ms=self._retry_after_ms()
         )
 
+    def _reason_without_endpoint(self, job: dispatch_job.Job) -> str:
+        """Returns why none of a service's endpoints is usable; empty if none.
+
+        An order to evacuate is named where it alone prevents the request.
+        """
+        of_service = [
+            known
+            for known in self._pool.all()
+            if known.endpoint.service == job.service.name
+        ]
+        if not of_service:
+            return ""
+        if all(map(self._pool.is_evacuated, of_service)):
+            return "all endpoints are in evacuated domains"
+        return "all endpoints leave"
+
     def load_per_slot(self, service: str) -> float:
         """Returns a service's load in requests per slot."""
         now_ms = self._clock.now_ms()
@@ -241,6 +254,8 @@
             endpoint_state.health.record_failure(self._clock.now_ms())
             return dispatch_job.TryNext(str(error))
         except errors.RequestWithdrawnError:
+            if self._pool.is_evacuated(endpoint_state):
+                return dispatch_job.Withheld("the domain is evacuated")
             return dispatch_job.Withheld("the endpoint leaves")
         except errors.ResponseTimeoutError as error:
             return dispatch_job.Lost(str(error), timed_out=True)
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -11,6 +11,7 @@
 
 from quetzalmill import endpoint_health
 from quetzalmill import endpoint_leaving
+from quetzalmill import evacuation
 from quetzalmill import request_durations
 
 INITIAL_BACKOFF_MS = 300.0
@@ -163,6 +164,7 @@
         report_age_ms: The age of the peers' running counts.
         durations: The average duration of requests at endpoints.
         observer: Receives events of draining endpoints; None for nobody.
+        evacuations: The failure domains that get no requests.
     """
 
     def __init__(self, drain_ms: float = 0.0) -> None:
@@ -173,6 +175,7 @@
         self._peer_load_ms: float | None = None
         self.report_age_ms = 0.0
         self.observer: endpoint_leaving.Observer | None = None
+        self.evacuations = evacuation.Evacuations()
 
     def get(self, endpoint_id: str) -> EndpointState | None:
         """Returns the state of an endpoint, or None if it is unknown."""
@@ -356,6 +359,7 @@
             known
             for known in self._by_id.values()
             if known.endpoint.service == service
+            and not self.is_evacuated(known)
         ]
         unmarked = [known for known in of_service if known.drain_notice is None]
         staying = [known for known in unmarked if not known.drain_reporters]
@@ -373,13 +377,19 @@
             now_ms,
         )
 
+    def is_evacuated(self, known: EndpointState) -> bool:
+        """Returns whether an endpoint's failure domain is evacuated."""
+        return self.evacuations.is_evacuated(known.endpoint.failure_domain)
+
     def may_send(self, known: EndpointState, now_ms: float) -> bool:
         """Returns whether an endpoint that was chosen may still get work.
 
         A connection is made between the choice and the first byte sent, and a
-        drain notice may have arrived meanwhile.
+        drain notice or an order to evacuate may have arrived meanwhile.
         """
         endpoint = known.endpoint
+        if self.is_evacuated(known):
+            return False
         if self._by_id.get(endpoint.endpoint_id) is not known:
             return False
         if known.drain_notice is None and not known.drain_reporters:
--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -8,6 +8,7 @@
 from quetzalmill import clock as clock_module
 from quetzalmill import crash_counts
 from quetzalmill import endpoint_pool
+from quetzalmill import evacuation
 from quetzalmill import http_message
 from quetzalmill import logs
 from quetzalmill import peers as peers_module
@@ -228,6 +229,7 @@
             link_mbps=self._link_mbps,
             programs=self._sizes.counts(),
             endpoints_leaving=self.pool.drain_notices_to_report(now_ms),
+            evacuations=self.pool.evacuations.report(),
         )
 
     def apply_report(self, heartbeat: peers_module.Heartbeat) -> None:
@@ -247,6 +249,10 @@
             buckets.apply_report(
                 heartbeat.instance, counts, now_ms, is_whole=heartbeat.is_whole
             )
+        self.pool.evacuations.apply_report(
+            heartbeat.evacuations,
+            evacuation.Moment(now_ms=now_ms, source=heartbeat.host),
+        )
         for count in heartbeat.crashes:
             self.crashes.apply_report(count, now_ms)
 
--- a/quetzalmill/peers.py
+++ b/quetzalmill/peers.py
@@ -13,6 +13,7 @@
 
 from quetzalmill import crash_counts
 from quetzalmill import endpoint_health
+from quetzalmill import evacuation
 from quetzalmill import program_sizes
 
 HEARTBEAT_MS = 200.0
@@ -85,6 +86,7 @@
         programs: Its counts of programs and their requests.
         endpoints_leaving: Start times of the endpoints that have sent it a
             drain notice, by endpoint.
+        evacuations: The evacuated failure domains that it knows.
     """
 
     host: str
@@ -111,6 +113,7 @@
         factory=program_sizes.ProgramCounts
     )
     endpoints_leaving: dict[str, int] = attrs.field(factory=dict)
+    evacuations: evacuation.Report = attrs.field(factory=evacuation.Report)
 
 
 @attrs.define
