Read orders to evacuate from the operator's topic; show them in /state

Cause: the gateway's watcher read only the route table from the topic.

Change: records with the key evacuate/DOMAIN order and withdraw.

--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -19,6 +19,7 @@
 from quetzalmill import conversations
 from quetzalmill import dispatch
 from quetzalmill import errors
+from quetzalmill import evacuation_report
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_handler
 from quetzalmill import gateway_messages
@@ -192,6 +193,9 @@
             "endpoints_leaving": leaving_watch.describe(
                 self.state.pool, now_ms
             ),
+            "evacuated_domains": evacuation_report.describe(
+                self.state.pool.evacuations, now_ms, self.clock.unix_ms()
+            ),
             "crashes": {
                 each.fingerprint: each.crashes
                 for each in self.state.crashes.all_known()
@@ -435,6 +439,9 @@
         self.metrics.set_state("peers", len(self.state.alive_peers()))
         self.metrics.set_state("endpoints", len(self.state.pool))
         self.metrics.set_state("turns_held", len(self._cache))
+        self.metrics.set_state(
+            "evacuated_domains", len(self.state.pool.evacuations)
+        )
 
     def _reload_settings(self) -> None:
         """Adds new seeds; other changes take effect at a restart."""
--- a/quetzalmill_load/platform_cluster.py
+++ b/quetzalmill_load/platform_cluster.py
@@ -192,6 +192,7 @@
         service: str,
         events: int = 0,
         *,
+        zone: str = "a",
         way: Callable[[str, str], Awaitable[str]] | None = None,
     ) -> platform_endpoint.PlatformEndpoint:
         """Starts an endpoint and enters it in the store.
@@ -200,6 +201,7 @@
             endpoint_id: Its id.
             service: Its service.
             events: Events of a stream; none makes it a plain service.
+            zone: Its failure domain.
             way: Returns the address at which others reach an endpoint, by its
                 id and own address; the own one when left out.
         """
@@ -213,7 +215,7 @@
         entry = {
             "service": service,
             "addr": address,
-            "zone": "a",
+            "zone": zone,
             "version": "v1",
             "slots": 8,
             "state": "ready",
@@ -235,6 +237,14 @@
         """Removes an endpoint's entry; ``put_entry`` brings it back."""
         self.store.put("keyed.servers", endpoint_id, None)
 
+    def evacuate(self, zone: str) -> None:
+        """Orders that no more requests are sent to a failure domain."""
+        self.store.put("keyed.op", f"evacuate/{zone}", {})
+
+    def end_evacuation(self, zone: str) -> None:
+        """Withdraws the order for a failure domain."""
+        self.store.put("keyed.op", f"evacuate/{zone}", None)
+
     async def leave(
         self, endpoint_id: str, told: Told, *, late_s: float = 0.0
     ) -> None:
