Evacuate failure domains in the fleet of entries and sidecars

Cause: only gateways followed orders to evacuate a failure domain.

Change: the published object "evacuation" names an evacuated domain. Homes choose no endpoint whose host is there; sidecars there refuse work that they have queued or get later as not run ("evacuated"), which the home sends elsewhere without using its retry budget. Every process logs each change, shows evacuated_domains in its state and sends a gauge.

With the router's rule disabled TestRouter fails, with the executor's TestEvacuation there, with both that of test_leaving.py.

--- a/quetzalmill/call_run.py
+++ b/quetzalmill/call_run.py
@@ -41,7 +41,7 @@
 
 _DEADLINE_CODES = frozenset({"deadline", "deadline_out_of_reach"})
 
-_FREE_RETRY_CODES = frozenset({"endpoint_elsewhere", "leaving"})
+_FREE_RETRY_CODES = frozenset({"endpoint_elsewhere", "evacuated", "leaving"})
 """Refusals that cost an endpoint nothing; they use no retry budget."""
 
 _RETRY_CODES = frozenset(
@@ -50,6 +50,7 @@
         "endpoint_down",
         "endpoint_elsewhere",
         "endpoint_failed",
+        "evacuated",
         "leaving",
         "queue_full",
         "sidecar_lost",
--- a/quetzalmill/configuration.py
+++ b/quetzalmill/configuration.py
@@ -164,6 +164,17 @@
         """Returns the most recently announced process of a host."""
         return self.spec(objects.PROCESS, host, objects.ProcessSpec)
 
+    def is_evacuated(self, failure_domain: str) -> bool:
+        """Returns whether no requests may be sent to a failure domain."""
+        return self.get(objects.EVACUATION, failure_domain) is not None
+
+    def evacuations(self) -> dict[str, int]:
+        """Returns the evacuated domains with their orders' revisions."""
+        return {
+            stored.name: stored.revision
+            for stored in self.all_of(objects.EVACUATION)
+        }
+
     def former_hosts(self, since_offset: int) -> set[str] | None:
         """Returns the previous hosts of endpoints that changed.
 
--- a/quetzalmill/entry.py
+++ b/quetzalmill/entry.py
@@ -361,6 +361,9 @@
         return metrics_report.Reporter(
             self._core.metrics,
             gauges={
+                metrics_module.EVACUATED_DOMAINS: lambda: len(
+                    self._core.store.config.evacuations()
+                ),
                 metrics_module.APPLIED_OFFSET: lambda: (
                     self._core.store.config.applied_offset
                 ),
--- a/quetzalmill/executor.py
+++ b/quetzalmill/executor.py
@@ -51,6 +51,7 @@
         limits_memory: Whether an engine's memory limits concurrent requests.
         failure_ms: Time between probes of a failed endpoint, which gets no
             requests until it is up.
+        failure_domain: The failure domain of this sidecar's host.
     """
 
     host: str
@@ -59,6 +60,7 @@
     max_queue: int
     limits_memory: bool = False
     failure_ms: float
+    failure_domain: str = ""
 
 
 class Executor:
@@ -224,6 +226,10 @@
             return _refused(
                 job, 422, "quarantined", "the request ended endpoints before"
             )
+        if self._config.is_evacuated(self._options.failure_domain):
+            return _refused(
+                job, 503, "evacuated", "the failure domain is evacuated"
+            )
         return self._authorization_refusal(job)
 
     def starting(self, job: endpoint_worker.Job) -> None:
--- a/quetzalmill/metrics.py
+++ b/quetzalmill/metrics.py
@@ -111,6 +111,9 @@
 QUARANTINED = _counter(
     "quarantined", "requests", "", "requests put in quarantine"
 )
+EVACUATED_DOMAINS = _gauge(
+    "evacuated_domains", "domains", "", "evacuated failure domains"
+)
 APPLIED_OFFSET = _gauge(
     "applied_offset", "offset", "", "log offset that is in force here"
 )
--- a/quetzalmill/objects.py
+++ b/quetzalmill/objects.py
@@ -21,6 +21,7 @@
 PROCESS = "process"
 SHARES = "shares"
 QUARANTINE = "quarantine"
+EVACUATION = "evacuation"
 
 ENTRY = "entry"
 SIDECAR = "sidecar"
@@ -167,6 +168,17 @@
     crashes: int
 
 
+@attrs.frozen(kw_only=True)
+class EvacuationSpec:
+    """An order to send no more requests to a failure domain, its name.
+
+    Attributes:
+        reason: Why, for other operators.
+    """
+
+    reason: str = ""
+
+
 SPEC_TYPES: dict[str, type[Any]] = {
     TEAM: TeamSpec,
     KEY: KeySpec,
@@ -176,6 +188,7 @@
     PROCESS: ProcessSpec,
     SHARES: SharesSpec,
     QUARANTINE: QuarantineSpec,
+    EVACUATION: EvacuationSpec,
 }
 
 
--- a/quetzalmill/process_core.py
+++ b/quetzalmill/process_core.py
@@ -93,6 +93,8 @@
         self._replaced = trio.Event()
         self._served = trio.Event()
         self.store.on_change(self.fleet.configuration_changed)
+        self._evacuated: set[str] = set()
+        self.store.on_change(self._log_evacuations)
         self.store.on_change(self._quarantines_changed)
 
     def start_announcing(self) -> None:
@@ -176,12 +178,25 @@
                 stored.name: stored.spec.get("withdrawn", False)
                 for stored in config.all_of(objects.KEY)
             },
+            "evacuated_domains": config.evacuations(),
             "suspects": {
                 each.fingerprint: each.crashes
                 for each in self.suspects.all_known(now_ms)
             },
         }
 
+    def _log_evacuations(self) -> None:
+        evacuated = self.store.config.evacuations()
+        for domain in sorted(self._evacuated ^ set(evacuated)):
+            _log.warning(
+                "domain_evacuated"
+                if domain in evacuated
+                else "evacuation_withdrawn",
+                domain=domain,
+                offset=self.store.config.applied_offset,
+            )
+        self._evacuated = set(evacuated)
+
     async def _stop_when_replaced(self) -> None:
         await self._replaced.wait()
         self._stop_requested.set()
--- a/quetzalmill/routing.py
+++ b/quetzalmill/routing.py
@@ -104,6 +104,7 @@
             for name, spec in endpoints.items()
             if name not in excluded
             and self._fleet.takes_work(spec.host, now_ms)
+            and not self._is_evacuated(spec.host)
             and self._is_up(name)
         }
         candidates = [
@@ -128,6 +129,12 @@
         """Records that an attempt has ended."""
         self._sent.remove(sent)
 
+    def _is_evacuated(self, host: str) -> bool:
+        process = self._fleet.process(host)
+        return process is not None and self._config.is_evacuated(
+            process.failure_domain
+        )
+
     def _is_up(self, endpoint: str) -> bool:
         report = self._fleet.load(endpoint)
         return report is None or report[0].up
--- a/quetzalmill/sidecar.py
+++ b/quetzalmill/sidecar.py
@@ -237,6 +237,7 @@
                 max_queue=settings.max_queue,
                 limits_memory=settings.limit_policy == settings_module.MEMORY,
                 failure_ms=settings.endpoint_failure_ms,
+                failure_domain=settings.failure_domain,
             ),
             config=self._core.store.config,
             port=self._endpoint_port,
@@ -384,6 +385,9 @@
                 metrics_module.ENGINE_MEMORY_TOKENS: lambda: (
                     self._memory.held_tokens
                 ),
+                metrics_module.EVACUATED_DOMAINS: lambda: len(
+                    self._core.store.config.evacuations()
+                ),
                 metrics_module.APPLIED_OFFSET: lambda: (
                     self._core.store.config.applied_offset
                 ),
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -1,8 +1,9 @@
-"""At-most-once decisions of the executor, the workers and the call runner."""
+"""Decisions of the executor, the workers, the router and the call runner."""
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 import contextlib
 import functools
+import random
 from typing import Any
 
 import attrs
@@ -14,15 +15,18 @@
 from quetzalmill import call_preparation
 from quetzalmill import call_run
 from quetzalmill import clock
+from quetzalmill import codec
 from quetzalmill import configuration
 from quetzalmill import endpoint_port
 from quetzalmill import errors
 from quetzalmill import executor
+from quetzalmill import fleet_view
 from quetzalmill import http_client
 from quetzalmill import http_message
 from quetzalmill import http_server
 from quetzalmill import messages
 from quetzalmill import objects
+from quetzalmill import placement
 from quetzalmill import programs
 from quetzalmill import retry_budget
 from quetzalmill import routing
@@ -102,6 +106,76 @@
         run(scenario)
 
 
+class TestEvacuation:
+    """Work that was sent here before the order, but not started."""
+
+    def test_queued_job_is_refused_and_the_running_one_ends(self) -> None:
+        async def scenario(made: _Executor, port: FakePort) -> None:
+            port.hold = trio.Event()
+            running = made.submit(execution(program="busy"))
+            queued = made.submit(execution())
+            made.publish_evacuation({})
+            refusal = await end_of(queued)
+            assert (refusal.code, refusal.ran) == ("evacuated", messages.Ran.NO)
+            port.hold.set()
+            assert (await end_of(running)).data == OK.body
+            made.publish_evacuation(None)
+            assert (await end_of(made.submit(execution()))).data == OK.body
+
+        run(scenario)
+
+
+class TestRouter:
+    """A home sends no attempt that the sidecar there would refuse."""
+
+    def test_endpoint_of_an_evacuated_domain_is_not_chosen(self) -> None:
+        config = configuration.Configuration()
+        fleet = fleet_view.FleetView(config, timeout_ms=1_000.0)
+        for host in ("h1", "h2"):
+            process = PROCESS | {
+                "instance": "i",
+                "failure_domain": f"domain-{host}",
+            }
+            publish(config, objects.PROCESS, host, process)
+            fleet.record(
+                host,
+                codec.from_plain(process, objects.ProcessSpec),
+                applied_offset=0,
+                at_ms=0.0,
+            )
+            spec = {"host": host, "address": "127.0.0.1:1", "kind": "service"}
+            publish(config, objects.ENDPOINT, host, spec)
+        publish(config, objects.ROUTE, "booking", {"selector": ""})
+        router = routing.Router(
+            "h1",
+            "domain-h1",
+            config=config,
+            fleet=fleet,
+            chooser=placement.Placement(
+                placement.Policy.CACHE_AND_WAIT, random.Random(1)
+            ),
+            report_lag_ms=0.0,
+            clock=clock.ManualClock(),
+        )
+
+        def chosen() -> str | None:
+            found = router.choose(
+                execution().call,
+                prompt_tokens=0,
+                cached={},
+                excluded=set(),
+            )
+            return found.endpoint if found else None
+
+        assert chosen() == "h1"
+        publish(config, objects.EVACUATION, "domain-h1", {})
+        assert chosen() == "h2"
+        publish(config, objects.EVACUATION, "domain-h2", {})
+        assert chosen() is None
+        publish(config, objects.EVACUATION, "domain-h1", None)
+        assert chosen() == "h1"
+
+
 class TestCachedAnswers:
     """The answer cache is bounded, even while one call never ends."""
 
@@ -468,6 +542,7 @@
                     fair_queue=True,
                     max_queue=10,
                     failure_ms=10.0,
+                    failure_domain="rawson",
                 ),
                 config=config,
                 port=port,  # type: ignore[arg-type]
@@ -491,6 +566,10 @@
         publish(self._config, objects.ENDPOINT, "booking", spec)
         self.configuration_changed()
 
+    def publish_evacuation(self, spec: dict[str, Any] | None) -> None:
+        publish(self._config, objects.EVACUATION, "rawson", spec)
+        self.configuration_changed()
+
 
 def lost() -> errors.ConnectionLostError:
     return errors.ConnectionLostError("broke off")
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -284,6 +284,42 @@
         assert node.process.terminate(30) == 0
 
 
+class TestEvacuation:
+    """Endpoints of an evacuated failure domain get no requests."""
+
+    def test_programs_go_on_elsewhere_while_there_are_others(
+        self, system: deployment.Deployment
+    ) -> None:
+        load = Load(system)
+        load.wait_turns(TALKS)
+        domain = system.sidecars[0].settings["failure_domain"]
+        system.wait_revision(
+            system.publish_ok(deployment.change("evacuation", domain, {}))
+        )
+        node = system.sidecars[0]
+        assert domain in node.state()["evacuated_domains"]
+        harness.eventually(
+            lambda: node.state()["loads"][0]["running"] == 0,
+            what="the endpoint has finished",
+        )
+        before = requests_at(system, 0)
+        again = Load(system)
+        load.finish()
+        again.finish()
+        assert requests_at(system, 0) == before
+        orders = [
+            deployment.change("evacuation", node.settings["failure_domain"], {})
+            for node in system.sidecars
+        ]
+        system.wait_revision(system.publish_ok(*orders))
+        counts = [requests_at(system, index) for index in range(SIDECARS)]
+        refused = _long_call(system)
+        assert refused.status == 503
+        assert refused.body["error"]["code"] == "no_endpoint"
+        assert float(refused.headers["retry-after"]) > 0
+        assert counts == [requests_at(system, i) for i in range(SIDECARS)]
+
+
 class TestRestarted:
     """A restarted process does not inherit its predecessor's shutdown."""
 
