Add the commands that order, withdraw and show evacuations

Cause: operators could publish an order only through the operator API, and had to read /state by hand to see since when it is in force at a gateway.

Change: "evacuation order", "withdraw", "list" and "in-force ADDRESS...".

--- a/quetzalmill/commands_app.py
+++ b/quetzalmill/commands_app.py
@@ -4,6 +4,7 @@
 import typer.core
 
 from quetzalmill import commands_config
+from quetzalmill import commands_evacuation
 from quetzalmill import commands_keys
 from quetzalmill import commands_objects
 from quetzalmill import commands_process
@@ -31,6 +32,7 @@
 app.add_typer(commands_objects.model_app, name="model")
 app.add_typer(commands_objects.route_app, name="route")
 app.add_typer(commands_objects.quarantine_app, name="quarantine")
+app.add_typer(commands_evacuation.app, name="evacuation")
 
 
 def run(arguments: list[str]) -> None:
--- a/quetzalmill/commands_publish.py
+++ b/quetzalmill/commands_publish.py
@@ -48,6 +48,7 @@
     objects.ROUTE: "route list",
     objects.PROCESS: "config processes",
     objects.QUARANTINE: "quarantine list",
+    objects.EVACUATION: "evacuation list",
 }
 """The command that lists the objects of a kind."""
 
--- a/quetzalmill/object_hints.py
+++ b/quetzalmill/object_hints.py
@@ -33,6 +33,21 @@
             hints.append(
                 f"endpoint/{name}: no sidecar on host {spec.host} is known yet"
             )
+    domains = {
+        process.failure_domain
+        for process in config.specs(
+            objects.PROCESS, objects.ProcessSpec
+        ).values()
+    }
+    for stored in config.all_of(objects.EVACUATION):
+        if (
+            objects.EVACUATION,
+            stored.name,
+        ) in changed and stored.name not in domains:
+            hints.append(
+                f"evacuation/{stored.name}: no process of this failure domain "
+                "is known yet"
+            )
     endpoints_changed = any(kind == objects.ENDPOINT for kind, _ in changed)
     for kind, target in _SELECTED_KINDS.items():
         for stored in config.all_of(kind):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -62,6 +62,11 @@
                 "endpoint set a --host h --address 127.0.0.1:8000",
                 "endpoint/a: no sidecar on host h is known yet",
             ),
+            (
+                "evacuation order nowhere",
+                "evacuation/nowhere: no process of this failure domain is "
+                "known yet",
+            ),
             ("team set field --rate-per-s 1 --burst 1", ""),
         ],
     )
