Leave the evacuation report out of most heartbeats without an order

Cause: every heartbeat carried the report, also where no order was ever issued, and bytes between failure domains cost.

Change: the report goes with each heartbeat while an order is in force and for 3 s after a change, otherwise with full heartbeats only.

--- a/quetzalmill/evacuation.py
+++ b/quetzalmill/evacuation.py
@@ -27,6 +27,10 @@
 """The most domains with an order; several times those of the largest site. The
 names then fill a quarter of a heartbeat's datagram."""
 
+RECENT_CHANGE_MS = 3_000.0
+"""How long after a change every heartbeat carries the report; fifteen of small
+fleets, of which some arrive."""
+
 MAX_POSITION = 2**63 - 1
 """The highest position that is accepted from a peer, that of the store."""
 
@@ -126,6 +130,7 @@
         self._withdrawn_ms: dict[str, float] = {}
         self._logged_peers: set[str] = set()
         self._report = Report()
+        self._changed_ms = float("-inf")
 
     def __len__(self) -> int:
         """Returns the number of evacuated domains."""
@@ -147,6 +152,19 @@
         """Returns what to send to peers."""
         return self._report
 
+    def report_to_send(self, now_ms: float, *, is_whole: bool) -> Report | None:
+        """Returns the report for a heartbeat, or None to save its bytes.
+
+        Without an order only full heartbeats carry it, except after a change.
+        """
+        if (
+            is_whole
+            or self._in_force
+            or now_ms - self._changed_ms < RECENT_CHANGE_MS
+        ):
+            return self._report
+        return None
+
     def needs_snapshot(self) -> bool:
         """Returns whether an order was left out that there is room for now."""
         return self._is_full and self._count() < MAX_DOMAINS
@@ -203,9 +221,9 @@
             self._set_unordered(domain, known)
         self._update_report()
 
-    def apply_report(self, report: Report, moment: Moment) -> None:
-        """Applies a peer's report, which may be old."""
-        if report == self._report:
+    def apply_report(self, report: Report | None, moment: Moment) -> None:
+        """Applies a peer's report, if there is one; it may be old."""
+        if report is None or report == self._report:
             return
         if not _is_usable(report):
             self._log_peer(moment.source)
@@ -257,6 +275,7 @@
         self._unordered.pop(domain, None)
         self._in_force[domain] = InForce(since=moment, position=position)
         self._withdrawn_ms.pop(domain, None)
+        self._changed_ms = moment.now_ms
         _log_change(domain, True, position, moment)
 
     def _withdraw(self, domain: str, position: int, moment: Moment) -> None:
@@ -267,6 +286,7 @@
         self._set_unordered(domain, position)
         if order is None:
             return
+        self._changed_ms = moment.now_ms
         self._withdrawn_ms.pop(domain, None)
         self._withdrawn_ms[domain] = moment.now_ms
         if len(self._withdrawn_ms) > MAX_DOMAINS:
--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -229,7 +229,9 @@
             link_mbps=self._link_mbps,
             programs=self._sizes.counts(),
             endpoints_leaving=self.pool.drain_notices_to_report(now_ms),
-            evacuations=self.pool.evacuations.report(),
+            evacuations=self.pool.evacuations.report_to_send(
+                now_ms, is_whole=is_whole
+            ),
         )
 
     def apply_report(self, heartbeat: peers_module.Heartbeat) -> None:
--- a/quetzalmill/peers.py
+++ b/quetzalmill/peers.py
@@ -86,7 +86,8 @@
         programs: Its counts of programs and their requests.
         endpoints_leaving: Start times of the endpoints that have sent it a
             drain notice, by endpoint.
-        evacuations: The evacuated failure domains that it knows.
+        evacuations: The evacuated failure domains that it knows; None in
+            heartbeats that leave them out.
     """
 
     host: str
@@ -113,7 +114,7 @@
         factory=program_sizes.ProgramCounts
     )
     endpoints_leaving: dict[str, int] = attrs.field(factory=dict)
-    evacuations: evacuation.Report = attrs.field(factory=evacuation.Report)
+    evacuations: evacuation.Report | None = None
 
 
 @attrs.define
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -154,6 +154,17 @@
 class TestHeartbeat:
     """Gateways of the older version and the new one understand each other."""
 
+    def test_idle_fleet_sends_the_report_in_full_heartbeats_only(self) -> None:
+        """It would cost bytes between domains in deployments without orders."""
+        known = _read()
+        assert known.report_to_send(9e9, is_whole=True)
+        assert known.report_to_send(9e9, is_whole=False) is None
+        known.apply_changes([_issued("a", 1)], 1, _NOW)
+        assert known.report_to_send(9e9, is_whole=False)
+        known.apply_changes([_withdrawn("a", 2)], 2, _NOW)
+        assert known.report_to_send(_NOW.now_ms + 1.0, is_whole=False)
+        assert known.report_to_send(9e9, is_whole=False) is None
+
     def test_heartbeat_without_the_field_changes_nothing(self) -> None:
         known = _read(_issued("a", 1))
         fields = codec.to_plain(_heartbeat(known.report()))
