Decode how many requests a cold endpoint may get

Cause: the operator's document gains coldStartS and coldPerS, responses Cold-Ms and the settings file bounds.coldOver and bounds.coldSlack. Change: they are decoded; each has a default under which nothing changes. A negative rate leaves the service out; a Cold-Ms that is no number counts as absent, and only the addressed endpoint's own counts. Cold-Ms is not passed on to callers, as it belongs to the hop between gateway and endpoint.

--- a/quetzalmill/gateway_calls.py
+++ b/quetzalmill/gateway_calls.py
@@ -103,6 +103,8 @@
         not_run: Whether it states that its request was not run.
         load: The load that it reports, or None.
         is_draining: Whether the addressed endpoint states that it is draining.
+        cold_ms: How long the addressed endpoint states that it stays cold; 0
+            if it states nothing.
     """
 
     status: int
@@ -112,6 +114,7 @@
     not_run: bool
     load: Load | None
     is_draining: bool
+    cold_ms: float = 0.0
 
 
 class Dialect(Protocol):
--- a/quetzalmill/gateway_settings.py
+++ b/quetzalmill/gateway_settings.py
@@ -25,6 +25,9 @@
         out_of_rotation_ms: The time from reporting not ready until no new
             connections arrive.
         record_bytes: The size of the store's largest record; 0 if unknown.
+        cold_over: The factor by which the operators tolerate more requests at
+            a cold endpoint than its service's rate.
+        cold_slack: The requests that they tolerate beyond that.
     """
 
     host: str
@@ -43,3 +46,5 @@
     grace_ms: float
     out_of_rotation_ms: float
     record_bytes: int = 0
+    cold_over: float = 1.0
+    cold_slack: float = 0.0
--- a/quetzalmill/route_table.py
+++ b/quetzalmill/route_table.py
@@ -88,6 +88,9 @@
         slots: Requests that an engine batches; 0 for a plain service.
         memory_tokens: The size of an engine's KV cache; 0 for a plain service.
         event_tokens: Tokens in one event of an engine's stream.
+        cold_start_ms: How long an endpoint is cold after its start.
+        cold_per_s: Requests that a cold endpoint may get in a second; 0 for no
+            limit.
     """
 
     name: str
@@ -95,6 +98,8 @@
     slots: int
     memory_tokens: int
     event_tokens: int
+    cold_start_ms: float = 0.0
+    cold_per_s: float = 0.0
 
     @property
     def is_engine(self) -> bool:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -221,6 +221,24 @@
         reply = self._reply(200, {"server-leaving": "1", "x-own": "kept"})
         assert reply.headers == {"x-own": "kept"}
 
+    @pytest.mark.parametrize(
+        ("value", "instance_id", "cold_ms"),
+        [
+            ("1500", "e1", 1_500.0),
+            ("10, 1500", "e1", 1_500.0),
+            ("1500", "e2", 0.0),
+            ("-1", "e1", 0.0),
+            ("soon", "e1", 0.0),
+            ("9" * 5_000, "e1", 0.0),
+        ],
+    )
+    def test_cold_time(
+        self, value: str, instance_id: str, cold_ms: float
+    ) -> None:
+        headers = {"cold-ms": value, "instance-id": instance_id}
+        reply = self._reply(200, headers)
+        assert (reply.cold_ms, reply.headers) == (cold_ms, {})
+
     def test_unknown_value_is_logged_once_for_an_endpoint(
         self, capsys: pytest.CaptureFixture[str]
     ) -> None:
@@ -241,6 +259,7 @@
         document = msgspec.json.encode(platform_cluster.desired_state(7))
         table = desired_state.decode(document)
         assert table.version == 7
+        assert table.services["app"].cold_per_s == 0.0
         assert len(table.routes) == 4
         assert table.services["llm"].is_engine
         assert table.team_of_key["key-of-rallies"] == "rallies"
@@ -259,6 +278,15 @@
         table = desired_state.decode(msgspec.json.encode(state))
         assert [route.name for route in table.routes] == ["lookup", "book"]
 
+    def test_cold_rate_of_a_service(self) -> None:
+        cold = {"coldStartS": 3.0, "coldPerS": 28.0}
+        services = [{"name": "app", **cold}, {"name": "bad", "coldPerS": -1}]
+        state = platform_cluster.desired_state(services=services)
+        table = desired_state.decode(msgspec.json.encode(state))
+        assert list(table.services) == ["app"]
+        assert table.services["app"].cold_start_ms == 3_000.0
+        assert table.services["app"].cold_per_s == 28.0
+
     @pytest.mark.parametrize(
         "version", [-1, 2**63, 2**70, True, 1.5, "7", None]
     )
@@ -506,6 +534,8 @@
 [bounds]
 graceS = 8
 drainMs = 2000
+coldOver = 1.5
+coldSlack = 5
 [platform]
 addr = "10.200.1.7:8362"
 parts = 12
@@ -522,6 +552,7 @@
         assert loaded.gateway.peer_address == "10.1.0.11:7780"
         assert loaded.store_address == "10.200.1.7:8362"
         assert loaded.gateway.drain_ms == 2000.0
+        assert (loaded.gateway.cold_over, loaded.gateway.cold_slack) == (1.5, 5)
 
     def test_draining_endpoints_are_no_last_resort_by_default(
         self, tmp_path: pathlib.Path
