Keep requests to cold endpoints within their service's rate

Cause: an endpoint that has just started gets requests from all gateways at once, since it is idle, and crashes. Change: cold_endpoints leaves out cold endpoints without a free share at the choice, takes the share just before the first byte is sent, and refuses with 503 and Retry-After when nothing else remains. Readings are aged by a clock that counts suspension. tests/test_dispatch.py states that its mock service has no such rate.

--- a/quetzalmill/clock.py
+++ b/quetzalmill/clock.py
@@ -35,6 +35,17 @@
         return time.time_ns() // 1_000_000
 
 
+class BootClock:
+    """Reads a monotonic clock that also advances while the host is suspended.
+
+    Leases that other hosts rely on are timed by it.
+    """
+
+    def now_ms(self) -> float:
+        """Returns the time since the host's boot in milliseconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+
+
 class ManualClock:
     """A clock that advances only on request, for tests."""
 
--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -9,6 +9,7 @@
 import trio
 
 from quetzalmill import clock as clock_module
+from quetzalmill import cold_endpoints
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_choice
 from quetzalmill import endpoint_health
@@ -22,6 +23,7 @@
 from quetzalmill import http_server
 from quetzalmill import load_control
 from quetzalmill import logs
+from quetzalmill import member_table
 from quetzalmill import reply_reader
 from quetzalmill import response_memory
 from quetzalmill import response_verdicts
@@ -45,6 +47,9 @@
 """Minimum time left before the deadline for sending a request; no endpoint can
 answer in less."""
 
+RETRY_SPREAD_MS = 100.0
+"""By how much retries that wait for a cold endpoint's share are spread."""
+
 PROBE_TIMEOUT_MS = 300.0
 """Timeout for the connection that checks whether an endpoint is alive."""
 
@@ -64,6 +69,8 @@
         clock: The process's clock.
         failure_domain: The gateway's failure domain.
         answers: The bounded memory for buffered responses.
+        cold: The requests to cold endpoints; by default none are sent to those
+            of services that limit them.
     """
 
     def __init__(
@@ -74,6 +81,7 @@
         clock: clock_module.Clock,
         failure_domain: str,
         answers: response_memory.ResponseMemory,
+        cold: cold_endpoints.ColdEndpoints | None = None,
     ) -> None:
         self._pool = pool
         self._answers = answers
@@ -84,7 +92,12 @@
         self._random = random.Random()
         self._latencies = endpoint_health.AverageLatencies()
         self._retry_timeout = retry_timeout.RetryTimeout()
-        self._replies = reply_reader.ReplyReader(pool, dialect, clock)
+        self._cold = cold or cold_endpoints.ColdEndpoints(
+            pool, member_table.MemberTable(""), "", clock
+        )
+        self._replies = reply_reader.ReplyReader(
+            pool, dialect, clock, self._cold
+        )
         self.prefixes = endpoint_choice.PrefixCacheIndex()
 
     async def run(
@@ -102,6 +115,7 @@
         self, job: dispatch_job.Job, exchange: http_server.Exchange
     ) -> outcomes.Outcome:
         reason = "no endpoint is known"
+        retry_after_ms = self._retry_after_ms()
         connect_failures = 0
         response_lost = False
         failed: outcomes.Answered | None = None
@@ -113,7 +127,15 @@
                 job, may_repeat=response_lost and job.route.is_safe
             )
             if endpoint_state is None:
-                if not job.tried and any(
+                cold_ms = self._cold.retry_after_ms(
+                    job.service, self._clock.now_ms()
+                )
+                if cold_ms is not None:
+                    reason = "only cold endpoints remain"
+                    retry_after_ms = cold_ms + self._random.uniform(
+                        0.0, RETRY_SPREAD_MS
+                    )
+                elif not job.tried and any(
                     known.endpoint.service == job.service.name
                     for known in self._pool.all()
                 ):
@@ -159,7 +181,7 @@
         if response_lost:
             return outcomes.Unknown(status=502, reason=reason)
         return outcomes.Refused(
-            status=503, reason=reason, retry_after_ms=self._retry_after_ms()
+            status=503, reason=reason, retry_after_ms=retry_after_ms
         )
 
     def load_per_slot(self, service: str) -> float:
@@ -200,6 +222,11 @@
             )
             for each in untried
         }
+        untried = self._cold.admissible(job, untried, uncached, now_ms)
+        uncached = {
+            each.endpoint.endpoint_id: uncached[each.endpoint.endpoint_id]
+            for each in untried
+        }
         candidates = endpoint_choice.sample_candidates(uncached, self._random)
         estimates = [
             endpoint_choice.estimate(
@@ -239,6 +266,10 @@
         except errors.ConnectFailedError as error:
             endpoint_pool.failed(endpoint_state, self._clock.now_ms())
             endpoint_state.health.record_failure(self._clock.now_ms())
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                self._cold.record_refused_connection(
+                    job.service, endpoint_state, self._clock.now_ms()
+                )
             return dispatch_job.TryNext(str(error))
         except errors.RequestWithdrawnError:
             return dispatch_job.Withheld("the endpoint leaves")
@@ -434,7 +465,12 @@
                 stream = await trio.open_tcp_stream(host, port)
                 await stream.aclose()
         except (OSError, trio.TooSlowError) as error:
-            endpoint_pool.failed(endpoint_state, self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            endpoint_pool.failed(endpoint_state, now_ms)
+            if isinstance(error, OSError):
+                self._cold.record_refused_connection(
+                    job.service, endpoint_state, now_ms
+                )
             job.endpoint_died = True
             _log.warning(
                 "endpoint_died",
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -87,6 +87,9 @@
         down_until_ms: The end of its backoff.
         lapsed_ms: When its entry lapsed, or None.
         cold_until_ms: Until when it is slow after its start.
+        stated_cold_until_ms: The same by its responses.
+        cold_since_ms: When it was last found to be cold without being told for
+            how long.
         health: Its recent health as seen by this gateway.
         peer_failures: The failure counts of the other gateways.
         drain_notice: Its drain notice; None if it has announced no drain.
@@ -105,6 +108,8 @@
     down_until_ms: float = 0.0
     lapsed_ms: float | None = None
     cold_until_ms: float = 0.0
+    stated_cold_until_ms: float = 0.0
+    cold_since_ms: float = float("-inf")
     health: endpoint_health.Health = attrs.field(factory=endpoint_health.Health)
     peer_failures: list[endpoint_health.FailureCounts] = attrs.field(
         factory=list
@@ -171,6 +176,7 @@
         self._by_id: dict[str, EndpointState] = {}
         self.durations = request_durations.RequestDurations()
         self._peer_load_ms: float | None = None
+        self._domain_cold_ms: dict[str, float] = {}
         self.report_age_ms = 0.0
         self.observer: endpoint_leaving.Observer | None = None
 
@@ -208,7 +214,15 @@
             or (known.drain_notice is not None and drain_notice is None)
         ):
             self._drop(endpoint.endpoint_id)
+            is_restarted = known is not None
             known = EndpointState(endpoint=endpoint, drain_notice=drain_notice)
+            known.cold_since_ms = (
+                now_ms
+                if is_restarted
+                else self._domain_cold_ms.get(
+                    endpoint.failure_domain, float("-inf")
+                )
+            )
             self._by_id[endpoint.endpoint_id] = known
             changed = True
         else:
@@ -345,6 +359,22 @@
             if known.lapsed_ms is not None:
                 known.lapsed_ms = now_ms
 
+    def mark_domain_cold(self, failure_domain: str, now_ms: float) -> None:
+        """Counts the endpoints of a failure domain as newly started.
+
+        Called when an order to evacuate the domain is withdrawn. It also holds
+        for endpoints whose entries are read again later.
+        """
+        members = [
+            known
+            for known in self._by_id.values()
+            if known.endpoint.failure_domain == failure_domain
+        ]
+        for known in members:
+            known.cold_since_ms = now_ms
+        if members:
+            self._domain_cold_ms[failure_domain] = now_ms
+
     def usable(self, service: str, now_ms: float) -> list[EndpointState]:
         """Returns the endpoints of a service that may get new work.
 
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -15,6 +15,7 @@
 from quetzalmill import chain_source
 from quetzalmill import clock as clock_module
 from quetzalmill import codec
+from quetzalmill import cold_endpoints
 from quetzalmill import control_method
 from quetzalmill import conversations
 from quetzalmill import dispatch
@@ -33,6 +34,7 @@
 from quetzalmill import keyed_store
 from quetzalmill import leaving_watch
 from quetzalmill import logs
+from quetzalmill import member_table
 from quetzalmill import members
 from quetzalmill import peer_calls
 from quetzalmill import peer_http
@@ -118,6 +120,8 @@
         self.state.pool.observer = leaving_watch.LeavingWatch(
             self._client, self.metrics
         )
+        table = member_table.MemberTable(settings.peer_address)
+        boot_clock = clock_module.BootClock()
         self._members = members.Members(
             store,
             settings.host,
@@ -125,6 +129,17 @@
             lambda address: self.state.peers.add_address(
                 address, self.clock.now_ms()
             ),
+            table,
+            boot_clock,
+            lambda: cold_endpoints.has_limits(self.state.table),
+            lambda: {peer.address for peer in self.state.alive_peers()},
+        )
+        self._cold = cold_endpoints.ColdEndpoints(
+            self.state.pool,
+            table,
+            settings.peer_address,
+            boot_clock,
+            self.metrics.cold_request,
         )
         self._stop_requested = trio.Event()
         self._stopping = trio.Event()
@@ -192,6 +207,12 @@
             "endpoints_leaving": leaving_watch.describe(
                 self.state.pool, now_ms
             ),
+            "cold": self._cold.describe(
+                table,
+                now_ms,
+                over=self._settings.cold_over,
+                slack=self._settings.cold_slack,
+            ),
             "crashes": {
                 each.fingerprint: each.crashes
                 for each in self.state.crashes.all_known()
@@ -273,6 +294,7 @@
                     self._settings.memory_mb * _ANSWERS_FRACTION * _BYTES_PER_MB
                 )
             ),
+            self._cold,
         )
         self._handler = gateway_handler.GatewayHandler(
             self.state,
@@ -434,6 +456,8 @@
         self.metrics.set_state("store_reached", self.state.store_reached())
         self.metrics.set_state("peers", len(self.state.alive_peers()))
         self.metrics.set_state("endpoints", len(self.state.pool))
+        cold = self._cold.count_cold(table, self.clock.now_ms())
+        self.metrics.set_state("cold_endpoints", cold)
         self.metrics.set_state("turns_held", len(self._cache))
 
     def _reload_settings(self) -> None:
--- a/quetzalmill/gateway_metrics.py
+++ b/quetzalmill/gateway_metrics.py
@@ -52,6 +52,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._cold_requests = prometheus_client.Counter(
+            "quetzalmill_cold_requests",
+            "Requests that concerned a cold endpoint, by what was decided.",
+            ["decision"],
+            registry=self._registry,
+        )
         self._gauges = prometheus_client.Gauge(
             "quetzalmill_state",
             "What the gateway believes, by name.",
@@ -90,6 +96,10 @@
         """
         self._last_requests.observe(last_request_ms / 1000.0)
 
+    def cold_request(self, decision: str) -> None:
+        """Counts a request that concerned a cold endpoint."""
+        self._cold_requests.labels(decision).inc()
+
     def set_state(self, name: str, value: float) -> None:
         """Sets a gauge of the gateway's local view."""
         self._gauges.labels(name).set(value)
--- a/quetzalmill/reply_reader.py
+++ b/quetzalmill/reply_reader.py
@@ -1,6 +1,7 @@
 """Reads the heads of endpoints' responses and records what they report."""
 
 from quetzalmill import clock as clock_module
+from quetzalmill import cold_endpoints
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_pool
 from quetzalmill import gateway_calls
@@ -25,6 +26,7 @@
         pool: The endpoints.
         dialect: The codec for the platform's headers.
         clock: The process's clock.
+        cold: The requests to cold endpoints.
     """
 
     def __init__(
@@ -32,19 +34,28 @@
         pool: endpoint_pool.EndpointPool,
         dialect: gateway_calls.Dialect,
         clock: clock_module.Clock,
+        cold: cold_endpoints.ColdEndpoints,
     ) -> None:
         self._pool = pool
         self._dialect = dialect
         self._clock = clock
+        self._cold = cold
 
     def hooks(
         self, job: dispatch_job.Job, endpoint_state: endpoint_pool.EndpointState
     ) -> http_connection.RequestHooks:
         """Returns the callbacks for one send of a request."""
 
+        def may_send() -> bool:
+            now_ms = self._clock.now_ms()
+            return self._pool.may_send(
+                endpoint_state, now_ms
+            ) and self._cold.take(job.service, endpoint_state, now_ms)
+
         def on_interim(head: http_connection.ResponseHead) -> None:
             reply = self._decode(job, endpoint_state, head)
             self._record_drain_notice(job, endpoint_state, reply)
+            self._record_cold(job, endpoint_state, reply)
 
         def is_unrelated(head: http_connection.ResponseHead) -> bool:
             reply = self._decode(job, endpoint_state, head)
@@ -55,9 +66,7 @@
             return True
 
         return http_connection.RequestHooks(
-            may_send=lambda: self._pool.may_send(
-                endpoint_state, self._clock.now_ms()
-            ),
+            may_send=may_send,
             on_interim=on_interim,
             is_unrelated=is_unrelated,
         )
@@ -75,6 +84,7 @@
         reply = self._decode(job, endpoint_state, head)
         verdict = _judge(reply, job, head)
         self._record_drain_notice(job, endpoint_state, reply)
+        self._record_cold(job, endpoint_state, reply)
         match verdict:
             case response_verdicts.NotRun() | response_verdicts.Ran():
                 self._record_load(endpoint_state, reply.load)
@@ -105,6 +115,16 @@
                 endpoint_state, job.call.request_id, self._clock.now_ms()
             )
 
+    def _record_cold(
+        self,
+        job: dispatch_job.Job,
+        endpoint_state: endpoint_pool.EndpointState,
+        reply: gateway_calls.Reply,
+    ) -> None:
+        self._cold.record_stated(
+            job.service, endpoint_state, reply.cold_ms, self._clock.now_ms()
+        )
+
     def _record_load(
         self,
         endpoint_state: endpoint_pool.EndpointState,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -129,7 +129,7 @@
             job = dispatch_job.Job(
                 call=_CALL,
                 route=_ROUTE,
-                service=unittest.mock.Mock(is_engine=True),
+                service=unittest.mock.Mock(is_engine=True, cold_per_s=0.0),
                 team="weddings",
                 body=b"hello",
                 deadline_ms=now_ms + 1_000.0,
