--- a/quetzalmill_emulator/platform_endpoint.py
+++ b/quetzalmill_emulator/platform_endpoint.py
@@ -109,6 +109,9 @@
         framing: If set, each response is sent at once with this framing, and
             ends its connection.
         sent_bytes: How many bytes of such a response are sent; None for all.
+        cold_until_s: Until when it is cold, as its responses state, by the
+            clock of the event loop.
+        cold_arrivals_s: When it received each request while it was cold.
         names_request: Whether the data of events contains the request id, so
             that a test detects mixed-up streams.
     """
@@ -134,6 +137,8 @@
         self._copies_due: list[late_copies.LateCopy] = []
         self.framing: Framing | None = None
         self.sent_bytes: int | None = None
+        self.cold_until_s = float("-inf")
+        self.cold_arrivals_s: list[float] = []
         self.names_request = False
         self._refusals: weakref.WeakKeyDictionary[object, tuple[str, bytes]] = (
             weakref.WeakKeyDictionary()
@@ -150,6 +155,17 @@
         next_instance.names_request = self.names_request
         return next_instance
 
+    def most_cold_arrivals(self) -> int:
+        """Returns the most requests in a second while it was cold."""
+        arrivals_s = self.cold_arrivals_s
+        return max(
+            (
+                sum(0 <= at - each < 1 for each in arrivals_s)
+                for at in arrivals_s
+            ),
+            default=0,
+        )
+
     async def handle(
         self, request: http_message.Request, exchange: http_server.Exchange
     ) -> None:
@@ -162,6 +178,8 @@
                 answer["Attempt-Id"] = headers["attempt-id"]
             await exchange.respond(421, headers=answer)
             return
+        if trio.current_time() < self.cold_until_s:
+            self.cold_arrivals_s.append(trio.current_time())
         fault = self.faults.pop(0) if self.faults else None
         run = Run(
             request_id=headers.get("attempt-id", ""),
@@ -308,6 +326,9 @@
             "Server-Load": "1,0,8",
             **self._drain_headers(run),
         }
+        cold_s = self.cold_until_s - trio.current_time()
+        if cold_s > 0:
+            answer["Cold-Ms"] = str(int(cold_s * 1000))
         if fault is Fault.FORGED:
             del answer["Response-Signature"]
         if fault is Fault.CROSSED:
