Count only refused connections as the end of an endpoint's process

Cause: any failed connection of a probe made an endpoint count as newly started, also one that was lost to a link; the causes of trio's own connections come in a group. Change: record_failed_connection looks for a refused connection among them.

--- a/quetzalmill/cold_endpoints.py
+++ b/quetzalmill/cold_endpoints.py
@@ -192,18 +192,33 @@
         )
         self._observe(service, known, now_ms)
 
-    def record_refused_connection(
+    def record_failed_connection(
         self,
         service: route_table.Service,
         known: endpoint_pool.EndpointState,
+        error: Exception,
         now_ms: float,
     ) -> None:
-        """Records that nothing listened at an endpoint's address.
+        """Counts an endpoint as newly started if nothing listened there.
 
         What listens there next has just started, although its entry may still
-        be that of the process before.
+        be that of the process before. Other failures may be those of a link.
+
+        Args:
+            service: The endpoint's service.
+            known: The endpoint.
+            error: The failure, with the cause that it was raised from.
+            now_ms: The current time of the pool.
         """
-        if service.cold_per_s > 0.0:
+        cause = error.__cause__
+        causes = (
+            cause.exceptions
+            if isinstance(cause, BaseExceptionGroup)
+            else [cause]
+        )
+        if service.cold_per_s > 0.0 and any(
+            isinstance(each, ConnectionRefusedError) for each in causes
+        ):
             known.cold_since_ms = now_ms
 
     def count_cold(
--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -266,10 +266,9 @@
         except errors.ConnectFailedError as error:
             endpoint_pool.failed(endpoint_state, self._clock.now_ms())
             endpoint_state.health.record_failure(self._clock.now_ms())
-            if isinstance(error.__cause__, ConnectionRefusedError):
-                self._cold.record_refused_connection(
-                    job.service, endpoint_state, self._clock.now_ms()
-                )
+            self._cold.record_failed_connection(
+                job.service, endpoint_state, error, self._clock.now_ms()
+            )
             return dispatch_job.TryNext(str(error))
         except errors.RequestWithdrawnError:
             return dispatch_job.Withheld("the endpoint leaves")
@@ -465,12 +464,10 @@
                 stream = await trio.open_tcp_stream(host, port)
                 await stream.aclose()
         except (OSError, trio.TooSlowError) as error:
-            now_ms = self._clock.now_ms()
-            endpoint_pool.failed(endpoint_state, now_ms)
-            if isinstance(error, OSError):
-                self._cold.record_refused_connection(
-                    job.service, endpoint_state, now_ms
-                )
+            endpoint_pool.failed(endpoint_state, self._clock.now_ms())
+            self._cold.record_failed_connection(
+                job.service, endpoint_state, error, self._clock.now_ms()
+            )
             job.endpoint_died = True
             _log.warning(
                 "endpoint_died",
--- a/tests/test_cold_endpoints.py
+++ b/tests/test_cold_endpoints.py
@@ -1,5 +1,6 @@
 """Tests of the requests that gateways send to cold endpoints."""
 
+import types
 from typing import Any
 
 import attrs
@@ -8,14 +9,10 @@
 from quetzalmill import clock as clock_module
 from quetzalmill import cold_endpoints
 from quetzalmill import cold_shares
-from quetzalmill import dispatch_job
 from quetzalmill import endpoint_pool
 from quetzalmill import gateway_calls
-from quetzalmill import http_message
 from quetzalmill import member_table
 from quetzalmill import route_table
-from quetzalmill_platform import wire
-from tests import routes
 
 _SERVICE = route_table.Service(
     name="app",
@@ -33,14 +30,17 @@
     """A gateway that has registered and read long enough ago to send."""
 
     def __init__(
-        self, clock: clock_module.ManualClock, address: str, others: list[str]
+        self,
+        clock: clock_module.ManualClock,
+        address: str = "10.0.0.1:1",
+        members: tuple[str, ...] = ("10.0.0.1:1",),
     ) -> None:
         self._clock = clock
         self.pool = endpoint_pool.EndpointPool()
         self.table = member_table.MemberTable(address)
         self.table.record_registration("", -10_000.0)
         self._members: dict[str, member_table.Member] = {
-            each: member_table.Registered("") for each in others
+            each: member_table.Registered("") for each in members
         }
         self.read()
         self.decisions: list[str] = []
@@ -72,36 +72,23 @@
         assert known is not None
         return known
 
-    def take(
-        self,
-        known: endpoint_pool.EndpointState,
-        service: route_table.Service = _SERVICE,
-    ) -> bool:
-        return self.cold.take(service, known, self._clock.now_ms())
-
     def burst(
         self,
         known: endpoint_pool.EndpointState,
         service: route_table.Service = _SERVICE,
     ) -> int:
-        """Returns how many of many requests it sends at once."""
-        return sum(self.take(known, service) for _ in range(100))
+        """Returns how many of 100 requests it sends at once."""
+        now_ms = self._clock.now_ms()
+        return sum(self.cold.take(service, known, now_ms) for _ in range(100))
 
     def admissible(self, size: int = 10, cached: str = "") -> list[str]:
         """Returns the endpoints that a request may be sent to."""
-        call = wire.PlatformDialect().decode_call(
-            http_message.Request(method="GET", path="/stock/1", headers={})
-        )
-        parts = (gateway_calls.PromptPart("p", 10),)
-        job = dispatch_job.Job(
-            call=attrs.evolve(call, prompt_tokens=size, prompt_parts=parts),
-            route=routes.LOOKUP,
-            service=_SERVICE,
-            team="",
-            body=b"",
-            deadline_ms=0.0,
-            priority=None,
+        call = types.SimpleNamespace(
+            prompt_tokens=size,
+            most_tokens=0,
+            prompt_parts=(gateway_calls.PromptPart("p", 10),),
         )
+        job: Any = types.SimpleNamespace(service=_SERVICE, call=call)
         now_ms = self._clock.now_ms()
         uncached = {
             each.endpoint.endpoint_id: 10
@@ -144,7 +131,7 @@
         expected: int,
     ) -> None:
         """Without the rule, all go to the idle endpoint, which crashes."""
-        addresses = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"]
+        addresses = ("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1")
         gateways = [_Gateway(clock, each, addresses) for each in addresses]
         sent = sum(
             each.burst(each.add("e1", 3_000.0), service) for each in gateways
@@ -155,7 +142,7 @@
         self, clock: clock_module.ManualClock
     ) -> None:
         """An endpoint may become cold again without notice."""
-        gateway = _Gateway(clock, "10.0.0.1:1", ["10.0.0.1:1"])
+        gateway = _Gateway(clock)
         known = gateway.add("e1")
         assert gateway.burst(known) == 100
         gateway.cold.record_stated(_SERVICE, known, 2_000.0, clock.now_ms())
@@ -170,11 +157,11 @@
         self, clock: clock_module.ManualClock
     ) -> None:
         """A gateway that was suspended must not send with an old share."""
-        gateway = _Gateway(clock, "10.0.0.1:1", ["10.0.0.1:1"])
+        gateway = _Gateway(clock)
         known = gateway.add("e1", 9_000.0)
         assert gateway.admissible() == ["e1"]
         clock.advance(2_000.0)
-        assert not gateway.take(known)
+        assert gateway.burst(known) == 0
         assert gateway.admissible() == []
         assert gateway.cold.retry_after_ms(_SERVICE, clock.now_ms()) == 500.0
 
@@ -185,7 +172,7 @@
     def test_suitable_requests_come_first(
         self, clock: clock_module.ManualClock
     ) -> None:
-        gateway = _Gateway(clock, "10.0.0.1:1", ["10.0.0.1:1"])
+        gateway = _Gateway(clock)
         warm = gateway.add("warm")
         gateway.add("cold", 3_000.0)
         assert gateway.admissible() == ["warm", "cold"]
@@ -196,19 +183,25 @@
 
     def test_what_counts_as_cold(self, clock: clock_module.ManualClock) -> None:
         """Only reasons that the entry does not state; it may come late."""
-        gateway = _Gateway(clock, "10.0.0.1:1", ["10.0.0.1:1"])
+        gateway = _Gateway(clock)
         known = gateway.add("e1")
         assert gateway.burst(known) == 100
         known = gateway.add("e1", started_unix_ms=200)
-        assert not gateway.take(known)
+        assert gateway.burst(known) == 0
         clock.advance(3_000.0)
         gateway.read()
         assert gateway.burst(known) == 100
         gateway.pool.mark_domain_cold("a", clock.now_ms())
-        assert not gateway.take(known)
+        assert gateway.burst(known) == 0
         gateway.pool.remove("e1", clock.now_ms(), store_was_unavailable=False)
-        assert not gateway.take(gateway.add("e1"))
+        assert gateway.burst(gateway.add("e1")) == 0
         clock.advance(3_000.0)
         gateway.read()
-        gateway.cold.record_refused_connection(_SERVICE, known, clock.now_ms())
-        assert gateway.burst(known) == 28
+        failure = OSError()
+        failure.__cause__ = ConnectionRefusedError()
+        for error, sent in ((OSError(), 100), (failure, 28)):
+            known = gateway.add(f"e{sent}")
+            gateway.cold.record_failed_connection(
+                _SERVICE, known, error, clock.now_ms()
+            )
+            assert gateway.burst(known) == sent
