--- a/quetzalmill/evacuation.py
+++ b/quetzalmill/evacuation.py
@@ -14,7 +14,7 @@
 that it acts as a snapshot of the topic.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -120,14 +120,23 @@
 
 
 class Evacuations:
-    """The evacuated failure domains as known to one gateway."""
+    """The evacuated failure domains as known to one gateway.
 
-    def __init__(self) -> None:
+    Args:
+        on_withdrawn: Called with a domain and the time when its order ends.
+    """
+
+    def __init__(
+        self,
+        on_withdrawn: Callable[[str, float], None] = lambda domain, now_ms: (
+            None
+        ),
+    ) -> None:
+        self._on_withdrawn = on_withdrawn
         self._in_force: dict[str, InForce] = {}
         self._unordered: dict[str, int] = {}
         self._position = 0
         self._is_full = False
-        self._withdrawn_ms: dict[str, float] = {}
         self._logged_peers: set[str] = set()
         self._report = Report()
         self._changed_ms = float("-inf")
@@ -144,10 +153,6 @@
         """Returns the orders in force, by domain."""
         return dict(self._in_force)
 
-    def withdrawn_ms(self, domain: str) -> float | None:
-        """Returns when the last order for a domain ended here, or None."""
-        return self._withdrawn_ms.get(domain)
-
     def report(self) -> Report:
         """Returns what to send to peers."""
         return self._report
@@ -274,7 +279,6 @@
             return
         self._unordered.pop(domain, None)
         self._in_force[domain] = InForce(since=moment, position=position)
-        self._withdrawn_ms.pop(domain, None)
         self._changed_ms = moment.now_ms
         _log_change(domain, True, position, moment)
 
@@ -287,10 +291,7 @@
         if order is None:
             return
         self._changed_ms = moment.now_ms
-        self._withdrawn_ms.pop(domain, None)
-        self._withdrawn_ms[domain] = moment.now_ms
-        if len(self._withdrawn_ms) > MAX_DOMAINS:
-            del self._withdrawn_ms[next(iter(self._withdrawn_ms))]
+        self._on_withdrawn(domain, moment.now_ms)
         _log_change(domain, False, position, moment)
 
     def _set_unordered(self, domain: str, position: int) -> None:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -59,9 +59,11 @@
     """Orders are applied literally, whether or not they make sense."""
 
     def test_withdrawal_without_an_order_changes_nothing(self) -> None:
-        known = _read(_withdrawn("a", 1), _withdrawn("a", 2))
+        withdrawn: list[tuple[str, float]] = []
+        known = evacuation.Evacuations(lambda *each: withdrawn.append(each))
+        known.apply_changes([_withdrawn("a", 1), _withdrawn("a", 2)], 2, _NOW)
         assert not known.is_evacuated("a")
-        assert known.withdrawn_ms("a") is None
+        assert withdrawn == []
 
     def test_repeated_order_is_in_force_since_the_first(self) -> None:
         known = _read(_issued("a", 1))
@@ -72,10 +74,22 @@
         )
 
     def test_repeated_withdrawal_ends_at_the_first(self) -> None:
-        known = _read(_issued("a", 1), _withdrawn("a", 2))
+        withdrawn: list[tuple[str, float]] = []
+        known = evacuation.Evacuations(lambda *each: withdrawn.append(each))
+        known.apply_changes([_issued("a", 1), _withdrawn("a", 2)], 2, _NOW)
         later = evacuation.Moment(now_ms=9.0)
         known.apply_changes([_withdrawn("a", 3)], 3, later)
-        assert known.withdrawn_ms("a") == _NOW.now_ms
+        assert withdrawn == [("a", _NOW.now_ms)]
+
+    def test_endpoints_count_as_cold_after_a_withdrawal(self) -> None:
+        """Guards against a rush on endpoints that have been idle."""
+        pool = _pool(evacuation.Evacuations(), "a", "b")
+        pool.evacuations = evacuation.Evacuations(pool.mark_domain_cold)
+        later = evacuation.Moment(now_ms=9.0)
+        pool.evacuations.apply_changes([_issued("a", 1)], 1, _NOW)
+        pool.evacuations.apply_changes([_withdrawn("a", 2)], 2, later)
+        cold_since_ms = [each.cold_since_ms for each in pool.all()]
+        assert cold_since_ms == [9.0, float("-inf")]
 
     def test_all_domains_and_unknown_ones(self) -> None:
         known = _read(_issued("a", 1), _issued("nowhere", 2), _issued("b", 3))
