Grant nothing unstored as an owner that may have been replaced

Cause: an owner that was replaced without noticing is told by the store only. In an outage it and its successor each let a program without a stored bound send the limit of one turn.

Change: heartbeats carry the epochs of claims. Only the owner with the highest known epoch grants, after 1.5 s in which neither it nor a peer reaches the store, and while it hears more than half of the gateways.

--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -39,10 +39,6 @@
 """How long a turn waits for its reservation; the rest of its deadline must
 suffice to run it."""
 
-MIN_OUTAGE_MS = 600.0
-"""How long the store must have been unavailable before turns that need it are
-refused without waiting; three times what one lost answer costs."""
-
 _NO_EPOCH = 0
 
 _CLAIM_RETRY_PAUSE_MS = (50.0, 150.0)
@@ -85,14 +81,16 @@
         peers: Asks the other gateways.
         record_store_availability: Called with whether the store answered.
         store_reached: Returns whether the store answers this gateway.
-        held_partitions: The partitions that this gateway has claimed; updated
-            here.
+        held_partitions: The epochs of this gateway's claims, by partition;
+            updated here.
         listening_ms: Returns how much longer this gateway has to wait for
             heartbeats of all live peers; only they have exact accounts.
         claim_ended: Called with whether a claim of the partition succeeded and
             how many milliseconds it took.
         outage_ms: Returns for how long the store has not answered this
             gateway; 0 while it does.
+        may_grant_unstored: Returns whether the owner of a partition, by its
+            epoch, is certain to be the only one in an outage of the store.
     """
 
     def __init__(
@@ -104,10 +102,11 @@
         peers: budget_peers.BudgetPeers,
         record_store_availability: Callable[[bool], None],
         store_reached: Callable[[], bool],
-        held_partitions: set[int],
+        held_partitions: dict[int, int],
         listening_ms: Callable[[], float],
         claim_ended: Callable[[bool, float], None],
         outage_ms: Callable[[], float] = lambda: 0.0,
+        may_grant_unstored: Callable[[int, int], bool] = lambda *each: False,
     ) -> None:
         self._part = part
         self._store = store
@@ -116,10 +115,11 @@
         self._peers = peers
         self._store_answered = record_store_availability
         self._store_reached = store_reached
-        self._held_partitions: set[int] = held_partitions
+        self._held_partitions = held_partitions
         self._listening_ms = listening_ms
         self._claim_ended = claim_ended
         self._outage_ms = outage_ms
+        self._may_grant_unstored = may_grant_unstored
         self._term: budget_term.BudgetTerm | None = None
         self._claim: _Claim | None = None
         self._last_accounts = _Accounts()
@@ -214,7 +214,7 @@
             most_tokens=message.most_tokens,
             before_tokens=message.before_tokens,
             now_ms=self._clock.now_ms(),
-            store_unavailable=not self._store_reached(),
+            may_precede_bound=self._may_precede_bound(term),
         )
         if isinstance(outcome, program_budgets.Spent):
             return gateway_messages.ReleaseReply(
@@ -307,14 +307,18 @@
             # The caller left while this gateway was claiming the partition.
             return _undecided("the turn was given up before")
         is_known = term.ledger.has_turn(message.program_id, message.turn_id)
+        may_precede_bound = self._may_precede_bound(term)
         outcome = term.ledger.reserve(
             message.program_id,
             message.turn_id,
             budget_tokens=message.budget_tokens,
             most_tokens=message.most_tokens,
             now_ms=self._clock.now_ms(),
-            release_all=not message.by_parts,
-            store_unavailable=not self._store_reached(),
+            # While the store is unavailable, no turn starts that might have to
+            # stop halfway, and running turns keep their tokens below the bound.
+            release_all=not message.by_parts
+            or not (self._store_reached() or may_precede_bound),
+            may_precede_bound=may_precede_bound,
         )
         if isinstance(outcome, program_budgets.Spent):
             return gateway_messages.ReserveReply(
@@ -326,12 +330,18 @@
         if outcome.is_provisional:
             term.write_soon({message.program_id: outcome.bound})
             return self._granted(message, outcome)
-        if not is_known and self._outage_ms() > MIN_OUTAGE_MS:
+        if not is_known and self._outage_ms() > outage_grants.MIN_OUTAGE_MS:
             # The store may return too late for it.
             term.settle(message.program_id, message.turn_id, 0)
             return _undecided("the store is unavailable")
         return outcome
 
+    def _may_precede_bound(self, term: budget_term.BudgetTerm) -> bool:
+        """Returns whether grants may be made before their bound is stored."""
+        return not self._store_reached() and self._may_grant_unstored(
+            self._part, term.fence.epoch
+        )
+
     def _granted(
         self,
         message: gateway_messages.ReserveTurn,
@@ -371,7 +381,7 @@
         started_ms = self._clock.now_ms()
         try:
             self._term = await self._open_term()
-            self._held_partitions.add(self._part)
+            self._held_partitions[self._part] = self._term.fence.epoch
             for message in self._recent_turns.take_postponed():
                 self.settle(message)
         except errors.ExternalSystemError as error:
@@ -477,7 +487,7 @@
         term.is_closed = True
         if self._term is term:
             self._term = None
-            self._held_partitions.discard(self._part)
+            self._held_partitions.pop(self._part, None)
             self._last_accounts = _Accounts(
                 term.fence.epoch, term.ledger.accounts()
             )
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -249,6 +249,7 @@
                 self.state.listening_ms,
                 self.metrics.claim,
                 self.state.store_outage_ms,
+                self.state.may_grant_unstored,
             )
             for part in parts
         ]
--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -28,6 +28,13 @@
 OUTAGE_RECOVERY_MS = 3_000.0
 """How long after an outage missing registry entries may still reappear."""
 
+MIN_UNSTORED_OUTAGE_MS = 1_500.0
+"""How long an outage must last before owners grant what is not stored; somewhat
+more than peers take to notice that a gateway sends no heartbeats."""
+
+MIN_LIVE_FRACTION = 0.5
+"""The fraction of the gateways that must be heard for the same."""
+
 LISTEN_BEATS = 2.5
 """How many heartbeat intervals a gateway listens for at startup before it
 claims partitions; each live peer that knows it has sent two by then."""
@@ -96,7 +103,7 @@
             self._sizes,
         )
         self.crashes = crash_counts.CrashCounts()
-        self.holds: set[int] = set()
+        self.holds: dict[int, int] = {}
         self.leaving = False
         self.retention_ms = 0.0
         self.endpoints_known = False
@@ -179,6 +186,22 @@
             return 0.0
         return self.clock.now_ms() - self._store_lost_ms
 
+    def may_grant_unstored(self, part: int, epoch: int) -> bool:
+        """Returns whether the owner of a partition is certain to be the only.
+
+        While the store is unavailable, an owner that has been replaced is not
+        told by the store. Its successor's heartbeats arrive within the minimum
+        time of the outage, unless the two cannot reach each other; so most
+        gateways have to be heard.
+        """
+        now_ms = self.clock.now_ms()
+        return (
+            self.store_outage_ms() >= MIN_UNSTORED_OUTAGE_MS
+            and self.store_is_unavailable()
+            and self.peers.live_fraction(now_ms) > MIN_LIVE_FRACTION
+            and self.peers.highest_epoch(part) < epoch
+        )
+
     def listening_ms(self) -> float:
         """Returns how much longer it listens for its peers' heartbeats."""
         since_ms = self.clock.now_ms() - self._started_ms
@@ -229,6 +252,7 @@
             crashes=self.crashes.all_known(),
             known=self.peers.addresses() if is_whole else [],
             holds=sorted(self.holds),
+            hold_epochs=dict(self.holds),
             waiting=self.rate_queues.waiting(),
             begun=self.start_buckets.admitted(since_ms),
             trouble=self.pool.trouble(now_ms),
--- a/quetzalmill/outage_grants.py
+++ b/quetzalmill/outage_grants.py
@@ -11,6 +11,10 @@
 
 import attrs
 
+MIN_OUTAGE_MS = 600.0
+"""How long the store must have been unavailable before turns that need it are
+refused without waiting; three times what one lost answer costs."""
+
 UNCERTAIN_MS = 60_000.0
 """How long after an owner was lost without a handover an unknown program may be
 one that it served; the longest retention of a conversation in use."""
--- a/quetzalmill/peers.py
+++ b/quetzalmill/peers.py
@@ -82,6 +82,8 @@
         crashes: Counts of requests that ran when an endpoint died.
         known: Addresses of the gateways that it knows.
         holds: Budget partitions that it has claimed.
+        hold_epochs: The epochs of these claims, by partition; empty from
+            gateways of an older version.
         waiting: Requests of running programs that wait for their team's rate,
             by team.
         begun: Requests reserved for programs started since its own start, by
@@ -119,6 +121,7 @@
         factory=program_sizes.ProgramCounts
     )
     endpoints_leaving: dict[str, int] = attrs.field(factory=dict)
+    hold_epochs: dict[int, int] = attrs.field(factory=dict)
     evacuations: evacuation.Report | None = None
 
 
@@ -314,6 +317,19 @@
         """Returns the last heartbeats of live peers."""
         return [peer.heartbeat for peer in self._live_peers(now_ms)]
 
+    def highest_epoch(self, part: int) -> int:
+        """Returns the highest epoch of a partition that a peer has claimed.
+
+        Silent peers count, too. 0 if none has.
+        """
+        return max(
+            (
+                peer.heartbeat.hold_epochs.get(part, 0)
+                for peer in self._peers.values()
+            ),
+            default=0,
+        )
+
     def live_fraction(self, now_ms: float) -> float:
         """Returns the fraction of gateways that are live, itself included."""
         if not self._peers:
--- a/quetzalmill/program_budgets.py
+++ b/quetzalmill/program_budgets.py
@@ -187,7 +187,7 @@
         most_tokens: int,
         now_ms: float,
         release_all: bool = False,
-        store_unavailable: bool = False,
+        may_precede_bound: bool = False,
     ) -> Granted | Spent:
         """Reserves the token limit of a turn if the budget covers it.
 
@@ -199,7 +199,8 @@
             now_ms: The time.
             release_all: Whether the whole limit is released at once, and the
                 stored bound has to cover all reservations.
-            store_unavailable: Whether bounds cannot be stored now.
+            may_precede_bound: Whether tokens may be sent before their bound is
+                stored, as the store is unavailable.
         """
         program = self._open_account(
             program_id, budget_tokens, most_tokens, now_ms
@@ -207,7 +208,7 @@
         is_first = program.granted_tokens == 0
         # No turn starts below a stored bound that cannot be raised, as it might
         # have to stop halfway or take what running turns still need.
-        release_all |= store_unavailable and program.durable_tokens > 0
+        release_all |= may_precede_bound and program.durable_tokens > 0
         if turn_id not in program.turns:
             granted = program.granted_tokens
             if granted + most_tokens > budget_tokens:
@@ -225,8 +226,8 @@
             _bound_for(program, covered_tokens),
             is_first,
             program.turns[turn_id].released_tokens,
-            store_unavailable
-            and self._may_precede_bound(program, covered_tokens, now_ms),
+            may_precede_bound
+            and self._is_within_slack(program, covered_tokens, now_ms),
         )
 
     def release(
@@ -238,7 +239,7 @@
         most_tokens: int,
         before_tokens: int,
         now_ms: float,
-        store_unavailable: bool = False,
+        may_precede_bound: bool = False,
     ) -> Granted | Spent:
         """Releases the remaining tokens of a turn if the stored bound allows.
 
@@ -256,7 +257,8 @@
                 not know the turn, an earlier owner released them within the
                 stored bound, and only the remaining ones are reserved here.
             now_ms: The time.
-            store_unavailable: Whether bounds cannot be stored now.
+            may_precede_bound: Whether tokens may be sent before their bound is
+                stored, as the store is unavailable.
         """
         program = self._open_account(
             program_id, budget_tokens, most_tokens, now_ms
@@ -279,7 +281,7 @@
             + turn.reserved_tokens
         )
         bound = _bound_for(program, covered_tokens)
-        is_provisional = store_unavailable and self._may_precede_bound(
+        is_provisional = may_precede_bound and self._is_within_slack(
             program, covered_tokens, now_ms
         )
         if bound is None or is_provisional:
@@ -291,7 +293,7 @@
             is_provisional,
         )
 
-    def _may_precede_bound(
+    def _is_within_slack(
         self,
         program: program_account.Program,
         covered_tokens: int,
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -271,6 +271,7 @@
     listening_ms: float = 0.0
     claims: list[bool] = attrs.field(factory=list)
     outage_ms: float = 0.0
+    newest_epoch: int = 0
 
     def owner(self) -> budget_owner.BudgetOwner:
         """Returns the owner on one more gateway."""
@@ -282,10 +283,11 @@
             self.peers,
             lambda answered: None,
             lambda: not self.store.down,
-            set(),
+            {},
             lambda: self.listening_ms,
             lambda succeeded, took_ms: self.claims.append(succeeded),
             lambda: self.outage_ms,
+            lambda part, epoch: epoch >= self.newest_epoch,
         )
 
 
@@ -1080,6 +1082,15 @@
         _run(case)
 
 
+_NEW_PROGRAM = gateway_messages.ReserveTurn(
+    program_id="t/new",
+    turn_id="n",
+    budget_tokens=100,
+    most_tokens=30,
+    by_parts=True,
+)
+
+
 class TestOutages:
     """Turns that an owner is asked for while the store is unavailable."""
 
@@ -1107,15 +1118,7 @@
             owner = gateways.owner()
             assert (await _reserve_turn(owner, "1")).granted
             gateways.store.down, gateways.outage_ms = True, 700.0
-            reply = owner.reserve(
-                gateway_messages.ReserveTurn(
-                    program_id="t/new",
-                    turn_id="n",
-                    budget_tokens=100,
-                    most_tokens=30,
-                    by_parts=True,
-                )
-            )
+            reply = owner.reserve(_NEW_PROGRAM)
             assert isinstance(reply, gateway_messages.ReserveReply)
             assert reply.granted and reply.is_first
             assert gateways.store.value("budgets", 0, "t/new") is None
@@ -1124,3 +1127,17 @@
             assert gateways.store.value("budgets", 0, "t/new") == b"24"
 
         _run(case)
+
+    def test_replaced_owner_starts_no_program(self) -> None:
+        """Guards against two owners that each grant the limit of one turn."""
+
+        async def case(gateways: _Gateways) -> None:
+            owner = gateways.owner()
+            assert (await _reserve_turn(owner, "1")).granted
+            gateways.store.down, gateways.outage_ms = True, 700.0
+            gateways.newest_epoch = owner.known_epoch() + 1
+            reply = owner.reserve(_NEW_PROGRAM)
+            assert isinstance(reply, gateway_messages.ReserveReply)
+            assert not reply.granted
+
+        _run(case)
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -523,3 +523,36 @@
         assert state.store_was_unavailable() == was_unavailable
         clock.advance(gateway_state.OUTAGE_RECOVERY_MS + 1.0)
         assert not state.store_was_unavailable()
+
+    @pytest.mark.parametrize(
+        ("outage_ms", "peer_epoch", "peer_reaches_it", "silent_peers", "may"),
+        [
+            (2_000.0, 4, False, 0, True),
+            (1_000.0, 4, False, 0, False),
+            (2_000.0, 6, False, 0, False),
+            (2_000.0, 4, True, 0, False),
+            (2_000.0, 4, False, 3, False),
+        ],
+    )
+    def test_only_the_newest_owner_grants_in_an_outage(
+        self,
+        outage_ms: float,
+        peer_epoch: int,
+        peer_reaches_it: bool,
+        silent_peers: int,
+        may: bool,
+    ) -> None:
+        """Guards against grants by an owner that was replaced."""
+        state, clock = self._state()
+        for number in range(silent_peers):
+            state.apply_report(_heartbeat(f"s{number}:1"))
+        state.record_store_availability(False)
+        clock.advance(outage_ms)
+        state.apply_report(
+            _heartbeat(
+                "b:1",
+                store_reached=peer_reaches_it,
+                hold_epochs={3: peer_epoch},
+            )
+        )
+        assert state.may_grant_unstored(3, 5) == may
--- a/tests/test_outage_grants.py
+++ b/tests/test_outage_grants.py
@@ -56,7 +56,7 @@
             budget_tokens=_BUDGET,
             most_tokens=_LIMIT,
             now_ms=self.now_ms,
-            store_unavailable=not self.is_up,
+            may_precede_bound=not self.is_up,
         )
         if isinstance(outcome, program_budgets.Spent):
             return
@@ -79,7 +79,7 @@
             most_tokens=_LIMIT,
             before_tokens=self.sent[turn_id],
             now_ms=self.now_ms,
-            store_unavailable=not self.is_up,
+            may_precede_bound=not self.is_up,
         )
         if isinstance(outcome, program_budgets.Granted) and self._may_go_on(
             outcome
