Serve requests with home regions in these regions only

Cause: routes and teams may list the regions that may serve them, but gateways sent their requests, and stored turns, to any host.

Change: allowedRegions of routes and teams and [zones] and region of the settings file are decoded; homes.py decides which endpoints and peers a request may reach. Heartbeats carry the region. A request that its home regions cannot serve is refused at once with its own reason, counted and logged. The test cluster can have zones.

Result: tests/test_homes.py passes; it fails if either the endpoint rule, the peer rule or the narrowing is disabled. The tests of dispatch, turns, state, heartbeats, adapter and gateway processes pass.

--- a/quetzalmill/chain_source.py
+++ b/quetzalmill/chain_source.py
@@ -17,6 +17,7 @@
 from quetzalmill import conversations
 from quetzalmill import errors
 from quetzalmill import gateway_messages
+from quetzalmill import homes as homes_module
 from quetzalmill import logs
 from quetzalmill import peer_calls
 from quetzalmill import peer_http
@@ -59,6 +60,10 @@
     reason: str
 
 
+def _everywhere(_: int) -> homes_module.Homes:
+    return homes_module.EVERYWHERE
+
+
 class ChainSource:
     """Finds chains for one gateway.
 
@@ -70,6 +75,7 @@
         own_address: This gateway's own address.
         client: Sends control calls to peers.
         datagram_client: Sends datagram calls to peers.
+        stored_homes: Returns the regions in which a partition may be read.
     """
 
     def __init__(
@@ -81,6 +87,7 @@
         own_address: str,
         client: peer_http.PeerClient,
         datagram_client: peer_calls.PeerCalls,
+        stored_homes: Callable[[int], homes_module.Homes] = _everywhere,
     ) -> None:
         self._cache = cache
         self._partitions = partitions
@@ -89,6 +96,7 @@
         self._own_address = own_address
         self._client = client
         self._datagram_client = datagram_client
+        self._stored_homes = stored_homes
         self._random = random.Random()
 
     def find_cached(self, turn_id: str) -> Found | None:
@@ -97,7 +105,11 @@
         return None if missing_id else Found(turns)
 
     async def find(
-        self, turn_id: str, part: int, holder: str
+        self,
+        turn_id: str,
+        part: int,
+        holder: str,
+        homes: homes_module.Homes = homes_module.EVERYWHERE,
     ) -> Found | NotFound | Undetermined:
         """Finds the chain that ends with a turn.
 
@@ -105,6 +117,8 @@
             turn_id: The turn.
             part: The partition that holds the chain.
             holder: The address of a peer that holds it; empty if unknown.
+            homes: The regions whose gateways may read the chain; this gateway
+                may as well.
         """
         turns, missing_id = self._cache.chain(turn_id)
         if missing_id and holder and holder != self._own_address:
@@ -112,7 +126,7 @@
             turns, missing_id = self._cache.chain(turn_id)
         if not missing_id:
             return Found(turns)
-        found = await self._ask_owner(turn_id, part)
+        found = await self._ask_owner(turn_id, part, homes)
         if isinstance(found, Undetermined):
             await self._ask_peers(missing_id, part)
             turns, missing_id = self._cache.chain(turn_id)
@@ -207,9 +221,16 @@
             scope.cancel()
 
     async def _ask_owner(
-        self, turn_id: str, part: int
+        self, turn_id: str, part: int, homes: homes_module.Homes
     ) -> Found | NotFound | Undetermined:
-        owner = self._owner(part)
+        owner = homes_module.chain_reader(
+            part,
+            self._owner(part),
+            self._own_address,
+            self._peers(),
+            request=homes,
+            stored=self._stored_homes(part),
+        )
         reply: gateway_messages.ChainReply | None = None
         if owner != self._own_address:
             reply = await self._ask_remote_owner(owner, turn_id, part)
--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -16,6 +16,7 @@
 from quetzalmill import errors
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_outcomes as outcomes
+from quetzalmill import homes as homes_module
 from quetzalmill import http_client
 from quetzalmill import http_connection
 from quetzalmill import http_message
@@ -113,7 +114,12 @@
                 job, may_repeat=response_lost and job.route.is_safe
             )
             if endpoint_state is None:
-                if not job.tried and any(
+                if (
+                    job.current_homes().regions is not None
+                    and not response_lost
+                ):
+                    reason = homes_module.REASON
+                elif not job.tried and any(
                     known.endpoint.service == job.service.name
                     for known in self._pool.all()
                 ):
@@ -162,10 +168,14 @@
             status=503, reason=reason, retry_after_ms=self._retry_after_ms()
         )
 
-    def load_per_slot(self, service: str) -> float:
-        """Returns a service's load in requests per slot."""
+    def load_per_slot(
+        self,
+        service: str,
+        homes: homes_module.Homes = homes_module.EVERYWHERE,
+    ) -> float:
+        """Returns a service's load in requests per slot, in some regions."""
         now_ms = self._clock.now_ms()
-        usable = self._pool.usable(service, now_ms)
+        usable = self._pool.usable(service, now_ms, homes)
         return load_control.load_per_slot(
             # An engine's own report dates from its last response. Placement
             # takes the larger of the two stale counts, which would
@@ -189,7 +199,9 @@
     ) -> endpoint_pool.EndpointState | None:
         """Chooses an endpoint; one tried before only if there is no other."""
         now_ms = self._clock.now_ms()
-        usable = self._pool.usable(job.service.name, now_ms)
+        usable = self._pool.usable(
+            job.service.name, now_ms, job.current_homes()
+        )
         tried = job.tried
         untried = [e for e in usable if e.endpoint.endpoint_id not in tried]
         if may_repeat and not untried:
--- a/quetzalmill/dispatch_job.py
+++ b/quetzalmill/dispatch_job.py
@@ -5,6 +5,7 @@
 from quetzalmill import event_relay
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_outcomes as outcomes
+from quetzalmill import homes as homes_module
 from quetzalmill import route_table
 from quetzalmill import turn_allowance
 
@@ -60,6 +61,7 @@
         relay: The state of its relayed stream.
         allowance: How many tokens it may relay under a token budget; None
             without a budget.
+        homes: Its home regions; None for all.
     """
 
     call: gateway_calls.Call
@@ -79,6 +81,13 @@
     uncached_tokens: int = 0
     relay: event_relay.EventRelay = attrs.field(factory=event_relay.EventRelay)
     allowance: turn_allowance.Allowance | None = None
+    homes: homes_module.RequestHomes | None = None
+
+    def current_homes(self) -> homes_module.Homes:
+        """Returns the regions whose endpoints may get it now."""
+        if self.homes is None:
+            return homes_module.EVERYWHERE
+        return self.homes.current()
 
 
 @attrs.frozen
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -11,6 +11,7 @@
 
 from quetzalmill import endpoint_health
 from quetzalmill import endpoint_leaving
+from quetzalmill import homes as homes_module
 from quetzalmill import request_durations
 
 INITIAL_BACKOFF_MS = 300.0
@@ -345,7 +346,12 @@
             if known.lapsed_ms is not None:
                 known.lapsed_ms = now_ms
 
-    def usable(self, service: str, now_ms: float) -> list[EndpointState]:
+    def usable(
+        self,
+        service: str,
+        now_ms: float,
+        homes: homes_module.Homes = homes_module.EVERYWHERE,
+    ) -> list[EndpointState]:
         """Returns the endpoints of a service that may get new work.
 
         If no others are left, endpoints that only peers report as draining are
@@ -356,6 +362,7 @@
             known
             for known in self._by_id.values()
             if known.endpoint.service == service
+            and homes.allows_domain(known.endpoint.failure_domain)
         ]
         unmarked = [known for known in of_service if known.drain_notice is None]
         staying = [known for known in unmarked if not known.drain_reporters]
@@ -373,18 +380,26 @@
             now_ms,
         )
 
-    def may_send(self, known: EndpointState, now_ms: float) -> bool:
+    def may_send(
+        self,
+        known: EndpointState,
+        now_ms: float,
+        homes: homes_module.Homes = homes_module.EVERYWHERE,
+    ) -> bool:
         """Returns whether an endpoint that was chosen may still get work.
 
         A connection is made between the choice and the first byte sent, and a
-        drain notice may have arrived meanwhile.
+        drain notice may have arrived meanwhile, or another failure domain of
+        the endpoint, or other home regions of the request.
         """
         endpoint = known.endpoint
+        if not homes.allows_domain(endpoint.failure_domain):
+            return False
         if self._by_id.get(endpoint.endpoint_id) is not known:
             return False
         if known.drain_notice is None and not known.drain_reporters:
             return True
-        if known not in self.usable(endpoint.service, now_ms):
+        if known not in self.usable(endpoint.service, now_ms, homes):
             return False
         if known.drain_notice is not None:
             known.drain_notice.last_sent_ms = now_ms
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -106,6 +106,8 @@
             link_mbps=settings.link_mbps,
             rate_slack=settings.rate_slack,
             drain_ms=settings.drain_ms,
+            region=settings.region,
+            zones=settings.zones,
         )
         for address in settings.seeds:
             self.state.peers.add_address(address, self.clock.now_ms())
@@ -188,6 +190,8 @@
                 if self.state.owner(part) == self.state.address
             ],
             "turns_held": len(self._cache),
+            "region": self.state.region,
+            "zones": dict(self.state.zones),
             "running": self.state.pool.running(),
             "endpoints_leaving": leaving_watch.describe(
                 self.state.pool, now_ms
@@ -245,6 +249,7 @@
             self.state.address,
             self._control,
             self._calls,
+            self.state.stored_homes,
         )
         self._keeper = turn_keeper.TurnKeeper(
             self._cache,
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -15,13 +15,13 @@
 from quetzalmill import gateway_responses
 from quetzalmill import gateway_state
 from quetzalmill import gateway_turns
+from quetzalmill import homes as homes_module
 from quetzalmill import http_message
 from quetzalmill import http_server
 from quetzalmill import load_control
 from quetzalmill import logs
 from quetzalmill import route_table
 from quetzalmill import shutdown as shutdown_module
-from quetzalmill import team_buckets
 from quetzalmill import turn_allowance
 
 NO_TABLE_RETRY_MS = 500.0
@@ -126,6 +126,8 @@
         job = active.job
         route = "" if active.route is None else active.route.name
         self._metrics.request(kind, route, took_ms)
+        if homes_module.is_refusal(outcome):
+            self._metrics.home_refusal(route)
         for answer in job.answers if job else ():
             self._metrics.answer(answer.correlation, answer.verdict)
         table = self._state.table
@@ -145,6 +147,7 @@
             else None,
             load=job.load if job else None,
             unread=job.uncached_tokens if job else None,
+            homes=str(active.homes.current()) or None if active.homes else None,
             took_ms=round(took_ms),
         )
 
@@ -165,13 +168,6 @@
         """Prepares and completes turns."""
         return self._turns
 
-    def pick_service(self, route: route_table.Route) -> str:
-        """Returns one of a route's services, at random by their weights."""
-        if len(route.shares) == 1:
-            return route.shares[0].service
-        weights = [share.weight for share in route.shares]
-        return self.random.choices(route.shares, weights)[0].service
-
 
 class _ActiveRequest:
     """A request that is being served."""
@@ -191,6 +187,7 @@
         self.prepared_ms = 0.0
         self.route: route_table.Route | None = None
         self.team = ""
+        self.homes: homes_module.RequestHomes | None = None
         self._is_start = False
         self._has_started = bool(call.previous_turn_id)
         self.job: dispatch_job.Job | None = None
@@ -203,7 +200,15 @@
             return refused
         assert self.route is not None and self._state.table is not None
         table = self._state.table
-        service = table.services.get(self._handler.pick_service(self.route))
+        self.homes = self._state.homes_of(self.route, self.team)
+        picked = self._state.pick_service(
+            self.route,
+            self.homes.current(),
+            self._handler.random,
+        )
+        if picked is None:
+            return homes_module.REFUSED
+        service = table.services.get(picked)
         if service is None:
             return outcomes.Refused(
                 status=503, reason="the route's service is not configured"
@@ -242,7 +247,7 @@
             )
         # The token is taken just before the request is dispatched, as a
         # request that does not run must not use up its team's rate.
-        return _refuse_over_rate(
+        return outcomes.refuse_over_rate(
             self._state.rate_queues.peek(
                 self.team,
                 is_start=self._is_start,
@@ -274,7 +279,7 @@
 
     async def _acquire_rate(self) -> outcomes.Refused | None:
         """Takes a token of the team's rate; returns a refusal or None."""
-        return _refuse_over_rate(
+        return outcomes.refuse_over_rate(
             await self._state.rate_queues.acquire(
                 self.team,
                 is_start=self._is_start,
@@ -310,7 +315,7 @@
         )
 
     async def _run_turn(self, service: route_table.Service) -> outcomes.Outcome:
-        assert self.route is not None
+        assert self.route is not None and self.homes is not None
         turns = self._handler.turns
         is_stored = self.route.stateful
         if is_stored and 0 < self._handler.record_bytes < len(
@@ -327,6 +332,7 @@
             is_stored=is_stored,
             max_wait_ms=self._remaining_ms() - reserve_ms,
             by_parts=self.route.retry_mode is route_table.RetryMode.STREAM,
+            homes=self.homes.current(),
         )
         self.prepared_ms = self._state.clock.now_ms()
         if isinstance(prepared, outcomes.Refused):
@@ -380,11 +386,13 @@
         self, service: route_table.Service
     ) -> outcomes.Refused | None:
         """Returns why a program may not start now; None if it may."""
-        assert self._state.table is not None
+        assert self._state.table is not None and self.homes is not None
         if not self._is_start or not service.is_engine:
             return None
         decision = load_control.admit_program(
-            self._handler.dispatcher.load_per_slot(service.name),
+            self._handler.dispatcher.load_per_slot(
+                service.name, self.homes.current()
+            ),
             rank=self._operator_priority(),
             lowest_rank=self._state.table.lowest_priority(service.name),
             random_source=self._handler.random,
@@ -399,12 +407,14 @@
         )
 
     async def _make_durable(self, streamed: outcomes.Streamed) -> bool:
+        assert self.homes is not None
         return await self._handler.turns.end(
             self.call,
             self.team,
             streamed,
             "" if self.job is None else self.job.ran_on,
             timeout_ms=max(DURABLE_WRITE_MS, self._remaining_ms()),
+            homes=self.homes,
         )
 
     async def _run(
@@ -427,6 +437,7 @@
             deadline_ms=self._deadline_ms() - reserve_ms,
             priority=self._priority() if service.is_engine else None,
             allowance=allowance,
+            homes=self.homes,
         )
         outcome = await self._handler.dispatcher.run(self.job, self._exchange)
         self._count_crashes(outcome)
@@ -481,15 +492,3 @@
             match outcome:
                 case outcomes.Answered() | outcomes.Streamed(complete=True):
                     crashes.ended_well(self._fingerprint())
-
-
-def _refuse_over_rate(
-    admission: team_buckets.Admission,
-) -> outcomes.Refused | None:
-    if admission.admitted:
-        return None
-    return outcomes.Refused(
-        status=429,
-        reason=f"the team's rate is used up, level {admission.level:.1f}",
-        retry_after_ms=admission.retry_after_ms,
-    )
--- a/quetzalmill/gateway_metrics.py
+++ b/quetzalmill/gateway_metrics.py
@@ -52,6 +52,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._home_refusals = prometheus_client.Counter(
+            "quetzalmill_home_refusals",
+            "Requests refused as no endpoint in their home regions could serve"
+            " them.",
+            ["route"],
+            registry=self._registry,
+        )
         self._gauges = prometheus_client.Gauge(
             "quetzalmill_state",
             "What the gateway believes, by name.",
@@ -90,6 +97,10 @@
         """
         self._last_requests.observe(last_request_ms / 1000.0)
 
+    def home_refusal(self, route: str) -> None:
+        """Counts a request that its home regions could not serve."""
+        self._home_refusals.labels(route).inc()
+
     def set_state(self, name: str, value: float) -> None:
         """Sets a gauge of the gateway's local view."""
         self._gauges.labels(name).set(value)
--- a/quetzalmill/gateway_outcomes.py
+++ b/quetzalmill/gateway_outcomes.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from quetzalmill import team_buckets
+
 
 @attrs.frozen(kw_only=True)
 class Refused:
@@ -83,6 +85,17 @@
 """It could run, but not be kept, and so not end whole."""
 
 
+def refuse_over_rate(admission: team_buckets.Admission) -> Refused | None:
+    """Returns the refusal of a request over its team's rate, or None."""
+    if admission.admitted:
+        return None
+    return Refused(
+        status=429,
+        reason=f"the team's rate is used up, level {admission.level:.1f}",
+        retry_after_ms=admission.retry_after_ms,
+    )
+
+
 def problem_body(reason: str, ran: str) -> bytes:
     """Returns the body of a response that the gateway itself generates."""
     return json.dumps({"message": reason, "ran": ran}).encode()
--- a/quetzalmill/gateway_settings.py
+++ b/quetzalmill/gateway_settings.py
@@ -1,5 +1,7 @@
 """The settings of one gateway process."""
 
+from collections.abc import Mapping
+
 import attrs
 
 
@@ -25,6 +27,8 @@
         out_of_rotation_ms: The time from reporting not ready until no new
             connections arrive.
         record_bytes: The size of the store's largest record; 0 if unknown.
+        region: The gateway's region; empty if unknown.
+        zones: The region of each failure domain.
     """
 
     host: str
@@ -43,3 +47,5 @@
     grace_ms: float
     out_of_rotation_ms: float
     record_bytes: int = 0
+    region: str = ""
+    zones: Mapping[str, str] = attrs.field(factory=dict)
--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -3,11 +3,14 @@
 The I/O layers report events to it and query it; it performs no I/O itself.
 """
 
+from collections.abc import Mapping
 import hashlib
+import random
 
 from quetzalmill import clock as clock_module
 from quetzalmill import crash_counts
 from quetzalmill import endpoint_pool
+from quetzalmill import homes
 from quetzalmill import http_message
 from quetzalmill import logs
 from quetzalmill import peers as peers_module
@@ -55,6 +58,8 @@
         link_mbps: The bandwidth of its host's link; 0 if unknown.
         rate_slack: Requests beyond a team's rate that the operators tolerate.
         drain_ms: How long endpoints keep serving after their drain notice.
+        region: Its host's region; empty if unknown.
+        zones: The region of each failure domain; None for none known.
     """
 
     def __init__(
@@ -69,11 +74,15 @@
         link_mbps: float = 0.0,
         rate_slack: float = 0.0,
         drain_ms: float = 0.0,
+        region: str = "",
+        zones: Mapping[str, str] | None = None,
     ) -> None:
         self.host = host
         self.instance = instance
         self.address = address
         self.failure_domain = failure_domain
+        self.region = region
+        self.zones = zones or {}
         self.parts = parts
         self.clock = clock
         self.table: route_table.RouteTable | None = None
@@ -135,8 +144,56 @@
             routes=len(table.routes),
             teams=len(table.teams),
         )
+        unknown = homes.unknown_regions(table, self.zones)
+        if unknown:
+            _log.warning("home_regions_unknown", regions=unknown)
         return True
 
+    def homes_of(
+        self, route: route_table.Route, team: str
+    ) -> homes.RequestHomes:
+        """Returns the home regions of a request."""
+        return homes.RequestHomes(
+            self.zones, self.region, lambda: self.table, route, team
+        )
+
+    def stored_homes(self, part: int) -> homes.Homes:
+        """Returns the regions in which a partition of turns may be read."""
+        unlimited = homes.Homes(None, self.zones, self.region)
+        if self.table is None:
+            return unlimited
+        return homes.stored_homes(
+            self.table,
+            lambda team: self.partition_of(team) == part,
+            unlimited,
+        )
+
+    def sweeper(self, part: int) -> str:
+        """Returns the gateway that removes a partition's expired turns."""
+        return homes.sweeper(
+            part,
+            self.owner(part),
+            self.address,
+            self.alive_peers(),
+            self.stored_homes(part),
+        )
+
+    def pick_service(
+        self,
+        route: route_table.Route,
+        within: homes.Homes,
+        random_source: random.Random,
+    ) -> str | None:
+        """Returns the service for a request; see ``homes.pick_service``."""
+        return homes.pick_service(
+            route,
+            within,
+            lambda service: bool(
+                self.pool.usable(service, self.clock.now_ms(), within)
+            ),
+            random_source,
+        )
+
     def caller_limits(self) -> http_message.Limits:
         """Returns the limits of a caller's connection."""
         if self.table is None:
@@ -228,6 +285,7 @@
             link_mbps=self._link_mbps,
             programs=self._sizes.counts(),
             endpoints_leaving=self.pool.drain_notices_to_report(now_ms),
+            region=self.region,
         )
 
     def apply_report(self, heartbeat: peers_module.Heartbeat) -> None:
--- a/quetzalmill/gateway_turns.py
+++ b/quetzalmill/gateway_turns.py
@@ -17,6 +17,7 @@
 from quetzalmill import gateway_messages
 from quetzalmill import gateway_outcomes as outcomes
 from quetzalmill import gateway_state
+from quetzalmill import homes as homes_module
 from quetzalmill import logs
 from quetzalmill import peer_calls
 from quetzalmill import turn_allowance
@@ -98,6 +99,7 @@
         is_stored: bool,
         max_wait_ms: float,
         by_parts: bool = True,
+        homes: homes_module.Homes = homes_module.EVERYWHERE,
     ) -> Prepared | outcomes.Refused:
         """Reserves the budget and finds the chain.
 
@@ -112,6 +114,7 @@
             max_wait_ms: The time after which it is too late to run it.
             by_parts: Whether its response is streamed, so that it can pause
                 until the rest of its tokens is released.
+            homes: The regions whose gateways may read its conversation.
         """
         if is_stored and self._state.store_is_unavailable():
             return outcomes.Refused(
@@ -121,7 +124,9 @@
             )
         with trio.move_on_after(max(0.0, max_wait_ms) / 1000.0):
             try:
-                return await self._prepare(call, team, is_stored, by_parts)
+                return await self._prepare(
+                    call, team, is_stored, by_parts, homes
+                )
             except trio.Cancelled:
                 # It will not run, and the program's next turn needs the tokens.
                 self.settle(call, team, 0)
@@ -138,6 +143,7 @@
         team: str,
         is_stored: bool,
         by_parts: bool,
+        homes: homes_module.Homes,
     ) -> Prepared | outcomes.Refused:
         chain = None
         if is_stored and call.previous_turn_id:
@@ -154,7 +160,7 @@
                 is_start=reserved.is_first,
                 released_tokens=_released(reserved, call),
             )
-        found = await self._find(call, team, chain, reserved.holder)
+        found = await self._find(call, team, chain, reserved.holder, homes)
         if isinstance(found, outcomes.Refused):
             self.settle(call, team, 0)
             return found
@@ -196,6 +202,7 @@
         ran_on: str,
         *,
         timeout_ms: float,
+        homes: homes_module.RequestHomes,
     ) -> bool:
         """Stores a complete turn; returns whether it is durable."""
         turn = conversations.Turn(
@@ -208,7 +215,9 @@
             ended_unix_ms=self._state.clock.unix_ms(),
             ran_on=ran_on,
         )
-        return await self._keeper.make_durable(turn, timeout_ms=timeout_ms)
+        return await self._keeper.make_durable(
+            turn, timeout_ms=timeout_ms, current_homes=homes.current
+        )
 
     def settle(
         self,
@@ -252,13 +261,14 @@
         team: str,
         chain: chain_source.Found | None,
         holder: str,
+        homes: homes_module.Homes,
     ) -> list[conversations.Turn] | outcomes.Refused:
         if not call.previous_turn_id:
             return []
         # A program may continue from a turn of an earlier program of its team.
         part = self._state.partition_of(team)
         match chain or await self._source.find(
-            call.previous_turn_id, part, holder
+            call.previous_turn_id, part, holder, homes
         ):
             case chain_source.Found(turns):
                 if all(turn.team == team for turn in turns):
--- a/quetzalmill/peers.py
+++ b/quetzalmill/peers.py
@@ -85,6 +85,7 @@
         programs: Its counts of programs and their requests.
         endpoints_leaving: Start times of the endpoints that have sent it a
             drain notice, by endpoint.
+        region: Its host's region; empty if unknown.
     """
 
     host: str
@@ -111,6 +112,7 @@
         factory=program_sizes.ProgramCounts
     )
     endpoints_leaving: dict[str, int] = attrs.field(factory=dict)
+    region: str = ""
 
 
 @attrs.define
--- a/quetzalmill/reply_reader.py
+++ b/quetzalmill/reply_reader.py
@@ -56,7 +56,7 @@
 
         return http_connection.RequestHooks(
             may_send=lambda: self._pool.may_send(
-                endpoint_state, self._clock.now_ms()
+                endpoint_state, self._clock.now_ms(), job.current_homes()
             ),
             on_interim=on_interim,
             is_unrelated=is_unrelated,
--- a/quetzalmill/route_table.py
+++ b/quetzalmill/route_table.py
@@ -50,6 +50,8 @@
         max_event_gap_ms: The longest pause between events that is on time.
         resumable: Whether an interrupted stream may continue at another
             endpoint.
+        home_regions: The regions that may serve it; empty for all. The empty
+            name in it stands for a list that could not be read.
     """
 
     name: str
@@ -66,6 +68,7 @@
     retention_ms: float
     max_event_gap_ms: float
     resumable: bool = False
+    home_regions: frozenset[str] = frozenset()
 
     @property
     def is_safe(self) -> bool:
@@ -111,12 +114,14 @@
         priority: Overrides the priority of routes; None for no override.
         rate_per_s: Requests per second over all gateways; 0 for no limit.
         burst: Requests that it may send at once beyond the rate.
+        home_regions: The regions that may serve it; as for routes.
     """
 
     name: str
     priority: int | None
     rate_per_s: float
     burst: float
+    home_regions: frozenset[str] = frozenset()
 
 
 @attrs.frozen(kw_only=True)
--- a/quetzalmill/turn_expiry.py
+++ b/quetzalmill/turn_expiry.py
@@ -1,9 +1,10 @@
 """Removes expired turns and budgets from the store.
 
-The gateway that owns a partition reads it periodically and removes the turns
-that it first saw longer ago than the retention. Ages are measured on its own
-monotonic clock from then on, never from a time of day, so a new owner removes
-turns late but never early, and two owners at the same time do no harm.
+The gateway that owns a partition, or one in the home regions of its turns,
+reads it periodically and removes the turns that it first saw longer ago than
+the retention. Ages are measured on its own monotonic clock from then on, never
+from a time of day, so a new reader removes turns late but never early, and two
+readers at the same time do no harm.
 """
 
 import attrs
@@ -83,7 +84,7 @@
 
 
 class TurnExpiry:
-    """Removes expired records from the partitions that this gateway owns.
+    """Removes expired records from the partitions that this gateway sweeps.
 
     Args:
         state: The gateway's local view.
@@ -115,7 +116,7 @@
         keep_ms = self._state.retention_ms + RETENTION_MARGIN_MS
         for part, owner in enumerate(self._owners):
             owner.forget_idle(keep_ms)
-            if self._state.owner(part) != self._state.address:
+            if self._state.sweeper(part) != self._state.address:
                 self._ages.pop(part, None)
                 continue
             try:
--- a/quetzalmill/turn_keeper.py
+++ b/quetzalmill/turn_keeper.py
@@ -13,6 +13,7 @@
 from quetzalmill import conversations
 from quetzalmill import errors
 from quetzalmill import gateway_messages
+from quetzalmill import homes as homes_module
 from quetzalmill import logs
 from quetzalmill import peer_http
 from quetzalmill import peers as peers_module
@@ -34,6 +35,10 @@
 _log = logs.get("turn_keeper")
 
 
+def _everywhere() -> homes_module.Homes:
+    return homes_module.EVERYWHERE
+
+
 class TurnKeeper:
     """Makes turns durable for one gateway.
 
@@ -63,11 +68,21 @@
         self._client = client
 
     async def make_durable(
-        self, turn: conversations.Turn, *, timeout_ms: float
+        self,
+        turn: conversations.Turn,
+        *,
+        timeout_ms: float,
+        current_homes: Callable[[], homes_module.Homes] = _everywhere,
     ) -> bool:
         """Returns whether a turn became durable within ``timeout_ms``.
 
         Returns at once if the store refuses it for good.
+
+        Args:
+            turn: The turn.
+            timeout_ms: How long it may take.
+            current_homes: Returns the regions whose gateways may write it;
+                this gateway may as well.
         """
         queued = self._enqueue(turn)
         with trio.move_on_after(timeout_ms / 1000.0):
@@ -75,7 +90,7 @@
                 with trio.move_on_after(STORE_WAIT_MS / 1000.0):
                     await queued.done.wait()
             if not queued.done.is_set():
-                await self._wait_with_peers(turn, queued.done)
+                await self._wait_with_peers(turn, queued.done, current_homes)
             if queued.is_rejected:
                 return False
             self._cache.add(turn)
@@ -97,21 +112,31 @@
         return self._writers[self._partition_of(turn.team)].put(turn)
 
     async def _wait_with_peers(
-        self, turn: conversations.Turn, done: trio.Event
+        self,
+        turn: conversations.Turn,
+        done: trio.Event,
+        current_homes: Callable[[], homes_module.Homes],
     ) -> None:
         """Returns once this gateway or a peer has written the turn."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._ask_peers, turn, nursery.cancel_scope)
+            nursery.start_soon(
+                self._ask_peers, turn, nursery.cancel_scope, current_homes
+            )
             await done.wait()
             nursery.cancel_scope.cancel()
 
     async def _ask_peers(
-        self, turn: conversations.Turn, scope: trio.CancelScope
+        self,
+        turn: conversations.Turn,
+        scope: trio.CancelScope,
+        current_homes: Callable[[], homes_module.Homes],
     ) -> None:
         while True:
             for heartbeat in self._peers():
-                if heartbeat.store_reached and await self._ask_peer(
-                    heartbeat.address, turn
+                if (
+                    heartbeat.store_reached
+                    and homes_module.receivers([heartbeat], current_homes())
+                    and await self._ask_peer(heartbeat.address, turn)
                 ):
                     scope.cancel()
                     return
--- a/quetzalmill_load/platform_cluster.py
+++ b/quetzalmill_load/platform_cluster.py
@@ -173,6 +173,7 @@
         self.all_instances: list[platform_endpoint.PlatformEndpoint] = []
         self.gateways: list[Gateway] = []
         self.client = http_client.HttpClient()
+        self.zones: dict[str, str] = {}
         self._next_id = 0
         self._servers: dict[str, _Server] = {}
         self._own_addresses: dict[str, str] = {}
@@ -289,9 +290,12 @@
         apart: bool = False,
         store_address: str = "",
         output_read: bool = True,
+        zone: str = "a",
     ) -> Gateway:
         """Starts a gateway and waits until it is ready.
 
+        The attribute ``zones``, if set, becomes its table of regions.
+
         Args:
             apart: Whether it reaches the store by a way of its own, which
                 ``store_apart_down`` cuts.
@@ -299,6 +303,7 @@
                 the usual one.
             output_read: Whether its log is kept; if not, it goes into a pipe
                 that nobody reads.
+            zone: Its failure domain.
         """
         name = f"front-{len(self.gateways)}"
         # Machines differ in their address; ports are alike on all of them.
@@ -306,7 +311,9 @@
         ports = self._ports
         usual = self.store_apart_address if apart else self.store_address
         settings = self._path / f"{name}.toml"
-        settings.write_text(self._settings(name, ip, store_address or usual))
+        settings.write_text(
+            self._settings(name, ip, store_address or usual, zone)
+        )
         log_path = self._path / f"{name}.log"
         gateway = Gateway(
             name=name,
@@ -436,13 +443,16 @@
         self._servers[address] = server
         return address
 
-    def _settings(self, name: str, ip: str, store: str) -> str:
+    def _settings(self, name: str, ip: str, store: str, zone: str) -> str:
         ports = self._ports
         seeds = [f'"{gateway.callers}"' for gateway in self.gateways]
+        zones = "".join(
+            f'{each} = "{region}"\n' for each, region in self.zones.items()
+        )
         return f"""
 node = "{name}"
 ip = "{ip}"
-zone = "a"
+zone = "{zone}"
 internalPorts = [{ports[2]}, {ports[2] + 1}]
 seeds = [{", ".join(seeds)}]
 [listen]
@@ -457,7 +467,8 @@
 addr = "{store}"
 parts = 4
 recordBytes = {platform_store.RECORD_BYTES}
-"""
+{"[zones]" if zones else ""}
+{zones}"""
 
 
 def _start(
