Prefer the endpoint that handled an object recently

Cause: on sticky routes an endpoint that handled the object recently does half of the work, but gateways chose endpoints without regard to it.

The choice is counted and logged. Other requests are placed as before.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -23,6 +23,7 @@
 from quetzalmill import http_server
 from quetzalmill import load_control
 from quetzalmill import logs
+from quetzalmill import object_affinity
 from quetzalmill import reply_reader
 from quetzalmill import response_memory
 from quetzalmill import response_verdicts
@@ -87,6 +88,7 @@
         self._retry_timeout = retry_timeout.RetryTimeout()
         self._replies = reply_reader.ReplyReader(pool, dialect, clock)
         self.prefixes = endpoint_choice.PrefixCacheIndex()
+        self._objects = object_affinity.ObjectAffinity()
 
     async def run(
         self, job: dispatch_job.Job, exchange: http_server.Exchange
@@ -212,7 +214,16 @@
             )
             for each in untried
         }
+        gains_ms = self._objects.gains_ms(
+            job.route,
+            job.call.object_key,
+            untried,
+            lambda each: self._pool.estimated_load(each, now_ms),
+            average_ms=self._latencies.average_ms(job.route.name),
+            now_ms=now_ms,
+        )
         candidates = endpoint_choice.sample_candidates(uncached, self._random)
+        candidates |= gains_ms.keys()
         estimates = [
             endpoint_choice.estimate(
                 each,
@@ -226,9 +237,14 @@
             for each in untried
             if each.endpoint.endpoint_id in candidates
         ]
+        if gains_ms:
+            estimates = object_affinity.lowered(estimates, gains_ms)
         best = endpoint_choice.choose(estimates, self._random)
         if best is None:
             return None
+        job.affinity = object_affinity.describe(
+            gains_ms, best.endpoint_state.endpoint.endpoint_id
+        )
         job.has_alternative = len(untried) > 1
         job.load = best.endpoint_state.load(now_ms)
         job.uncached_tokens = best.uncached_tokens
@@ -397,6 +413,12 @@
         endpoint_pool.succeeded(endpoint_state)
         job.ran_on = endpoint_state.endpoint.endpoint_id
         self.prefixes.record(job.ran_on, job.call.prompt_parts)
+        self._objects.record(
+            job.route,
+            job.call.object_key,
+            endpoint_state.endpoint,
+            self._clock.now_ms(),
+        )
         is_stream = job.route.retry_mode is route_table.RetryMode.STREAM
         if is_stream and 200 <= reply.status < 300:
             streamed = await self._relay(job, reply, response, exchange)
--- a/quetzalmill/dispatch_job.py
+++ b/quetzalmill/dispatch_job.py
@@ -62,6 +62,8 @@
         allowance: How many tokens it may relay under a token budget; None
             without a budget.
         homes: Its home regions; None for all.
+        affinity: Whether the last chosen endpoint was a preferred one for its
+            object, ``preferred`` or ``other``; empty without a preference.
     """
 
     call: gateway_calls.Call
@@ -82,6 +84,7 @@
     relay: event_relay.EventRelay = attrs.field(factory=event_relay.EventRelay)
     allowance: turn_allowance.Allowance | None = None
     homes: homes_module.RequestHomes | None = None
+    affinity: str = ""
 
     def current_homes(self) -> homes_module.Homes:
         """Returns the regions whose endpoints may get it now."""
--- a/quetzalmill/gateway_calls.py
+++ b/quetzalmill/gateway_calls.py
@@ -36,6 +36,8 @@
         prompt_tokens: The number of tokens in its prompt.
         most_tokens: The maximum number of tokens that it generates.
         http: The original HTTP request.
+        object_key: The object that it is about, as a short name; empty if
+            unknown.
     """
 
     request_id: str
@@ -50,6 +52,7 @@
     prompt_tokens: int
     most_tokens: int
     http: http_message.Request = attrs.field(repr=False)
+    object_key: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -128,6 +128,8 @@
         self._metrics.request(kind, route, took_ms)
         if homes_module.is_refusal(outcome):
             self._metrics.home_refusal(route)
+        if job and job.affinity:
+            self._metrics.object_choice(route, job.affinity)
         for answer in job.answers if job else ():
             self._metrics.answer(answer.correlation, answer.verdict)
         table = self._state.table
@@ -148,6 +150,7 @@
             load=job.load if job else None,
             unread=job.uncached_tokens if job else None,
             homes=str(active.homes.current()) or None if active.homes else None,
+            affinity=job.affinity or None if job else None,
             took_ms=round(took_ms),
         )
 
--- a/quetzalmill/gateway_metrics.py
+++ b/quetzalmill/gateway_metrics.py
@@ -59,6 +59,13 @@
             ["route"],
             registry=self._registry,
         )
+        self._object_choices = prometheus_client.Counter(
+            "quetzalmill_object_choices",
+            "Requests about an object on sticky routes, by whether the last"
+            " chosen endpoint was a preferred one (preferred, other).",
+            ["route", "choice"],
+            registry=self._registry,
+        )
         self._gauges = prometheus_client.Gauge(
             "quetzalmill_state",
             "What the gateway believes, by name.",
@@ -101,6 +108,15 @@
         """Counts a request that its home regions could not serve."""
         self._home_refusals.labels(route).inc()
 
+    def object_choice(self, route: str, choice: str) -> None:
+        """Counts a request about an object.
+
+        Args:
+            route: Its route.
+            choice: Whether it went to a preferred endpoint.
+        """
+        self._object_choices.labels(route, choice).inc()
+
     def set_state(self, name: str, value: float) -> None:
         """Sets a gauge of the gateway's local view."""
         self._gauges.labels(name).set(value)
--- a/quetzalmill/route_table.py
+++ b/quetzalmill/route_table.py
@@ -52,6 +52,8 @@
             endpoint.
         home_regions: The regions that may serve it; empty for all. The empty
             name in it stands for a list that could not be read.
+        is_sticky: Whether requests about the same object prefer the endpoint
+            that handled it recently.
     """
 
     name: str
@@ -69,6 +71,7 @@
     max_event_gap_ms: float
     resumable: bool = False
     home_regions: frozenset[str] = frozenset()
+    is_sticky: bool = False
 
     @property
     def is_safe(self) -> bool:
