Check a file of objects before it is published

Cause: `check` reports mistakes of single objects and of files among each other; objects that can never match, and what a publication would change, showed only after it.

--- a/quetzalmill/commands_app.py
+++ b/quetzalmill/commands_app.py
@@ -3,6 +3,7 @@
 import typer
 import typer.core
 
+from quetzalmill import commands_check
 from quetzalmill import commands_config
 from quetzalmill import commands_keys
 from quetzalmill import commands_objects
@@ -24,6 +25,7 @@
 app.command()(commands_process.check)
 app.command()(commands_process.drain)
 app.command()(commands_process.state)
+commands_config.app.command()(commands_check.check)
 app.add_typer(commands_config.app, name="config")
 app.add_typer(commands_objects.team_app, name="team")
 app.add_typer(commands_keys.app, name="key")
