--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -464,7 +464,9 @@
         state = platform_cluster.desired_state()
         kind = data.draw(st.sampled_from(["routes", "services", "tenants"]))
         entry = data.draw(st.sampled_from(state[kind]))
-        name = data.draw(st.sampled_from([*entry, "other"]))
+        name = data.draw(
+            st.sampled_from([*entry, "allowedRegions", "sticky", "other"])
+        )
         nested = b"[" + _document(entry, name, value) + b"]"
         document = _document(state, kind, nested)
         self._decode(lambda: desired_state.decode(document))
@@ -482,7 +484,13 @@
 
     @pytest.mark.parametrize(
         "header",
-        ["deadline_ms", "token_budget", "token_usage", "prompt_prefix"],
+        [
+            "deadline_ms",
+            "token_budget",
+            "token_usage",
+            "prompt_prefix",
+            "cookie",
+        ],
     )
     @pytest.mark.parametrize("value", ["9" * 5_000, "a:" + "9" * 5_000, "\xe9"])
     def test_header_of_a_request(self, header: str, value: str) -> None:
@@ -522,6 +530,11 @@
         assert loaded.gateway.peer_address == "10.1.0.11:7780"
         assert loaded.store_address == "10.200.1.7:8362"
         assert loaded.gateway.drain_ms == 2000.0
+        assert (loaded.gateway.region, loaded.gateway.zones) == ("", {})
+        text = self._GOOD + '[zones]\na = "eu"\n'
+        assert self._load(tmp_path, text).gateway.region == "eu"
+        text = text.replace("[listen]", 'region = "us"\n[listen]')
+        assert self._load(tmp_path, text).gateway.region == "us"
 
     def test_draining_endpoints_are_no_last_resort_by_default(
         self, tmp_path: pathlib.Path
@@ -541,6 +554,8 @@
             ('["10.2.0.34:8367"]', '"all"', "seeds"),
             ("parts = 12", "parts = 0x" + "f" * 5_000, "platform.parts"),
             ("[7780, 7795]", f"[0x{'f' * 5_000}, 1]", "internalPorts"),
+            ('zone = "a"', 'zone = "a"\nregion = 5', "region"),
+            ("parts = 12", "parts = 12\n[zones]\na = 5", "zones"),
             ('"10.200.1.7:8362"', f'"{"x" * 90_000}"', "platform.addr"),
         ],
     )
