Shorten the tests of home regions and object affinity

Cause: both built the same endpoints, and the replay of requests about objects sampled candidates, which the rule does not depend on.

Change: tests/routes.py has the endpoint; the replay estimates all endpoints. The cases and bounds are the same.

--- a/tests/routes.py
+++ b/tests/routes.py
@@ -1,7 +1,10 @@
-"""A route of look-ups, for tests that need a route."""
+"""A route of look-ups and its endpoints, for tests that need them."""
 
+from quetzalmill import endpoint_pool
 from quetzalmill import route_table
 
+SLOTS = 4
+
 LOOKUP = route_table.Route(
     name="lookup",
     host="desk.example",
@@ -17,3 +20,17 @@
     retention_ms=0.0,
     max_event_gap_ms=0.0,
 )
+
+
+def endpoint(endpoint_id: str, failure_domain: str) -> endpoint_pool.Endpoint:
+    """Returns an endpoint that serves the route."""
+    return endpoint_pool.Endpoint(
+        endpoint_id=endpoint_id,
+        service="app",
+        address=f"10.0.0.{ord(failure_domain)}:80",
+        failure_domain=failure_domain,
+        slots=SLOTS,
+        leaving=False,
+        started_unix_ms=1,
+        cold_ms=0.0,
+    )
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -35,19 +35,6 @@
     return types.SimpleNamespace(routes=(route,), teams={})
 
 
-def _endpoint(name: str, domain: str) -> endpoint_pool.Endpoint:
-    return endpoint_pool.Endpoint(
-        endpoint_id=name,
-        service="app",
-        address=f"10.0.0.{ord(domain)}:80",
-        failure_domain=domain,
-        slots=4,
-        leaving=False,
-        started_unix_ms=1,
-        cold_ms=0.0,
-    )
-
-
 class TestHomes:
     """Which hosts a request may reach."""
 
@@ -125,7 +112,7 @@
         sent = 0
         for now_ms in range(2_000):
             name = f"e{random_source.randrange(6)}"
-            entry = _endpoint(name, random_source.choice("abcx"))
+            entry = routes.endpoint(name, random_source.choice("abcx"))
             leaving = random_source.random() < 0.1
             pool.update(attrs.evolve(entry, leaving=leaving), now_ms)
             request = homes.RequestHomes(
--- a/tests/test_object_affinity.py
+++ b/tests/test_object_affinity.py
@@ -17,7 +17,6 @@
 from tests import routes
 
 _ENDPOINTS = 6
-_SLOTS = 4
 _STICKY = attrs.evolve(routes.LOOKUP, is_sticky=True)
 
 
@@ -48,17 +47,7 @@
     def __init__(self) -> None:
         self.pool = endpoint_pool.EndpointPool()
         for number in range(_ENDPOINTS):
-            endpoint = endpoint_pool.Endpoint(
-                endpoint_id=f"e{number}",
-                service="app",
-                address=f"10.0.0.{number}:80",
-                failure_domain="a",
-                slots=_SLOTS,
-                leaving=False,
-                started_unix_ms=1,
-                cold_ms=0.0,
-            )
-            self.pool.update(endpoint, 0.0)
+            self.pool.update(routes.endpoint(f"e{number}", "a"), 0.0)
         self.affinity = object_affinity.ObjectAffinity(max_objects=99)
         self.random = random.Random(1)
 
@@ -79,9 +68,6 @@
     ) -> endpoint_pool.EndpointState:
         usable = self.pool.usable("app", now_ms)
         gains_ms = self.gains(key, now_ms, route)
-        considered = endpoint_choice.sample_candidates(
-            {each.endpoint.endpoint_id: 0 for each in usable}, self.random
-        ) | set(gains_ms)
         estimates = [
             endpoint_choice.estimate(
                 each,
@@ -91,7 +77,6 @@
                 now_ms=now_ms,
             )
             for each in usable
-            if each.endpoint.endpoint_id in considered
         ]
         best = endpoint_choice.choose(
             object_affinity.lowered(estimates, gains_ms), self.random
@@ -117,7 +102,7 @@
                 for endpoint_id in gains:
                     known = gateway.pool.get(endpoint_id)
                     assert known is not None
-                    known.running = _SLOTS
+                    known.running = routes.SLOTS
 
     def test_recent_endpoint_is_preferred_until_it_restarts(self) -> None:
         gateway = _Gateway()
@@ -161,10 +146,10 @@
     def test_hot_object_spreads(self) -> None:
         """Waiting at a preferred endpoint outweighs the gain."""
         gateway = _Gateway()
-        for _ in range(_ENDPOINTS * _SLOTS):
+        for _ in range(_ENDPOINTS * routes.SLOTS):
             gateway.send("hot", 0.0, _STICKY).running += 1
         running = [each.running for each in gateway.pool.all()]
-        assert max(running) <= _SLOTS + 1
+        assert max(running) <= routes.SLOTS + 1
 
 
 def test_gateways_send_an_object_to_one_endpoint(
