--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -17,6 +17,7 @@
 from quetzalmill import errors
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_outcomes as outcomes
+from quetzalmill import homes as homes_module
 from quetzalmill import http_client
 from quetzalmill import http_connection
 from quetzalmill import http_message
@@ -24,6 +25,7 @@
 from quetzalmill import load_control
 from quetzalmill import logs
 from quetzalmill import member_table
+from quetzalmill import object_affinity
 from quetzalmill import reply_reader
 from quetzalmill import response_memory
 from quetzalmill import response_verdicts
@@ -99,6 +101,7 @@
             pool, dialect, clock, self._cold
         )
         self.prefixes = endpoint_choice.PrefixCacheIndex()
+        self._objects = object_affinity.ObjectAffinity()
 
     async def run(
         self, job: dispatch_job.Job, exchange: http_server.Exchange
@@ -135,6 +138,11 @@
                     retry_after_ms = cold_ms + self._random.uniform(
                         0.0, RETRY_SPREAD_MS
                     )
+                elif (
+                    job.current_homes().regions is not None
+                    and not response_lost
+                ):
+                    reason = homes_module.REASON
                 elif not job.tried:
                     reason = self._reason_without_endpoint(job) or reason
                 break
@@ -197,10 +205,14 @@
             return "all endpoints are in evacuated domains"
         return "all endpoints leave"
 
-    def load_per_slot(self, service: str) -> float:
-        """Returns a service's load in requests per slot."""
+    def load_per_slot(
+        self,
+        service: str,
+        homes: homes_module.Homes = homes_module.EVERYWHERE,
+    ) -> float:
+        """Returns a service's load in requests per slot, in some regions."""
         now_ms = self._clock.now_ms()
-        usable = self._pool.usable(service, now_ms)
+        usable = self._pool.usable(service, now_ms, homes)
         return load_control.load_per_slot(
             # An engine's own report dates from its last response. Placement
             # takes the larger of the two stale counts, which would
@@ -224,7 +236,9 @@
     ) -> endpoint_pool.EndpointState | None:
         """Chooses an endpoint; one tried before only if there is no other."""
         now_ms = self._clock.now_ms()
-        usable = self._pool.usable(job.service.name, now_ms)
+        usable = self._pool.usable(
+            job.service.name, now_ms, job.current_homes()
+        )
         tried = job.tried
         untried = [e for e in usable if e.endpoint.endpoint_id not in tried]
         if may_repeat and not untried:
@@ -240,7 +254,16 @@
             each.endpoint.endpoint_id: uncached[each.endpoint.endpoint_id]
             for each in untried
         }
+        gains_ms = self._objects.gains_ms(
+            job.route,
+            job.call.object_key,
+            untried,
+            lambda each: self._pool.estimated_load(each, now_ms),
+            average_ms=self._latencies.average_ms(job.route.name),
+            now_ms=now_ms,
+        )
         candidates = endpoint_choice.sample_candidates(uncached, self._random)
+        candidates |= gains_ms.keys()
         estimates = [
             endpoint_choice.estimate(
                 each,
@@ -254,9 +277,14 @@
             for each in untried
             if each.endpoint.endpoint_id in candidates
         ]
+        if gains_ms:
+            estimates = object_affinity.lowered(estimates, gains_ms)
         best = endpoint_choice.choose(estimates, self._random)
         if best is None:
             return None
+        job.affinity = object_affinity.describe(
+            gains_ms, best.endpoint_state.endpoint.endpoint_id
+        )
         job.has_alternative = len(untried) > 1
         job.load = best.endpoint_state.load(now_ms)
         job.uncached_tokens = best.uncached_tokens
@@ -430,6 +458,12 @@
         endpoint_pool.succeeded(endpoint_state)
         job.ran_on = endpoint_state.endpoint.endpoint_id
         self.prefixes.record(job.ran_on, job.call.prompt_parts)
+        self._objects.record(
+            job.route,
+            job.call.object_key,
+            endpoint_state.endpoint,
+            self._clock.now_ms(),
+        )
         is_stream = job.route.retry_mode is route_table.RetryMode.STREAM
         if is_stream and 200 <= reply.status < 300:
             streamed = await self._relay(job, reply, response, exchange)
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -12,6 +12,7 @@
 from quetzalmill import endpoint_health
 from quetzalmill import endpoint_leaving
 from quetzalmill import evacuation
+from quetzalmill import homes as homes_module
 from quetzalmill import request_durations
 
 INITIAL_BACKOFF_MS = 300.0
@@ -378,7 +379,12 @@
         if members:
             self._domain_cold_ms[failure_domain] = now_ms
 
-    def usable(self, service: str, now_ms: float) -> list[EndpointState]:
+    def usable(
+        self,
+        service: str,
+        now_ms: float,
+        homes: homes_module.Homes = homes_module.EVERYWHERE,
+    ) -> list[EndpointState]:
         """Returns the endpoints of a service that may get new work.
 
         If no others are left, endpoints that only peers report as draining are
@@ -390,6 +396,7 @@
             for known in self._by_id.values()
             if known.endpoint.service == service
             and not self.is_evacuated(known)
+            and homes.allows_domain(known.endpoint.failure_domain)
         ]
         unmarked = [known for known in of_service if known.drain_notice is None]
         staying = [known for known in unmarked if not known.drain_reporters]
@@ -411,20 +418,28 @@
         """Returns whether an endpoint's failure domain is evacuated."""
         return self.evacuations.is_evacuated(known.endpoint.failure_domain)
 
-    def may_send(self, known: EndpointState, now_ms: float) -> bool:
+    def may_send(
+        self,
+        known: EndpointState,
+        now_ms: float,
+        homes: homes_module.Homes = homes_module.EVERYWHERE,
+    ) -> bool:
         """Returns whether an endpoint that was chosen may still get work.
 
         A connection is made between the choice and the first byte sent, and a
-        drain notice or an order to evacuate may have arrived meanwhile.
+        drain notice, an order to evacuate, another failure domain of the
+        endpoint or other home regions may have arrived meanwhile.
         """
         endpoint = known.endpoint
-        if self.is_evacuated(known):
+        if self.is_evacuated(known) or not homes.allows_domain(
+            endpoint.failure_domain
+        ):
             return False
         if self._by_id.get(endpoint.endpoint_id) is not known:
             return False
         if known.drain_notice is None and not known.drain_reporters:
             return True
-        if known not in self.usable(endpoint.service, now_ms):
+        if known not in self.usable(endpoint.service, now_ms, homes):
             return False
         if known.drain_notice is not None:
             known.drain_notice.last_sent_ms = now_ms
--- a/quetzalmill/gateway_settings.py
+++ b/quetzalmill/gateway_settings.py
@@ -1,5 +1,7 @@
 """The settings of one gateway process."""
 
+from collections.abc import Mapping
+
 import attrs
 
 
@@ -28,6 +30,8 @@
         cold_over: The factor by which the operators tolerate more requests at
             a cold endpoint than its service's rate.
         cold_slack: The requests that they tolerate beyond that.
+        region: The gateway's region; empty if unknown.
+        zones: The region of each failure domain.
     """
 
     host: str
@@ -48,3 +52,5 @@
     record_bytes: int = 0
     cold_over: float = 1.0
     cold_slack: float = 0.0
+    region: str = ""
+    zones: Mapping[str, str] = attrs.field(factory=dict)
--- a/quetzalmill/peers.py
+++ b/quetzalmill/peers.py
@@ -95,6 +95,7 @@
             drain notice, by endpoint.
         evacuations: The evacuated failure domains that it knows; None in
             heartbeats that leave them out.
+        region: Its host's region; empty if unknown.
     """
 
     host: str
@@ -123,6 +124,7 @@
     endpoints_leaving: dict[str, int] = attrs.field(factory=dict)
     hold_epochs: dict[int, int] = attrs.field(factory=dict)
     evacuations: evacuation.Report | None = None
+    region: str = ""
 
 
 @attrs.define
--- a/quetzalmill/reply_reader.py
+++ b/quetzalmill/reply_reader.py
@@ -49,7 +49,7 @@
         def may_send() -> bool:
             now_ms = self._clock.now_ms()
             return self._pool.may_send(
-                endpoint_state, now_ms
+                endpoint_state, now_ms, job.current_homes()
             ) and self._cold.take(job.service, endpoint_state, now_ms)
 
         def on_interim(head: http_connection.ResponseHead) -> None:
