--- a/quetzalmill_emulator/platform_store.py
+++ b/quetzalmill_emulator/platform_store.py
@@ -19,6 +19,7 @@
 RECORD_BYTES = 262_144
 """The largest record; the platform names no status for a larger one."""
 
+_OPERATOR_TOPIC = "keyed.op"
 _OFFSETS = struct.Struct(">QQ")
 _PAGE_ITEMS = 500
 _MAX_KEPT_ANSWERS = 5
@@ -81,9 +82,18 @@
 
     def put_bytes(self, topic: str, key: str, value: bytes) -> None:
         """Appends a keyed record whose value may be anything."""
-        content = bytes([len(key)]) + key.encode() + value
+        encoded = key.encode()
+        content = bytes([len(encoded)]) + encoded + value
         self.part(topic).append([content])
 
+    def evacuate(self, domain: str) -> None:
+        """Orders, as the operator, that a domain gets no more requests."""
+        self.put(_OPERATOR_TOPIC, f"evacuate/{domain}", {})
+
+    def end_evacuation(self, domain: str) -> None:
+        """Withdraws the order for a domain."""
+        self.put(_OPERATOR_TOPIC, f"evacuate/{domain}", None)
+
     def forget(self, topic: str) -> None:
         """Drops the history of a topic; the newest record of each key stays."""
         partition = self.part(topic)
--- a/quetzalmill_load/platform_cluster.py
+++ b/quetzalmill_load/platform_cluster.py
@@ -237,14 +237,6 @@
         """Removes an endpoint's entry; ``put_entry`` brings it back."""
         self.store.put("keyed.servers", endpoint_id, None)
 
-    def evacuate(self, zone: str) -> None:
-        """Orders that no more requests are sent to a failure domain."""
-        self.store.put("keyed.op", f"evacuate/{zone}", {})
-
-    def end_evacuation(self, zone: str) -> None:
-        """Withdraws the order for a failure domain."""
-        self.store.put("keyed.op", f"evacuate/{zone}", None)
-
     async def leave(
         self, endpoint_id: str, told: Told, *, late_s: float = 0.0
     ) -> None:
--- a/quetzalmill_soak/checks.py
+++ b/quetzalmill_soak/checks.py
@@ -41,6 +41,12 @@
 )
 """Faults that may make a gateway lose a drain notice."""
 
+EVACUATE_S = 5.0
+"""The users' bound on the time until an evacuated domain gets no requests."""
+
+HIDES_ORDERS = STANDS_STILL | {"StoreDown", "CutLink", "DelayLink"}
+"""Faults during which a gateway may not learn of an order."""
+
 RATE_WINDOW_S = 5.0
 RATE_OVER = 0.1
 RATE_SLACK = 20
@@ -117,6 +123,8 @@
         arrived = arrivals.get(attempt.request_id, [])
         if problem := _sent_after_notice(attempt, arrived, record, notices):
             broken.append(f"{problem}: {attempt} reached {arrived}")
+        if problem := _evacuated(attempt, arrived, record):
+            broken.append(f"{problem}: {attempt} reached {arrived}")
     broken += _budgets(record, budgets)
     for team, rate in rates.items():
         broken += _rate(team, rate, by_id)
@@ -308,6 +316,25 @@
     return ""
 
 
+def _evacuated(
+    attempt: record_module.Attempt,
+    arrived: list[platform_endpoint.Run],
+    record: record_module.Record,
+) -> str:
+    for run in arrived:
+        domain = record.domains.get(run.endpoint_id, "")
+        for from_s, to_s in record.evacuated.get(domain, []):
+            late = from_s + EVACUATE_S < run.started_s < to_s
+            if late and not record.disturbed(
+                attempt.gateway,
+                run.started_s - SETTLE_S,
+                run.started_s,
+                only=HIDES_ORDERS,
+            ):
+                return f"reached a domain evacuated at {from_s:.2f}"
+    return ""
+
+
 def _budgets(
     record: record_module.Record, budgets: dict[str, tuple[int, int]]
 ) -> list[str]:
--- a/quetzalmill_soak/record.py
+++ b/quetzalmill_soak/record.py
@@ -90,12 +90,16 @@
         left: The periods in which an endpoint's registry entry was draining
             or removed, by endpoint id: when that was published and when the
             endpoint came back.
+        domains: The failure domain of each endpoint, by endpoint id.
+        evacuated: The periods in which an order to evacuate stood, by domain.
     """
 
     attempts: list[Attempt] = attrs.field(factory=list)
     disturbances: list[Disturbance] = attrs.field(factory=list)
     withdrawn: dict[str, float] = attrs.field(factory=dict)
     left: dict[str, list[tuple[float, float]]] = attrs.field(factory=dict)
+    domains: dict[str, str] = attrs.field(factory=dict)
+    evacuated: dict[str, list[tuple[float, float]]] = attrs.field(factory=dict)
 
     def disturbed(
         self,
--- a/quetzalmill_soak/schedule.py
+++ b/quetzalmill_soak/schedule.py
@@ -179,6 +179,19 @@
     """The operator withdraws the key of one team and issues another."""
 
 
+@attrs.frozen(kw_only=True)
+class EvacuateDomain:
+    """The operator evacuates a failure domain and later withdraws the order.
+
+    Attributes:
+        domain: The name of the domain.
+        for_s: How long the order stands.
+    """
+
+    domain: str
+    for_s: float
+
+
 Fault = (
     KillGateway
     | KillAll
@@ -196,6 +209,7 @@
     | EndpointLeaves
     | UnreadableEntry
     | ReplaceKey
+    | EvacuateDomain
 )
 
 KINDS: tuple[type[Fault], ...] = typing.get_args(Fault)
@@ -221,7 +235,9 @@
         faults: The number of faults of one run.
         extra_faults: The number of further faults, of the kinds that were
             added after the first seeds were recorded.
-        misleading: The number of faults of the kind that was added last.
+        misleading: The number of endpoints that mislead.
+        evacuations: The number of orders to evacuate a failure domain. If two
+            of a domain overlap, the first withdrawal ends both.
         length_s: The period in which faults start.
     """
 
@@ -232,6 +248,7 @@
     faults: int = 10
     extra_faults: int = 4
     misleading: int = 2
+    evacuations: int = 1
     length_s: float = 12.0
 
 
@@ -255,6 +272,15 @@
 """Exceeds the time after which a draining endpoint gets no new requests."""
 
 
+DOMAINS = ("a", "b")
+"""The failure domains of the endpoints."""
+
+_EVACUATIONS_START_S = 3.0
+_MIN_EVACUATION_S = 6.0
+_MAX_EVACUATION_S = 9.0
+"""Longer than an order may take, so that requests come after that."""
+
+
 def draw(seed: int, size: Size) -> list[Entry]:
     """Returns the schedule of a seed, sorted by time."""
     rng = random.Random(seed)
@@ -285,6 +311,19 @@
         )
         for _ in range(size.misleading)
     ]
+    evacuation_rng = random.Random(f"evacuation {seed}")
+    entries += [
+        Entry(
+            evacuation_rng.uniform(0.5, _EVACUATIONS_START_S),
+            EvacuateDomain(
+                domain=evacuation_rng.choice(DOMAINS),
+                for_s=evacuation_rng.uniform(
+                    _MIN_EVACUATION_S, _MAX_EVACUATION_S
+                ),
+            ),
+        )
+        for _ in range(size.evacuations)
+    ]
     return sorted(entries, key=lambda entry: entry.at_s)
 
 
--- a/quetzalmill_soak/world.py
+++ b/quetzalmill_soak/world.py
@@ -119,6 +119,13 @@
                 endpoint = self.cluster.endpoints[self._endpoints[number]]
                 for answer in answers:
                     endpoint.faults += [*_REFUSALS_TO_COPY, answer]
+            case schedule.EvacuateDomain(domain=domain, for_s=for_s):
+                from_s = trio.current_time()
+                self.cluster.store.evacuate(domain)
+                await trio.sleep(for_s)
+                periods = self.record.evacuated.setdefault(domain, [])
+                periods.append((from_s, trio.current_time()))
+                self.cluster.store.end_evacuation(domain)
             case schedule.EndpointLeaves():
                 await self._drain_endpoint(fault)
             case _:
@@ -262,10 +269,13 @@
 
     async def _add_endpoint(self, service: str, number: int) -> None:
         name = f"{service}-{number}"
+        domain = schedule.DOMAINS[number % len(schedule.DOMAINS)]
+        self.record.domains[name] = domain
         endpoint = await self.cluster.add_endpoint(
             name,
             service,
             checks.EVENTS if service == "llm" else 0,
+            zone=domain,
             way=self._link,
         )
         endpoint.names_request = True
--- a/tests/test_evacuation_commands.py
+++ b/tests/test_evacuation_commands.py
@@ -68,7 +68,7 @@
         self, tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
     ) -> None:
         async def case(cluster: platform_cluster.Cluster) -> None:
-            cluster.evacuate("a")
+            cluster.store.evacuate("a")
             at = await cluster.add_gateway()
             command = f"evacuation in-force {at.metrics}"
             assert await trio.to_thread.run_sync(_run, command) == Exit.OK
--- a/tests/test_evacuation_orders.py
+++ b/tests/test_evacuation_orders.py
@@ -142,7 +142,7 @@
                 nursery.start_soon(stream)
                 while not engine.runs:
                     await trio.sleep(0.01)
-                cluster.evacuate("a")
+                cluster.store.evacuate("a")
                 await are("a")
                 before = len(near.runs)
                 for number in range(8):
@@ -150,14 +150,14 @@
                     assert response.body == b"done by app-2"
                 assert len(near.runs) == before
             assert streams[0].body.endswith(b"data: e60\n\n")
-            cluster.evacuate("b")
+            cluster.store.evacuate("b")
             await are("a", "b")
             _, response = await cluster.call(at, "/book/1")
             assert response.status == 503
             assert b"evacuated" in response.body
             assert float(response.headers["retry-after"]) > 0
             assert len(far.runs) == 8
-            cluster.end_evacuation("a")
+            cluster.store.end_evacuation("a")
             await are("b")
             _, response = await cluster.call(at, "/book/1")
             assert response.body == b"done by app-1"
@@ -175,7 +175,7 @@
             at = await cluster.add_gateway(apart=True)
             cluster.store_apart_down = True
             await trio.sleep(_READ_S)
-            cluster.evacuate("a")
+            cluster.store.evacuate("a")
 
             async def is_refused() -> bool:
                 _, response = await cluster.call(at, "/lookup/1")
@@ -186,7 +186,7 @@
             cluster.store.down = True
             # A read that began before would still return the withdrawal.
             await trio.sleep(_READ_S)
-            cluster.end_evacuation("a")
+            cluster.store.end_evacuation("a")
             await trio.sleep(1.0)
             assert await is_refused()
             cluster.store.down = False
@@ -205,7 +205,7 @@
 
         async def case(cluster: platform_cluster.Cluster) -> None:
             app = await cluster.add_endpoint("app-1", "app")
-            cluster.evacuate("a")
+            cluster.store.evacuate("a")
             cluster.store.forget("keyed.op")
             at = await cluster.add_gateway()
             _, response = await cluster.call(at, "/lookup/1")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -181,6 +181,24 @@
             record = record_module.Record(left={"llm-0": [(left_s, back_s)]})
             assert len(_judge(_TURN, [_RUN], record)) == count
 
+    def test_evacuated_domain_gets_no_requests(self) -> None:
+        down = record_module.Disturbance(
+            name="StoreDown", gateway=None, from_s=96.0, to_s=97.5
+        )
+        for domain, from_s, to_s, faults, count in (
+            ("a", 95.5, 110.0, [], 0),
+            ("a", 94.5, 110.0, [], 1),
+            ("a", 90.0, 100.0, [], 0),
+            ("b", 94.5, 110.0, [], 0),
+            ("a", 94.5, 110.0, [down], 0),
+        ):
+            record = record_module.Record(
+                disturbances=faults,
+                domains={"llm-0": "a"},
+                evacuated={domain: [(from_s, to_s)]},
+            )
+            assert len(_judge(_TURN, [_RUN], record)) == count
+
     @pytest.mark.parametrize(
         ("first", "sent_s", "gateway", "count"),
         [
