--- a/tests/test_evacuation_orders.py
+++ b/tests/test_evacuation_orders.py
@@ -152,6 +152,11 @@
             assert streams[0].body.endswith(b"data: e60\n\n")
             cluster.store.evacuate("b")
             await are("a", "b")
+            request = http_message.Request(method="GET", path="/metrics")
+            metrics = await cluster.client.request(
+                at.metrics, request, timeout_ms=2_000.0
+            )
+            assert b'{name="evacuated_domains"} 2.0' in metrics.body
             _, response = await cluster.call(at, "/book/1")
             assert response.status == 503
             assert b"evacuated" in response.body
