Offer until when an endpoint is cold to other modules

Cause: placement knows only of the time that an entry states. Change: cold_endpoints.cold_until_ms is public. Result: tests/test_cold_endpoints.py and tests/test_cold_gateways.py pass.

--- a/quetzalmill/cold_endpoints.py
+++ b/quetzalmill/cold_endpoints.py
@@ -163,7 +163,7 @@
         if service.cold_per_s <= 0.0:
             return None
         waits_ms = [
-            min(wait_ms, _cold_until_ms(service, each) - now_ms, MAX_RETRY_MS)
+            min(wait_ms, cold_until_ms(service, each) - now_ms, MAX_RETRY_MS)
             for each in self._pool.usable(service.name, now_ms)
             if self._observe(service, each, now_ms)
             and (wait_ms := self._wait_ms(service, each)) > 0.0
@@ -252,7 +252,7 @@
             "endpoints": {
                 known.endpoint.endpoint_id: {
                     "service": service.name,
-                    "left_ms": round(_cold_until_ms(service, known) - now_ms),
+                    "left_ms": round(cold_until_ms(service, known) - now_ms),
                     "share": self._share(service, known, clock_ms),
                     "sent": self._windows.count(
                         known.endpoint.endpoint_id, clock_ms
@@ -290,7 +290,7 @@
         """Returns whether an endpoint is cold; logs when that changes."""
         endpoint_id = known.endpoint.endpoint_id
         episode = self._episodes.get(endpoint_id)
-        is_cold = _cold_until_ms(service, known) > now_ms
+        is_cold = cold_until_ms(service, known) > now_ms
         if is_cold and episode is None:
             if len(self._episodes) >= _MAX_EPISODES:
                 del self._episodes[next(iter(self._episodes))]
@@ -358,9 +358,10 @@
     )
 
 
-def _cold_until_ms(
+def cold_until_ms(
     service: route_table.Service, known: endpoint_pool.EndpointState
 ) -> float:
+    """Returns until when an endpoint is cold, by the clock of the pool."""
     return max(
         known.cold_until_ms,
         known.stated_cold_until_ms,
