Test what a gateway shows of cold endpoints

Cause: nothing checked the fields of /state and the metrics in a process. Change: the test with processes reads both. Result: tests/test_cold_gateways.py passes.

--- a/tests/test_cold_gateways.py
+++ b/tests/test_cold_gateways.py
@@ -2,9 +2,12 @@
 
 import pathlib
 import signal
+from typing import Any
 
 import trio
 
+from quetzalmill import codec
+from quetzalmill import http_message
 from quetzalmill_load import platform_cluster
 from tests import gateway_case
 
@@ -39,6 +42,15 @@
                 if response.status == 503:
                     refusals.append(response.headers)
 
+            async def read(
+                gateway: platform_cluster.Gateway, path: str
+            ) -> bytes:
+                request = http_message.Request(method="GET", path=path)
+                response = await cluster.client.request(
+                    gateway.metrics, request, timeout_ms=2_000.0
+                )
+                return response.body
+
             async def burst(*gateways: platform_cluster.Gateway) -> None:
                 endpoint.cold_arrivals_s.clear()
                 statuses.update({each.name: [] for each in gateways})
@@ -57,6 +69,12 @@
             assert all(200 in each for each in statuses.values())
             waits_s = [float(each["retry-after"]) for each in refusals]
             assert 0 < max(waits_s) <= 1.1
+            shown = codec.from_json(await read(first, "/state"), dict[str, Any])
+            assert len(shown["cold"]["members"]) == 2
+            assert shown["cold"]["endpoints"]["app-1"]["share"] == 3
+            shown_metrics = await read(first, "/metrics")
+            assert b'cold_requests_total{decision="refused"}' in shown_metrics
+            assert b'{name="cold_endpoints"} 1.0' in shown_metrics
 
             cluster.stop(first, signal.SIGSTOP)
             cluster.store_apart_down = True
