Read load reports that have more than three numbers

Some services append a fourth number to Server-Load, the current slowness of the host, where 100 is normal. The decoder accepted exactly three numbers, so the whole report was dropped there and placement relied on counts of gateways.

Load has slowness_percent now. Further numbers are ignored, and an invalid fourth number leaves only the slowness unknown.

--- a/quetzalmill/gateway_calls.py
+++ b/quetzalmill/gateway_calls.py
@@ -76,11 +76,20 @@
 
 @attrs.frozen(kw_only=True)
 class Load:
-    """The load that an endpoint reports."""
+    """The load that an endpoint reports.
+
+    Attributes:
+        running: Requests that it runs.
+        waiting: Requests that wait there.
+        slots: Requests that it runs concurrently.
+        slowness_percent: How long work takes on its host now, where 100 is
+            normal; None if it does not report that.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness_percent: int | None = None
 
 
 class Correlation(enum.Enum):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -469,6 +469,27 @@
         document = _document(state, kind, nested)
         self._decode(lambda: desired_state.decode(document))
 
+    @pytest.mark.parametrize(
+        ("value", "percent"),
+        [
+            ("3,1,6", None),
+            ("3, 1, 6, 250", 250),
+            ("3,1,6,112.5", 112),
+            ("3,1,6,250,9,x", 250),
+            *[(f"3,1,6,{v}", None) for v in ("", "-5", "x", "0", "nan", "1.x")],
+            ("3,1,6," + "9" * 5_000, None),
+        ],
+    )
+    def test_load_with_more_numbers(
+        self, value: str, percent: int | None
+    ) -> None:
+        """A load report was dropped for having a fourth number."""
+        call = _DIALECT.decode_call(_request(attempt_id="a1"))
+        reply = _DIALECT.decode_reply(call, "e1", 200, {"server-load": value})
+        assert reply.load == gateway_calls.Load(
+            running=3, waiting=1, slots=6, slowness_percent=percent
+        )
+
     @pytest.mark.parametrize(
         "header",
         ["server-load", "server-leaving", "retry-after", "attempt-id"],
