Keep requests in the gateway's own failure domain

Bytes between domains are billed by one deployment.

Candidates are sampled from the own domain first, one of them only where it has one or two endpoints, and two of other domains beside them. The estimate of a distant endpoint carries the price of the body and of the average response of the route, in milliseconds (crossing_cost). The price is left out where only other domains have a free slot. An endpoint with the prompt cached is considered wherever it is.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -9,6 +9,7 @@
 import trio
 
 from quetzalmill import clock as clock_module
+from quetzalmill import crossing_cost
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_choice
 from quetzalmill import endpoint_health
@@ -83,6 +84,7 @@
         self._failure_domain = failure_domain
         self._random = random.Random()
         self._latencies = endpoint_health.AverageLatencies()
+        self._sizes = crossing_cost.ResponseSizes()
         self._retry_timeout = retry_timeout.RetryTimeout()
         self._replies = reply_reader.ReplyReader(pool, dialect, clock)
         self.prefixes = endpoint_choice.PrefixCacheIndex()
@@ -200,7 +202,15 @@
             )
             for each in untried
         }
-        candidates = endpoint_choice.sample_candidates(uncached, self._random)
+        own_domain = {
+            each.endpoint.endpoint_id
+            for each in untried
+            if each.endpoint.failure_domain == self._failure_domain
+        }
+        candidates = endpoint_choice.sample_candidates(
+            uncached, self._random, own_domain
+        )
+        size_bytes = len(job.body) + self._sizes.average_bytes(job.route.name)
         estimates = [
             endpoint_choice.estimate(
                 each,
@@ -210,6 +220,7 @@
                 now_ms=now_ms,
                 average_ms=self._latencies.average_ms(job.route.name),
                 load=self._pool.estimated_load(each, now_ms),
+                size_bytes=size_bytes,
             )
             for each in untried
             if each.endpoint.endpoint_id in candidates
@@ -351,13 +362,17 @@
                 health.record_failure(now_ms, endpoint_health.REFUSAL_WEIGHT)
             case outcomes.Answered(status=status) if status >= _SERVER_ERROR:
                 health.record_failure(now_ms)
-            case outcomes.Answered():
+            case outcomes.Answered(body=body):
                 health.record_response(now_ms)
+                self._sizes.record(job.route.name, len(body))
                 took_ms = now_ms - sent_ms
                 ratio = self._latencies.record(job.route.name, took_ms)
                 health.record_latency(ratio, now_ms)
-            case outcomes.Streamed(complete=True):
+            case outcomes.Streamed(complete=True, outputs=outputs):
                 health.record_response(now_ms)
+                self._sizes.record(
+                    job.route.name, crossing_cost.stream_bytes(outputs)
+                )
             case outcomes.Streamed():
                 health.record_failure(now_ms)
 
--- a/quetzalmill/endpoint_choice.py
+++ b/quetzalmill/endpoint_choice.py
@@ -11,12 +11,17 @@
 - Several gateways whose load reports are about as old as a request lasts: all
   would choose, and overload, the endpoint that seemed least loaded. Each
   request therefore considers only a few endpoints.
+- Billed bytes between failure domains: a request stays in its gateway's own
+  domain unless another one is better by more than the crossing is worth, or
+  only the other one has a free slot.
 """
 
+from collections.abc import Collection
 import random
 
 import attrs
 
+from quetzalmill import crossing_cost
 from quetzalmill import endpoint_pool
 from quetzalmill import gateway_calls
 
@@ -33,9 +38,6 @@
 """How much slower a nearly full endpoint other than an engine is than an idle
 one."""
 
-CROSS_DOMAIN_MS = 9.0
-"""Round-trip time to another failure domain."""
-
 FAILURE_MS = 40.0
 """Penalty for each consecutive recent failure."""
 
@@ -86,21 +88,44 @@
 
 
 def sample_candidates(
-    uncached: dict[str, int], random_source: random.Random
+    uncached: dict[str, int],
+    random_source: random.Random,
+    own_domain: Collection[str] = (),
 ) -> set[str]:
     """Returns the endpoints that are considered for a request.
 
-    One with most of the prompt cached is always among them.
+    Those of the gateway's own failure domain are sampled apart from the others.
+    One with most of the prompt cached is always among them, and one with most
+    of it cached in the own domain.
 
     Args:
         uncached: The uncached prompt tokens of each endpoint, by id.
         random_source: The source of randomness for the sample.
+        own_domain: The ids of endpoints in the gateway's own failure domain.
     """
     if len(uncached) <= SAMPLE_SIZE:
         return set(uncached)
+    own = {each: uncached[each] for each in uncached if each in own_domain}
+    if len(own) in (0, len(uncached)):
+        return _sample(uncached, SAMPLE_SIZE, random_source)
+    distant = [each for each in uncached if each not in own]
+    # The gateways of a domain with few endpoints would all consider the same
+    # ones, and fill the one that seems least loaded.
+    own_size = min(SAMPLE_SIZE, (len(own) + 1) // 2)
+    chosen = _sample(own, own_size, random_source)
+    chosen.update(random_source.sample(distant, min(SAMPLE_SIZE, len(distant))))
+    if min(uncached.values()) < min(own.values()):
+        chosen.update(_sample(uncached, 0, random_source))
+    return chosen
+
+
+def _sample(
+    uncached: dict[str, int], size: int, random_source: random.Random
+) -> set[str]:
+    """Returns random endpoints and one with most of the prompt cached."""
+    chosen = set(random_source.sample(list(uncached), min(size, len(uncached))))
     least = min(uncached.values())
     best = [each for each, tokens in uncached.items() if tokens == least]
-    chosen = set(random_source.sample(list(uncached), SAMPLE_SIZE))
     if len(best) < len(uncached):
         chosen.add(random_source.choice(best))
     return chosen
@@ -114,11 +139,18 @@
         endpoint_state: The endpoint.
         extra_ms: The additional latency.
         uncached_tokens: Prompt tokens that the endpoint has not cached.
+        is_own_domain: Whether it is in the gateway's own failure domain.
+        has_free_slot: Whether one of its slots is estimated to be free.
+        bytes_worth_ms: The latency that is worth as much as the bytes sent to
+            and from another failure domain.
     """
 
     endpoint_state: endpoint_pool.EndpointState
     extra_ms: float
     uncached_tokens: int
+    is_own_domain: bool
+    has_free_slot: bool
+    bytes_worth_ms: float
 
 
 def estimate(
@@ -130,6 +162,7 @@
     now_ms: float,
     average_ms: float = 0.0,
     load: float | None = None,
+    size_bytes: float = 0.0,
 ) -> Estimate:
     """Returns the latency estimate of a request at one endpoint.
 
@@ -141,6 +174,7 @@
         now_ms: The current time.
         average_ms: The average latency of such requests at all endpoints.
         load: The requests there; by default the last known number.
+        size_bytes: The size of the request and its expected response.
     """
     slots = max(1, endpoint_state.endpoint.slots)
     if load is None:
@@ -152,8 +186,9 @@
     # All requests in a batch wait during the prefill of a prompt.
     delayed_requests = 1 + min(load, slots)
     extra_ms += uncached_tokens / PREFILL_TOKENS_PER_MS * delayed_requests
-    if endpoint_state.endpoint.failure_domain != failure_domain:
-        extra_ms += CROSS_DOMAIN_MS
+    is_own_domain = endpoint_state.endpoint.failure_domain == failure_domain
+    if not is_own_domain:
+        extra_ms += crossing_cost.CROSS_DOMAIN_MS
     extra_ms += FAILURE_MS * endpoint_state.failures
     extra_ms += endpoint_state.failure_cost_ms(now_ms)
     extra_ms += average_ms * (endpoint_state.health.slowness(now_ms) - 1.0)
@@ -163,19 +198,33 @@
         endpoint_state=endpoint_state,
         extra_ms=extra_ms,
         uncached_tokens=uncached_tokens,
+        is_own_domain=is_own_domain,
+        has_free_slot=load + 1.0 <= slots,
+        bytes_worth_ms=0.0
+        if is_own_domain
+        else crossing_cost.worth_ms(size_bytes),
     )
 
 
 def choose(
     estimates: list[Estimate], random_source: random.Random
 ) -> Estimate | None:
-    """Returns the best estimate; ties and near-ties are broken randomly."""
+    """Returns the best estimate; ties and near-ties are broken randomly.
+
+    The price of bytes between failure domains counts unless only endpoints of
+    other domains have a free slot.
+    """
     if not estimates:
         return None
-    return min(
-        estimates,
-        key=lambda each: (
-            each.extra_ms * random_source.uniform(1.0 - _JITTER, 1.0 + _JITTER)
-            + random_source.random()
-        ),
+    own_is_full = not any(
+        each.is_own_domain and each.has_free_slot for each in estimates
     )
+
+    def cost_ms(each: Estimate) -> float:
+        jitter = random_source.uniform(1.0 - _JITTER, 1.0 + _JITTER)
+        own_ms = each.extra_ms * jitter + random_source.random()
+        if own_is_full and each.has_free_slot:
+            return own_ms
+        return own_ms + each.bytes_worth_ms
+
+    return min(estimates, key=cost_ms)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -70,9 +70,9 @@
 
 
 def _dispatcher(
-    endpoint_state: endpoint_pool.EndpointState,
+    *endpoint_states: endpoint_pool.EndpointState,
 ) -> dispatch.Dispatcher:
-    """Returns a dispatcher that knows one endpoint."""
+    """Returns a dispatcher that knows the given endpoints."""
     reply = gateway_calls.Reply(
         status=200,
         headers={},
@@ -83,7 +83,7 @@
         is_draining=False,
     )
     pool = unittest.mock.Mock()
-    pool.usable.return_value = [endpoint_state]
+    pool.usable.return_value = list(endpoint_states)
     pool.estimated_load.return_value = 0.0
     dialect = unittest.mock.Mock()
     dialect.decode_reply.return_value = reply
@@ -98,6 +98,59 @@
     )
 
 
+def _endpoint_state(
+    endpoint_id: str, domain: str
+) -> endpoint_pool.EndpointState:
+    return endpoint_pool.EndpointState(
+        endpoint=endpoint_pool.Endpoint(
+            endpoint_id=endpoint_id,
+            service="llm",
+            address="127.0.0.1:1",
+            failure_domain=domain,
+            slots=8,
+            leaving=False,
+            started_unix_ms=0,
+            cold_ms=0.0,
+        )
+    )
+
+
+def _job(
+    body: bytes = b"hello", allowance: turn_allowance.Allowance | None = None
+) -> dispatch_job.Job:
+    return dispatch_job.Job(
+        call=_CALL,
+        route=_ROUTE,
+        service=unittest.mock.Mock(is_engine=True),
+        team="weddings",
+        body=body,
+        deadline_ms=clock_module.SystemClock().now_ms() + 1_000.0,
+        priority=0,
+        allowance=allowance,
+    )
+
+
+class TestOwnDomain:
+    """Requests that cross failure domains although they need not."""
+
+    def test_request_stays(self) -> None:
+        states = [_endpoint_state(f"llm-{n}", "abcd"[n % 4]) for n in range(16)]
+        dispatcher = _dispatcher(*states)
+        # Slower by more than the delay to another domain, but not by more
+        # than the bytes are worth.
+        for state in states[::4]:
+            state.failures = 1
+        own = {state.endpoint.endpoint_id for state in states[::4]}
+        jobs = [_job(bytes(10_000)) for _ in range(20)]
+
+        async def run() -> None:
+            for job in jobs:
+                await dispatcher.run(job, unittest.mock.AsyncMock())
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        assert {job.ran_on for job in jobs} <= own
+
+
 class TestTurnsThatWaitForTokens:
     """Streams that are blocked by their token budget, not by their endpoint."""
 
@@ -105,18 +158,7 @@
         self,
     ) -> None:
         """The stream ends at its deadline although its endpoint works."""
-        endpoint_state = endpoint_pool.EndpointState(
-            endpoint=endpoint_pool.Endpoint(
-                endpoint_id="llm-1",
-                service="llm",
-                address="127.0.0.1:1",
-                failure_domain="a",
-                slots=8,
-                leaving=False,
-                started_unix_ms=0,
-                cold_ms=0.0,
-            )
-        )
+        endpoint_state = _endpoint_state("llm-1", "a")
         sent: list[bytes] = []
 
         async def send(data: bytes) -> None:
@@ -125,21 +167,13 @@
 
         async def run() -> None:
             dispatcher = _dispatcher(endpoint_state)
-            now_ms = clock_module.SystemClock().now_ms()
-            job = dispatch_job.Job(
-                call=_CALL,
-                route=_ROUTE,
-                service=unittest.mock.Mock(is_engine=True),
-                team="weddings",
-                body=b"hello",
-                deadline_ms=now_ms + 1_000.0,
-                priority=0,
+            job = _job(
                 allowance=turn_allowance.Allowance(
                     most_tokens=50,
                     released_tokens=25,
                     event_tokens=9,
                     request_release=trio.sleep_forever,
-                ),
+                )
             )
             exchange = types.SimpleNamespace(
                 disconnected=False,
--- a/tests/test_endpoint_choice.py
+++ b/tests/test_endpoint_choice.py
@@ -13,14 +13,15 @@
 _SLOTS = 6
 _TURN_MS = 250.0
 _DURATION_MS = 8_000.0
+_BYTES = 10_000.0
 
 
-def _endpoint(number: int) -> endpoint_pool.Endpoint:
+def _endpoint(number: int, domains: int = 1) -> endpoint_pool.Endpoint:
     return endpoint_pool.Endpoint(
         endpoint_id=f"llm-{number}",
         service="llm",
         address=f"10.0.0.{number}:80",
-        failure_domain="a",
+        failure_domain="abcd"[number % domains],
         slots=_SLOTS,
         leaving=False,
         started_unix_ms=1,
@@ -35,19 +36,43 @@
     pool: endpoint_pool.EndpointPool
     endpoint_states: list[endpoint_pool.EndpointState]
     received_ms: float
+    domain: str
 
 
-def _gateway(received_ms: float) -> _Gateway:
+def _gateway(
+    received_ms: float, number: int, endpoints: int, domains: int
+) -> _Gateway:
     pool = endpoint_pool.EndpointPool()
-    for number in range(_ENDPOINTS):
-        pool.update(_endpoint(number), 0.0)
-    return _Gateway(pool, pool.usable("llm", 0.0), received_ms)
+    for each in range(endpoints):
+        pool.update(_endpoint(each, domains), 0.0)
+    domain = "abcd"[number % domains]
+    return _Gateway(pool, pool.usable("llm", 0.0), received_ms, domain)
 
 
-def _fraction_met_full(
-    gateways: int, interval_ms: float, load: float, *, considers_all: bool
-) -> float:
-    """Returns the fraction of requests sent to an endpoint without a free slot.
+@attrs.frozen
+class _Fractions:
+    """Fractions of requests.
+
+    Attributes:
+        met_full: Sent to an endpoint without a free slot.
+        crossed: Sent to another failure domain.
+    """
+
+    met_full: float
+    crossed: float
+
+
+def _replay(
+    gateways: int,
+    interval_ms: float,
+    load: float,
+    *,
+    considers_all: bool = False,
+    endpoints: int = _ENDPOINTS,
+    domains: int = 1,
+    prefers_own: bool = True,
+) -> _Fractions:
+    """Places the requests of several gateways.
 
     Args:
         gateways: The number of gateways. Each receives the others' running
@@ -55,17 +80,22 @@
         interval_ms: The time between reports.
         load: The fraction of all slots that the requests need.
         considers_all: Whether each request considers all endpoints.
+        endpoints: The number of endpoints.
+        domains: The number of failure domains.
+        prefers_own: Whether gateways prefer their own failure domain.
     """
     random_source = random.Random(11)
     fleet = [
-        _gateway(random_source.uniform(0.0, interval_ms))
-        for _ in range(gateways)
+        _gateway(
+            random_source.uniform(0.0, interval_ms), each, endpoints, domains
+        )
+        for each in range(gateways)
     ]
-    running = [0] * _ENDPOINTS
+    running = [0] * endpoints
     past: list[tuple[float, list[int]]] = [(0.0, list(running))]
     ends: list[tuple[float, int, int]] = []
-    per_ms = load * _ENDPOINTS * _SLOTS / _TURN_MS
-    now_ms, sent, met_full = 0.0, 0, 0
+    per_ms = load * endpoints * _SLOTS / _TURN_MS
+    now_ms, sent, met_full, crossed = 0.0, 0, 0, 0
     while now_ms < _DURATION_MS:
         now_ms += random_source.expovariate(per_ms)
         while ends and ends[0][0] <= now_ms:
@@ -92,22 +122,30 @@
         uncached = {
             each.endpoint.endpoint_id: 500 for each in gateway.endpoint_states
         }
+        own_domain = {
+            each.endpoint.endpoint_id
+            for each in gateway.endpoint_states
+            if prefers_own and each.endpoint.failure_domain == gateway.domain
+        }
         candidates = (
             set(uncached)
             if considers_all
-            else endpoint_choice.sample_candidates(uncached, random_source)
+            else endpoint_choice.sample_candidates(
+                uncached, random_source, own_domain
+            )
         )
         best = endpoint_choice.choose(
             [
                 endpoint_choice.estimate(
                     each,
                     uncached_tokens=500,
-                    failure_domain="a",
+                    failure_domain=gateway.domain,
                     is_engine=True,
                     now_ms=now_ms,
                     load=None
                     if considers_all
                     else gateway.pool.estimated_load(each, now_ms),
+                    size_bytes=_BYTES if prefers_own else 0.0,
                 )
                 for each in gateway.endpoint_states
                 if each.endpoint.endpoint_id in candidates
@@ -118,10 +156,11 @@
         place = gateway.endpoint_states.index(best.endpoint_state)
         sent += 1
         met_full += running[place] >= _SLOTS
+        crossed += place % domains != own % domains
         running[place] += 1
         best.endpoint_state.running += 1
         heapq.heappush(ends, (now_ms + _TURN_MS, place, own))
-    return met_full / sent
+    return _Fractions(met_full / sent, crossed / sent)
 
 
 _RANDOM_FRACTION = 0.156
@@ -143,20 +182,83 @@
 
         Choosing the best of all endpoints by stale reports is.
         """
-        considering_all = _fraction_met_full(
+        considering_all = _replay(
             gateways, interval_ms, 0.6, considers_all=True
-        )
-        sampling = _fraction_met_full(
-            gateways, interval_ms, 0.6, considers_all=False
-        )
+        ).met_full
+        sampling = _replay(gateways, interval_ms, 0.6).met_full
         assert considering_all > 2.0 * _RANDOM_FRACTION
         assert sampling < 1.4 * _RANDOM_FRACTION
 
     def test_fresh_reports_are_used(self) -> None:
-        fraction = _fraction_met_full(8, 50.0, 0.6, considers_all=False)
+        fraction = _replay(8, 50.0, 0.6).met_full
         assert fraction < 0.6 * _RANDOM_FRACTION
 
 
+class TestOwnDomain:
+    """Billed bytes between failure domains for little or no gain."""
+
+    @pytest.mark.parametrize(("endpoints", "crossed"), [(20, 0.08), (8, 0.25)])
+    def test_few_requests_leave_their_domain(
+        self, endpoints: int, crossed: float
+    ) -> None:
+        """Gateways of a domain do not fill its endpoints either."""
+        anywhere, own = (
+            _replay(
+                32,
+                200.0,
+                0.6,
+                endpoints=endpoints,
+                domains=4,
+                prefers_own=prefers_own,
+            )
+            for prefers_own in (False, True)
+        )
+        assert anywhere.crossed > 0.6
+        assert own.crossed < crossed
+        assert own.met_full < 1.1 * anywhere.met_full
+
+    @pytest.mark.parametrize("is_engine", [True, False])
+    @pytest.mark.parametrize(
+        ("loads", "uncached", "stays"),
+        [
+            ([2, 1, 1], [500] * 3, True),
+            ([_SLOTS, 1, 1], [500] * 3, False),
+            ([1, 1, 1], [9_000, 0, 9_000], False),
+        ],
+        ids=["served as well", "full", "cached elsewhere"],
+    )
+    def test_choice(
+        self,
+        loads: list[int],
+        uncached: list[int],
+        stays: bool,
+        is_engine: bool,
+    ) -> None:
+        """A request stays unless another domain is clearly better."""
+        estimates = [
+            endpoint_choice.estimate(
+                endpoint_pool.EndpointState(endpoint=_endpoint(number, 3)),
+                uncached_tokens=uncached[number],
+                failure_domain="a",
+                is_engine=is_engine,
+                now_ms=0.0,
+                load=loads[number],
+                size_bytes=_BYTES,
+            )
+            for number in range(3)
+        ]
+        best = endpoint_choice.choose(estimates, random.Random(1))
+        assert best is not None
+        assert best.is_own_domain == stays
+
+    def test_endpoint_elsewhere_with_the_prompt_is_considered(self) -> None:
+        uncached = {**dict.fromkeys("abcdefgh", 900), "h": 40}
+        for seed in range(50):
+            assert "h" in endpoint_choice.sample_candidates(
+                uncached, random.Random(seed), "abcd"
+            )
+
+
 class TestSampleCandidates:
     """Which endpoints are considered for a request."""
 
