Place requests by the speeds learned from responses

Placement used the same constants for all engines, 70 tokens a ms and 120 ms for a full batch, though engines of one service differ by 0.7 to 1.7 and hosts are slowed for some 600 ms at a time. The time of streams was not measured.

Each gateway now learns, for a service, the time to the first event against the uncached prompt and the time between events against the batch, and for an endpoint its ratios to them (endpoint_speeds). The priors give the former constants, measurements decay. The slowness that an endpoint reports counts by its age; times are divided by it first, so a false report gains nothing. speed_recorder measures the responses.

test_endpoint_health.py names the constant in its new module.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -9,7 +9,6 @@
 import trio
 
 from quetzalmill import clock as clock_module
-from quetzalmill import crossing_cost
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_choice
 from quetzalmill import endpoint_health
@@ -28,6 +27,7 @@
 from quetzalmill import response_verdicts
 from quetzalmill import retry_timeout
 from quetzalmill import route_table
+from quetzalmill import speed_recorder
 from quetzalmill import stream_body
 
 MAX_CONNECT_FAILURES = 4
@@ -84,7 +84,7 @@
         self._failure_domain = failure_domain
         self._random = random.Random()
         self._latencies = endpoint_health.AverageLatencies()
-        self._sizes = crossing_cost.ResponseSizes()
+        self.recorder = speed_recorder.SpeedRecorder(failure_domain)
         self._retry_timeout = retry_timeout.RetryTimeout()
         self._replies = reply_reader.ReplyReader(pool, dialect, clock)
         self.prefixes = endpoint_choice.PrefixCacheIndex()
@@ -210,7 +210,7 @@
         candidates = endpoint_choice.sample_candidates(
             uncached, self._random, own_domain
         )
-        size_bytes = len(job.body) + self._sizes.average_bytes(job.route.name)
+        size_bytes = self.recorder.expected_bytes(job)
         estimates = [
             endpoint_choice.estimate(
                 each,
@@ -221,6 +221,9 @@
                 average_ms=self._latencies.average_ms(job.route.name),
                 load=self._pool.estimated_load(each, now_ms),
                 size_bytes=size_bytes,
+                speed=self.recorder.speeds.speed(
+                    job.service.name, each.speed, now_ms
+                ),
             )
             for each in untried
             if each.endpoint.endpoint_id in candidates
@@ -326,8 +329,22 @@
                 reply, verdict = self._replies.read(
                     job, endpoint_state, response.head
                 )
+                timer = speed_recorder.Timer(
+                    clock=self._clock,
+                    sent_ms=sent_ms,
+                    is_resumed=job.relay.started,
+                )
                 outcome = await self._handle_reply(
-                    job, endpoint_state, reply, verdict, response, exchange
+                    job,
+                    endpoint_state,
+                    reply,
+                    verdict,
+                    response,
+                    exchange,
+                    timer,
+                )
+                self.recorder.record(
+                    job, endpoint_state, reply.load, timer, outcome
                 )
                 if _ended_by_endpoint(job, exchange):
                     self._record_outcome(job, endpoint_state, outcome, sent_ms)
@@ -362,17 +379,15 @@
                 health.record_failure(now_ms, endpoint_health.REFUSAL_WEIGHT)
             case outcomes.Answered(status=status) if status >= _SERVER_ERROR:
                 health.record_failure(now_ms)
-            case outcomes.Answered(body=body):
+            case outcomes.Answered():
                 health.record_response(now_ms)
-                self._sizes.record(job.route.name, len(body))
                 took_ms = now_ms - sent_ms
                 ratio = self._latencies.record(job.route.name, took_ms)
+                # The reported slowness is counted apart from the average.
+                ratio /= endpoint_state.speed.slowness(now_ms)
                 health.record_latency(ratio, now_ms)
-            case outcomes.Streamed(complete=True, outputs=outputs):
+            case outcomes.Streamed(complete=True):
                 health.record_response(now_ms)
-                self._sizes.record(
-                    job.route.name, crossing_cost.stream_bytes(outputs)
-                )
             case outcomes.Streamed():
                 health.record_failure(now_ms)
 
@@ -384,6 +399,7 @@
         verdict: response_verdicts.Verdict,
         response: http_connection.StreamedResponse,
         exchange: http_server.Exchange,
+        timer: speed_recorder.Timer,
     ) -> dispatch_job.SendResult:
         match verdict:
             case response_verdicts.NotRun():
@@ -402,7 +418,7 @@
         self.prefixes.record(job.ran_on, job.call.prompt_parts)
         is_stream = job.route.retry_mode is route_table.RetryMode.STREAM
         if is_stream and 200 <= reply.status < 300:
-            streamed = await self._relay(job, reply, response, exchange)
+            streamed = await self._relay(job, reply, response, exchange, timer)
             if not streamed.complete and _ended_by_endpoint(job, exchange):
                 await self._probe(job, endpoint_state)
             return streamed
@@ -417,6 +433,7 @@
         reply: gateway_calls.Reply,
         response: http_connection.StreamedResponse,
         exchange: http_server.Exchange,
+        timer: speed_recorder.Timer,
     ) -> outcomes.Streamed:
         """Relays a stream to the caller, without ending the response."""
         relay = job.relay
@@ -428,7 +445,7 @@
         remaining_ms = job.deadline_ms + STREAM_GRACE_MS - self._clock.now_ms()
         try:
             with trio.fail_after(max(0.0, remaining_ms) / 1000.0):
-                await stream_body.relay(job, response, exchange)
+                await stream_body.relay(job, response, exchange, timer)
         except (errors.HttpError, trio.TooSlowError) as error:
             _log.info(
                 "stream_broke_off",
--- a/quetzalmill/endpoint_choice.py
+++ b/quetzalmill/endpoint_choice.py
@@ -8,6 +8,7 @@
 - A wave of equal requests from several gateways: counting the requests of peer
   gateways spreads it.
 - An endpoint that fails or delays some of its requests while others do not.
+- Engines of different speeds, and hosts that are slowed for a time.
 - Several gateways whose load reports are about as old as a request lasts: all
   would choose, and overload, the endpoint that seemed least loaded. Each
   request therefore considers only a few endpoints.
@@ -23,16 +24,11 @@
 
 from quetzalmill import crossing_cost
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_speeds
 from quetzalmill import gateway_calls
 
-PREFILL_TOKENS_PER_MS = 70.0
-"""Prefill speed of an engine; the order of magnitude of current engines."""
-
-FULL_BATCH_MS = 120.0
-"""How much longer a turn takes in a full batch than alone."""
-
 QUEUE_MS = 300.0
-"""How long a request waits behind one full batch."""
+"""How long a request waits behind one full batch at an average endpoint."""
 
 PLAIN_FULL_MS = 60.0
 """How much slower a nearly full endpoint other than an engine is than an idle
@@ -163,6 +159,7 @@
     average_ms: float = 0.0,
     load: float | None = None,
     size_bytes: float = 0.0,
+    speed: endpoint_speeds.Speed = endpoint_speeds.Speed(),
 ) -> Estimate:
     """Returns the latency estimate of a request at one endpoint.
 
@@ -175,23 +172,32 @@
         average_ms: The average latency of such requests at all endpoints.
         load: The requests there; by default the last known number.
         size_bytes: The size of the request and its expected response.
+        speed: The endpoint's speed; only its slowness counts for an endpoint
+            other than an engine.
     """
     slots = max(1, endpoint_state.endpoint.slots)
     if load is None:
         load = endpoint_state.load(now_ms)
-    full_ms = FULL_BATCH_MS if is_engine else PLAIN_FULL_MS
-    extra_ms = full_ms * min(load, slots) / slots
+    slowness = endpoint_state.health.slowness(now_ms)
+    if is_engine:
+        full_ms, wait_ratio = speed.full_batch_ms, speed.wait_ratio
+        extra_ms = speed.excess_ms
+    else:
+        full_ms, wait_ratio = PLAIN_FULL_MS * speed.slowness, speed.slowness
+        slowness *= speed.slowness
+        extra_ms = 0.0
+    extra_ms += full_ms * min(load, slots) / slots
     if load >= slots:
-        extra_ms += QUEUE_MS * (load - slots + 1) / slots
+        extra_ms += QUEUE_MS * wait_ratio * (load - slots + 1) / slots
     # All requests in a batch wait during the prefill of a prompt.
     delayed_requests = 1 + min(load, slots)
-    extra_ms += uncached_tokens / PREFILL_TOKENS_PER_MS * delayed_requests
+    extra_ms += uncached_tokens / speed.prefill_tokens_per_ms * delayed_requests
     is_own_domain = endpoint_state.endpoint.failure_domain == failure_domain
     if not is_own_domain:
         extra_ms += crossing_cost.CROSS_DOMAIN_MS
     extra_ms += FAILURE_MS * endpoint_state.failures
     extra_ms += endpoint_state.failure_cost_ms(now_ms)
-    extra_ms += average_ms * (endpoint_state.health.slowness(now_ms) - 1.0)
+    extra_ms += average_ms * (slowness - 1.0)
     if endpoint_state.cold_until_ms > now_ms:
         extra_ms += COLD_MS
     return Estimate(
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -11,6 +11,7 @@
 
 from quetzalmill import endpoint_health
 from quetzalmill import endpoint_leaving
+from quetzalmill import endpoint_speeds
 from quetzalmill import request_durations
 
 INITIAL_BACKOFF_MS = 300.0
@@ -88,6 +89,7 @@
         lapsed_ms: When its entry lapsed, or None.
         cold_until_ms: Until when it is slow after its start.
         health: Its recent health as seen by this gateway.
+        speed: Its speed as learned by this gateway.
         peer_failures: The failure counts of the other gateways.
         drain_notice: Its drain notice; None if it has announced no drain.
         drain_reporters: Hosts whose gateways now report that it is draining.
@@ -106,6 +108,9 @@
     lapsed_ms: float | None = None
     cold_until_ms: float = 0.0
     health: endpoint_health.Health = attrs.field(factory=endpoint_health.Health)
+    speed: endpoint_speeds.EndpointSpeed = attrs.field(
+        factory=endpoint_speeds.EndpointSpeed
+    )
     peer_failures: list[endpoint_health.FailureCounts] = attrs.field(
         factory=list
     )
--- a/quetzalmill/reply_reader.py
+++ b/quetzalmill/reply_reader.py
@@ -114,6 +114,9 @@
             endpoint_state.reported_running = load.running
             endpoint_state.reported_waiting = load.waiting
             endpoint_state.reported_ms = self._clock.now_ms()
+            endpoint_state.speed.record_slowness(
+                load.slowness_percent, endpoint_state.reported_ms
+            )
 
     def _record_skipped(
         self,
--- a/quetzalmill/stream_body.py
+++ b/quetzalmill/stream_body.py
@@ -6,6 +6,7 @@
 from quetzalmill import errors
 from quetzalmill import http_connection
 from quetzalmill import http_server
+from quetzalmill import speed_recorder
 
 MAX_BYTES_AT_ONCE = 4_096
 """The most bytes of a stream that are searched for events before other tasks
@@ -16,21 +17,33 @@
     job: dispatch_job.Job,
     response: http_connection.StreamedResponse,
     exchange: http_server.Exchange,
+    timer: speed_recorder.Timer | None = None,
 ) -> None:
     """Sends the complete events of a body, as far as its budget allows.
 
+    Args:
+        job: The request.
+        response: The endpoint's response.
+        exchange: The caller's request and response.
+        timer: Receives the times of the events; None for nobody.
+
     Raises:
         errors.HttpError: The body broke off, inside an event or before any, or
             the caller has disconnected.
     """
     async for piece in response:
+        received_ms = 0.0 if timer is None else timer.clock.now_ms()
         for start in range(0, len(piece), MAX_BYTES_AT_ONCE):
             if start:
                 await trio.lowlevel.checkpoint()
             events = job.relay.feed(piece[start : start + MAX_BYTES_AT_ONCE])
+            if timer is not None:
+                timer.record(len(events.outputs), received_ms)
             if job.allowance is not None:
                 await job.allowance.wait_for_release(job.relay, events)
             await exchange.send(events.data)
+        if timer is not None:
+            timer.held_ms += timer.clock.now_ms() - received_ms
     rest = job.relay.finish()
     if not job.relay.events and not response.is_delimited:
         raise errors.ConnectionLostError("the stream ended without an event")
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -8,7 +8,6 @@
 import trio
 import trio.testing
 
-from quetzalmill import clock as clock_module
 from quetzalmill import dispatch
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_pool
@@ -17,6 +16,7 @@
 from quetzalmill import http_message
 from quetzalmill import route_table
 from quetzalmill import turn_allowance
+from tests import trio_clock
 
 _CALL = gateway_calls.Call(
     request_id="t1",
@@ -51,26 +51,35 @@
 )
 
 
+_SLOW_ADDRESS = "127.0.0.1:2"
+
+
 class _Client:
     """Emulates the connections to endpoints that stream events."""
 
+    def __init__(self, events: int = 5) -> None:
+        self._events_of_stream = events
+
     @contextlib.asynccontextmanager
     async def stream(
-        self, *_: object, **__: object
+        self, address: str, *_: object, **__: object
     ) -> AsyncIterator[unittest.mock.Mock]:
-        """Responds with five events, one in each piece."""
+        """Responds with events, one in each piece."""
         response = unittest.mock.Mock(status=200, headers={})
-        response.__aiter__ = lambda _: self._events()
+        gap_s = 0.02 if address == _SLOW_ADDRESS else 0.01
+        response.__aiter__ = lambda _: self._events(gap_s)
         yield response
 
-    async def _events(self) -> AsyncIterator[bytes]:
-        for number in range(1, 6):
-            await trio.sleep(0.01)
+    async def _events(self, gap_s: float) -> AsyncIterator[bytes]:
+        for number in range(1, self._events_of_stream + 1):
+            await trio.sleep(gap_s)
             yield f"id: {number}\ndata: e{number}\n\n".encode()
 
 
 def _dispatcher(
     *endpoint_states: endpoint_pool.EndpointState,
+    events: int = 5,
+    load: gateway_calls.Load | None = None,
 ) -> dispatch.Dispatcher:
     """Returns a dispatcher that knows the given endpoints."""
     reply = gateway_calls.Reply(
@@ -79,7 +88,7 @@
         correlation=gateway_calls.Correlation.OWN,
         is_genuine=True,
         not_run=False,
-        load=None,
+        load=load,
         is_draining=False,
     )
     pool = unittest.mock.Mock()
@@ -87,25 +96,25 @@
     pool.estimated_load.return_value = 0.0
     dialect = unittest.mock.Mock()
     dialect.decode_reply.return_value = reply
-    client = unittest.mock.Mock(stream=_Client().stream)
+    client = unittest.mock.Mock(stream=_Client(events).stream)
     return dispatch.Dispatcher(
         pool,
         client,
         dialect,
-        clock_module.SystemClock(),
+        trio_clock.TrioClock(),
         "a",
         unittest.mock.Mock(),
     )
 
 
 def _endpoint_state(
-    endpoint_id: str, domain: str
+    endpoint_id: str, domain: str, address: str = "127.0.0.1:1"
 ) -> endpoint_pool.EndpointState:
     return endpoint_pool.EndpointState(
         endpoint=endpoint_pool.Endpoint(
             endpoint_id=endpoint_id,
             service="llm",
-            address="127.0.0.1:1",
+            address=address,
             failure_domain=domain,
             slots=8,
             leaving=False,
@@ -118,13 +127,15 @@
 def _job(
     body: bytes = b"hello", allowance: turn_allowance.Allowance | None = None
 ) -> dispatch_job.Job:
+    service = unittest.mock.Mock(is_engine=True)
+    service.name = "llm"
     return dispatch_job.Job(
         call=_CALL,
         route=_ROUTE,
-        service=unittest.mock.Mock(is_engine=True),
+        service=service,
         team="weddings",
         body=body,
-        deadline_ms=clock_module.SystemClock().now_ms() + 1_000.0,
+        deadline_ms=trio.current_time() * 1_000.0 + 1_000.0,
         priority=0,
         allowance=allowance,
     )
@@ -141,14 +152,46 @@
         for state in states[::4]:
             state.failures = 1
         own = {state.endpoint.endpoint_id for state in states[::4]}
-        jobs = [_job(bytes(10_000)) for _ in range(20)]
+        assert set(_run(dispatcher, 20, body=bytes(10_000))) <= own
 
-        async def run() -> None:
-            for job in jobs:
-                await dispatcher.run(job, unittest.mock.AsyncMock())
 
-        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
-        assert {job.ran_on for job in jobs} <= own
+def _run(
+    dispatcher: dispatch.Dispatcher, count: int, body: bytes = b"hello"
+) -> list[str]:
+    """Runs requests one after another; returns the endpoints they ran on."""
+    ran_on = []
+
+    async def run() -> None:
+        for _ in range(count):
+            job = _job(body)
+            exchange = unittest.mock.AsyncMock(disconnected=False)
+            await dispatcher.run(job, exchange)
+            ran_on.append(job.ran_on)
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+    return ran_on
+
+
+class TestLearnedSpeeds:
+    """Requests sent to an engine although another one is faster."""
+
+    def test_slow_streams(self) -> None:
+        """The speed of streams was not measured."""
+        fast = _endpoint_state("llm-1", "a")
+        slow = _endpoint_state("llm-2", "a", _SLOW_ADDRESS)
+        ran_on = _run(_dispatcher(fast, slow, events=40), 40)
+        assert ran_on[20:].count("llm-2") <= 5
+
+    def test_reported_slowness(self) -> None:
+        load = gateway_calls.Load(
+            running=1, waiting=0, slots=8, slowness_percent=250
+        )
+        state = _endpoint_state("llm-1", "a")
+        _run(_dispatcher(state, load=load), 1)
+        now_ms = state.reported_ms
+        assert state.speed.slowness(now_ms) == 2.5
+        # A report says little once its host has changed several times.
+        assert state.speed.slowness(now_ms + 2_000.0) < 1.02
 
 
 class TestTurnsThatWaitForTokens:
--- a/tests/test_endpoint_choice.py
+++ b/tests/test_endpoint_choice.py
@@ -8,6 +8,7 @@
 
 from quetzalmill import endpoint_choice
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_speeds
 
 _ENDPOINTS = 19
 _SLOTS = 6
@@ -37,6 +38,9 @@
     endpoint_states: list[endpoint_pool.EndpointState]
     received_ms: float
     domain: str
+    speeds: endpoint_speeds.ServiceSpeeds = attrs.field(
+        factory=endpoint_speeds.ServiceSpeeds
+    )
 
 
 def _gateway(
@@ -50,16 +54,51 @@
 
 
 @attrs.frozen
-class _Fractions:
-    """Fractions of requests.
+class _Result:
+    """How requests were placed.
 
     Attributes:
-        met_full: Sent to an endpoint without a free slot.
-        crossed: Sent to another failure domain.
+        met_full: Fraction sent to an endpoint without a free slot.
+        crossed: Fraction sent to another failure domain.
+        average_ms: Their average duration.
     """
 
     met_full: float
     crossed: float
+    average_ms: float
+
+
+def _slowness(place: int, now_ms: float) -> float:
+    """Returns the slowness of 15% of the hosts for 600 ms at a time."""
+    draw = random.Random(f"{place} {now_ms // 600.0}").random()
+    return 2.5 if draw < 0.15 else 1.0
+
+
+def _record(
+    speeds: endpoint_speeds.ServiceSpeeds,
+    known: endpoint_pool.EndpointState,
+    times: tuple[float, float, float],
+    batch: float,
+    slowness: float,
+) -> None:
+    """Records a stream of 60 events with one report of its host's slowness."""
+    sent_ms, took_ms, now_ms = times
+    percent = round(100.0 * slowness)
+    known.speed.record_slowness(percent, sent_ms)
+    speeds.record(
+        "llm",
+        known.endpoint.endpoint_id,
+        known.speed,
+        endpoint_speeds.StreamSample(
+            uncached_tokens=500,
+            batch=batch,
+            first_ms=0.15 * took_ms,
+            gap_ms=0.85 * took_ms / 60,
+            events=60,
+            slowness_percent=percent,
+        ),
+        now_ms,
+    )
 
 
 def _replay(
@@ -71,7 +110,8 @@
     endpoints: int = _ENDPOINTS,
     domains: int = 1,
     prefers_own: bool = True,
-) -> _Fractions:
+    learns: bool | None = None,
+) -> _Result:
     """Places the requests of several gateways.
 
     Args:
@@ -83,6 +123,8 @@
         endpoints: The number of endpoints.
         domains: The number of failure domains.
         prefers_own: Whether gateways prefer their own failure domain.
+        learns: Whether gateways learn the speeds of endpoints; None if these
+            are equal.
     """
     random_source = random.Random(11)
     fleet = [
@@ -93,15 +135,19 @@
     ]
     running = [0] * endpoints
     past: list[tuple[float, list[int]]] = [(0.0, list(running))]
-    ends: list[tuple[float, int, int]] = []
+    ends: list[tuple[float, int, int, float, float, float]] = []
     per_ms = load * endpoints * _SLOTS / _TURN_MS
-    now_ms, sent, met_full, crossed = 0.0, 0, 0, 0
+    now_ms, total_ms, sent, met_full, crossed = 0.0, 0.0, 0, 0, 0
     while now_ms < _DURATION_MS:
         now_ms += random_source.expovariate(per_ms)
         while ends and ends[0][0] <= now_ms:
-            _, place, own = heapq.heappop(ends)
+            end_ms, place, own, sent_ms, batch, slowness = heapq.heappop(ends)
             running[place] -= 1
-            fleet[own].endpoint_states[place].running -= 1
+            known = fleet[own].endpoint_states[place]
+            known.running -= 1
+            if learns:
+                times = (sent_ms, end_ms - sent_ms, end_ms)
+                _record(fleet[own].speeds, known, times, batch, slowness)
         past.append((now_ms, list(running)))
         own = random_source.randrange(gateways)
         gateway = fleet[own]
@@ -146,6 +192,7 @@
                     if considers_all
                     else gateway.pool.estimated_load(each, now_ms),
                     size_bytes=_BYTES if prefers_own else 0.0,
+                    speed=gateway.speeds.speed("llm", each.speed, now_ms),
                 )
                 for each in gateway.endpoint_states
                 if each.endpoint.endpoint_id in candidates
@@ -159,8 +206,18 @@
         crossed += place % domains != own % domains
         running[place] += 1
         best.endpoint_state.running += 1
-        heapq.heappush(ends, (now_ms + _TURN_MS, place, own))
-    return _Fractions(met_full / sent, crossed / sent)
+        batch = min(1.0, running[place] / _SLOTS)
+        slowness = 1.0 if learns is None else _slowness(place, now_ms)
+        took_ms = _TURN_MS
+        if learns is not None:
+            queued = max(0, running[place] - _SLOTS) / _SLOTS
+            speed = (0.7, 0.9, 1.1, 1.3)[place % 7 % 4]
+            took_ms *= (0.7 + 0.4 * batch + queued) * speed * slowness
+        total_ms += took_ms
+        heapq.heappush(
+            ends, (now_ms + took_ms, place, own, now_ms, batch, slowness)
+        )
+    return _Result(met_full / sent, crossed / sent, total_ms / sent)
 
 
 _RANDOM_FRACTION = 0.156
@@ -259,6 +316,20 @@
             )
 
 
+class TestSpeeds:
+    """Engines of different speeds on hosts that are slowed for a time."""
+
+    def test_learned_speeds_shorten_requests(self) -> None:
+        constant, learned = (
+            _replay(8, 100.0, 0.5, learns=learns) for learns in (False, True)
+        )
+        assert learned.average_ms < 0.98 * constant.average_ms
+
+    def test_gateways_do_not_fill_the_fast_endpoints(self) -> None:
+        learned = _replay(32, 200.0, 0.6, learns=True)
+        assert learned.met_full < 1.4 * _RANDOM_FRACTION
+
+
 class TestSampleCandidates:
     """Which endpoints are considered for a request."""
 
--- a/tests/test_endpoint_health.py
+++ b/tests/test_endpoint_health.py
@@ -9,6 +9,7 @@
 from quetzalmill import endpoint_choice
 from quetzalmill import endpoint_health
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_speeds
 
 _STEP_MS = 20.0
 _AVERAGE_MS = 40.0
@@ -147,7 +148,7 @@
     def test_one_failure_costs_less_than_a_full_batch(self) -> None:
         one = endpoint_health.FailureCounts(failures=1.0, answers=0.0)
         cost_ms = endpoint_health.cost_ms([one])
-        assert 0.0 < cost_ms < endpoint_choice.FULL_BATCH_MS
+        assert 0.0 < cost_ms < endpoint_speeds.PRIOR_FULL_BATCH_MS
 
     def test_only_failing_endpoints_are_reported(self) -> None:
         pool = endpoint_pool.EndpointPool()
