Show the learned speeds of endpoints to operators

An operator could not see why an endpoint got little work, since its speed was known only to the gateway's placement.

--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -189,6 +189,7 @@
             ],
             "turns_held": len(self._cache),
             "running": self.state.pool.running(),
+            "endpoint_speeds": self._recorder.describe(self.state.pool, now_ms),
             "endpoints_leaving": leaving_watch.describe(
                 self.state.pool, now_ms
             ),
@@ -274,6 +275,7 @@
                 )
             ),
         )
+        self._recorder = dispatcher.recorder
         self._handler = gateway_handler.GatewayHandler(
             self.state,
             self._dialect,
@@ -435,6 +437,12 @@
         self.metrics.set_state("peers", len(self.state.alive_peers()))
         self.metrics.set_state("endpoints", len(self.state.pool))
         self.metrics.set_state("turns_held", len(self._cache))
+        now_ms = self.clock.now_ms()
+        self.metrics.set_state(
+            "endpoints_slow",
+            self._recorder.slowed_endpoints(self.state.pool, now_ms),
+        )
+        self.metrics.set_speeds(self._recorder.speeds.describe(now_ms))
 
     def _reload_settings(self) -> None:
         """Adds new seeds; other changes take effect at a restart."""
--- a/quetzalmill/gateway_metrics.py
+++ b/quetzalmill/gateway_metrics.py
@@ -59,6 +59,13 @@
             registry=self._registry,
         )
 
+        self._speeds = prometheus_client.Gauge(
+            "quetzalmill_learned_speed",
+            "Learned speeds of the average engine of a service, by name.",
+            ["service", "name"],
+            registry=self._registry,
+        )
+
     def request(self, outcome: str, route: str, took_ms: float) -> None:
         """Counts a request that has ended."""
         self._requests.labels(route, outcome).inc()
@@ -94,6 +101,13 @@
         """Sets a gauge of the gateway's local view."""
         self._gauges.labels(name).set(value)
 
+    def set_speeds(self, speeds: dict[str, dict[str, float]]) -> None:
+        """Sets the gauges of learned speeds, by service and name."""
+        self._speeds.clear()
+        for service, values in speeds.items():
+            for name, value in values.items():
+                self._speeds.labels(service, name).set(value)
+
     def text(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
--- a/quetzalmill/speed_recorder.py
+++ b/quetzalmill/speed_recorder.py
@@ -1,5 +1,7 @@
 """Measures responses and records what they show of endpoints' speeds."""
 
+from typing import Any
+
 import attrs
 
 from quetzalmill import clock as clock_module
@@ -121,6 +123,30 @@
                         job, endpoint_state, load, timer, outcome
                     )
 
+    def describe(
+        self, pool: endpoint_pool.EndpointPool, now_ms: float
+    ) -> dict[str, Any]:
+        """Returns what was learned of services and of their endpoints."""
+        return {
+            "services": self.speeds.describe(now_ms),
+            "endpoints": {
+                known.endpoint.endpoint_id: {
+                    "service": known.endpoint.service,
+                    **endpoint_speeds.describe(known.speed, now_ms),
+                    "latency_ratio": round(known.health.slowness(now_ms), 2),
+                }
+                for known in pool.all()
+            },
+        }
+
+    def slowed_endpoints(
+        self, pool: endpoint_pool.EndpointPool, now_ms: float
+    ) -> int:
+        """Returns how many endpoints are known to be slow now."""
+        return sum(
+            endpoint_speeds.is_slow(known.speed, now_ms) for known in pool.all()
+        )
+
     def _record_speed(
         self,
         job: dispatch_job.Job,
--- a/tests/test_endpoint_speeds.py
+++ b/tests/test_endpoint_speeds.py
@@ -5,6 +5,7 @@
 import pytest
 
 from quetzalmill import endpoint_speeds
+from quetzalmill import gateway_metrics
 
 _PRIOR = endpoint_speeds.Speed()
 
@@ -80,3 +81,6 @@
             endpoint = endpoint_speeds.EndpointSpeed()
             speeds.record(name, "e", endpoint, sample, 0.0)
         assert list(speeds.describe(0.0)) == ["b", "c"]
+        metrics = gateway_metrics.GatewayMetrics()
+        metrics.set_speeds(speeds.describe(0.0))
+        assert b'{name="step_ms",service="b"}' in metrics.text()
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -186,7 +186,9 @@
             request_id, _ = await cluster.call(gateway, "/lookup/1")
             for path, text in (
                 ("/metrics", b"quetzalmill_requests_total"),
+                ("/metrics", b'{name="endpoints_slow"}'),
                 ("/state", b'"table_version":1'),
+                ("/state", b'"app-1":{"service":"app","first_ratio":1.0'),
             ):
                 response = await cluster.client.request(
                     gateway.metrics,
