Test each rule of placement that could be left out unnoticed

No test failed without the free slots of other domains, without the reported slowness of a plain service, or without the measured size of responses. Each of them now fails one, as does timing a stream that its caller holds up.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -15,6 +15,7 @@
 from quetzalmill import gateway_outcomes
 from quetzalmill import http_message
 from quetzalmill import route_table
+from quetzalmill import speed_recorder
 from quetzalmill import turn_allowance
 from tests import trio_clock
 
@@ -179,8 +180,22 @@
         """The speed of streams was not measured."""
         fast = _endpoint_state("llm-1", "a")
         slow = _endpoint_state("llm-2", "a", _SLOW_ADDRESS)
-        ran_on = _run(_dispatcher(fast, slow, events=40), 40)
+        dispatcher = _dispatcher(fast, slow, events=40)
+        ran_on = _run(dispatcher, 40)
         assert ran_on[20:].count("llm-2") <= 5
+        job = unittest.mock.Mock(body=b"x" * 100, route=_ROUTE)
+        # Responses of about 1,500 bytes; the prior is 4,000.
+        assert 1_400.0 < dispatcher.recorder.expected_bytes(job) < 2_500.0
+
+    def test_stream_held_up_by_its_caller_is_not_timed(self) -> None:
+        timer = speed_recorder.Timer(
+            clock=trio_clock.TrioClock(), sent_ms=0.0, is_resumed=False
+        )
+        for number in range(20):
+            timer.record(1, 10.0 * number)
+        assert timer.gap_ms() == 10.0
+        timer.held_ms = 100.0
+        assert timer.gap_ms() is None
 
     def test_reported_slowness(self) -> None:
         load = gateway_calls.Load(
--- a/tests/test_endpoint_choice.py
+++ b/tests/test_endpoint_choice.py
@@ -276,22 +276,27 @@
 
     @pytest.mark.parametrize("is_engine", [True, False])
     @pytest.mark.parametrize(
-        ("loads", "uncached", "stays"),
+        ("loads", "uncached", "percent", "stays"),
         [
-            ([2, 1, 1], [500] * 3, True),
-            ([_SLOTS, 1, 1], [500] * 3, False),
-            ([1, 1, 1], [9_000, 0, 9_000], False),
+            ([2, 1, 1], [500] * 3, 100, True),
+            ([_SLOTS, 5, 5], [0] * 3, 100, False),
+            ([1, 1, 1], [9_000, 0, 9_000], 100, False),
+            ([1, 1, 1], [0] * 3, 250, False),
         ],
-        ids=["served as well", "full", "cached elsewhere"],
+        ids=["served as well", "full", "cached elsewhere", "slowed"],
     )
     def test_choice(
         self,
         loads: list[int],
         uncached: list[int],
+        percent: int,
         stays: bool,
         is_engine: bool,
     ) -> None:
         """A request stays unless another domain is clearly better."""
+        speeds = endpoint_speeds.ServiceSpeeds()
+        own_speed = endpoint_speeds.EndpointSpeed()
+        own_speed.record_slowness(percent, 0.0)
         estimates = [
             endpoint_choice.estimate(
                 endpoint_pool.EndpointState(endpoint=_endpoint(number, 3)),
@@ -299,8 +304,12 @@
                 failure_domain="a",
                 is_engine=is_engine,
                 now_ms=0.0,
+                average_ms=80.0,
                 load=loads[number],
                 size_bytes=_BYTES,
+                speed=speeds.speed("llm", own_speed, 0.0)
+                if number == 0
+                else endpoint_speeds.Speed(),
             )
             for number in range(3)
         ]
