--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -11,6 +11,7 @@
 
 from quetzalmill import endpoint_health
 from quetzalmill import endpoint_leaving
+from quetzalmill import endpoint_speeds
 from quetzalmill import evacuation
 from quetzalmill import homes as homes_module
 from quetzalmill import request_durations
@@ -93,6 +94,7 @@
         cold_since_ms: When it was last found to be cold without being told for
             how long.
         health: Its recent health as seen by this gateway.
+        speed: Its speed as learned by this gateway.
         peer_failures: The failure counts of the other gateways.
         drain_notice: Its drain notice; None if it has announced no drain.
         drain_reporters: Hosts whose gateways now report that it is draining.
@@ -113,6 +115,9 @@
     stated_cold_until_ms: float = 0.0
     cold_since_ms: float = float("-inf")
     health: endpoint_health.Health = attrs.field(factory=endpoint_health.Health)
+    speed: endpoint_speeds.EndpointSpeed = attrs.field(
+        factory=endpoint_speeds.EndpointSpeed
+    )
     peer_failures: list[endpoint_health.FailureCounts] = attrs.field(
         factory=list
     )
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -209,6 +209,7 @@
             "region": self.state.region,
             "zones": dict(self.state.zones),
             "running": self.state.pool.running(),
+            "endpoint_speeds": self._recorder.describe(self.state.pool, now_ms),
             "endpoints_leaving": leaving_watch.describe(
                 self.state.pool, now_ms
             ),
@@ -307,6 +308,7 @@
             ),
             self._cold,
         )
+        self._recorder = dispatcher.recorder
         self._handler = gateway_handler.GatewayHandler(
             self.state,
             self._dialect,
@@ -473,6 +475,12 @@
         self.metrics.set_state(
             "evacuated_domains", len(self.state.pool.evacuations)
         )
+        now_ms = self.clock.now_ms()
+        self.metrics.set_state(
+            "endpoints_slow",
+            self._recorder.slowed_endpoints(self.state.pool, now_ms),
+        )
+        self.metrics.set_speeds(self._recorder.speeds.describe(now_ms))
 
     def _reload_settings(self) -> None:
         """Adds new seeds; other changes take effect at a restart."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -8,7 +8,6 @@
 import trio
 import trio.testing
 
-from quetzalmill import clock as clock_module
 from quetzalmill import dispatch
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_pool
@@ -16,7 +15,9 @@
 from quetzalmill import gateway_outcomes
 from quetzalmill import http_message
 from quetzalmill import route_table
+from quetzalmill import speed_recorder
 from quetzalmill import turn_allowance
+from tests import trio_clock
 
 _CALL = gateway_calls.Call(
     request_id="t1",
@@ -51,53 +52,163 @@
 )
 
 
+_SLOW_ADDRESS = "127.0.0.1:2"
+
+
 class _Client:
     """Emulates the connections to endpoints that stream events."""
 
+    def __init__(self, events: int = 5) -> None:
+        self._events_of_stream = events
+
     @contextlib.asynccontextmanager
     async def stream(
-        self, *_: object, **__: object
+        self, address: str, *_: object, **__: object
     ) -> AsyncIterator[unittest.mock.Mock]:
-        """Responds with five events, one in each piece."""
+        """Responds with events, one in each piece."""
         response = unittest.mock.Mock(status=200, headers={})
-        response.__aiter__ = lambda _: self._events()
+        gap_s = 0.02 if address == _SLOW_ADDRESS else 0.01
+        response.__aiter__ = lambda _: self._events(gap_s)
         yield response
 
-    async def _events(self) -> AsyncIterator[bytes]:
-        for number in range(1, 6):
-            await trio.sleep(0.01)
+    async def _events(self, gap_s: float) -> AsyncIterator[bytes]:
+        for number in range(1, self._events_of_stream + 1):
+            await trio.sleep(gap_s)
             yield f"id: {number}\ndata: e{number}\n\n".encode()
 
 
 def _dispatcher(
-    endpoint_state: endpoint_pool.EndpointState,
+    *endpoint_states: endpoint_pool.EndpointState,
+    events: int = 5,
+    load: gateway_calls.Load | None = None,
 ) -> dispatch.Dispatcher:
-    """Returns a dispatcher that knows one endpoint."""
+    """Returns a dispatcher that knows the given endpoints."""
     reply = gateway_calls.Reply(
         status=200,
         headers={},
         correlation=gateway_calls.Correlation.OWN,
         is_genuine=True,
         not_run=False,
-        load=None,
+        load=load,
         is_draining=False,
     )
     pool = unittest.mock.Mock()
-    pool.usable.return_value = [endpoint_state]
+    pool.usable.return_value = list(endpoint_states)
     pool.estimated_load.return_value = 0.0
     dialect = unittest.mock.Mock()
     dialect.decode_reply.return_value = reply
-    client = unittest.mock.Mock(stream=_Client().stream)
+    client = unittest.mock.Mock(stream=_Client(events).stream)
     return dispatch.Dispatcher(
         pool,
         client,
         dialect,
-        clock_module.SystemClock(),
+        trio_clock.TrioClock(),
         "a",
         unittest.mock.Mock(),
     )
 
 
+def _endpoint_state(
+    endpoint_id: str, domain: str, address: str = "127.0.0.1:1"
+) -> endpoint_pool.EndpointState:
+    return endpoint_pool.EndpointState(
+        endpoint=endpoint_pool.Endpoint(
+            endpoint_id=endpoint_id,
+            service="llm",
+            address=address,
+            failure_domain=domain,
+            slots=8,
+            leaving=False,
+            started_unix_ms=0,
+            cold_ms=0.0,
+        )
+    )
+
+
+def _job(
+    body: bytes = b"hello", allowance: turn_allowance.Allowance | None = None
+) -> dispatch_job.Job:
+    service = unittest.mock.Mock(is_engine=True, cold_per_s=0.0)
+    service.name = "llm"
+    return dispatch_job.Job(
+        call=_CALL,
+        route=_ROUTE,
+        service=service,
+        team="weddings",
+        body=body,
+        deadline_ms=trio.current_time() * 1_000.0 + 1_000.0,
+        priority=0,
+        allowance=allowance,
+    )
+
+
+class TestOwnDomain:
+    """Requests that cross failure domains although they need not."""
+
+    def test_request_stays(self) -> None:
+        states = [_endpoint_state(f"llm-{n}", "abcd"[n % 4]) for n in range(16)]
+        dispatcher = _dispatcher(*states)
+        # Slower by more than the delay to another domain, but not by more
+        # than the bytes are worth.
+        for state in states[::4]:
+            state.failures = 1
+        own = {state.endpoint.endpoint_id for state in states[::4]}
+        assert set(_run(dispatcher, 20, body=bytes(10_000))) <= own
+
+
+def _run(
+    dispatcher: dispatch.Dispatcher, count: int, body: bytes = b"hello"
+) -> list[str]:
+    """Runs requests one after another; returns the endpoints they ran on."""
+    ran_on = []
+
+    async def run() -> None:
+        for _ in range(count):
+            job = _job(body)
+            exchange = unittest.mock.AsyncMock(disconnected=False)
+            await dispatcher.run(job, exchange)
+            ran_on.append(job.ran_on)
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+    return ran_on
+
+
+class TestLearnedSpeeds:
+    """Requests sent to an engine although another one is faster."""
+
+    def test_slow_streams(self) -> None:
+        """The speed of streams was not measured."""
+        fast = _endpoint_state("llm-1", "a")
+        slow = _endpoint_state("llm-2", "a", _SLOW_ADDRESS)
+        dispatcher = _dispatcher(fast, slow, events=40)
+        ran_on = _run(dispatcher, 40)
+        assert ran_on[20:].count("llm-2") <= 5
+        job = unittest.mock.Mock(body=b"x" * 100, route=_ROUTE)
+        # Responses of about 1,500 bytes; the prior is 4,000.
+        assert 1_400.0 < dispatcher.recorder.expected_bytes(job) < 2_500.0
+
+    def test_stream_held_up_by_its_caller_is_not_timed(self) -> None:
+        timer = speed_recorder.Timer(
+            clock=trio_clock.TrioClock(), sent_ms=0.0, is_resumed=False
+        )
+        for number in range(20):
+            timer.record(1, 10.0 * number)
+        assert timer.gap_ms() == 10.0
+        timer.held_ms = 100.0
+        assert timer.gap_ms() is None
+
+    def test_reported_slowness(self) -> None:
+        load = gateway_calls.Load(
+            running=1, waiting=0, slots=8, slowness_percent=250
+        )
+        state = _endpoint_state("llm-1", "a")
+        _run(_dispatcher(state, load=load), 1)
+        now_ms = state.reported_ms
+        assert state.speed.slowness(now_ms) == 2.5
+        # A report says little once its host has changed several times.
+        assert state.speed.slowness(now_ms + 2_000.0) < 1.02
+
+
 class TestTurnsThatWaitForTokens:
     """Streams that are blocked by their token budget, not by their endpoint."""
 
@@ -105,18 +216,7 @@
         self,
     ) -> None:
         """The stream ends at its deadline although its endpoint works."""
-        endpoint_state = endpoint_pool.EndpointState(
-            endpoint=endpoint_pool.Endpoint(
-                endpoint_id="llm-1",
-                service="llm",
-                address="127.0.0.1:1",
-                failure_domain="a",
-                slots=8,
-                leaving=False,
-                started_unix_ms=0,
-                cold_ms=0.0,
-            )
-        )
+        endpoint_state = _endpoint_state("llm-1", "a")
         sent: list[bytes] = []
 
         async def send(data: bytes) -> None:
@@ -125,21 +225,13 @@
 
         async def run() -> None:
             dispatcher = _dispatcher(endpoint_state)
-            now_ms = clock_module.SystemClock().now_ms()
-            job = dispatch_job.Job(
-                call=_CALL,
-                route=_ROUTE,
-                service=unittest.mock.Mock(is_engine=True, cold_per_s=0.0),
-                team="weddings",
-                body=b"hello",
-                deadline_ms=now_ms + 1_000.0,
-                priority=0,
+            job = _job(
                 allowance=turn_allowance.Allowance(
                     most_tokens=50,
                     released_tokens=25,
                     event_tokens=9,
                     request_release=trio.sleep_forever,
-                ),
+                )
             )
             exchange = types.SimpleNamespace(
                 disconnected=False,
