--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -10,6 +10,7 @@
 
 from quetzalmill import clock as clock_module
 from quetzalmill import cold_endpoints
+from quetzalmill import crossing_cost
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_choice
 from quetzalmill import endpoint_health
@@ -273,7 +274,7 @@
             uncached, self._random, own_domain
         )
         candidates |= gains_ms.keys()
-        size_bytes = self.recorder.expected_bytes(job)
+        average_ms = self._latencies.average_ms(job.route.name)
         estimates = [
             endpoint_choice.estimate(
                 each,
@@ -283,7 +284,9 @@
                 now_ms=now_ms,
                 average_ms=self._latencies.average_ms(job.route.name),
                 load=self._pool.estimated_load(each, now_ms),
-                size_bytes=size_bytes,
+                margin_ms=crossing_cost.margin_ms(
+                    job.route.target_latency_ms, average_ms
+                ),
                 speed=self.recorder.speeds.speed(
                     job.service.name, each.speed, now_ms
                 ),
--- a/quetzalmill/endpoint_choice.py
+++ b/quetzalmill/endpoint_choice.py
@@ -137,8 +137,8 @@
         uncached_tokens: Prompt tokens that the endpoint has not cached.
         is_own_domain: Whether it is in the gateway's own failure domain.
         has_free_slot: Whether one of its slots is estimated to be free.
-        bytes_worth_ms: The latency that is worth as much as the bytes sent to
-            and from another failure domain.
+        margin_ms: By how much it has to be better than the endpoints of the
+            gateway's own failure domain.
     """
 
     endpoint_state: endpoint_pool.EndpointState
@@ -146,7 +146,7 @@
     uncached_tokens: int
     is_own_domain: bool
     has_free_slot: bool
-    bytes_worth_ms: float
+    margin_ms: float
 
 
 def estimate(
@@ -158,7 +158,7 @@
     now_ms: float,
     average_ms: float = 0.0,
     load: float | None = None,
-    size_bytes: float = 0.0,
+    margin_ms: float = 0.0,
     speed: endpoint_speeds.Speed = endpoint_speeds.Speed(),
 ) -> Estimate:
     """Returns the latency estimate of a request at one endpoint.
@@ -171,7 +171,7 @@
         now_ms: The current time.
         average_ms: The average latency of such requests at all endpoints.
         load: The requests there; by default the last known number.
-        size_bytes: The size of the request and its expected response.
+        margin_ms: By how much another failure domain has to be better.
         speed: The endpoint's speed; only its slowness counts for an endpoint
             other than an engine.
     """
@@ -206,9 +206,7 @@
         uncached_tokens=uncached_tokens,
         is_own_domain=is_own_domain,
         has_free_slot=load + 1.0 <= slots,
-        bytes_worth_ms=0.0
-        if is_own_domain
-        else crossing_cost.worth_ms(size_bytes),
+        margin_ms=0.0 if is_own_domain else margin_ms,
     )
 
 
@@ -231,6 +229,6 @@
         own_ms = each.extra_ms * jitter + random_source.random()
         if own_is_full and each.has_free_slot:
             return own_ms
-        return own_ms + each.bytes_worth_ms
+        return own_ms + each.margin_ms
 
     return min(estimates, key=cost_ms)
--- a/quetzalmill/speed_recorder.py
+++ b/quetzalmill/speed_recorder.py
@@ -68,7 +68,7 @@
 
 
 class SpeedRecorder:
-    """Records the speeds of engines and the sizes of responses.
+    """Records the speeds of engines.
 
     Args:
         failure_domain: The gateway's failure domain.
@@ -79,13 +79,8 @@
 
     def __init__(self, failure_domain: str) -> None:
         self._failure_domain = failure_domain
-        self._sizes = crossing_cost.ResponseSizes()
         self.speeds = endpoint_speeds.ServiceSpeeds()
 
-    def expected_bytes(self, job: dispatch_job.Job) -> float:
-        """Returns the size of a request and its expected response."""
-        return len(job.body) + self._sizes.average_bytes(job.route.name)
-
     def record(
         self,
         job: dispatch_job.Job,
@@ -104,15 +99,7 @@
             outcome: The result.
         """
         match outcome:
-            case outcomes.Answered(status=status, body=body):
-                if status < _SERVER_ERROR:
-                    self._sizes.record(job.route.name, len(body))
             case outcomes.Streamed():
-                if outcome.complete:
-                    self._sizes.record(
-                        job.route.name,
-                        crossing_cost.stream_bytes(outcome.outputs),
-                    )
                 # A cold endpoint is slow for a known time only.
                 if (
                     job.service.is_engine
