--- a/quetzalmill_load/platform_cluster.py
+++ b/quetzalmill_load/platform_cluster.py
@@ -159,7 +159,12 @@
 
 
 class Cluster:
-    """A platform with endpoints and gateways."""
+    """A platform with endpoints and gateways.
+
+    Attributes:
+        memory_mb: The memory of each host, as its settings give it.
+        max_fds: The descriptors of each host, as its settings give them.
+    """
 
     def __init__(self, nursery: trio.Nursery, path: pathlib.Path) -> None:
         self._nursery = nursery
@@ -179,6 +184,8 @@
         block, rest = divmod(os.getpid(), _ADDRESS_BLOCKS)
         self._network = f"127.{1 + block % _ADDRESS_BLOCKS}.{1 + rest}"
         self._ports = [_free_port() for _ in range(3)]
+        self.memory_mb = 170
+        self.max_fds = 4_100
 
     async def start_store(self) -> None:
         """Starts the store with a desired state in it."""
@@ -449,7 +456,8 @@
 front = "{ip}:{ports[0]}"
 ready = "{ip}:{ports[1]}"
 [limits]
-memoryMb = 170
+memoryMb = {self.memory_mb}
+maxFds = {self.max_fds}
 [bounds]
 graceS = 8
 drainMs = {DRAIN_MS}
