--- /dev/null
+++ b/quetzalmill/memory_decision.py
@@ -0,0 +1,155 @@
+"""Decides who may take memory, who waits, and who is disconnected.
+
+Load pattern: many callers that nobody controls send large bodies at the same
+time, mostly stop just before the end, and keep their connections open; others
+do not read their responses. Ordinary callers send small requests meanwhile.
+"""
+
+import attrs
+
+from quetzalmill import memory_account
+
+SMALL_BYTES = 24_576
+"""A charge of this size is small: a connection with a head of the default
+limit, or a body of several times the usual size."""
+
+RESERVE_FRACTION = 0.125
+"""The fraction of the account that only small charges may take, so that an
+ordinary request is served while large ones hold the rest."""
+
+TEAM_FACTOR = 2.0
+"""A team may hold this many times of what it leaves free: two thirds if it is
+alone, so that another team always finds memory."""
+
+STALLED_MS = 1_000.0
+"""A party without progress for this long is disconnected if others need its
+memory; several times the longest pause of TCP after one lost packet."""
+
+MAX_WAIT_MS = 2_000.0
+"""How long a body waits for memory before it is refused; half of the usual
+deadline of a request, so that a retry elsewhere is still in time."""
+
+
+@attrs.frozen
+class Grant:
+    """The memory may be taken."""
+
+
+@attrs.frozen
+class Revoke:
+    """Another charge is to be closed first.
+
+    Attributes:
+        victim: That charge; its party is disconnected.
+    """
+
+    victim: memory_account.Charge
+
+
+@attrs.frozen
+class Wait:
+    """Nothing can be taken now, but memory may become free."""
+
+
+@attrs.frozen
+class Refuse:
+    """The request is refused; it has not run."""
+
+
+Decision = Grant | Revoke | Wait | Refuse
+
+
+def fits(
+    account: memory_account.MemoryAccount,
+    charge: memory_account.Charge,
+    more_bytes: int,
+) -> bool:
+    """Returns whether a charge may grow without any other one being closed."""
+    if account.held_bytes == charge.held_bytes:
+        # A single request is served however small the host is.
+        return True
+    free_bytes = account.free_bytes - more_bytes
+    if charge.held_bytes + more_bytes <= SMALL_BYTES:
+        return free_bytes >= 0
+    free_bytes -= int(RESERVE_FRACTION * account.limit_bytes)
+    team_bytes = account.held_by_team(charge.team) + more_bytes
+    return team_bytes <= TEAM_FACTOR * free_bytes
+
+
+def decide(
+    account: memory_account.MemoryAccount,
+    charge: memory_account.Charge,
+    more_bytes: int,
+    *,
+    now_ms: float,
+    waited_ms: float,
+) -> Decision:
+    """Decides on a charge that is to grow.
+
+    Args:
+        account: All charges.
+        charge: The one that is to grow.
+        more_bytes: By how much.
+        now_ms: The current time.
+        waited_ms: How long it has waited for this.
+    """
+    if fits(account, charge, more_bytes):
+        return Grant()
+    victim = find_victim(
+        account,
+        charge,
+        now_ms=now_ms,
+        is_small=charge.held_bytes + more_bytes <= SMALL_BYTES,
+    )
+    if victim is not None:
+        return Revoke(victim)
+    return Refuse() if waited_ms >= MAX_WAIT_MS else Wait()
+
+
+def find_victim(
+    account: memory_account.MemoryAccount,
+    charge: memory_account.Charge,
+    *,
+    now_ms: float,
+    is_small: bool,
+) -> memory_account.Charge | None:
+    """Returns the charge to close for another one; None if there is none.
+
+    It is one of the team that holds most, the one without progress longest,
+    then the one with most still to come. A team gives way only to those that
+    hold no more than it does. Small charges also displace large ones that make
+    progress.
+    """
+    own_bytes = account.held_by_team(charge.team)
+    best: memory_account.Charge | None = None
+    best_rank = (0, 0.0, 0)
+    for each in account.charges():
+        if each is charge or not each.is_revocable or not each.held_bytes:
+            continue
+        team_bytes = account.held_by_team(each.team)
+        if team_bytes < own_bytes:
+            continue
+        stalled_ms = 0.0 if each.is_waiting else now_ms - each.progress_ms
+        is_displaced = is_small and each.held_bytes > SMALL_BYTES
+        if stalled_ms < STALLED_MS and not is_displaced:
+            continue
+        rank = (team_bytes, stalled_ms, each.remaining_bytes)
+        if best is None or rank > best_rank:
+            best, best_rank = each, rank
+    return best
+
+
+def longest_without_progress(
+    account: memory_account.MemoryAccount,
+) -> memory_account.Charge | None:
+    """Returns the connection to close for a new one in a full table.
+
+    It is the connection that has been idle, or without progress in a request
+    that has not run, for the longest time; None if all of them run requests.
+    """
+    candidates = [
+        each
+        for each in account.charges()
+        if each.kind is memory_account.Kind.CONNECTION and each.is_revocable
+    ]
+    return min(candidates, key=lambda each: each.progress_ms, default=None)
--- /dev/null
+++ b/tests/test_memory_decision.py
@@ -0,0 +1,118 @@
+"""Tests of the decision on memory, without a network."""
+
+import pytest
+
+from quetzalmill import memory_account
+from quetzalmill import memory_decision
+
+_LIMIT_BYTES = 38_000_000
+_BODY_BYTES = 4_194_304
+_STEP_BYTES = 16_384
+_BODY = memory_account.Kind.BODY
+
+
+def _charge(
+    account: memory_account.MemoryAccount, team: str, size_bytes: int
+) -> memory_account.Charge:
+    charge = account.open(_BODY, team, 0.0)
+    account.add(charge, size_bytes)
+    return charge
+
+
+def _read_body(
+    account: memory_account.MemoryAccount,
+    charge: memory_account.Charge,
+    size_bytes: int,
+    now_ms: float,
+) -> bool:
+    """Returns whether a body gets all its memory without waiting."""
+    while charge.is_open and charge.held_bytes < size_bytes:
+        more_bytes = min(_STEP_BYTES, size_bytes - charge.held_bytes)
+        match memory_decision.decide(
+            account, charge, more_bytes, now_ms=now_ms, waited_ms=0.0
+        ):
+            case memory_decision.Grant():
+                account.add(charge, more_bytes)
+            case memory_decision.Revoke(victim=victim):
+                account.close(victim)
+            case _:
+                return False
+        assert account.held_bytes <= _LIMIT_BYTES
+    return charge.is_open
+
+
+class TestCrowdOfOneTeam:
+    """48 bodies of 4 MiB that stop before the end."""
+
+    @pytest.fixture
+    def account(self) -> memory_account.MemoryAccount:
+        account = memory_account.MemoryAccount(_LIMIT_BYTES)
+        for _ in range(48):
+            charge = account.open(_BODY, "crowd", 0.0)
+            _read_body(account, charge, _BODY_BYTES - 1, 0.0)
+        return account
+
+    @pytest.mark.parametrize("team", ["crowd", "other"])
+    def test_small_body_is_always_read(
+        self, account: memory_account.MemoryAccount, team: str
+    ) -> None:
+        for _ in range(200):
+            charge = account.open(_BODY, team, 1.0)
+            assert _read_body(account, charge, _STEP_BYTES, 1.0)
+            account.close(charge)
+
+    def test_large_body_of_another_team_is_read(
+        self, account: memory_account.MemoryAccount
+    ) -> None:
+        charge = account.open(_BODY, "other", 1.0)
+        assert _read_body(account, charge, _BODY_BYTES, 1.0)
+
+    @pytest.mark.parametrize(
+        ("now_ms", "is_read"),
+        [(1.0, False), (memory_decision.STALLED_MS, True)],
+    )
+    def test_stalled_bodies_give_way_to_their_own_team(
+        self,
+        account: memory_account.MemoryAccount,
+        now_ms: float,
+        is_read: bool,
+    ) -> None:
+        charge = account.open(_BODY, "crowd", now_ms)
+        assert _read_body(account, charge, _BODY_BYTES, now_ms) is is_read
+
+
+class TestVictims:
+    """Who is disconnected for others."""
+
+    def test_team_with_less_does_not_give_way(self) -> None:
+        account = memory_account.MemoryAccount(_BODY_BYTES)
+        _charge(account, "little", _BODY_BYTES // 4)
+        charge = _charge(account, "much", _BODY_BYTES // 2)
+        decision = memory_decision.decide(
+            account, charge, _BODY_BYTES, now_ms=9e9, waited_ms=0.0
+        )
+        assert decision == memory_decision.Wait()
+
+    def test_running_request_is_never_revoked(self) -> None:
+        account = memory_account.MemoryAccount(_BODY_BYTES)
+        _charge(account, "much", _BODY_BYTES).is_revocable = False
+        decision = memory_decision.decide(
+            account,
+            account.open(_BODY, "other", 0.0),
+            _BODY_BYTES,
+            now_ms=9e9,
+            waited_ms=memory_decision.MAX_WAIT_MS,
+        )
+        assert decision == memory_decision.Refuse()
+
+    def test_single_body_may_exceed_the_account(self) -> None:
+        account = memory_account.MemoryAccount(1)
+        assert _read_body(account, account.open(_BODY, "", 0.0), 1, 0.0)
+        assert memory_decision.fits(account, *_only(account))
+
+
+def _only(
+    account: memory_account.MemoryAccount,
+) -> tuple[memory_account.Charge, int]:
+    (charge,) = account.charges()
+    return charge, _BODY_BYTES
