Read bodies only as the process's memory allows

Cause: the server read each body up to its own limit, whatever all of them held together, joined large bodies with their heads, and did not accept further connections once its table was full.

Change: host_memory applies the decision: the server charges connections, bodies and unread responses, checks a request that has a body when its head is read, refuses with 503 what finds no memory, and closes the connection without progress longest when the table is full. Without the new arguments of serve() memory is unlimited and every head accepted.

--- a/quetzalmill/http_connection.py
+++ b/quetzalmill/http_connection.py
@@ -35,6 +35,8 @@
 _MAX_CHUNKS_AT_ONCE = 64
 """Chunks that are parsed from received bytes before other tasks run. A server
 may send chunks of one byte, of which a single receive returns thousands."""
+_MAX_JOINED_BYTES = 65_536
+"""Larger bodies are sent apart from their head: joining them copies both."""
 _BAD_GATEWAY = 502
 _STATUSES_WITHOUT_BODY = (204, 304)
 
@@ -203,11 +205,11 @@
         self.skipped_responses = 0
         self.exchanges += 1
         try:
-            data = self._encode(request)
+            parts = self._encode(request)
             if not hooks.may_send():
                 raise errors.RequestWithdrawnError("the request was withdrawn")
             with trio.move_on_at(deadline_s) as scope:
-                return await self._exchange(request, data, hooks, scope)
+                return await self._exchange(request, parts, hooks, scope)
             if self.skipped_responses:
                 raise _only_foreign()
             raise errors.ResponseTimeoutError("no response in time")
@@ -280,23 +282,29 @@
         """Closes the connection immediately."""
         self.stream.socket.close()
 
-    def _encode(self, request: http_message.Request) -> bytes:
+    def _encode(self, request: http_message.Request) -> list[bytes]:
         try:
             headers = _request_headers(request, self.address)
             head = h11.Request(
                 method=request.method, target=request.target(), headers=headers
             )
-            data = self.http.send(head) or b""
+            parts = [self.http.send(head) or b""]
             if request.body:
-                data += self.http.send(h11.Data(data=request.body)) or b""
-            return data + (self.http.send(h11.EndOfMessage()) or b"")
+                self.http.send(h11.Data(data=request.body))
+                if len(request.body) > _MAX_JOINED_BYTES:
+                    # With a length, the body is sent as it is.
+                    parts.append(request.body)
+                else:
+                    parts[0] += request.body
+            self.http.send(h11.EndOfMessage())
+            return parts
         except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             raise errors.BadMessageError(str(error)) from error
 
     async def _exchange(
         self,
         request: http_message.Request,
-        data: bytes,
+        parts: list[bytes],
         hooks: RequestHooks,
         scope: trio.CancelScope,
     ) -> h11.Response:
@@ -304,7 +312,8 @@
         # request is still being sent, so the response is read even if sending
         # fails.
         with contextlib.suppress(trio.BrokenResourceError):
-            await self.stream.send_all(data)
+            for part in parts:
+                await self.stream.send_all(part)
         while True:
             head = await self._read_head(hooks)
             if not hooks.is_unrelated(self.describe(head)):
--- a/quetzalmill/http_reader.py
+++ b/quetzalmill/http_reader.py
@@ -2,18 +2,84 @@
 
 from collections.abc import Awaitable, Callable
 
+import attrs
 import h11
 import trio
 
 from quetzalmill import errors
+from quetzalmill import host_memory
 from quetzalmill import http_message
+from quetzalmill import memory_account
 
 _MAX_CHUNKS_AT_ONCE = 64
 """Chunks that are parsed from received bytes before other tasks run."""
 
+_STEP_BYTES = 16_384
+"""Memory is taken in these steps, as much as one receive returns."""
+
+_GROWTH_FRACTION = 8
+"""A buffer that grows is up to an eighth larger than its content."""
+
+_PROGRESS_BYTES = 4_096
+"""How much has to arrive to count as progress. Bodies that arrive byte by byte
+would otherwise never give way to others."""
+
 _Parsed = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
+class BodyMemory:
+    """The memory of one body that is being read.
+
+    Args:
+        memory: The memory of the process.
+        charge: The charge of the body.
+        connection: The charge of its connection.
+    """
+
+    def __init__(
+        self,
+        memory: host_memory.HostMemory,
+        charge: memory_account.Charge,
+        connection: memory_account.Charge,
+    ) -> None:
+        self._memory = memory
+        self._charge = charge
+        self._connection = connection
+        self._taken_bytes = 0
+        self._progress_bytes = 0
+
+    async def prepare(
+        self, body_bytes: int, declared_bytes: int | None
+    ) -> None:
+        """Takes memory for what the next receive may return.
+
+        Raises:
+            errors.BadMessageError: No memory became free in time (503).
+        """
+        if body_bytes - self._progress_bytes >= _PROGRESS_BYTES:
+            self._progress_bytes = body_bytes
+            self._memory.record_progress(self._charge)
+        needed_bytes = body_bytes + _STEP_BYTES
+        if declared_bytes is not None:
+            needed_bytes = min(needed_bytes, declared_bytes)
+            self._charge.remaining_bytes = declared_bytes - body_bytes
+        if needed_bytes <= self._taken_bytes:
+            return
+        # A step in advance, so that tiny chunks do not take memory each.
+        step_bytes = max(_STEP_BYTES, needed_bytes - self._taken_bytes)
+        if declared_bytes is not None:
+            step_bytes = min(step_bytes, declared_bytes - self._taken_bytes)
+        self._connection.is_waiting = True
+        try:
+            await self._memory.grow(
+                self._charge, step_bytes + step_bytes // _GROWTH_FRACTION
+            )
+        finally:
+            self._connection.is_waiting = False
+            self._memory.record_progress(self._connection)
+        self._taken_bytes += step_bytes
+
+
 class RequestReader:
     """Reads the requests of one connection in sequence.
 
@@ -23,6 +89,9 @@
         receive: Receives some bytes; returns ``b""`` at the end of the
             connection.
         write: Sends bytes; raises ``errors.ConnectionLostError``.
+
+    Attributes:
+        has_body: Whether the current request has a body.
     """
 
     def __init__(
@@ -36,6 +105,8 @@
         self._limits = limits
         self._receive = receive
         self._write = write
+        self._declared_bytes: int | None = None
+        self.has_body = False
 
     async def read(self) -> http_message.Request:
         """Reads a complete request.
@@ -44,18 +115,42 @@
             errors.BadMessageError: The request is malformed, too large or too
                 slow.
         """
+        return await self.read_body(await self.read_head())
+
+    async def read_head(self) -> http_message.Request:
+        """Reads a request without its body; raises the errors of ``read``."""
         head = await self._read_head()
         path, raw_query, query = http_message.parse_target(head.target)
-        body = await self._read_body(head)
+        self._declared_bytes = None
+        self.has_body = False
+        for name, value in head.headers:
+            if name == b"content-length":
+                self._declared_bytes = int(value)
+                self.has_body = self._declared_bytes > 0
+            elif name == b"transfer-encoding":
+                self.has_body = True
         return http_message.Request(
             method=head.method.decode("ascii"),
             path=path,
             query=query,
             raw_query=raw_query,
             headers=http_message.join_headers(list(head.headers)),
-            body=body,
         )
 
+    async def read_body(
+        self,
+        request: http_message.Request,
+        memory: BodyMemory | None = None,
+    ) -> http_message.Request:
+        """Reads the body of a request; raises the errors of ``read``.
+
+        Args:
+            request: The request as returned by ``read_head``.
+            memory: The memory of the body; if left out, it is not bounded.
+        """
+        body = await self._read_body(memory)
+        return attrs.evolve(request, body=body) if body else request
+
     async def _read_head(self) -> h11.Request:
         with trio.move_on_after(self._limits.header_timeout_ms / 1000.0):
             event = await self._next_event()
@@ -67,11 +162,11 @@
             return event
         raise errors.BadMessageError("the head did not end in time", 408)
 
-    async def _read_body(self, head: h11.Request) -> bytes:
+    async def _read_body(self, memory: BodyMemory | None) -> bytes:
         limit_bytes = self._limits.max_body_bytes
-        for name, value in head.headers:
-            if name == b"content-length" and int(value) > limit_bytes:
-                raise _body_too_large(limit_bytes)
+        declared_bytes = self._declared_bytes
+        if declared_bytes is not None and declared_bytes > limit_bytes:
+            raise _body_too_large(limit_bytes)
         if self._http.they_are_waiting_for_100_continue:
             await self._send_continue()
         body = bytearray()
@@ -80,6 +175,8 @@
             chunks += 1
             if chunks % _MAX_CHUNKS_AT_ONCE == 0:
                 await trio.lowlevel.checkpoint()
+            if memory is not None:
+                await memory.prepare(len(body), declared_bytes)
             with trio.move_on_after(self._limits.idle_timeout_ms / 1000.0):
                 event = await self._next_event()
                 if not isinstance(event, h11.Data):
