Bound what a gateway holds for its callers

Cause: 48 callers with bodies of 4 MiB raised a gateway to 260 MB, 48 that did not read their responses to 911 MB; the smallest hosts have 128 MB.

Routes and keys are checked when the head is complete (head_check, from GatewayHandler._admit). Prompts put together from chains and responses of endpoints are charged too. limits.maxFds bounds the connections of callers. Counters by action and kind, gauges by kind, one rate-limited log line.

--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -21,6 +21,7 @@
 from quetzalmill import errors
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_handler
+from quetzalmill import gateway_memory
 from quetzalmill import gateway_messages
 from quetzalmill import gateway_metrics
 from quetzalmill import gateway_settings
@@ -109,6 +110,7 @@
         )
         for address in settings.seeds:
             self.state.peers.add_address(address, self.clock.now_ms())
+        self._memory = gateway_memory.create(settings, self.metrics)
         cache_bytes = int(settings.memory_mb * _CACHE_FRACTION * _BYTES_PER_MB)
         self._cache = conversations.TurnCache(cache_bytes)
         self._control = peer_http.PeerClient()
@@ -271,7 +273,8 @@
             response_memory.ResponseMemory(
                 int(
                     self._settings.memory_mb * _ANSWERS_FRACTION * _BYTES_PER_MB
-                )
+                ),
+                self._memory,
             ),
         )
         self._handler = gateway_handler.GatewayHandler(
@@ -387,10 +390,12 @@
         await http_server.serve(
             self._settings.callers_address,
             self._handler.handle,
-            limits=http_message.Limits(),
+            limits=gateway_memory.limits(self._settings),
             stopping=self._stopping,
             on_error=_report_error,
             current_limits=self.state.caller_limits,
+            check_head=self._handler.check_head,
+            memory=self._memory,
             task_status=task_status,
         )
         self._callers_drained.set()
@@ -428,6 +433,7 @@
 
     def _set_gauges(self) -> None:
         table = self.state.table
+        gateway_memory.set_gauges(self.metrics, self._memory)
         self.metrics.set_state(
             "table_version", 0 if table is None else table.version
         )
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -15,6 +15,7 @@
 from quetzalmill import gateway_responses
 from quetzalmill import gateway_state
 from quetzalmill import gateway_turns
+from quetzalmill import head_check
 from quetzalmill import http_message
 from quetzalmill import http_server
 from quetzalmill import load_control
@@ -24,10 +25,6 @@
 from quetzalmill import team_buckets
 from quetzalmill import turn_allowance
 
-NO_TABLE_RETRY_MS = 500.0
-"""The retry time while no route table, or only an outdated one, is known; a
-gateway takes about that long to start."""
-
 CRASHING_RETRY_MS = 60_000.0
 """The retry time of a request that has crashed several endpoints."""
 
@@ -59,6 +56,7 @@
     Attributes:
         random: Breaks ties.
         shutdown: Decides what is still taken, and ends it in time.
+        check_head: Checks a request before its body is read.
     """
 
     def __init__(
@@ -78,6 +76,9 @@
         self.record_bytes = record_bytes
         self.random = random.Random()
         self.shutdown = shutdown_module.Shutdown()
+        self.check_head = head_check.HeadCheck(
+            state, dialect, self._record_refusal
+        ).check
 
     async def handle(
         self, request: http_message.Request, exchange: http_server.Exchange
@@ -110,6 +111,17 @@
             exchange.abort()
         self._record(active, outcome, exchange)
 
+    def _record_refusal(
+        self,
+        call: gateway_calls.Call,
+        refused: outcomes.Refused,
+        exchange: http_server.Exchange,
+    ) -> None:
+        """Records a request that was refused before its body was read."""
+        now_ms = self._state.clock.now_ms()
+        active = _ActiveRequest(self, call, exchange, now_ms)
+        self._record(active, refused, exchange)
+
     def _record(
         self,
         active: "_ActiveRequest",
@@ -218,22 +230,11 @@
 
     def _admit(self) -> outcomes.Refused | None:
         """Checks route, key, crashes and rate; returns a refusal or None."""
-        table = self._state.table
-        if table is None:
-            return outcomes.Refused(
-                status=503,
-                reason="no route table is known yet",
-                retry_after_ms=NO_TABLE_RETRY_MS,
-            )
-        self.route = table.match(self.call.host, self.call.http.path)
-        if self.route is None:
-            return self._refuse_unmatched(404, "no route matches")
+        access = head_check.check(self._state, self.call)
+        self.route, self.team = access.route, access.team
+        if self.route is None or access.refused is not None:
+            return access.refused
         self._is_start = self.route.stateful and not self._has_started
-        team = table.team_for(self.call.key) if self.call.key else None
-        if team is None and table.teams and not self.route.public:
-            return self._refuse_unmatched(401, "the key is not known")
-        if team is not None:
-            self.team = team.name
         if self._state.crashes.is_refused(self._fingerprint()):
             return outcomes.Refused(
                 status=503,
@@ -299,16 +300,6 @@
             return min(max_wait_ms, MAX_START_WAIT_MS)
         return max_wait_ms
 
-    def _refuse_unmatched(self, status: int, reason: str) -> outcomes.Refused:
-        """Refuses a request for good only if the route table is fresh."""
-        if self._state.table_is_fresh():
-            return outcomes.Refused(status=status, reason=reason)
-        return outcomes.Refused(
-            status=503,
-            reason=f"{reason} in a route table that may be out of date",
-            retry_after_ms=NO_TABLE_RETRY_MS,
-        )
-
     async def _run_turn(self, service: route_table.Service) -> outcomes.Outcome:
         assert self.route is not None
         turns = self._handler.turns
@@ -415,6 +406,9 @@
         allowance: turn_allowance.Allowance | None = None,
     ) -> outcomes.Outcome:
         assert self.route is not None
+        is_chain = len(body) > len(self.call.http.body)
+        if is_chain and not self._exchange.hold_prompt(len(body)):
+            return outcomes.NO_MEMORY
         refused = await self._acquire_rate()
         if refused is not None:
             return refused
--- a/quetzalmill/gateway_metrics.py
+++ b/quetzalmill/gateway_metrics.py
@@ -52,6 +52,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._memory_actions = prometheus_client.Counter(
+            "quetzalmill_memory_actions",
+            "What was done for lack of memory or connections, by the kind of"
+            " the charge.",
+            ["action", "kind"],
+            registry=self._registry,
+        )
         self._gauges = prometheus_client.Gauge(
             "quetzalmill_state",
             "What the gateway believes, by name.",
@@ -90,6 +97,10 @@
         """
         self._last_requests.observe(last_request_ms / 1000.0)
 
+    def memory_action(self, action: str, kind: str) -> None:
+        """Counts what was done for lack of memory or connections."""
+        self._memory_actions.labels(action, kind).inc()
+
     def set_state(self, name: str, value: float) -> None:
         """Sets a gauge of the gateway's local view."""
         self._gauges.labels(name).set(value)
--- a/quetzalmill/gateway_outcomes.py
+++ b/quetzalmill/gateway_outcomes.py
@@ -82,6 +82,11 @@
 )
 """It could run, but not be kept, and so not end whole."""
 
+NO_MEMORY = Refused(
+    status=503, reason="memory is short", retry_after_ms=1_000.0
+)
+"""Its conversation does not fit into the memory that is free."""
+
 
 def problem_body(reason: str, ran: str) -> bytes:
     """Returns the body of a response that the gateway itself generates."""
--- a/quetzalmill/gateway_settings.py
+++ b/quetzalmill/gateway_settings.py
@@ -25,6 +25,8 @@
         out_of_rotation_ms: The time from reporting not ready until no new
             connections arrive.
         record_bytes: The size of the store's largest record; 0 if unknown.
+        max_fds: The descriptors of the host, 200 of them reserved; 0 if
+            unknown.
     """
 
     host: str
@@ -43,3 +45,4 @@
     grace_ms: float
     out_of_rotation_ms: float
     record_bytes: int = 0
+    max_fds: int = 0
--- a/quetzalmill/http_server.py
+++ b/quetzalmill/http_server.py
@@ -56,8 +56,7 @@
         current_limits: Returns the limits of a new connection, if they can
             change; ``max_connections`` is still taken from ``limits``.
         check_head: Called for each request that has a body, before it is read.
-        memory: The memory of the process; unlimited if left out. No other
-            server may share it.
+        memory: The memory of the process; unlimited if left out.
         task_status: Reports the port that the server listens on.
     """
     listener = await http_listener.listen(address)
@@ -123,7 +122,9 @@
         """
         while self._connections >= self._max_connections:
             memory = self._state.memory
-            victim = memory_decision.longest_without_progress(memory.account)
+            victim = memory_decision.longest_without_progress(
+                self._state.connections
+            )
             if victim is not None:
                 memory.revoke(victim, host_memory.Action.TABLE_FULL)
             closed = self._closed = trio.Event()
--- a/quetzalmill/http_server_connection.py
+++ b/quetzalmill/http_server_connection.py
@@ -92,6 +92,7 @@
         check_head: Called for each request that has a body.
         memory: The memory of the process.
         idle: The connections that wait for a request.
+        connections: The charges of all connections.
     """
 
     handler: Handler
@@ -101,6 +102,7 @@
     check_head: HeadCheck
     memory: host_memory.HostMemory
     idle: set["Connection"] = attrs.field(factory=set)
+    connections: set[memory_account.Charge] = attrs.field(factory=set)
 
 
 class Connection:
@@ -128,6 +130,7 @@
             memory_account.CONNECTIONS,
             self._scope.cancel,
         )
+        server.connections.add(self.charge)
         self._request_charges: list[memory_account.Charge] = []
 
     async def run(self) -> None:
@@ -143,6 +146,7 @@
         finally:
             self._close_request_charges()
             self._memory.close(self.charge)
+            self._server.connections.discard(self.charge)
 
     def end_idle(self) -> None:
         """Stops waiting for another request.
--- a/quetzalmill/memory_decision.py
+++ b/quetzalmill/memory_decision.py
@@ -5,6 +5,8 @@
 do not read their responses. Ordinary callers send small requests meanwhile.
 """
 
+from collections.abc import Iterable
+
 import attrs
 
 from quetzalmill import memory_account
@@ -65,7 +67,11 @@
     more_bytes: int,
 ) -> bool:
     """Returns whether a charge may grow without any other one being closed."""
-    if account.held_bytes == charge.held_bytes:
+    connections = memory_account.Kind.CONNECTION
+    others_bytes = account.held_bytes - charge.held_bytes
+    if charge.kind is not connections and others_bytes <= account.held_by_kind(
+        connections
+    ):
         # A single request is served however small the host is.
         return True
     free_bytes = account.free_bytes - more_bytes
@@ -140,7 +146,7 @@
 
 
 def longest_without_progress(
-    account: memory_account.MemoryAccount,
+    connections: Iterable[memory_account.Charge],
 ) -> memory_account.Charge | None:
     """Returns the connection to close for a new one in a full table.
 
@@ -148,8 +154,6 @@
     that has not run, for the longest time; None if all of them run requests.
     """
     candidates = [
-        each
-        for each in account.charges()
-        if each.kind is memory_account.Kind.CONNECTION and each.is_revocable
+        each for each in connections if each.is_revocable and each.is_open
     ]
     return min(candidates, key=lambda each: each.progress_ms, default=None)
--- /dev/null
+++ b/tests/test_server_memory.py
@@ -0,0 +1,212 @@
+"""Tests of a server that checks heads and shares a bounded memory."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+import contextlib
+import functools
+
+import attrs
+import pytest
+import trio
+
+from quetzalmill import errors
+from quetzalmill import host_memory
+from quetzalmill import http_message
+from quetzalmill import http_server
+from quetzalmill import http_server_connection
+from quetzalmill import memory_account
+
+_LIMIT_S = 20.0
+_LIMIT_BYTES = 1_000_000
+_LARGE_HEAD = (
+    b"POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\n"
+)
+_SMALL = b"POST /small HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx"
+
+
+@attrs.define
+class _Server:
+    """A server whose requests end when they are told to."""
+
+    port: int = 0
+    ran: list[str] = attrs.field(factory=list)
+    may_end: trio.Event = attrs.field(factory=trio.Event)
+
+    async def handle(
+        self, request: http_message.Request, exchange: http_server.Exchange
+    ) -> None:
+        self.ran.append(request.path)
+        if request.path == "/held":
+            await self.may_end.wait()
+        await exchange.respond(200, b"done")
+
+    async def connect(self, data: bytes = b"") -> trio.SocketStream:
+        stream = await trio.open_tcp_stream("127.0.0.1", self.port)
+        if data:
+            await stream.send_all(data)
+        return stream
+
+
+@contextlib.asynccontextmanager
+async def _serving(
+    *,
+    max_connections: int = 100,
+    check_head: http_server_connection.HeadCheck = (
+        http_server_connection.accept_all
+    ),
+) -> AsyncIterator[_Server]:
+    server = _Server()
+    with trio.fail_after(_LIMIT_S):
+        async with trio.open_nursery() as nursery:
+            server.port = await nursery.start(
+                functools.partial(
+                    http_server.serve,
+                    "127.0.0.1:0",
+                    server.handle,
+                    limits=http_message.Limits(max_connections=max_connections),
+                    stopping=trio.Event(),
+                    check_head=check_head,
+                    memory=host_memory.HostMemory(_LIMIT_BYTES),
+                )
+            )
+            yield server
+            nursery.cancel_scope.cancel()
+
+
+async def _read_to_end(stream: trio.SocketStream) -> bytes:
+    return b"".join([part async for part in stream])
+
+
+def _run(main: Callable[[], Awaitable[None]]) -> None:
+    trio.run(main)
+
+
+class TestHeads:
+    """A request is refused when its head has been read."""
+
+    def test_body_is_not_awaited(self) -> None:
+        """Guards against bodies that are stored before keys are checked."""
+
+        async def respond(exchange: http_server.Exchange) -> None:
+            await exchange.respond(401, b"no")
+
+        async def main() -> None:
+            rejected = http_server_connection.Rejected(respond)
+            async with _serving(check_head=lambda _: rejected) as server:
+                stream = await server.connect(_LARGE_HEAD + bytes(10))
+                response = await _read_to_end(stream)
+                assert response.startswith(b"HTTP/1.1 401")
+                assert b"connection: close" in response.lower()
+                assert not server.ran
+
+        _run(main)
+
+
+class TestBodies:
+    """A large body that stops before the end."""
+
+    def test_it_gives_way_with_a_true_refusal(self) -> None:
+        """Guards against 503 for a request that may have run."""
+
+        async def main() -> None:
+            async with _serving() as server:
+                stalled = await server.connect(_LARGE_HEAD + bytes(899_999))
+                await trio.sleep(0.1)
+                for _ in range(8):
+                    other = await server.connect(_SMALL)
+                    assert b"200" in await other.receive_some(100)
+                refused = await _read_to_end(stalled)
+                assert refused.startswith(b"HTTP/1.1 503")
+                assert b'"ran": "no"' in refused
+                assert b"retry-after" in refused.lower()
+                assert "/large" not in server.ran
+
+        _run(main)
+
+
+class TestFullTable:
+    """More connections than the server keeps."""
+
+    def test_idle_connections_give_way(self) -> None:
+        """Guards against idle callers that keep others out."""
+
+        async def main() -> None:
+            async with _serving(max_connections=2) as server:
+                first, _ = [await server.connect() for _ in range(2)]
+                await trio.sleep(0.1)
+                third = await server.connect(_SMALL)
+                assert b"200" in await third.receive_some(100)
+                assert not await first.receive_some(1)
+
+        _run(main)
+
+    def test_running_requests_do_not_give_way(self) -> None:
+        """Guards against requests that run without getting a response."""
+
+        async def main() -> None:
+            async with _serving(max_connections=1) as server:
+                held = await server.connect(_SMALL.replace(b"small", b"held"))
+                while not server.ran:
+                    await trio.sleep(0.01)
+                second = await server.connect(_SMALL)
+                await trio.sleep(0.2)
+                assert server.ran == ["/held"]
+                server.may_end.set()
+                assert b"200" in await held.receive_some(100)
+                assert b"200" in await second.receive_some(100)
+
+        _run(main)
+
+
+class TestWaiting:
+    """Bodies that wait for memory."""
+
+    def test_nearly_complete_body_goes_first(self) -> None:
+        async def main() -> None:
+            memory = host_memory.HostMemory(_LIMIT_BYTES)
+            granted: list[int] = []
+
+            def ignore() -> None:
+                raise AssertionError("nothing is to be revoked")
+
+            def open_charge(size_bytes: int) -> memory_account.Charge:
+                kind = memory_account.Kind.BODY
+                charge = memory.open(kind, "team", ignore)
+                memory.add(charge, size_bytes)
+                return charge
+
+            running = open_charge(400_000)
+            running.is_revocable = False
+
+            async def wait(remaining_bytes: int) -> None:
+                charge = open_charge(30_000)
+                charge.remaining_bytes = remaining_bytes
+                with contextlib.suppress(errors.BadMessageError):
+                    await memory.grow(charge, 200_000)
+                    granted.append(remaining_bytes)
+
+            async with trio.open_nursery() as nursery:
+                for remaining_bytes in (900, 100, 500):
+                    nursery.start_soon(wait, remaining_bytes)
+                await trio.sleep(0.05)
+                assert not granted
+                memory.shrink(running, 100_000)
+                await trio.sleep(0.05)
+                assert granted == [100]
+                nursery.cancel_scope.cancel()
+
+        _run(main)
+
+    def test_refused_when_no_memory_becomes_free(self) -> None:
+        async def main() -> None:
+            memory = host_memory.HostMemory(_LIMIT_BYTES)
+            kind = memory_account.Kind.BODY
+            running = memory.open(kind, "team", lambda: None)
+            running.is_revocable = False
+            memory.add(running, _LIMIT_BYTES)
+            charge = memory.open(kind, "team", lambda: None)
+            with pytest.raises(errors.BadMessageError) as raised:
+                await memory.grow(charge, 100_000)
+            assert raised.value.status == 503
+            assert charge.held_bytes == 0
+
+        _run(main)
