Charge control calls and internal requests to the memory account

Cause: messages of peers (8 MiB each, 4,096 connections) and requests to the readiness and metrics addresses were bounded one by one only. Change: they share the gateway's account; tables of 512 and 64 connections, and bodies up to 16 KiB at the internal addresses, whose requests have none.

--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -153,7 +153,9 @@
             link = peer_link.PeerLink(self.state, self._settings.peer_address)
             await nursery.start(link.run)
             await nursery.start(self._calls.run)
-            server = peer_http.PeerServer(self._control_handlers())
+            server = peer_http.PeerServer(
+                self._control_handlers(), self._memory
+            )
             await nursery.start(server.serve, self._settings.peer_address)
             nursery.start_soon(self._follow_peer_tables)
             nursery.start_soon(self._members.run)
@@ -408,9 +410,10 @@
         await http_server.serve(
             address,
             self._answer_internal,
-            limits=http_message.Limits(),
+            limits=gateway_memory.INTERNAL_LIMITS,
             stopping=trio.Event(),
             on_error=_report_error,
+            memory=self._memory,
             task_status=task_status,
         )
 
--- a/quetzalmill/gateway_memory.py
+++ b/quetzalmill/gateway_memory.py
@@ -18,6 +18,10 @@
 """The fraction of the other descriptors for connections of callers; the rest is
 for connections to endpoints, peers and the store."""
 
+INTERNAL_LIMITS = http_message.Limits(max_body_bytes=16_384, max_connections=64)
+"""The limits of the addresses of readiness and metrics, whose requests have no
+bodies and come from a few probes and operators."""
+
 _MIN_CONNECTIONS = 16
 _BYTES_PER_MB = 1_048_576
 
--- a/quetzalmill/peer_http.py
+++ b/quetzalmill/peer_http.py
@@ -16,9 +16,11 @@
 from quetzalmill import control_method
 from quetzalmill import errors
 from quetzalmill import exchange_ids
+from quetzalmill import host_memory
 from quetzalmill import http_client
 from quetzalmill import http_message
 from quetzalmill import http_server
+from quetzalmill import http_server_connection
 from quetzalmill import logs
 
 CONNECT_TIMEOUT_MS = 300.0
@@ -31,6 +33,11 @@
 IDLE_MS = 15_000.0
 """How long a server keeps an idle connection; as long as callers do."""
 
+MAX_CONNECTIONS = 512
+"""The most connections of peers; several from each of a hundred gateways."""
+
+_TEAM = "(peers)"
+"""What messages are charged to. Peers are not told apart."""
 _CONTENT_TYPE = "application/msgpack"
 _OK = 200
 _BAD_REQUEST = 400
@@ -106,12 +113,15 @@
 
     Args:
         handlers: The handler of each method.
+        memory: The memory of the process; unlimited if left out.
     """
 
     def __init__(
         self,
         handlers: Mapping[control_method.Method, control_method.Handler],
+        memory: host_memory.HostMemory | None = None,
     ) -> None:
+        self._memory = memory
         self._handlers = {
             f"/{method.name}": (method, handler)
             for method, handler in handlers.items()
@@ -127,10 +137,14 @@
             address,
             self._answer,
             limits=http_message.Limits(
-                max_body_bytes=MAX_MESSAGE_BYTES, idle_timeout_ms=IDLE_MS
+                max_body_bytes=MAX_MESSAGE_BYTES,
+                idle_timeout_ms=IDLE_MS,
+                max_connections=MAX_CONNECTIONS,
             ),
             stopping=trio.Event(),
             on_error=_report_error,
+            check_head=_accept_peer,
+            memory=self._memory,
             task_status=task_status,
         )
 
@@ -159,5 +173,12 @@
         )
 
 
+def _accept_peer(
+    request: http_message.Request,
+) -> http_server_connection.Accepted | http_server_connection.Rejected:
+    del request
+    return http_server_connection.Accepted(_TEAM)
+
+
 def _report_error(error: BaseException) -> None:
     _log.error("call_failed", reason=repr(error))
