Bound the datagram calls that a gateway remembers

Cause: each datagram with a new number was kept for three seconds with its reply, however many arrived. Change: beyond 16,384 calls or 8 MiB of replies a call is dropped; it has not taken effect. Earlier calls are kept, since repeats must not take effect twice. Result: test_peer_calls passes, with a test of the bound.

--- a/quetzalmill/peer_calls.py
+++ b/quetzalmill/peer_calls.py
@@ -37,6 +37,14 @@
 DEDUPLICATION_MS = 3_000.0
 """How long a callee remembers a call; longer than callers wait for a reply."""
 
+MAX_SERVED_CALLS = 16_384
+"""How many calls a callee remembers; four times those of 600 turns a second.
+Beyond that, calls are dropped without taking effect: forgetting an earlier one
+could let its repeat take effect again."""
+
+MAX_REPLY_BYTES = 8_388_608
+"""The memory of all replies that are remembered; 512 bytes for each call."""
+
 _NUMBER_BITS = 48
 _MAX_DATAGRAM_BYTES = 8_192
 _MAX_DATAGRAMS_PER_WAKEUP = 64
@@ -107,6 +115,7 @@
         self._numbers = itertools.count(secrets.randbits(_NUMBER_BITS))
         self._pending: dict[int, _PendingCall] = {}
         self._served: dict[_Key, _ServedCall] = {}
+        self._reply_bytes = 0
         self._socket = datagrams.open_socket()
 
     async def run(
@@ -229,6 +238,12 @@
             working = _Frame(frame.number, "", b"", is_working=True)
             self._send(served.reply or codec.to_msgpack(working), source)
             return
+        if (
+            len(self._served) >= MAX_SERVED_CALLS
+            or self._reply_bytes >= MAX_REPLY_BYTES
+        ):
+            _log.warning("call_dropped", peer=source[0], held=len(self._served))
+            return
         found = self._handlers.get(frame.method)
         if found is None:
             _log.warning("call_unknown", peer=source[0], method=frame.method)
@@ -271,6 +286,7 @@
         data = codec.to_msgpack(frame)
         if (served := self._served.get(key)) is not None:
             served.reply = data
+            self._reply_bytes += len(data)
         self._send(data, source)
 
     def _expire_served(self) -> None:
@@ -279,4 +295,5 @@
             key = next(iter(self._served))
             if self._served[key].received_ms > oldest_ms:
                 return
-            del self._served[key]
+            served = self._served.pop(key)
+            self._reply_bytes -= len(served.reply or b"")
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -156,6 +156,37 @@
 
         trio.run(main)
 
+    def test_calls_beyond_the_bound_are_dropped(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against datagrams that fill the memory of a gateway."""
+        monkeypatch.setattr(peer_calls, "MAX_SERVED_CALLS", 2)
+        callee = _Callee()
+
+        async def main() -> None:
+            async with _running(callee) as (_, port):
+                payload = codec.to_msgpack(_Number(3))
+                with trio.socket.socket(type=socket.SOCK_DGRAM) as sender:
+                    for number, is_answered in (
+                        (1, True),
+                        (2, True),
+                        (3, False),
+                        (1, True),
+                    ):
+                        frame = {
+                            "number": number,
+                            "method": "Double",
+                            "payload": payload,
+                        }
+                        await sender.sendto(
+                            codec.to_msgpack(frame), ("127.0.0.3", port)
+                        )
+                        if is_answered:
+                            await sender.recv(1_000)
+            assert callee.served == [3, 3]
+
+        trio.run(main)
+
     def test_unreadable_datagram_ends_nothing(self) -> None:
         callee = _Callee()
 
