Bound what entries and sidecars hold for their callers

Cause: the same fault as at gateways: each body is bounded, not their sum. Change: both have a memory account of a quarter of the machine's memory, for callers and operators. Keys are still checked after the body, so all callers are one team there. Result: test_callers, test_operators, test_answers, test_settings, test_examples and test_server_memory pass. No crowd was run against an entry.

--- a/quetzalmill/entry.py
+++ b/quetzalmill/entry.py
@@ -196,6 +196,7 @@
             ),
             stopping=trio.Event(),
             on_error=process_core.report_error,
+            memory=self._core.memory,
             task_status=task_status,
         )
 
--- a/quetzalmill/host_memory.py
+++ b/quetzalmill/host_memory.py
@@ -1,6 +1,7 @@
 """Applies the decision on memory to the tasks of one process."""
 
 from collections.abc import Callable
+import os
 import sys
 
 import attrs
@@ -14,6 +15,10 @@
 _RECHECK_MS = 100.0
 """The interval in which bodies that wait look for one that has stalled."""
 
+_MACHINE_FRACTION = 0.25
+"""The fraction of the machine's memory for callers of a process whose settings
+do not give its memory; engines and other processes run beside it."""
+
 _MAX_LOGGED_CHARS = 64
 
 _log = logs.get("memory")
@@ -223,5 +228,11 @@
         )
 
 
+def of_machine() -> HostMemory:
+    """Returns the memory of a process whose settings do not give it."""
+    machine_bytes = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+    return HostMemory(int(_MACHINE_FRACTION * machine_bytes))
+
+
 def _now_ms() -> float:
     return trio.current_time() * 1000.0
--- a/quetzalmill/process_core.py
+++ b/quetzalmill/process_core.py
@@ -16,6 +16,7 @@
 from quetzalmill import control
 from quetzalmill import daemon
 from quetzalmill import fleet_view
+from quetzalmill import host_memory
 from quetzalmill import http_client
 from quetzalmill import http_message
 from quetzalmill import http_server
@@ -88,6 +89,7 @@
             settings.log_address,
             timeout_ms=LOG_TIMEOUT_MS,
         )
+        self.memory = host_memory.of_machine()
         self.stopping = trio.Event()
         self._stop_requested = trio.Event()
         self._replaced = trio.Event()
@@ -131,6 +133,7 @@
             limits=limits,
             stopping=self.stopping,
             on_error=report_error,
+            memory=self.memory,
             task_status=task_status,
         )
         self._served.set()
