Bound connections by the descriptors that the process may open

Cause: with a lower limit of the system than limits.maxFds, a full table would show as failing accepts, which no closed connection ends. Two rules of the decision had no test that fails without them. Change: the lower of both counts. Tests of the limits, of prompts without memory, and of a crowd of 48 teams.

--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -392,7 +392,7 @@
         await http_server.serve(
             self._settings.callers_address,
             self._handler.handle,
-            limits=gateway_memory.limits(self._settings),
+            limits=gateway_memory.limits(self._settings.max_fds),
             stopping=self._stopping,
             on_error=_report_error,
             current_limits=self.state.caller_limits,
--- a/quetzalmill/gateway_memory.py
+++ b/quetzalmill/gateway_memory.py
@@ -1,5 +1,7 @@
 """The memory and the connections that a gateway allows its callers."""
 
+import resource
+
 from quetzalmill import gateway_metrics
 from quetzalmill import gateway_settings
 from quetzalmill import host_memory
@@ -37,15 +39,21 @@
     )
 
 
-def limits(settings: gateway_settings.GatewaySettings) -> http_message.Limits:
-    """Returns the limits of a gateway's server for callers."""
-    defaults = http_message.Limits()
-    if not settings.max_fds:
-        return defaults
-    usable = settings.max_fds - RESERVED_FDS
+def limits(max_fds: int, descriptors: int | None = None) -> http_message.Limits:
+    """Returns the limits of a gateway's server for callers.
+
+    Args:
+        max_fds: The descriptors that the settings give; 0 if unknown.
+        descriptors: Those that the process may open; by default, what the
+            system allows it. Without this bound a full table would show as
+            failing accepts, which no closed connection ends.
+    """
+    if descriptors is None:
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    usable = min(max_fds or descriptors, descriptors) - RESERVED_FDS
     return http_message.Limits(
         max_connections=min(
-            defaults.max_connections,
+            http_message.Limits().max_connections,
             max(_MIN_CONNECTIONS, int(CALLERS_FRACTION * usable)),
         )
     )
--- a/tests/test_memory_decision.py
+++ b/tests/test_memory_decision.py
@@ -81,6 +81,27 @@
         assert _read_body(account, charge, _BODY_BYTES, now_ms) is is_read
 
 
+class TestCrowdOfManyTeams:
+    """48 bodies of 48 teams, which make progress or run already."""
+
+    @pytest.mark.parametrize(
+        ("is_running", "small_bodies"),
+        # Those that run leave the reserve; others give way beyond it.
+        [(True, 200), (False, 400)],
+    )
+    def test_small_bodies_are_read_at_once(
+        self, is_running: bool, small_bodies: int
+    ) -> None:
+        account = memory_account.MemoryAccount(_LIMIT_BYTES)
+        for number in range(48):
+            charge = account.open(_BODY, f"crowd-{number}", 0.0)
+            _read_body(account, charge, _BODY_BYTES - 1, 0.0)
+            charge.is_revocable = not is_running
+        for _ in range(small_bodies):
+            charge = account.open(_BODY, "other", 1.0)
+            assert _read_body(account, charge, _STEP_BYTES, 1.0)
+
+
 class TestVictims:
     """Who is disconnected for others."""
 
--- a/tests/test_server_memory.py
+++ b/tests/test_server_memory.py
@@ -10,6 +10,7 @@
 import trio
 
 from quetzalmill import errors
+from quetzalmill import gateway_memory
 from quetzalmill import host_memory
 from quetzalmill import http_message
 from quetzalmill import http_server
@@ -31,11 +32,15 @@
     port: int = 0
     ran: list[str] = attrs.field(factory=list)
     may_end: trio.Event = attrs.field(factory=trio.Event)
+    serve_with: http_server.Handler | None = None
 
     async def handle(
         self, request: http_message.Request, exchange: http_server.Exchange
     ) -> None:
         self.ran.append(request.path)
+        if self.serve_with is not None:
+            await self.serve_with(request, exchange)
+            return
         if request.path == "/held":
             await self.may_end.wait()
         await exchange.respond(200, b"done")
@@ -182,6 +187,59 @@
         _run(main)
 
 
+class TestPrompts:
+    """Prompts that are put together from chains of turns."""
+
+    def test_prompt_without_memory_is_not_held(self) -> None:
+        """Guards against chains that together exceed the memory."""
+        held: list[bool] = []
+
+        async def main() -> None:
+            async with _serving() as server:
+
+                async def hold(
+                    request: http_message.Request,
+                    exchange: http_server.Exchange,
+                ) -> None:
+                    held.append(exchange.hold_prompt(500_000))
+                    if len(held) < 3:
+                        await server.may_end.wait()
+                    await exchange.respond(200, request.body)
+
+                server.serve_with = hold
+                streams = [await server.connect(_SMALL) for _ in range(2)]
+                while len(held) < 2:
+                    await trio.sleep(0.01)
+                server.may_end.set()
+                for stream in streams:
+                    assert b"200" in await stream.receive_some(100)
+                last = await server.connect(_SMALL)
+                assert b"200" in await last.receive_some(100)
+            assert held == [True, False, True]
+
+        _run(main)
+
+
+class TestLimits:
+    """The connections that a gateway's settings allow."""
+
+    @pytest.mark.parametrize(
+        ("max_fds", "descriptors", "connections"),
+        [
+            (300, 20_000, 75),
+            (4_100, 20_000, 2_925),
+            (4_100, 1_024, 618),
+            (0, 20_000, 4_096),
+            (210, 20_000, 16),
+        ],
+    )
+    def test_descriptors_bound_the_connections(
+        self, max_fds: int, descriptors: int, connections: int
+    ) -> None:
+        limits = gateway_memory.limits(max_fds, descriptors)
+        assert limits.max_connections == connections
+
+
 class TestWaiting:
     """Bodies that wait for memory."""
 
