--- a/quetzalmill/host_memory.py
+++ b/quetzalmill/host_memory.py
@@ -206,6 +206,8 @@
 
     def _grant_waiting(self) -> None:
         """Grants freed memory, first to what has least still to come."""
+        if not self._waiters:
+            return
         for waiter in sorted(
             self._waiters, key=lambda each: each.charge.remaining_bytes
         ):
