Close unread responses when the connection table is full

Cause: callers that do not read large responses could fill the table until the idle timeout, since their requests count as running. Result: a test in test_server_memory, red without the change.

--- a/quetzalmill/http_server.py
+++ b/quetzalmill/http_server.py
@@ -123,7 +123,7 @@
         while self._connections >= self._max_connections:
             memory = self._state.memory
             victim = memory_decision.longest_without_progress(
-                self._state.connections
+                self._state.closable, trio.current_time() * 1000.0
             )
             if victim is not None:
                 memory.revoke(victim, host_memory.Action.TABLE_FULL)
--- a/quetzalmill/http_server_connection.py
+++ b/quetzalmill/http_server_connection.py
@@ -88,7 +88,7 @@
         check_head: Called for each request that has a body.
         memory: The memory of the process.
         idle: The connections that wait for a request.
-        connections: The charges of all connections.
+        closable: The charges of all connections and unread responses.
     """
 
     handler: Handler
@@ -98,7 +98,7 @@
     check_head: HeadCheck
     memory: host_memory.HostMemory
     idle: set["Connection"] = attrs.field(factory=set)
-    connections: set[memory_account.Charge] = attrs.field(factory=set)
+    closable: set[memory_account.Charge] = attrs.field(factory=set)
 
 
 class Connection:
@@ -130,7 +130,7 @@
             memory_account.CONNECTIONS,
             self._scope.cancel,
         )
-        server.connections.add(self.charge)
+        server.closable.add(self.charge)
         self._request_charges: list[memory_account.Charge] = []
 
     async def run(self) -> None:
@@ -146,7 +146,7 @@
         finally:
             self._close_request_charges()
             self._memory.close(self.charge)
-            self._server.connections.discard(self.charge)
+            self._server.closable.discard(self.charge)
 
     def end_idle(self) -> None:
         """Stops waiting for another request.
@@ -189,6 +189,7 @@
         charge = self._memory.open(
             memory_account.Kind.UNREAD, self._team, scope.cancel
         )
+        self._server.closable.add(charge)
         # A part keeps all of the data in memory.
         self._memory.add(charge, len(data))
         try:
@@ -199,6 +200,7 @@
         except trio.BrokenResourceError as error:
             raise errors.ConnectionLostError("the caller is gone") from error
         finally:
+            self._server.closable.discard(charge)
             self._memory.close(charge)
 
     async def _send_all(
--- a/quetzalmill/memory_decision.py
+++ b/quetzalmill/memory_decision.py
@@ -146,14 +146,22 @@
 
 
 def longest_without_progress(
-    connections: Iterable[memory_account.Charge],
+    closable: Iterable[memory_account.Charge], now_ms: float
 ) -> memory_account.Charge | None:
-    """Returns the connection to close for a new one in a full table.
+    """Returns the charge to revoke for a new connection in a full table.
 
     It is the connection that has been idle, or without progress in a request
-    that has not run, for the longest time; None if all of them run requests.
+    that has not run, for the longest time; or a response that its caller has
+    stopped reading. None if all connections run requests.
     """
     candidates = [
-        each for each in connections if each.is_revocable and each.is_open
+        each
+        for each in closable
+        if each.is_revocable
+        and each.is_open
+        and (
+            each.kind is memory_account.Kind.CONNECTION
+            or now_ms - each.progress_ms >= STALLED_MS
+        )
     ]
     return min(candidates, key=lambda each: each.progress_ms, default=None)
--- a/tests/test_server_memory.py
+++ b/tests/test_server_memory.py
@@ -19,6 +19,8 @@
 
 _LIMIT_S = 20.0
 _LIMIT_BYTES = 1_000_000
+_UNREAD_BYTES = 32_000_000
+"""More than the sockets' buffers take."""
 _LARGE_HEAD = (
     b"POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\n"
 )
@@ -169,6 +171,33 @@
 
         _run(main)
 
+    def test_unread_response_gives_way(self) -> None:
+        """Guards against callers that fill the table and do not read."""
+
+        async def main() -> None:
+            async with _serving(max_connections=1) as server:
+
+                async def respond(
+                    request: http_message.Request,
+                    exchange: http_server.Exchange,
+                ) -> None:
+                    is_large = request.path == "/unread"
+                    body = bytes(_UNREAD_BYTES) if is_large else b"done"
+                    await exchange.respond(200, body)
+
+                server.serve_with = respond
+                unread = await server.connect(
+                    _SMALL.replace(b"small", b"unread")
+                )
+                while not server.ran:
+                    await trio.sleep(0.01)
+                second = await server.connect(_SMALL)
+                # The idle timeout is longer than the test.
+                assert b"200" in await second.receive_some(100)
+                await unread.aclose()
+
+        _run(main)
+
     def test_running_requests_do_not_give_way(self) -> None:
         """Guards against requests that run without getting a response."""
 
