--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -23,6 +23,7 @@
 from quetzalmill import evacuation_report
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_handler
+from quetzalmill import gateway_memory
 from quetzalmill import gateway_messages
 from quetzalmill import gateway_metrics
 from quetzalmill import gateway_settings
@@ -114,6 +115,7 @@
         )
         for address in settings.seeds:
             self.state.peers.add_address(address, self.clock.now_ms())
+        self._memory = gateway_memory.create(settings, self.metrics)
         cache_bytes = int(settings.memory_mb * _CACHE_FRACTION * _BYTES_PER_MB)
         self._cache = conversations.TurnCache(cache_bytes)
         self._control = peer_http.PeerClient()
@@ -169,7 +171,9 @@
             link = peer_link.PeerLink(self.state, self._settings.peer_address)
             await nursery.start(link.run)
             await nursery.start(self._calls.run)
-            server = peer_http.PeerServer(self._control_handlers())
+            server = peer_http.PeerServer(
+                self._control_handlers(), self._memory
+            )
             await nursery.start(server.serve, self._settings.peer_address)
             nursery.start_soon(self._follow_peer_tables)
             nursery.start_soon(self._members.run)
@@ -304,7 +308,8 @@
             response_memory.ResponseMemory(
                 int(
                     self._settings.memory_mb * _ANSWERS_FRACTION * _BYTES_PER_MB
-                )
+                ),
+                self._memory,
             ),
             self._cold,
         )
@@ -422,10 +427,12 @@
         await http_server.serve(
             self._settings.callers_address,
             self._handler.handle,
-            limits=http_message.Limits(),
+            limits=gateway_memory.limits(self._settings.max_fds),
             stopping=self._stopping,
             on_error=_report_error,
             current_limits=self.state.caller_limits,
+            check_head=self._handler.check_head,
+            memory=self._memory,
             task_status=task_status,
         )
         self._callers_drained.set()
@@ -438,9 +445,10 @@
         await http_server.serve(
             address,
             self._answer_internal,
-            limits=http_message.Limits(),
+            limits=gateway_memory.INTERNAL_LIMITS,
             stopping=trio.Event(),
             on_error=_report_error,
+            memory=self._memory,
             task_status=task_status,
         )
 
@@ -463,6 +471,7 @@
 
     def _set_gauges(self) -> None:
         table = self.state.table
+        gateway_memory.set_gauges(self.metrics, self._memory)
         self.metrics.set_state(
             "table_version", 0 if table is None else table.version
         )
--- a/quetzalmill/gateway_metrics.py
+++ b/quetzalmill/gateway_metrics.py
@@ -72,6 +72,13 @@
             ["route", "choice"],
             registry=self._registry,
         )
+        self._memory_actions = prometheus_client.Counter(
+            "quetzalmill_memory_actions",
+            "What was done for lack of memory or connections, by the kind of"
+            " the charge.",
+            ["action", "kind"],
+            registry=self._registry,
+        )
         self._gauges = prometheus_client.Gauge(
             "quetzalmill_state",
             "What the gateway believes, by name.",
@@ -134,6 +141,10 @@
         """
         self._object_choices.labels(route, choice).inc()
 
+    def memory_action(self, action: str, kind: str) -> None:
+        """Counts what was done for lack of memory or connections."""
+        self._memory_actions.labels(action, kind).inc()
+
     def set_state(self, name: str, value: float) -> None:
         """Sets a gauge of the gateway's local view."""
         self._gauges.labels(name).set(value)
--- a/quetzalmill/gateway_settings.py
+++ b/quetzalmill/gateway_settings.py
@@ -32,6 +32,8 @@
         cold_slack: The requests that they tolerate beyond that.
         region: The gateway's region; empty if unknown.
         zones: The region of each failure domain.
+        max_fds: The descriptors of the host, 200 of them reserved; 0 if
+            unknown.
     """
 
     host: str
@@ -54,3 +56,4 @@
     cold_slack: float = 0.0
     region: str = ""
     zones: Mapping[str, str] = attrs.field(factory=dict)
+    max_fds: int = 0
