Take heartbeats that arrive together as sent an interval apart

Cause: a peer's rate is estimated from two reports and the time between their arrivals. Relays send two heartbeats of one peer at once, so its rate seemed hundreds of times as high, and the others refused requests of its teams.

Change: the time between two reports counts as a heartbeat interval at least.

--- a/quetzalmill/team_buckets.py
+++ b/quetzalmill/team_buckets.py
@@ -27,6 +27,11 @@
 """The weight of the last message in a peer's moving average rate, which thus
 covers about three heartbeats."""
 
+_MIN_REPORT_INTERVAL_MS = 200.0
+"""The interval between two heartbeats of a peer. Relayed heartbeats of one peer
+may arrive together; the time between their arrivals would make its rate seem
+hundreds of times as high."""
+
 _MAX_EXTRAPOLATION_MS = 600.0
 """The longest time for which a peer's rate is extrapolated: three heartbeats.
 After that, the fraction set aside for unreachable gateways covers it."""
@@ -49,7 +54,7 @@
 
     def apply_report(self, count: int, now_ms: float) -> None:
         """Applies a reported counter."""
-        elapsed_ms = max(1.0, now_ms - self.reported_ms)
+        elapsed_ms = max(_MIN_REPORT_INTERVAL_MS, now_ms - self.reported_ms)
         rate_per_ms = max(0, count - self.count) / elapsed_ms
         self.rate_per_ms += _RATE_SMOOTHING * (rate_per_ms - self.rate_per_ms)
         self.count = max(count, self.count)
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -115,6 +115,18 @@
             each.configure(_table().teams, 0.0)
         return buckets
 
+    def test_reports_that_arrive_together_are_no_high_rate(self) -> None:
+        """Guards against refusals while a relay sends two heartbeats at once.
+
+        The team gains two requests in 200 ms, as many as its peer admits.
+        """
+        buckets = self._buckets(1)[0]
+        for step in range(20):
+            now_ms = 400.0 * (step + 1)
+            for count in (4 * step + 2, 4 * step + 4):
+                buckets.apply_report("peer", {"weddings": count}, now_ms)
+        assert buckets.wait_ms("weddings", 1, now_ms + 100.0) <= 400.0
+
     @pytest.mark.parametrize("weights", [[1, 1, 1, 1], [1, 0, 0, 0]])
     def test_flood_stays_within_rate_and_burst(
         self, weights: list[int]
