--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -218,7 +218,7 @@
         )
         if isinstance(outcome, program_budgets.Spent):
             return gateway_messages.ReleaseReply(
-                granted=False, spent=True, reason=_spent_reason(outcome)
+                granted=False, spent=True, reason=outcome.reason()
             )
         if outcome.bound is None:
             return gateway_messages.ReleaseReply(granted=True)
@@ -322,7 +322,7 @@
         )
         if isinstance(outcome, program_budgets.Spent):
             return gateway_messages.ReserveReply(
-                granted=False, spent=True, reason=_spent_reason(outcome)
+                granted=False, spent=True, reason=outcome.reason()
             )
         self._recent_turns.record_start(message.turn_id)
         if outcome.bound is None:
@@ -493,9 +493,5 @@
             )
 
 
-def _spent_reason(spent: program_budgets.Spent) -> str:
-    return f"{spent.granted_tokens} of {spent.budget_tokens} tokens are granted"
-
-
 def _undecided(reason: str) -> gateway_messages.ReserveReply:
     return gateway_messages.ReserveReply(granted=False, reason=reason)
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -10,6 +10,7 @@
 import attrs
 import trio
 
+from quetzalmill import budget_handlers
 from quetzalmill import budget_owner
 from quetzalmill import budget_peers
 from quetzalmill import chain_source
@@ -262,12 +263,15 @@
             )
             for part in parts
         ]
+        self._budgets = budget_handlers.BudgetHandlers(
+            self._owners, self.state.partition_of
+        )
         self._calls = peer_calls.PeerCalls(
             self._settings.peer_address,
             {
-                gateway_messages.RESERVE_TURN: self._reserve,
-                gateway_messages.RELEASE_TURN: self._release,
-                gateway_messages.SETTLE_TURN: self._settle,
+                gateway_messages.RESERVE_TURN: self._budgets.reserve,
+                gateway_messages.RELEASE_TURN: self._budgets.release,
+                gateway_messages.SETTLE_TURN: self._budgets.settle,
                 gateway_messages.FETCH_CHAIN: self._serve_chain,
             },
             self.clock,
@@ -327,53 +331,17 @@
         self,
     ) -> dict[control_method.Method, control_method.Handler]:
         return {
-            gateway_messages.HAND_OVER: self._hand_over,
+            gateway_messages.HAND_OVER: self._budgets.hand_over,
             gateway_messages.FETCH_CHAIN: self._source.answer,
             gateway_messages.STORE_TURN: self._keeper.write_for_peer,
             gateway_messages.FETCH_TABLE: self._serve_table,
         }
 
-    def _reserve(
-        self, message: gateway_messages.ReserveTurn
-    ) -> (
-        gateway_messages.ReserveReply | Awaitable[gateway_messages.ReserveReply]
-    ):
-        part = self._part_of(message.program_id)
-        return self._owners[part].reserve(message)
-
-    def _release(
-        self, message: gateway_messages.ReleaseTurn
-    ) -> (
-        gateway_messages.ReleaseReply | Awaitable[gateway_messages.ReleaseReply]
-    ):
-        part = self._part_of(message.program_id)
-        return self._owners[part].release(message)
-
     def _serve_chain(
         self, message: gateway_messages.FetchChain
     ) -> gateway_messages.ChainReply:
         return self._source.answer_datagram(message)
 
-    def _settle(
-        self, message: gateway_messages.SettleTurn
-    ) -> gateway_messages.SettleReply:
-        self._owners[self._part_of(message.program_id)].settle(message)
-        return gateway_messages.SettleReply()
-
-    def _hand_over(
-        self, message: gateway_messages.HandOver
-    ) -> gateway_messages.HandOverReply:
-        owner = self._owners[message.part]
-        if message.only_epoch:
-            return gateway_messages.HandOverReply(
-                epoch=owner.known_epoch(), accounts={}
-            )
-        epoch, accounts = owner.hand_over()
-        return gateway_messages.HandOverReply(epoch=epoch, accounts=accounts)
-
-    def _part_of(self, account: str) -> int:
-        return self.state.partition_of(gateway_turns.program_of(account))
-
     def _serve_table(
         self, message: gateway_messages.FetchTable
     ) -> gateway_messages.TableReply:
--- a/quetzalmill/program_budgets.py
+++ b/quetzalmill/program_budgets.py
@@ -64,6 +64,12 @@
     granted_tokens: int
     budget_tokens: int
 
+    def reason(self) -> str:
+        """Returns the text of the refusal."""
+        return (
+            f"{self.granted_tokens} of {self.budget_tokens} tokens are granted"
+        )
+
 
 @attrs.frozen(kw_only=True)
 class Account:
