Let each relay send a heartbeat to another domain once

Heartbeats carry totals, so the next one, 200 ms later, repeats what a lost one said, and two relays send it to different gateways. The threshold for relays stays where it was, at four times the other domains.

--- a/quetzalmill/beat_relays.py
+++ b/quetzalmill/beat_relays.py
@@ -7,9 +7,9 @@
 So heartbeats are sent directly only within a domain, and to gateways that have
 not sent any yet. Two relays of each domain collect them and send them,
 compressed, to a gateway of every other domain, which forwards them within its
-own. Both relays send each heartbeat twice, to randomly chosen gateways, so that
-the loss of a datagram, of a relay or of half a domain delays few of them. There
-is no election: every gateway ranks the live ones, and as a heartbeat carries
+own. Both relays send each heartbeat, to randomly chosen gateways, so that the
+loss of a datagram or of a relay delays few of them; the next heartbeat repeats
+all that the last one said. There is no election: every gateway ranks the live ones, and as a heartbeat carries
 its instance and sequence number, disagreement does no harm. Small fleets, where
 relays would send more copies than there are gateways in other domains, use
 none.
@@ -96,7 +96,6 @@
         self._peers = peers
         self._random = random_source
         self._collected: list[RelayedHeartbeat] = []
-        self._sent: list[list[RelayedHeartbeat]] = []
         self._is_relay = False
         self._relayed_ms = float("-inf")
 
@@ -145,12 +144,7 @@
         self._is_relay = self._peers.is_relay(
             peers_module.RELAYS_PER_DOMAIN, now_ms
         )
-        self._sent = [
-            *self._sent[1 - peers_module.SENDS_PER_HEARTBEAT :],
-            self._collected,
-        ]
-        self._collected = []
-        relayed = [each for sent in self._sent for each in sent]
+        relayed, self._collected = self._collected, []
         if not relayed or not self._is_relay:
             return []
         bundles = [_TO_RELAY + each for each in _pack(relayed)]
--- a/quetzalmill/peers.py
+++ b/quetzalmill/peers.py
@@ -35,8 +35,10 @@
 RELAYS_PER_DOMAIN = 2
 """Relays of a failure domain; one may fail without a gap."""
 
-SENDS_PER_HEARTBEAT = 2
-"""How often a relay sends a heartbeat to another domain."""
+MIN_RELAY_GAIN = 2.0
+"""How many times as many heartbeats a gateway would send to other domains
+directly before relays are used. They also delay heartbeats and need processor
+time, which small gains are not worth."""
 
 LIVENESS_TIMEOUT_MS = 900.0
 """Time without a heartbeat after which a peer no longer counts as live: four
@@ -285,17 +287,16 @@
     def _is_relayed(self) -> bool:
         """Returns whether heartbeats reach other domains through relays.
 
-        They do where relays send fewer copies of a heartbeat to other domains
-        than there are peers in them. A fleet with few gateways in each domain
-        sends fewer bytes directly, and its heartbeats arrive sooner.
+        They do where relays send far fewer copies of a heartbeat to other
+        domains than there are peers in them.
         """
         remote = [
             peer.heartbeat.failure_domain
             for peer in self._peers.values()
             if not self.is_in_own_domain(peer.heartbeat)
         ]
-        copies = RELAYS_PER_DOMAIN * SENDS_PER_HEARTBEAT * len(set(remote))
-        return len(remote) > copies
+        copies = RELAYS_PER_DOMAIN * len(set(remote))
+        return len(remote) > MIN_RELAY_GAIN * copies
 
     def _live_peers(self, now_ms: float) -> list[_Peer]:
         """Returns the peers whose last heartbeat is recent enough."""
