Keep what is known of lost accounts over handovers; review findings

The age of the loss now goes with the accounts, also to a later term of the same gateway. - An owner that was replaced without knowing took itself for the only one again once its successor had stopped. The highest epoch of each partition is kept. - A request without an endpoint in its home regions was refused with the reason of cold endpoints elsewhere.

--- a/quetzalmill/beat_relays.py
+++ b/quetzalmill/beat_relays.py
@@ -7,12 +7,11 @@
 So heartbeats are sent directly only within a domain, and to gateways that have
 not sent any yet. Two relays of each domain collect them and send them,
 compressed, to a gateway of every other domain, which forwards them within its
-own. Both relays send each heartbeat, to randomly chosen gateways, so that the
-loss of a datagram or of a relay delays few of them; the next heartbeat repeats
-all that the last one said. There is no election: every gateway ranks the live ones, and as a heartbeat carries
-its instance and sequence number, disagreement does no harm. Small fleets, where
-relays would send more copies than there are gateways in other domains, use
-none.
+own. The relays choose these gateways at random, so that the loss of a datagram
+or of a relay delays few heartbeats; the next one repeats all that the last one
+said. There is no election: every gateway ranks the live ones, and as a
+heartbeat carries its instance and sequence number, disagreement does no harm.
+Small fleets, where relays would save little, use none.
 """
 
 from collections.abc import Iterable
--- a/quetzalmill/budget_handlers.py
+++ b/quetzalmill/budget_handlers.py
@@ -56,7 +56,9 @@
                 epoch=owner.known_epoch(), accounts={}
             )
         epoch, accounts = owner.hand_over()
-        return gateway_messages.HandOverReply(epoch=epoch, accounts=accounts)
+        return gateway_messages.HandOverReply(
+            epoch=epoch, accounts=accounts, loss_age_ms=owner.loss_age_ms()
+        )
 
     def _owner(self, account: str) -> budget_owner.BudgetOwner:
         program_id = gateway_turns.program_of(account)
--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -39,8 +39,6 @@
 """How long a turn waits for its reservation; the rest of its deadline must
 suffice to run it."""
 
-_NO_EPOCH = 0
-
 _CLAIM_RETRY_PAUSE_MS = (50.0, 150.0)
 """Range of the random pause after a failed claim. It exceeds the duration of a
 claim while store and peers answer, and is random so that two gateways do not
@@ -49,14 +47,6 @@
 _log = logs.get("budget_owner")
 
 
-@attrs.frozen
-class _Accounts:
-    """The accounts of an ended term of this or another gateway, by program."""
-
-    epoch: int = _NO_EPOCH
-    by_program: dict[str, program_budgets.Account] = attrs.field(factory=dict)
-
-
 @attrs.define(eq=False)
 class _Claim:
     """A claim in progress; many requests may wait for it.
@@ -122,7 +112,7 @@
         self._may_grant_unstored = may_grant_unstored
         self._term: budget_term.BudgetTerm | None = None
         self._claim: _Claim | None = None
-        self._last_accounts = _Accounts()
+        self._last_accounts = budget_term.Accounts()
         self._random = random.Random()
         self._claimer = epochs.PartitionClaimer(
             budget_term.TOPIC, part, store, clock, record_store_availability
@@ -281,6 +271,10 @@
             return self._term.fence.epoch
         return self._last_accounts.epoch
 
+    def loss_age_ms(self) -> float:
+        """Returns how long ago accounts that these follow on were lost."""
+        return self._clock.now_ms() - self._last_accounts.lost_ms
+
     def hand_over(self) -> tuple[int, dict[str, program_budgets.Account]]:
         """Stops owning the partition and returns its accounts.
 
@@ -426,7 +420,7 @@
             if record.value is not None
         }
         last_epoch = int(values.pop(budget_term.EPOCH_KEY, b"0"))
-        if last_epoch not in (_NO_EPOCH, self._last_accounts.epoch):
+        if last_epoch not in (budget_term.NO_EPOCH, self._last_accounts.epoch):
             await self._fetch_accounts(
                 [
                     address
@@ -437,11 +431,16 @@
                 or self._peers.holders(self._part)
             )
         now_ms = self._clock.now_ms()
-        is_exact = last_epoch == self._last_accounts.epoch != _NO_EPOCH
+        is_exact = (
+            last_epoch == self._last_accounts.epoch != budget_term.NO_EPOCH
+        )
+        lost_ms = now_ms
+        if is_exact:
+            lost_ms = self._last_accounts.lost_ms
+        elif last_epoch == budget_term.NO_EPOCH:
+            lost_ms = float("-inf")
         ledger = program_budgets.BudgetLedger(
-            outage_grants.OutageGrants()
-            if is_exact or last_epoch == _NO_EPOCH
-            else outage_grants.OutageGrants(lost_ms=now_ms)
+            outage_grants.OutageGrants(lost_ms)
         )
         for program_id, value in values.items():
             ledger.load(program_id, stored_bound.decode(value), now_ms)
@@ -457,7 +456,7 @@
             self._end_term,
         )
         await term.open()
-        self._last_accounts = _Accounts()
+        self._last_accounts = budget_term.Accounts()
         _log.info(
             "partition_claimed",
             topic=budget_term.TOPIC,
@@ -475,7 +474,13 @@
         They are kept even if the claim fails, since no other copy may exist.
         """
         replies = await self._peers.hand_over(self._part, addresses)
-        known = [_Accounts(each.epoch, each.accounts) for each in replies]
+        now_ms = self._clock.now_ms()
+        known = [
+            budget_term.Accounts(
+                each.epoch, each.accounts, now_ms - each.loss_age_ms
+            )
+            for each in replies
+        ]
         self._last_accounts = max(
             [self._last_accounts, *known], key=lambda each: each.epoch
         )
@@ -488,8 +493,8 @@
         if self._term is term:
             self._term = None
             self._held_partitions.pop(self._part, None)
-            self._last_accounts = _Accounts(
-                term.fence.epoch, term.ledger.accounts()
+            self._last_accounts = budget_term.Accounts(
+                term.fence.epoch, term.ledger.accounts(), term.ledger.lost_ms
             )
 
 
--- a/quetzalmill/budget_term.py
+++ b/quetzalmill/budget_term.py
@@ -33,6 +33,26 @@
 _log = logs.get("budget_term")
 
 
+NO_EPOCH = 0
+"""The epoch of a partition that nobody has claimed."""
+
+
+@attrs.frozen
+class Accounts:
+    """The accounts of an ended term of this or another gateway.
+
+    Attributes:
+        epoch: The epoch of the term.
+        by_program: The accounts.
+        lost_ms: When accounts that these follow on were lost, as in
+            ``outage_grants``.
+    """
+
+    epoch: int = NO_EPOCH
+    by_program: dict[str, program_budgets.Account] = attrs.field(factory=dict)
+    lost_ms: float = float("-inf")
+
+
 @attrs.define(eq=False)
 class _PendingWrite:
     program_id: str
--- a/quetzalmill/cold_endpoints.py
+++ b/quetzalmill/cold_endpoints.py
@@ -154,17 +154,20 @@
         return True
 
     def retry_after_ms(
-        self, service: route_table.Service, now_ms: float
+        self, job: dispatch_job.Job, now_ms: float
     ) -> float | None:
         """Returns the time until a cold endpoint may be sent a request.
 
         Returns None if no cold endpoint is held back.
         """
+        service = job.service
         if service.cold_per_s <= 0.0:
             return None
         waits_ms = [
             min(wait_ms, cold_until_ms(service, each) - now_ms, MAX_RETRY_MS)
-            for each in self._pool.usable(service.name, now_ms)
+            for each in self._pool.usable(
+                service.name, now_ms, job.current_homes()
+            )
             if self._observe(service, each, now_ms)
             and (wait_ms := self._wait_ms(service, each)) > 0.0
         ]
--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -133,9 +133,7 @@
                 job, may_repeat=response_lost and job.route.is_safe
             )
             if endpoint_state is None:
-                cold_ms = self._cold.retry_after_ms(
-                    job.service, self._clock.now_ms()
-                )
+                cold_ms = self._cold.retry_after_ms(job, self._clock.now_ms())
                 if cold_ms is not None:
                     reason = "only cold endpoints remain"
                     retry_after_ms = cold_ms + self._random.uniform(
--- a/quetzalmill/gateway_messages.py
+++ b/quetzalmill/gateway_messages.py
@@ -136,10 +136,13 @@
     Attributes:
         epoch: The epoch under which it owned the partition; 0 if it never did.
         accounts: The accounts, by program.
+        loss_age_ms: How long ago accounts that these follow on were lost. From
+            gateways of an older version as if that were now.
     """
 
     epoch: int
     accounts: dict[str, program_budgets.Account]
+    loss_age_ms: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/quetzalmill/peers.py
+++ b/quetzalmill/peers.py
@@ -153,6 +153,7 @@
         self._peers: dict[str, _Peer] = {}
         self._unconfirmed: dict[str, float] = {}
         self._replaced: dict[str, None] = {}
+        self._epochs: dict[int, int] = {}
 
     def add_address(self, address: str, now_ms: float) -> None:
         """Adds the address of a gateway that has not sent a heartbeat yet."""
@@ -183,6 +184,8 @@
         ):
             return None
         self._peers[heartbeat.address] = _Peer(heartbeat, now_ms)
+        for part, epoch in heartbeat.hold_epochs.items():
+            self._epochs[part] = max(epoch, self._epochs.get(part, 0))
         for address in heartbeat.known:
             self.add_address(address, now_ms)
         return replaced
@@ -321,17 +324,12 @@
         return [peer.heartbeat for peer in self._live_peers(now_ms)]
 
     def highest_epoch(self, part: int) -> int:
-        """Returns the highest epoch of a partition that a peer has claimed.
+        """Returns the highest epoch of a partition that a peer ever reported.
 
-        Silent peers count, too. 0 if none has.
+        An owner that was replaced must not take the partition for its own again
+        once its successor has stopped. 0 if no peer has claimed it.
         """
-        return max(
-            (
-                peer.heartbeat.hold_epochs.get(part, 0)
-                for peer in self._peers.values()
-            ),
-            default=0,
-        )
+        return self._epochs.get(part, 0)
 
     def live_fraction(self, now_ms: float) -> float:
         """Returns the fraction of gateways that are live, itself included."""
--- a/quetzalmill/program_budgets.py
+++ b/quetzalmill/program_budgets.py
@@ -112,6 +112,11 @@
         self.programs: dict[str, program_account.Program] = {}
         self._outage_grants = outage_grants or grants_module.OutageGrants()
 
+    @property
+    def lost_ms(self) -> float:
+        """When the accounts of an owner before were lost."""
+        return self._outage_grants.lost_ms
+
     def accounts(self) -> dict[str, Account]:
         """Returns all accounts for handing over, by program."""
         return {
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -14,6 +14,7 @@
 from quetzalmill import errors
 from quetzalmill import gateway_messages
 from quetzalmill import keyed_store
+from quetzalmill import outage_grants
 from quetzalmill import program_budgets
 from quetzalmill import stored_bound
 from tests import memory_store
@@ -258,7 +259,11 @@
         for address in addresses:
             epoch, accounts = self.others[int(address)].hand_over()
             replies.append(
-                gateway_messages.HandOverReply(epoch=epoch, accounts=accounts)
+                gateway_messages.HandOverReply(
+                    epoch=epoch,
+                    accounts=accounts,
+                    loss_age_ms=self.others[int(address)].loss_age_ms(),
+                )
             )
         return replies
 
@@ -1141,3 +1146,17 @@
             assert not reply.granted
 
         _run(case)
+
+    def test_loss_is_known_after_a_handover(self) -> None:
+        """Guards against a second excess once the accounts are exact again."""
+
+        async def case(gateways: _Gateways) -> None:
+            first, second, third = (gateways.owner() for _ in range(3))
+            assert (await _reserve_turn(first, "1")).granted
+            assert (await _reserve_turn(second, "2")).granted
+            gateways.peers.others = [second]
+            assert (await _reserve_turn(third, "3")).granted
+            third.hand_over()
+            assert 0.0 <= third.loss_age_ms() < outage_grants.UNCERTAIN_MS
+
+        _run(case)
--- a/tests/test_cold_endpoints.py
+++ b/tests/test_cold_endpoints.py
@@ -11,6 +11,7 @@
 from quetzalmill import cold_shares
 from quetzalmill import endpoint_pool
 from quetzalmill import gateway_calls
+from quetzalmill import homes
 from quetzalmill import member_table
 from quetzalmill import route_table
 
@@ -81,6 +82,15 @@
         now_ms = self._clock.now_ms()
         return sum(self.cold.take(service, known, now_ms) for _ in range(100))
 
+    def retry_after_ms(
+        self, home_domains: homes.Homes = homes.EVERYWHERE
+    ) -> float | None:
+        """Returns when a request that was held back may return."""
+        job: Any = types.SimpleNamespace(
+            service=_SERVICE, current_homes=lambda: home_domains
+        )
+        return self.cold.retry_after_ms(job, self._clock.now_ms())
+
     def admissible(self, size: int = 10, cached: str = "") -> list[str]:
         """Returns the endpoints that a request may be sent to."""
         call = types.SimpleNamespace(
@@ -147,7 +157,7 @@
         assert gateway.burst(known) == 100
         gateway.cold.record_stated(_SERVICE, known, 2_000.0, clock.now_ms())
         assert gateway.burst(known) == 0
-        assert gateway.cold.retry_after_ms(_SERVICE, clock.now_ms()) == 1_000.0
+        assert gateway.retry_after_ms() == 1_000.0
         clock.advance(1_020.0)
         gateway.read()
         assert gateway.burst(known) == 28
@@ -163,7 +173,11 @@
         clock.advance(2_000.0)
         assert gateway.burst(known) == 0
         assert gateway.admissible() == []
-        assert gateway.cold.retry_after_ms(_SERVICE, clock.now_ms()) == 500.0
+        assert gateway.retry_after_ms() == 500.0
+        # Guards against the reason of cold endpoints for a request that no
+        # endpoint in its home regions can serve.
+        elsewhere = homes.Homes(frozenset({"eu"}), {"a": "us"})
+        assert gateway.retry_after_ms(elsewhere) is None
 
 
 class TestChoice:
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -580,3 +580,17 @@
         state.record_store_availability(False)
         clock.advance(gateway_state.MIN_OUTAGE_MS)
         assert not state.store_reached()
+
+    def test_replaced_owner_stays_replaced_when_its_successor_stops(
+        self,
+    ) -> None:
+        """Guards against grants by both in turn."""
+        state, clock = self._state()
+        state.apply_report(_heartbeat("b:1", hold_epochs={3: 6}))
+        state.apply_report(_heartbeat("b:1", sequence=2, leaving=True))
+        clock.advance(2.0 * peers_module.PEER_EXPIRY_MS)
+        state.tick()
+        state.record_store_availability(False)
+        clock.advance(2_000.0)
+        assert not state.may_grant_unstored(3, 5)
+        assert state.may_grant_unstored(3, 7)
--- a/tests/test_outage_grants.py
+++ b/tests/test_outage_grants.py
@@ -15,7 +15,7 @@
 _OPS = st.lists(
     st.sampled_from(
         ["run", "run", "turn", "release", "settle"]
-        + ["down", "up", "crash", "wait"]
+        + ["down", "up", "crash", "wait", "hand_over"]
     ),
     max_size=40,
 )
@@ -106,6 +106,18 @@
         if self.is_up:
             self._take_over()
 
+    def hand_over(self) -> None:
+        """Another owner takes over the accounts of the one before."""
+        if self.ledger is None or not self.is_up:
+            return
+        before = self.ledger
+        self.ledger = program_budgets.BudgetLedger(
+            outage_grants.OutageGrants(before.lost_ms)
+        )
+        if self.stored is not None:
+            self.ledger.load(_PROGRAM, self.stored, self.now_ms)
+        self.ledger.take_over(before.accounts(), self.now_ms)
+
     def up(self) -> None:
         """Ends an outage; what waited is stored."""
         self.is_up = True
@@ -202,6 +214,12 @@
         ops += [*["run"] * 3, "crash", *["run"] * 4]
         assert sum(_play(ops).sent.values()) <= _BUDGET + _LIMIT
 
+    def test_handover_keeps_what_is_known_of_a_loss(self) -> None:
+        """Guards against a deduction after an unstored grant."""
+        ops = ["down", "run", "crash", "up", "hand_over"]
+        ops += [*["run"] * 3, "crash", *["run"] * 4]
+        _play(ops)
+
     def test_nothing_is_granted_right_after_a_loss(self) -> None:
         """The lost owner may have granted tokens in the same outage."""
         ops = ["down", "run", "crash", "up", "down"]
