--- a/quetzalmill/budget_owner.py
+++ b/quetzalmill/budget_owner.py
@@ -434,11 +434,9 @@
         is_exact = (
             last_epoch == self._last_accounts.epoch != budget_term.NO_EPOCH
         )
-        lost_ms = now_ms
-        if is_exact:
-            lost_ms = self._last_accounts.lost_ms
-        elif last_epoch == budget_term.NO_EPOCH:
-            lost_ms = float("-inf")
+        # The first owner has lost nothing either.
+        is_lost = not is_exact and last_epoch != budget_term.NO_EPOCH
+        lost_ms = now_ms if is_lost else self._last_accounts.lost_ms
         ledger = program_budgets.BudgetLedger(
             outage_grants.OutageGrants(lost_ms)
         )
