Read the limit of hedges from the environment

Cause: operators set how much additional work hedged requests may cause. Change: QUETZALMILL_HEDGE_LIMIT, 0 to 0.2, is checked with the settings and carried in GatewaySettings.hedge_limit. Absent, empty or 0 means off.

--- a/quetzalmill/gateway_settings.py
+++ b/quetzalmill/gateway_settings.py
@@ -32,6 +32,8 @@
         cold_slack: The requests that they tolerate beyond that.
         region: The gateway's region; empty if unknown.
         zones: The region of each failure domain.
+        hedge_limit: The maximum of hedged requests as a fraction of the
+            requests of safe routes; 0 for none.
     """
 
     host: str
@@ -54,3 +56,4 @@
     cold_slack: float = 0.0
     region: str = ""
     zones: Mapping[str, str] = attrs.field(factory=dict)
+    hedge_limit: float = 0.0
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -588,6 +588,22 @@
         text = text.replace("[listen]", 'region = "us"\n[listen]')
         assert self._load(tmp_path, text).gateway.region == "us"
 
+    def test_limit_of_hedges(
+        self, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """An unset limit hedges, or a mistyped one is taken for another."""
+        for text, limit in (("", 0.0), ("0", 0.0), ("0.2", 0.2)):
+            monkeypatch.setenv(boot.HEDGE_LIMIT_VARIABLE, text)
+            loaded = self._load(tmp_path, self._GOOD)
+            assert loaded.gateway.hedge_limit == limit
+        for text in ("0.21", "-0.1", "nan", "5%", "9" * 5_000):
+            monkeypatch.setenv(boot.HEDGE_LIMIT_VARIABLE, text)
+            with pytest.raises(errors.SettingsError) as caught:
+                self._load(tmp_path, self._GOOD)
+            (problem,) = caught.value.problems
+            assert boot.HEDGE_LIMIT_VARIABLE in problem
+            assert len(problem) < 400
+
     def test_draining_endpoints_are_no_last_resort_by_default(
         self, tmp_path: pathlib.Path
     ) -> None:
