Move the selection of endpoints out of dispatch.py

Change: EndpointSelector holds the cached prompts and the affinity of objects, selects endpoints and reports their load. Behaviour is unchanged.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -11,9 +11,9 @@
 from quetzalmill import clock as clock_module
 from quetzalmill import cold_endpoints
 from quetzalmill import dispatch_job
-from quetzalmill import endpoint_choice
 from quetzalmill import endpoint_health
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_selection
 from quetzalmill import errors
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_outcomes as outcomes
@@ -22,10 +22,8 @@
 from quetzalmill import http_connection
 from quetzalmill import http_message
 from quetzalmill import http_server
-from quetzalmill import load_control
 from quetzalmill import logs
 from quetzalmill import member_table
-from quetzalmill import object_affinity
 from quetzalmill import reply_reader
 from quetzalmill import response_memory
 from quetzalmill import response_verdicts
@@ -91,7 +89,6 @@
         self._client = client
         self._dialect = dialect
         self._clock = clock
-        self._failure_domain = failure_domain
         self._random = random.Random()
         self._latencies = endpoint_health.AverageLatencies()
         self.recorder = speed_recorder.SpeedRecorder(failure_domain)
@@ -102,8 +99,16 @@
         self._replies = reply_reader.ReplyReader(
             pool, dialect, clock, self._cold
         )
-        self.prefixes = endpoint_choice.PrefixCacheIndex()
-        self._objects = object_affinity.ObjectAffinity()
+        self._selector = endpoint_selection.EndpointSelector(
+            pool,
+            self._cold,
+            self.recorder,
+            self._latencies,
+            clock,
+            failure_domain,
+            self._random,
+        )
+        self.prefixes = self._selector.prefixes
 
     async def run(
         self, job: dispatch_job.Job, exchange: http_server.Exchange
@@ -128,7 +133,7 @@
             remaining_ms = job.deadline_ms - self._clock.now_ms()
             if remaining_ms < MIN_REMAINING_MS:
                 break
-            endpoint_state = self._choose(
+            endpoint_state = self._selector.choose(
                 job, may_repeat=response_lost and job.route.is_safe
             )
             if endpoint_state is None:
@@ -146,7 +151,9 @@
                 ):
                     reason = homes_module.REASON
                 elif not job.tried:
-                    reason = self._reason_without_endpoint(job) or reason
+                    reason = (
+                        self._selector.reason_without_endpoint(job) or reason
+                    )
                 break
             job.tried.append(endpoint_state.endpoint.endpoint_id)
             sends_before = job.sends
@@ -191,37 +198,13 @@
             status=503, reason=reason, retry_after_ms=retry_after_ms
         )
 
-    def _reason_without_endpoint(self, job: dispatch_job.Job) -> str:
-        """Returns why none of a service's endpoints is usable; empty if none.
-
-        An order to evacuate is named where it alone prevents the request.
-        """
-        of_service = [
-            known
-            for known in self._pool.all()
-            if known.endpoint.service == job.service.name
-        ]
-        if not of_service:
-            return ""
-        if all(map(self._pool.is_evacuated, of_service)):
-            return "all endpoints are in evacuated domains"
-        return "all endpoints leave"
-
     def load_per_slot(
         self,
         service: str,
         homes: homes_module.Homes = homes_module.EVERYWHERE,
     ) -> float:
         """Returns a service's load in requests per slot, in some regions."""
-        now_ms = self._clock.now_ms()
-        usable = self._pool.usable(service, now_ms, homes)
-        return load_control.load_per_slot(
-            # An engine's own report dates from its last response. Placement
-            # takes the larger of the two stale counts, which would
-            # overestimate the load here.
-            [each.all_running() for each in usable],
-            [each.endpoint.slots for each in usable],
-        )
+        return self._selector.load_per_slot(service, homes)
 
     def _may_retry(self, job: dispatch_job.Job) -> bool:
         return (
@@ -233,77 +216,6 @@
     def _retry_after_ms(self) -> float:
         return self._random.uniform(100.0, 400.0)
 
-    def _choose(
-        self, job: dispatch_job.Job, *, may_repeat: bool
-    ) -> endpoint_pool.EndpointState | None:
-        """Chooses an endpoint; one tried before only if there is no other."""
-        now_ms = self._clock.now_ms()
-        usable = self._pool.usable(
-            job.service.name, now_ms, job.current_homes()
-        )
-        tried = job.tried
-        untried = [e for e in usable if e.endpoint.endpoint_id not in tried]
-        if may_repeat and not untried:
-            untried = usable
-        uncached = {
-            each.endpoint.endpoint_id: self.prefixes.uncached_tokens(
-                each.endpoint.endpoint_id, job.call.prompt_parts
-            )
-            for each in untried
-        }
-        untried = self._cold.admissible(job, untried, uncached, now_ms)
-        uncached = {
-            each.endpoint.endpoint_id: uncached[each.endpoint.endpoint_id]
-            for each in untried
-        }
-        gains_ms = self._objects.gains_ms(
-            job.route,
-            job.call.object_key,
-            untried,
-            lambda each: self._pool.estimated_load(each, now_ms),
-            average_ms=self._latencies.average_ms(job.route.name),
-            now_ms=now_ms,
-        )
-        own_domain = {
-            each.endpoint.endpoint_id
-            for each in untried
-            if each.endpoint.failure_domain == self._failure_domain
-        }
-        candidates = endpoint_choice.sample_candidates(
-            uncached, self._random, own_domain
-        )
-        candidates |= gains_ms.keys()
-        size_bytes = self.recorder.expected_bytes(job)
-        estimates = [
-            endpoint_choice.estimate(
-                each,
-                uncached_tokens=uncached[each.endpoint.endpoint_id],
-                failure_domain=self._failure_domain,
-                is_engine=job.service.is_engine,
-                now_ms=now_ms,
-                average_ms=self._latencies.average_ms(job.route.name),
-                load=self._pool.estimated_load(each, now_ms),
-                size_bytes=size_bytes,
-                speed=self.recorder.speeds.speed(
-                    job.service.name, each.speed, now_ms
-                ),
-            )
-            for each in untried
-            if each.endpoint.endpoint_id in candidates
-        ]
-        if gains_ms:
-            estimates = object_affinity.lowered(estimates, gains_ms)
-        best = endpoint_choice.choose(estimates, self._random)
-        if best is None:
-            return None
-        job.affinity = object_affinity.describe(
-            gains_ms, best.endpoint_state.endpoint.endpoint_id
-        )
-        job.has_alternative = len(untried) > 1
-        job.load = best.endpoint_state.load(now_ms)
-        job.uncached_tokens = best.uncached_tokens
-        return best.endpoint_state
-
     async def _attempt(
         self,
         job: dispatch_job.Job,
@@ -488,13 +400,7 @@
                 raise errors.BadMessageError("the answer is not to the request")
         endpoint_pool.succeeded(endpoint_state)
         job.ran_on = endpoint_state.endpoint.endpoint_id
-        self.prefixes.record(job.ran_on, job.call.prompt_parts)
-        self._objects.record(
-            job.route,
-            job.call.object_key,
-            endpoint_state.endpoint,
-            self._clock.now_ms(),
-        )
+        self._selector.record_ran(job, endpoint_state)
         is_stream = job.route.retry_mode is route_table.RetryMode.STREAM
         if is_stream and 200 <= reply.status < 300:
             streamed = await self._relay(job, reply, response, exchange, timer)
