Send slow requests of safe routes to a second endpoint

Cause: a lookup at a slow endpoint waits for it, or loses its work to an early retry. Change: hedged_sending.py runs both attempts, takes the first complete response and cancels the other one, whose time counts for the health of its endpoint. The counter quetzalmill_hedges_total and the field hedge of the request line show the results. With the limit at 0 requests are sent as before.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -17,6 +17,8 @@
 from quetzalmill import errors
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_outcomes as outcomes
+from quetzalmill import hedged_sending
+from quetzalmill import hedging
 from quetzalmill import homes as homes_module
 from quetzalmill import http_client
 from quetzalmill import http_connection
@@ -72,6 +74,8 @@
         answers: The bounded memory for buffered responses.
         cold: The requests to cold endpoints; by default none are sent to those
             of services that limit them.
+        hedge_limit: The maximum of hedges as a fraction of the requests of safe
+            routes; 0 for none.
     """
 
     def __init__(
@@ -83,6 +87,7 @@
         failure_domain: str,
         answers: response_memory.ResponseMemory,
         cold: cold_endpoints.ColdEndpoints | None = None,
+        hedge_limit: float = 0.0,
     ) -> None:
         self._pool = pool
         self._answers = answers
@@ -109,6 +114,14 @@
             self._random,
         )
         self.prefixes = self._selector.prefixes
+        self._hedged = hedged_sending.HedgedSender(
+            hedging.Hedging(hedge_limit),
+            self._selector,
+            pool,
+            self._latencies,
+            clock,
+            self._attempt,
+        )
 
     async def run(
         self, job: dispatch_job.Job, exchange: http_server.Exchange
@@ -157,7 +170,7 @@
                 break
             job.tried.append(endpoint_state.endpoint.endpoint_id)
             sends_before = job.sends
-            outcome = await self._attempt(job, endpoint_state, exchange)
+            outcome = await self._hedged.send(job, endpoint_state, exchange)
             match outcome:
                 case dispatch_job.TryNext():
                     reason = outcome.reason
@@ -221,6 +234,7 @@
         job: dispatch_job.Job,
         endpoint_state: endpoint_pool.EndpointState,
         exchange: http_server.Exchange,
+        progress: dispatch_job.Progress | None,
     ) -> dispatch_job.SendResult:
         """Sends a request to one endpoint and records how it went."""
         sent_ms = self._clock.now_ms()
@@ -228,7 +242,7 @@
         endpoint_state.health.pending_sent_ms.append(sent_ms)
         try:
             return await self._send_request(
-                job, endpoint_state, exchange, sent_ms
+                job, endpoint_state, exchange, sent_ms, progress
             )
         except errors.ConnectFailedError as error:
             endpoint_pool.failed(endpoint_state, self._clock.now_ms())
@@ -278,6 +292,7 @@
         endpoint_state: endpoint_pool.EndpointState,
         exchange: http_server.Exchange,
         sent_ms: float,
+        progress: dispatch_job.Progress | None,
     ) -> dispatch_job.SendResult:
         endpoint = endpoint_state.endpoint
         remaining_ms = job.deadline_ms - self._clock.now_ms()
@@ -292,13 +307,15 @@
                 after_event_id=job.relay.last_id,
             ),
         )
-        max_wait_ms = self._retry_timeout.max_wait_ms(
-            job.route,
-            sends=job.sends,
-            has_alternative=job.has_alternative,
-            remaining_ms=remaining_ms,
-            average_ms=self._latencies.average_ms(job.route.name),
-        )
+        max_wait_ms = remaining_ms
+        if progress is None:
+            max_wait_ms = self._retry_timeout.max_wait_ms(
+                job.route,
+                sends=job.sends,
+                has_alternative=job.has_alternative,
+                remaining_ms=remaining_ms,
+                average_ms=self._latencies.average_ms(job.route.name),
+            )
         job.sends += 1
         try:
             async with self._client.stream(
@@ -311,6 +328,8 @@
                 hooks=self._replies.hooks(job, endpoint_state),
             ) as response:
                 self._end_pending(endpoint_state, sent_ms)
+                if progress is not None:
+                    progress.has_head = True
                 reply, verdict = self._replies.read(
                     job, endpoint_state, response.head
                 )
--- a/quetzalmill/dispatch_job.py
+++ b/quetzalmill/dispatch_job.py
@@ -64,6 +64,9 @@
         homes: Its home regions; None for all.
         affinity: Whether the last chosen endpoint was a preferred one for its
             object, ``preferred`` or ``other``; empty without a preference.
+        hedge: What became of its last hedge: ``first_won``, ``hedge_won``,
+            ``both_failed``, ``caller_left``, or why none was sent; empty if it
+            was not slow.
     """
 
     call: gateway_calls.Call
@@ -85,6 +88,7 @@
     allowance: turn_allowance.Allowance | None = None
     homes: homes_module.RequestHomes | None = None
     affinity: str = ""
+    hedge: str = ""
 
     def current_homes(self) -> homes_module.Homes:
         """Returns the regions whose endpoints may get it now."""
@@ -93,6 +97,19 @@
         return self.homes.current()
 
 
+@attrs.define(kw_only=True)
+class Progress:
+    """How far one attempt of a hedged request has come.
+
+    Attributes:
+        has_head: Whether the head of the response has arrived.
+        has_ended: Whether the attempt has ended by itself.
+    """
+
+    has_head: bool = False
+    has_ended: bool = False
+
+
 @attrs.frozen
 class TryNext:
     """The request certainly did not run here; another endpoint may get it."""
--- a/quetzalmill/endpoint_selection.py
+++ b/quetzalmill/endpoint_selection.py
@@ -4,6 +4,7 @@
 affinity of objects, learned speeds and loads.
 """
 
+from collections.abc import Collection
 import random
 
 from quetzalmill import clock as clock_module
@@ -55,13 +56,25 @@
         self.prefixes = endpoint_choice.PrefixCacheIndex()
 
     def choose(
-        self, job: dispatch_job.Job, *, may_repeat: bool
+        self,
+        job: dispatch_job.Job,
+        *,
+        may_repeat: bool,
+        among: Collection[str] | None = None,
     ) -> endpoint_pool.EndpointState | None:
-        """Chooses an endpoint; one tried before only if there is no other."""
+        """Chooses an endpoint; one tried before only if there is no other.
+
+        Args:
+            job: The request.
+            may_repeat: Whether one tried before may be chosen.
+            among: The ids of the endpoints to choose from; None for all.
+        """
         now_ms = self._clock.now_ms()
         usable = self._pool.usable(
             job.service.name, now_ms, job.current_homes()
         )
+        if among is not None:
+            usable = [e for e in usable if e.endpoint.endpoint_id in among]
         tried = job.tried
         untried = [e for e in usable if e.endpoint.endpoint_id not in tried]
         if may_repeat and not untried:
--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -307,6 +307,7 @@
                 )
             ),
             self._cold,
+            self._settings.hedge_limit,
         )
         self._recorder = dispatcher.recorder
         self._handler = gateway_handler.GatewayHandler(
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -128,10 +128,8 @@
         self._metrics.request(kind, route, took_ms)
         if homes_module.is_refusal(outcome):
             self._metrics.home_refusal(route)
-        if job and job.affinity:
-            self._metrics.object_choice(route, job.affinity)
-        for answer in job.answers if job else ():
-            self._metrics.answer(answer.correlation, answer.verdict)
+        if job is not None:
+            self._metrics.dispatched(job)
         table = self._state.table
         _log.info(
             "request",
@@ -151,6 +149,7 @@
             unread=job.uncached_tokens if job else None,
             homes=str(active.homes.current()) or None if active.homes else None,
             affinity=job.affinity or None if job else None,
+            hedge=job.hedge or None if job else None,
             took_ms=round(took_ms),
         )
 
--- a/quetzalmill/gateway_metrics.py
+++ b/quetzalmill/gateway_metrics.py
@@ -2,6 +2,8 @@
 
 import prometheus_client
 
+from quetzalmill import dispatch_job
+
 LATENCY_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 2.0, 4.0)
 """Bucket bounds of the latency histograms, from the latency of a lookup to the
 deadline of a turn."""
@@ -72,6 +74,14 @@
             ["route", "choice"],
             registry=self._registry,
         )
+        self._hedges = prometheus_client.Counter(
+            "quetzalmill_hedges",
+            "Slow requests of safe routes by what became of the last hedge"
+            " (first_won, hedge_won, both_failed, caller_left) or why none was"
+            " sent (no_attempt_left, no_endpoint, no_capacity, limit).",
+            ["route", "result"],
+            registry=self._registry,
+        )
         self._gauges = prometheus_client.Gauge(
             "quetzalmill_state",
             "What the gateway believes, by name.",
@@ -125,6 +135,15 @@
         """Counts a request that its home regions could not serve."""
         self._home_refusals.labels(route).inc()
 
+    def dispatched(self, job: dispatch_job.Job) -> None:
+        """Counts what dispatching a request has met."""
+        if job.affinity:
+            self.object_choice(job.route.name, job.affinity)
+        if job.hedge:
+            self._hedges.labels(job.route.name, job.hedge).inc()
+        for answer in job.answers:
+            self.answer(answer.correlation, answer.verdict)
+
     def object_choice(self, route: str, choice: str) -> None:
         """Counts a request about an object.
 
