Test that hedges do not shorten their own delay

Cause: with three rules of hedging switched off (decay, times of replaced responses, responses that have begun), the tests still passed. Change: tests for each of them. Result: the tests of hedging and hedged sending pass, and fail without each of the three rules.

--- a/tests/test_hedged_sending.py
+++ b/tests/test_hedged_sending.py
@@ -64,6 +64,7 @@
         self.sent: list[str] = []
         self.cancelled: list[str] = []
         self.took_ms = 0.0
+        self.has_head = False
         self.pool = endpoint_pool.EndpointPool()
         for endpoint_id, domain in (("e1", "a"), ("e2", "a"), ("e3", "b")):
             self.pool.update(routes.endpoint(endpoint_id, domain), 0.0)
@@ -131,12 +132,14 @@
         job: dispatch_job.Job,
         endpoint_state: endpoint_pool.EndpointState,
         _exchange: object,
-        _progress: dispatch_job.Progress | None,
+        progress: dispatch_job.Progress | None,
     ) -> dispatch_job.SendResult:
         script = self.scripts[len(self.sent)]
         endpoint_id = endpoint_state.endpoint.endpoint_id
         self.sent.append(endpoint_id)
         job.sends += 1
+        if progress is not None:
+            progress.has_head = self.has_head
         try:
             await trio.sleep(script.took_ms / 1000.0)
         except trio.Cancelled:
@@ -198,6 +201,20 @@
         assert slow is not None
         assert slow.health.slowness(case.took_ms) > 1.2
 
+    def test_replaced_responses_do_not_shorten_the_delay(self) -> None:
+        """Each hedge that wins makes the next one start earlier."""
+        case = _Case()
+        for _ in range(10):
+            for _ in range(5):
+                case.decider.count_request()
+            case.sent.clear()
+            case.scripts = [_Script(400, "lost"), _Script(10, "answered")]
+            case.run()
+        assert case.route is not None
+        delay_ms = case.decider.delay_ms(case.route, 0.0)
+        assert delay_ms is not None
+        assert delay_ms > case.delay_ms
+
 
 class TestOff:
     """Requests that must not be sent twice, or not yet."""
@@ -235,6 +252,12 @@
         assert result.timed_out
         assert case.took_ms == pytest.approx(750.0)
 
+    def test_response_that_has_begun_is_read_to_its_end(self) -> None:
+        case = _Case(_Script(1_400, "answered"), earned=0)
+        case.has_head = True
+        result, _ = case.run()
+        assert result is _RESULTS["answered"]
+
 
 class TestProcesses:
     """One gateway process, and endpoints that hang."""
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -147,7 +147,7 @@
     def test_old_latencies_decay(self) -> None:
         """A route that became slower would be hedged on each request."""
         decider = hedging.Hedging(0.1)
-        for _ in range(1_000):
+        for _ in range(10_000):
             decider.record(_ROUTE, 20.0, 0.0)
         for _ in range(100):
             decider.record(_ROUTE, 200.0, 180_000.0)
