Test that the first attempt of a hedged request goes on

Cause: with the early retry left on during a hedge, all tests passed. Change: a test with the dispatcher, whose first attempt exceeds the time of an early retry and answers before the hedge. Result: tests/test_dispatch.py passes, and fails with the early retry left on.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -11,12 +11,14 @@
 from quetzalmill import dispatch
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_pool
+from quetzalmill import errors
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_outcomes
 from quetzalmill import http_message
 from quetzalmill import route_table
 from quetzalmill import speed_recorder
 from quetzalmill import turn_allowance
+from tests import routes
 from tests import trio_clock
 
 _CALL = gateway_calls.Call(
@@ -81,6 +83,8 @@
     *endpoint_states: endpoint_pool.EndpointState,
     events: int = 5,
     load: gateway_calls.Load | None = None,
+    client: object = None,
+    hedge_limit: float = 0.0,
 ) -> dispatch.Dispatcher:
     """Returns a dispatcher that knows the given endpoints."""
     reply = gateway_calls.Reply(
@@ -97,14 +101,15 @@
     pool.estimated_load.return_value = 0.0
     dialect = unittest.mock.Mock()
     dialect.decode_reply.return_value = reply
-    client = unittest.mock.Mock(stream=_Client(events).stream)
+    stream = getattr(client, "stream", _Client(events).stream)
     return dispatch.Dispatcher(
         pool,
-        client,
+        unittest.mock.Mock(stream=stream),
         dialect,
         trio_clock.TrioClock(),
         "a",
-        unittest.mock.Mock(),
+        unittest.mock.Mock(read=unittest.mock.AsyncMock(return_value=b"ok")),
+        hedge_limit=hedge_limit,
     )
 
 
@@ -250,3 +255,44 @@
         assert b"e3" not in b"".join(sent)
         assert endpoint_state.health.failures == 0.0
         assert endpoint_state.failures == 0
+
+
+class _SlowClient:
+    """Emulates endpoints whose responses take given times, in order."""
+
+    def __init__(self, *took_ms: float) -> None:
+        self._took_ms = list(took_ms)
+
+    @contextlib.asynccontextmanager
+    async def stream(
+        self, *_: object, timeout_ms: float, **__: object
+    ) -> AsyncIterator[unittest.mock.Mock]:
+        took_ms = self._took_ms.pop(0)
+        await trio.sleep(min(took_ms, timeout_ms) / 1_000.0)
+        if took_ms > timeout_ms:
+            raise errors.ResponseTimeoutError("no response in time")
+        yield unittest.mock.Mock(status=200, headers={})
+
+
+class TestHedges:
+    """An early retry that cancels the first attempt of a hedged request."""
+
+    def test_first_attempt_goes_on(self) -> None:
+        states = [_endpoint_state(f"llm-{n}", "ab"[n]) for n in range(2)]
+        times_ms = [20.0] * 30 + [400.0, 800.0]
+        dispatcher = _dispatcher(
+            *states, client=_SlowClient(*times_ms), hedge_limit=0.2
+        )
+
+        async def run() -> dispatch_job.Job:
+            for _ in range(31):
+                job = _job()
+                job.route = routes.LOOKUP
+                exchange = unittest.mock.AsyncMock(disconnected=False)
+                outcome = await dispatcher.run(job, exchange)
+                assert isinstance(outcome, gateway_outcomes.Answered)
+            return job
+
+        job = trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        assert (job.sends, job.hedge) == (2, "first_won")
+        assert job.ran_on == job.tried[0]
