--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -316,6 +316,7 @@
                 self._memory,
             ),
             self._cold,
+            self._settings.hedge_limit,
         )
         self._recorder = dispatcher.recorder
         self._handler = gateway_handler.GatewayHandler(
--- a/quetzalmill/gateway_settings.py
+++ b/quetzalmill/gateway_settings.py
@@ -34,6 +34,8 @@
         zones: The region of each failure domain.
         max_fds: The descriptors of the host, 200 of them reserved; 0 if
             unknown.
+        hedge_limit: The maximum of hedged requests as a fraction of the
+            requests of safe routes; 0 for none.
     """
 
     host: str
@@ -57,3 +59,4 @@
     region: str = ""
     zones: Mapping[str, str] = attrs.field(factory=dict)
     max_fds: int = 0
+    hedge_limit: float = 0.0
