--- a/quetzalmill/cold_endpoints.py
+++ b/quetzalmill/cold_endpoints.py
@@ -19,6 +19,7 @@
 from quetzalmill import cold_shares
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import gateway_calls
 from quetzalmill import logs
 from quetzalmill import member_table
@@ -97,10 +98,10 @@
     def admissible(
         self,
         job: dispatch_job.Job,
-        candidates: list[endpoint_pool.EndpointState],
+        candidates: list[endpoint_record.EndpointState],
         uncached: dict[str, int],
         now_ms: float,
-    ) -> list[endpoint_pool.EndpointState]:
+    ) -> list[endpoint_record.EndpointState]:
         """Returns the candidates that a request may be sent to.
 
         Args:
@@ -134,7 +135,7 @@
     def take(
         self,
         service: route_table.Service,
-        known: endpoint_pool.EndpointState,
+        known: endpoint_record.EndpointState,
         now_ms: float,
     ) -> bool:
         """Takes a share if one is needed; returns whether to send.
@@ -179,7 +180,7 @@
     def record_stated(
         self,
         service: route_table.Service,
-        known: endpoint_pool.EndpointState,
+        known: endpoint_record.EndpointState,
         cold_ms: float,
         now_ms: float,
     ) -> None:
@@ -198,7 +199,7 @@
     def record_failed_connection(
         self,
         service: route_table.Service,
-        known: endpoint_pool.EndpointState,
+        known: endpoint_record.EndpointState,
         error: Exception,
         now_ms: float,
     ) -> None:
@@ -268,9 +269,9 @@
 
     def _cold(
         self, table: route_table.RouteTable | None, now_ms: float
-    ) -> list[tuple[route_table.Service, endpoint_pool.EndpointState]]:
+    ) -> list[tuple[route_table.Service, endpoint_record.EndpointState]]:
         found: list[
-            tuple[route_table.Service, endpoint_pool.EndpointState]
+            tuple[route_table.Service, endpoint_record.EndpointState]
         ] = []
         if not has_limits(table):
             return found
@@ -287,7 +288,7 @@
     def _observe(
         self,
         service: route_table.Service,
-        known: endpoint_pool.EndpointState,
+        known: endpoint_record.EndpointState,
         now_ms: float,
     ) -> bool:
         """Returns whether an endpoint is cold; logs when that changes."""
@@ -318,7 +319,7 @@
     def _share(
         self,
         service: route_table.Service,
-        known: endpoint_pool.EndpointState,
+        known: endpoint_record.EndpointState,
         clock_ms: float,
     ) -> int:
         return cold_shares.share(
@@ -329,7 +330,7 @@
         )
 
     def _wait_ms(
-        self, service: route_table.Service, known: endpoint_pool.EndpointState
+        self, service: route_table.Service, known: endpoint_record.EndpointState
     ) -> float:
         """Returns the time until this gateway may send to a cold endpoint."""
         clock_ms = self._clock.now_ms()
@@ -362,7 +363,7 @@
 
 
 def cold_until_ms(
-    service: route_table.Service, known: endpoint_pool.EndpointState
+    service: route_table.Service, known: endpoint_record.EndpointState
 ) -> float:
     """Returns until when an endpoint is cold, by the clock of the pool."""
     return max(
@@ -372,13 +373,13 @@
     )
 
 
-def _has_room(known: endpoint_pool.EndpointState, now_ms: float) -> bool:
+def _has_room(known: endpoint_record.EndpointState, now_ms: float) -> bool:
     return known.load(now_ms) < known.endpoint.slots
 
 
 def _is_cached(
     call: gateway_calls.Call,
-    warm: list[endpoint_pool.EndpointState],
+    warm: list[endpoint_record.EndpointState],
     uncached: dict[str, int],
 ) -> bool:
     """Returns whether a warm endpoint has a good part of the prompt cached."""
--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -13,6 +13,7 @@
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_health
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import endpoint_selection
 from quetzalmill import errors
 from quetzalmill import gateway_calls
@@ -230,7 +231,7 @@
     async def _attempt(
         self,
         job: dispatch_job.Job,
-        endpoint_state: endpoint_pool.EndpointState,
+        endpoint_state: endpoint_record.EndpointState,
         exchange: http_server.Exchange,
         progress: dispatch_job.Progress | None,
     ) -> dispatch_job.SendResult:
@@ -269,7 +270,7 @@
             self._end_pending(endpoint_state, sent_ms)
 
     def _end_pending(
-        self, endpoint_state: endpoint_pool.EndpointState, sent_ms: float
+        self, endpoint_state: endpoint_record.EndpointState, sent_ms: float
     ) -> None:
         """Ends the wait for a response head, unless it has already ended.
 
@@ -287,7 +288,7 @@
     async def _send_request(
         self,
         job: dispatch_job.Job,
-        endpoint_state: endpoint_pool.EndpointState,
+        endpoint_state: endpoint_record.EndpointState,
         exchange: http_server.Exchange,
         sent_ms: float,
         progress: dispatch_job.Progress | None,
@@ -370,7 +371,7 @@
     def _record_outcome(
         self,
         job: dispatch_job.Job,
-        endpoint_state: endpoint_pool.EndpointState,
+        endpoint_state: endpoint_record.EndpointState,
         outcome: dispatch_job.SendResult,
         sent_ms: float,
     ) -> None:
@@ -396,7 +397,7 @@
     async def _handle_reply(
         self,
         job: dispatch_job.Job,
-        endpoint_state: endpoint_pool.EndpointState,
+        endpoint_state: endpoint_record.EndpointState,
         reply: gateway_calls.Reply,
         verdict: response_verdicts.Verdict,
         response: http_connection.StreamedResponse,
@@ -458,7 +459,9 @@
         return relay.outcome(complete=True)
 
     async def _probe(
-        self, job: dispatch_job.Job, endpoint_state: endpoint_pool.EndpointState
+        self,
+        job: dispatch_job.Job,
+        endpoint_state: endpoint_record.EndpointState,
     ) -> None:
         """Checks by connecting whether an endpoint has died."""
         address = endpoint_state.endpoint.address
--- a/quetzalmill/endpoint_choice.py
+++ b/quetzalmill/endpoint_choice.py
@@ -23,7 +23,7 @@
 import attrs
 
 from quetzalmill import crossing_cost
-from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import endpoint_speeds
 from quetzalmill import gateway_calls
 
@@ -141,7 +141,7 @@
             gateway's own failure domain.
     """
 
-    endpoint_state: endpoint_pool.EndpointState
+    endpoint_state: endpoint_record.EndpointState
     extra_ms: float
     uncached_tokens: int
     is_own_domain: bool
@@ -150,7 +150,7 @@
 
 
 def estimate(
-    endpoint_state: endpoint_pool.EndpointState,
+    endpoint_state: endpoint_record.EndpointState,
     *,
     uncached_tokens: int,
     failure_domain: str,
--- a/quetzalmill/endpoint_pool.py
+++ b/quetzalmill/endpoint_pool.py
@@ -11,7 +11,7 @@
 
 from quetzalmill import endpoint_health
 from quetzalmill import endpoint_leaving
-from quetzalmill import endpoint_speeds
+from quetzalmill import endpoint_record
 from quetzalmill import evacuation
 from quetzalmill import homes as homes_module
 from quetzalmill import request_durations
@@ -32,139 +32,11 @@
 """Decayed failure count from which on peers are informed; what is left of one
 failure after somewhat more than the decay's time constant."""
 
-LOAD_REPORT_TTL_MS = 1_000.0
-"""How long an endpoint's own load report is used."""
-
 AVERAGE_LOAD_MS = 4_000.0
 """Time constant of the average load of an endpoint, the same as for its health:
 many requests long, yet short enough to show one that has become slow."""
 
 
-@attrs.frozen(kw_only=True)
-class Endpoint:
-    """The registry entry of one endpoint instance.
-
-    Attributes:
-        endpoint_id: Its id.
-        service: The service that it belongs to.
-        address: IP address and port.
-        failure_domain: Its failure domain.
-        slots: Requests that it runs concurrently.
-        leaving: Whether it is draining and takes no new work.
-        started_unix_ms: When it started; 0 if unknown.
-        cold_ms: How long it stays slow after its start.
-    """
-
-    endpoint_id: str
-    service: str
-    address: str
-    failure_domain: str
-    slots: int
-    leaving: bool
-    started_unix_ms: int
-    cold_ms: float
-
-    def instance(self) -> endpoint_leaving.EndpointInstance:
-        """Returns the identity of this instance."""
-        return endpoint_leaving.EndpointInstance(
-            endpoint_id=self.endpoint_id,
-            service=self.service,
-            address=self.address,
-            started_unix_ms=self.started_unix_ms,
-        )
-
-
-@attrs.define(kw_only=True, eq=False)
-class EndpointState:
-    """The state of an endpoint as known to a gateway.
-
-    Attributes:
-        endpoint: The endpoint.
-        running: Requests of this gateway there.
-        peers_running: Requests of the other gateways there.
-        peers_average: The same, averaged over the last seconds.
-        reported_running: Running requests by the endpoint's own report.
-        reported_waiting: Waiting requests by the endpoint's own report.
-        reported_ms: When that report arrived.
-        failures: Consecutive failures to connect or respond.
-        down_until_ms: The end of its backoff.
-        lapsed_ms: When its entry lapsed, or None.
-        cold_until_ms: Until when it is slow after its start.
-        stated_cold_until_ms: The same by its responses.
-        cold_since_ms: When it was last found to be cold without being told for
-            how long.
-        health: Its recent health as seen by this gateway.
-        speed: Its speed as learned by this gateway.
-        peer_failures: The failure counts of the other gateways.
-        drain_notice: Its drain notice; None if it has announced no drain.
-        drain_reporters: Hosts whose gateways now report that it is draining.
-        drain_reported_ms: When a peer first reported so; None if none did.
-    """
-
-    endpoint: Endpoint
-    running: int = 0
-    peers_running: int = 0
-    peers_average: float = 0.0
-    reported_running: int = 0
-    reported_waiting: int = 0
-    reported_ms: float = float("-inf")
-    failures: int = 0
-    down_until_ms: float = 0.0
-    lapsed_ms: float | None = None
-    cold_until_ms: float = 0.0
-    stated_cold_until_ms: float = 0.0
-    cold_since_ms: float = float("-inf")
-    health: endpoint_health.Health = attrs.field(factory=endpoint_health.Health)
-    speed: endpoint_speeds.EndpointSpeed = attrs.field(
-        factory=endpoint_speeds.EndpointSpeed
-    )
-    peer_failures: list[endpoint_health.FailureCounts] = attrs.field(
-        factory=list
-    )
-    drain_notice: endpoint_leaving.DrainNotice | None = None
-    drain_reporters: list[str] = attrs.field(factory=list)
-    drain_reported_ms: float | None = None
-
-    def failure_cost_ms(self, now_ms: float) -> float:
-        """Returns the expected cost of a failure of a request here."""
-        own = self.health.trouble(now_ms)
-        return endpoint_health.cost_ms([own, *self.peer_failures])
-
-    def all_running(self) -> int:
-        """Returns the requests of all gateways there."""
-        return self.running + self.peers_running
-
-    def load(self, now_ms: float) -> int:
-        """Returns the requests there, by the higher of the two counts."""
-        known = self.all_running()
-        if now_ms - self.reported_ms > LOAD_REPORT_TTL_MS:
-            return known
-        return max(known, self.reported_running + self.reported_waiting)
-
-    def estimated_load(
-        self, now_ms: float, report_age_ms: float, duration_ms: float
-    ) -> float:
-        """Returns an estimate of the requests there now from stale reports.
-
-        After ``duration_ms`` the requests in a report have ended and others
-        have arrived, so the older the report, the more the average load counts.
-
-        Args:
-            now_ms: The current time.
-            report_age_ms: The age of ``peers_running``.
-            duration_ms: How long a request stays at an endpoint.
-        """
-        average = self.running + self.peers_average
-        reported_age_ms = now_ms - self.reported_ms
-        if reported_age_ms < report_age_ms:
-            seen = float(self.reported_running + self.reported_waiting)
-            report_age_ms = reported_age_ms
-        else:
-            seen = float(self.all_running())
-        weight = math.exp(-max(0.0, report_age_ms) / duration_ms)
-        return max(float(self.running), average + weight * (seen - average))
-
-
 class EndpointPool:
     """The endpoints of all services.
 
@@ -181,7 +53,7 @@
     def __init__(self, drain_ms: float = 0.0) -> None:
         self._drain_ms = drain_ms
         self._notices = endpoint_leaving.DrainNotices()
-        self._by_id: dict[str, EndpointState] = {}
+        self._by_id: dict[str, endpoint_record.EndpointState] = {}
         self.durations = request_durations.RequestDurations()
         self._peer_load_ms: float | None = None
         self._domain_cold_ms: dict[str, float] = {}
@@ -189,11 +61,11 @@
         self.observer: endpoint_leaving.Observer | None = None
         self.evacuations = evacuation.Evacuations(self.mark_domain_cold)
 
-    def get(self, endpoint_id: str) -> EndpointState | None:
+    def get(self, endpoint_id: str) -> endpoint_record.EndpointState | None:
         """Returns the state of an endpoint, or None if it is unknown."""
         return self._by_id.get(endpoint_id)
 
-    def all(self) -> list[EndpointState]:
+    def all(self) -> list[endpoint_record.EndpointState]:
         """Returns the state of all endpoints, usable or not."""
         return list(self._by_id.values())
 
@@ -201,7 +73,7 @@
         """Returns the number of known endpoints."""
         return len(self._by_id)
 
-    def update(self, endpoint: Endpoint, now_ms: float) -> bool:
+    def update(self, endpoint: endpoint_record.Endpoint, now_ms: float) -> bool:
         """Applies a registry entry; returns whether the state changed."""
         known = self._by_id.get(endpoint.endpoint_id)
         announces_drain = endpoint.leaving
@@ -224,7 +96,9 @@
         ):
             self._drop(endpoint.endpoint_id)
             is_restarted = known is not None
-            known = EndpointState(endpoint=endpoint, drain_notice=drain_notice)
+            known = endpoint_record.EndpointState(
+                endpoint=endpoint, drain_notice=drain_notice
+            )
             known.cold_since_ms = (
                 now_ms
                 if is_restarted
@@ -258,7 +132,7 @@
         return changed
 
     def record_drain_notice(
-        self, known: EndpointState, by: str, now_ms: float
+        self, known: endpoint_record.EndpointState, by: str, now_ms: float
     ) -> None:
         """Records that an endpoint announced its drain in a response.
 
@@ -284,7 +158,7 @@
 
     def _record_notice(
         self,
-        known: EndpointState,
+        known: endpoint_record.EndpointState,
         instance: endpoint_leaving.EndpointInstance,
         source: endpoint_leaving.Source,
         by: str,
@@ -333,7 +207,7 @@
 
     def replace_all(
         self,
-        endpoints: Iterable[Endpoint],
+        endpoints: Iterable[endpoint_record.Endpoint],
         now_ms: float,
         *,
         store_was_unavailable: bool,
@@ -389,7 +263,7 @@
         service: str,
         now_ms: float,
         homes: homes_module.Homes = homes_module.EVERYWHERE,
-    ) -> list[EndpointState]:
+    ) -> list[endpoint_record.EndpointState]:
         """Returns the endpoints of a service that may get new work.
 
         If no others are left, endpoints that only peers report as draining are
@@ -419,13 +293,13 @@
             now_ms,
         )
 
-    def is_evacuated(self, known: EndpointState) -> bool:
+    def is_evacuated(self, known: endpoint_record.EndpointState) -> bool:
         """Returns whether an endpoint's failure domain is evacuated."""
         return self.evacuations.is_evacuated(known.endpoint.failure_domain)
 
     def may_send(
         self,
-        known: EndpointState,
+        known: endpoint_record.EndpointState,
         now_ms: float,
         homes: homes_module.Homes = homes_module.EVERYWHERE,
     ) -> bool:
@@ -506,7 +380,9 @@
                         known.endpoint.instance(), known.drain_reporters[0]
                     )
 
-    def estimated_load(self, known: EndpointState, now_ms: float) -> float:
+    def estimated_load(
+        self, known: endpoint_record.EndpointState, now_ms: float
+    ) -> float:
         """Returns an estimate of the requests at an endpoint now."""
         return known.estimated_load(
             now_ms,
@@ -548,22 +424,22 @@
         }
 
 
-def failed(known: EndpointState, now_ms: float) -> None:
+def failed(known: endpoint_record.EndpointState, now_ms: float) -> None:
     """Backs off from an endpoint, longer with each consecutive failure."""
     known.failures += 1
     wait_ms = INITIAL_BACKOFF_MS * 2.0 ** min(known.failures - 1, 5)
     known.down_until_ms = now_ms + min(MAX_BACKOFF_MS, wait_ms)
 
 
-def succeeded(known: EndpointState) -> None:
+def succeeded(known: endpoint_record.EndpointState) -> None:
     """Ends the backoff from an endpoint."""
     known.failures = 0
     known.down_until_ms = 0.0
 
 
 def _prefer_available(
-    endpoint_states: list[EndpointState], now_ms: float
-) -> list[EndpointState]:
+    endpoint_states: list[endpoint_record.EndpointState], now_ms: float
+) -> list[endpoint_record.EndpointState]:
     available = [
         known for known in endpoint_states if known.down_until_ms <= now_ms
     ]
@@ -571,7 +447,8 @@
 
 
 def _likely_instance(
-    known: EndpointState | None, instance: endpoint_leaving.EndpointInstance
+    known: endpoint_record.EndpointState | None,
+    instance: endpoint_leaving.EndpointInstance,
 ) -> endpoint_leaving.EndpointInstance:
     """Returns the known instance if an entry without a start time may be it."""
     if (
@@ -584,5 +461,7 @@
     return known_instance if known_instance.may_match(instance) else instance
 
 
-def _is_other_instance(old: Endpoint, new: Endpoint) -> bool:
+def _is_other_instance(
+    old: endpoint_record.Endpoint, new: endpoint_record.Endpoint
+) -> bool:
     return not old.instance().may_match(new.instance())
--- a/quetzalmill/endpoint_selection.py
+++ b/quetzalmill/endpoint_selection.py
@@ -14,6 +14,7 @@
 from quetzalmill import endpoint_choice
 from quetzalmill import endpoint_health
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import homes as homes_module
 from quetzalmill import load_control
 from quetzalmill import object_affinity
@@ -62,7 +63,7 @@
         *,
         may_repeat: bool,
         among: Collection[str] | None = None,
-    ) -> endpoint_pool.EndpointState | None:
+    ) -> endpoint_record.EndpointState | None:
         """Chooses an endpoint; one tried before only if there is no other.
 
         Args:
@@ -142,7 +143,9 @@
         return best.endpoint_state
 
     def record_ran(
-        self, job: dispatch_job.Job, endpoint_state: endpoint_pool.EndpointState
+        self,
+        job: dispatch_job.Job,
+        endpoint_state: endpoint_record.EndpointState,
     ) -> None:
         """Records that an endpoint has run a request."""
         endpoint = endpoint_state.endpoint
--- a/quetzalmill/hedged_sending.py
+++ b/quetzalmill/hedged_sending.py
@@ -13,6 +13,7 @@
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_health
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import endpoint_selection
 from quetzalmill import gateway_outcomes as outcomes
 from quetzalmill import hedging
@@ -24,7 +25,7 @@
 Send = Callable[
     [
         dispatch_job.Job,
-        endpoint_pool.EndpointState,
+        endpoint_record.EndpointState,
         http_server.Exchange,
         dispatch_job.Progress | None,
     ],
@@ -36,7 +37,7 @@
 class _Attempt:
     """One of the two attempts, at one endpoint."""
 
-    endpoint_state: endpoint_pool.EndpointState
+    endpoint_state: endpoint_record.EndpointState
     sent_ms: float
     progress: dispatch_job.Progress = attrs.field(factory=dispatch_job.Progress)
 
@@ -76,7 +77,7 @@
     async def send(
         self,
         job: dispatch_job.Job,
-        endpoint_state: endpoint_pool.EndpointState,
+        endpoint_state: endpoint_record.EndpointState,
         exchange: http_server.Exchange,
     ) -> dispatch_job.SendResult:
         """Sends a request to an endpoint, and perhaps to another one."""
--- a/quetzalmill/leaving_watch.py
+++ b/quetzalmill/leaving_watch.py
@@ -4,6 +4,7 @@
 
 from quetzalmill import endpoint_leaving
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import gateway_metrics
 from quetzalmill import http_client
 from quetzalmill import logs
@@ -75,7 +76,7 @@
 
 
 def _describe_one(
-    known: endpoint_pool.EndpointState, now_ms: float
+    known: endpoint_record.EndpointState, now_ms: float
 ) -> dict[str, Any]:
     drain_notice = known.drain_notice
     if drain_notice is None:
--- a/quetzalmill/object_affinity.py
+++ b/quetzalmill/object_affinity.py
@@ -23,7 +23,7 @@
 
 from quetzalmill import endpoint_choice
 from quetzalmill import endpoint_leaving
-from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import route_table
 
 SAVED_FRACTION = 0.5
@@ -97,7 +97,7 @@
         self,
         route: route_table.Route,
         key: str,
-        endpoint: endpoint_pool.Endpoint,
+        endpoint: endpoint_record.Endpoint,
         now_ms: float,
     ) -> None:
         """Records that an endpoint has handled an object."""
@@ -113,8 +113,8 @@
         self,
         route: route_table.Route,
         key: str,
-        usable: list[endpoint_pool.EndpointState],
-        load: Callable[[endpoint_pool.EndpointState], float],
+        usable: list[endpoint_record.EndpointState],
+        load: Callable[[endpoint_record.EndpointState], float],
         *,
         average_ms: float,
         now_ms: float,
@@ -169,9 +169,9 @@
 
 def _first_by_hash(
     key: str,
-    usable: list[endpoint_pool.EndpointState],
-    load: Callable[[endpoint_pool.EndpointState], float],
-) -> endpoint_pool.EndpointState:
+    usable: list[endpoint_record.EndpointState],
+    load: Callable[[endpoint_record.EndpointState], float],
+) -> endpoint_record.EndpointState:
     """Returns the first endpoint by hash that is not overloaded.
 
     That is one with a free slot; if there is none, one within the bound.
--- a/quetzalmill/reply_reader.py
+++ b/quetzalmill/reply_reader.py
@@ -4,6 +4,7 @@
 from quetzalmill import cold_endpoints
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import gateway_calls
 from quetzalmill import http_connection
 from quetzalmill import logs
@@ -42,7 +43,9 @@
         self._cold = cold
 
     def hooks(
-        self, job: dispatch_job.Job, endpoint_state: endpoint_pool.EndpointState
+        self,
+        job: dispatch_job.Job,
+        endpoint_state: endpoint_record.EndpointState,
     ) -> http_connection.RequestHooks:
         """Returns the callbacks for one send of a request."""
 
@@ -74,7 +77,7 @@
     def read(
         self,
         job: dispatch_job.Job,
-        endpoint_state: endpoint_pool.EndpointState,
+        endpoint_state: endpoint_record.EndpointState,
         head: http_connection.ResponseHead,
     ) -> tuple[gateway_calls.Reply, response_verdicts.Verdict]:
         """Decodes the head of a response and records what it reports.
@@ -94,7 +97,7 @@
     def _decode(
         self,
         job: dispatch_job.Job,
-        endpoint_state: endpoint_pool.EndpointState,
+        endpoint_state: endpoint_record.EndpointState,
         head: http_connection.ResponseHead,
     ) -> gateway_calls.Reply:
         return self._dialect.decode_reply(
@@ -107,7 +110,7 @@
     def _record_drain_notice(
         self,
         job: dispatch_job.Job,
-        endpoint_state: endpoint_pool.EndpointState,
+        endpoint_state: endpoint_record.EndpointState,
         reply: gateway_calls.Reply,
     ) -> None:
         if reply.is_draining:
@@ -118,7 +121,7 @@
     def _record_cold(
         self,
         job: dispatch_job.Job,
-        endpoint_state: endpoint_pool.EndpointState,
+        endpoint_state: endpoint_record.EndpointState,
         reply: gateway_calls.Reply,
     ) -> None:
         self._cold.record_stated(
@@ -127,7 +130,7 @@
 
     def _record_load(
         self,
-        endpoint_state: endpoint_pool.EndpointState,
+        endpoint_state: endpoint_record.EndpointState,
         load: gateway_calls.Load | None,
     ) -> None:
         if load is not None:
@@ -141,7 +144,7 @@
     def _record_skipped(
         self,
         job: dispatch_job.Job,
-        endpoint_state: endpoint_pool.EndpointState,
+        endpoint_state: endpoint_record.EndpointState,
         head: http_connection.ResponseHead,
         reply: gateway_calls.Reply,
         verdict: response_verdicts.Verdict,
@@ -157,7 +160,7 @@
 
 def _add_answer(
     job: dispatch_job.Job,
-    endpoint_state: endpoint_pool.EndpointState,
+    endpoint_state: endpoint_record.EndpointState,
     head: http_connection.ResponseHead,
     reply: gateway_calls.Reply,
     verdict: response_verdicts.Verdict,
--- a/quetzalmill/speed_recorder.py
+++ b/quetzalmill/speed_recorder.py
@@ -8,6 +8,7 @@
 from quetzalmill import crossing_cost
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import endpoint_speeds
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_outcomes as outcomes
@@ -84,7 +85,7 @@
     def record(
         self,
         job: dispatch_job.Job,
-        endpoint_state: endpoint_pool.EndpointState,
+        endpoint_state: endpoint_record.EndpointState,
         load: gateway_calls.Load | None,
         timer: Timer,
         outcome: dispatch_job.SendResult,
@@ -137,7 +138,7 @@
     def _record_speed(
         self,
         job: dispatch_job.Job,
-        endpoint_state: endpoint_pool.EndpointState,
+        endpoint_state: endpoint_record.EndpointState,
         load: gateway_calls.Load | None,
         timer: Timer,
         streamed: outcomes.Streamed,
--- a/tests/routes.py
+++ b/tests/routes.py
@@ -1,6 +1,6 @@
 """A route of look-ups and its endpoints, for tests that need them."""
 
-from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import route_table
 
 SLOTS = 4
@@ -22,9 +22,9 @@
 )
 
 
-def endpoint(endpoint_id: str, failure_domain: str) -> endpoint_pool.Endpoint:
+def endpoint(endpoint_id: str, failure_domain: str) -> endpoint_record.Endpoint:
     """Returns an endpoint that serves the route."""
-    return endpoint_pool.Endpoint(
+    return endpoint_record.Endpoint(
         endpoint_id=endpoint_id,
         service="app",
         address=f"10.0.0.{ord(failure_domain)}:80",
--- a/tests/test_cold_endpoints.py
+++ b/tests/test_cold_endpoints.py
@@ -10,6 +10,7 @@
 from quetzalmill import cold_endpoints
 from quetzalmill import cold_shares
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import gateway_calls
 from quetzalmill import homes
 from quetzalmill import member_table
@@ -55,8 +56,8 @@
 
     def add(
         self, endpoint_id: str, cold_ms: float = 0.0, **changes: Any
-    ) -> endpoint_pool.EndpointState:
-        endpoint = endpoint_pool.Endpoint(
+    ) -> endpoint_record.EndpointState:
+        endpoint = endpoint_record.Endpoint(
             endpoint_id=endpoint_id,
             service="app",
             address="10.0.0.9:80",
@@ -75,7 +76,7 @@
 
     def burst(
         self,
-        known: endpoint_pool.EndpointState,
+        known: endpoint_record.EndpointState,
         service: route_table.Service = _SERVICE,
     ) -> int:
         """Returns how many of 100 requests it sends at once."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -10,7 +10,7 @@
 
 from quetzalmill import dispatch
 from quetzalmill import dispatch_job
-from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import errors
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_outcomes
@@ -80,7 +80,7 @@
 
 
 def _dispatcher(
-    *endpoint_states: endpoint_pool.EndpointState,
+    *endpoint_states: endpoint_record.EndpointState,
     events: int = 5,
     load: gateway_calls.Load | None = None,
     client: object = None,
@@ -115,9 +115,9 @@
 
 def _endpoint_state(
     endpoint_id: str, domain: str, address: str = "127.0.0.1:1"
-) -> endpoint_pool.EndpointState:
-    return endpoint_pool.EndpointState(
-        endpoint=endpoint_pool.Endpoint(
+) -> endpoint_record.EndpointState:
+    return endpoint_record.EndpointState(
+        endpoint=endpoint_record.Endpoint(
             endpoint_id=endpoint_id,
             service="llm",
             address=address,
--- a/tests/test_drawn_responses.py
+++ b/tests/test_drawn_responses.py
@@ -21,6 +21,7 @@
 from quetzalmill import dispatch
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import gateway_outcomes as outcomes
 from quetzalmill import http_client
 from quetzalmill import http_message
@@ -332,7 +333,7 @@
         self.pool = endpoint_pool.EndpointPool()
         self.client = http_client.HttpClient()
         for number, each in enumerate(endpoints, 1):
-            entry = endpoint_pool.Endpoint(
+            entry = endpoint_record.Endpoint(
                 endpoint_id=f"e{number}",
                 service="app",
                 address=each.address,
--- a/tests/test_endpoint_choice.py
+++ b/tests/test_endpoint_choice.py
@@ -8,6 +8,7 @@
 
 from quetzalmill import endpoint_choice
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import endpoint_speeds
 
 _ENDPOINTS = 19
@@ -17,8 +18,8 @@
 _MARGIN_MS = 50.0
 
 
-def _endpoint(number: int, domains: int = 1) -> endpoint_pool.Endpoint:
-    return endpoint_pool.Endpoint(
+def _endpoint(number: int, domains: int = 1) -> endpoint_record.Endpoint:
+    return endpoint_record.Endpoint(
         endpoint_id=f"llm-{number}",
         service="llm",
         address=f"10.0.0.{number}:80",
@@ -35,7 +36,7 @@
     """One gateway's view of the endpoints."""
 
     pool: endpoint_pool.EndpointPool
-    endpoint_states: list[endpoint_pool.EndpointState]
+    endpoint_states: list[endpoint_record.EndpointState]
     received_ms: float
     domain: str
     speeds: endpoint_speeds.ServiceSpeeds = attrs.field(
@@ -76,7 +77,7 @@
 
 def _record(
     speeds: endpoint_speeds.ServiceSpeeds,
-    known: endpoint_pool.EndpointState,
+    known: endpoint_record.EndpointState,
     times: tuple[float, float, float],
     batch: float,
     slowness: float,
@@ -299,7 +300,7 @@
         own_speed.record_slowness(percent, 0.0)
         estimates = [
             endpoint_choice.estimate(
-                endpoint_pool.EndpointState(endpoint=_endpoint(number, 3)),
+                endpoint_record.EndpointState(endpoint=_endpoint(number, 3)),
                 uncached_tokens=uncached[number],
                 failure_domain="a",
                 is_engine=is_engine,
--- a/tests/test_endpoint_health.py
+++ b/tests/test_endpoint_health.py
@@ -9,6 +9,7 @@
 from quetzalmill import endpoint_choice
 from quetzalmill import endpoint_health
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import endpoint_speeds
 
 _STEP_MS = 20.0
@@ -18,9 +19,9 @@
 """Records the result of a request, given the endpoint's number and the time."""
 
 
-def _endpoint_state(number: int) -> endpoint_pool.EndpointState:
-    return endpoint_pool.EndpointState(
-        endpoint=endpoint_pool.Endpoint(
+def _endpoint_state(number: int) -> endpoint_record.EndpointState:
+    return endpoint_record.EndpointState(
+        endpoint=endpoint_record.Endpoint(
             endpoint_id=f"e{number}",
             service="app",
             address=f"10.0.0.{number}:1",
@@ -37,7 +38,7 @@
 class _Gateway:
     """One gateway that places requests at some endpoints."""
 
-    endpoint_states: list[endpoint_pool.EndpointState]
+    endpoint_states: list[endpoint_record.EndpointState]
     draws: random.Random
     chosen: list[int] = attrs.field(factory=list)
 
--- a/tests/test_endpoint_leaving.py
+++ b/tests/test_endpoint_leaving.py
@@ -7,6 +7,7 @@
 from quetzalmill import codec
 from quetzalmill import endpoint_leaving
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import gateway_state
 from quetzalmill import peers
 
@@ -16,8 +17,8 @@
 
 def _endpoint(
     endpoint_id: str = "e1", **changes: object
-) -> endpoint_pool.Endpoint:
-    endpoint = endpoint_pool.Endpoint(
+) -> endpoint_record.Endpoint:
+    endpoint = endpoint_record.Endpoint(
         endpoint_id=endpoint_id,
         service="app",
         address=f"10.0.0.{endpoint_id[1:]}:80",
@@ -40,7 +41,7 @@
 
 def _announce_drain(
     pool: endpoint_pool.EndpointPool, endpoint_id: str, now_ms: float
-) -> endpoint_pool.EndpointState:
+) -> endpoint_record.EndpointState:
     """Simulates a response in which an endpoint announces its drain."""
     known = pool.get(endpoint_id)
     assert known is not None
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -9,6 +9,7 @@
 from quetzalmill import clock
 from quetzalmill import codec
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import evacuation
 from quetzalmill import peers
 from tests import single_gateway
@@ -42,7 +43,7 @@
     pool.evacuations = known
     for domain in domains:
         pool.update(
-            endpoint_pool.Endpoint(
+            endpoint_record.Endpoint(
                 endpoint_id=f"e-{domain}",
                 service="app",
                 address="10.0.0.9:80",
@@ -149,7 +150,7 @@
     def test_order_between_choice_and_send_withholds_the_request(self) -> None:
         known = _read()
         pool = _pool(known, "a", "b")
-        chosen = typing.cast(endpoint_pool.EndpointState, pool.get("e-a"))
+        chosen = typing.cast(endpoint_record.EndpointState, pool.get("e-a"))
         assert pool.may_send(chosen, 0.0)
         known.apply_changes([_issued("a", 1)], 1, _NOW)
         assert not pool.may_send(chosen, 0.0)
@@ -160,7 +161,7 @@
     def test_draining_endpoint_is_no_last_resort_there(self) -> None:
         known = _read()
         pool = _pool(known, "a")
-        chosen = typing.cast(endpoint_pool.EndpointState, pool.get("e-a"))
+        chosen = typing.cast(endpoint_record.EndpointState, pool.get("e-a"))
         pool.record_drain_notice(chosen, "r1", 0.0)
         assert pool.may_send(chosen, 1.0)
         known.apply_changes([_issued("a", 1)], 1, _NOW)
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -9,6 +9,7 @@
 from quetzalmill import crash_counts
 from quetzalmill import endpoint_choice
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_state
 from quetzalmill import http_message
@@ -44,8 +45,8 @@
     )
 
 
-def _endpoint(endpoint_id: str, **changes: object) -> endpoint_pool.Endpoint:
-    endpoint = endpoint_pool.Endpoint(
+def _endpoint(endpoint_id: str, **changes: object) -> endpoint_record.Endpoint:
+    endpoint = endpoint_record.Endpoint(
         endpoint_id=endpoint_id,
         service="app",
         address="10.0.0.1:80",
@@ -418,7 +419,7 @@
             prefixes.record(cached_at, self._PARTS)
         estimates = [
             endpoint_choice.estimate(
-                endpoint_pool.EndpointState(
+                endpoint_record.EndpointState(
                     endpoint=_endpoint(endpoint_id, slots=slots), running=load
                 ),
                 uncached_tokens=prefixes.uncached_tokens(
--- a/tests/test_hedged_sending.py
+++ b/tests/test_hedged_sending.py
@@ -13,6 +13,7 @@
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_health
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import gateway_outcomes as outcomes
 from quetzalmill import hedged_sending
 from quetzalmill import hedging
@@ -130,7 +131,7 @@
     async def _send(
         self,
         job: dispatch_job.Job,
-        endpoint_state: endpoint_pool.EndpointState,
+        endpoint_state: endpoint_record.EndpointState,
         _exchange: object,
         progress: dispatch_job.Progress | None,
     ) -> dispatch_job.SendResult:
--- a/tests/test_leaving_orders.py
+++ b/tests/test_leaving_orders.py
@@ -13,6 +13,7 @@
 
 from quetzalmill import endpoint_leaving
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 
 _DRAIN_MS = 2_000.0
 
@@ -112,7 +113,7 @@
 @attrs.frozen
 class _Entry:
     instance: _Instance
-    endpoint: endpoint_pool.Endpoint
+    endpoint: endpoint_record.Endpoint
 
 
 class _World:
@@ -123,7 +124,7 @@
         self.pool = endpoint_pool.EndpointPool(_DRAIN_MS)
         self.instances = [_Instance(0, 1_000_000, "10.0.0.1:80")]
         self.entries: list[_Entry] = []
-        self.sent: list[tuple[endpoint_pool.EndpointState, _Instance]] = []
+        self.sent: list[tuple[endpoint_record.EndpointState, _Instance]] = []
         self.play(_Write(with_start=True))
         self.play(_Read(0, whole_list=True))
 
@@ -215,7 +216,7 @@
 
     def _write(self, with_start: bool) -> None:
         instance = self.current
-        endpoint = endpoint_pool.Endpoint(
+        endpoint = endpoint_record.Endpoint(
             endpoint_id="e1",
             service="app",
             address=instance.address,
--- a/tests/test_leaving_sends.py
+++ b/tests/test_leaving_sends.py
@@ -13,6 +13,7 @@
 from quetzalmill import dispatch
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import errors
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_metrics
@@ -156,7 +157,7 @@
     def apply_entry(
         self, endpoint_id: str, address: str, *, leaving: bool = False
     ) -> None:
-        entry = endpoint_pool.Endpoint(
+        entry = endpoint_record.Endpoint(
             endpoint_id=endpoint_id,
             service="app",
             address=address,
@@ -187,7 +188,7 @@
     async def run(self, route: route_table.Route = _LOOKUP) -> outcomes.Outcome:
         return await self.dispatcher.run(self.job(route), self.exchange)
 
-    def notice(self, known: endpoint_pool.EndpointState, notice: str) -> None:
+    def notice(self, known: endpoint_record.EndpointState, notice: str) -> None:
         """Simulates a drain notice or the removal of an endpoint."""
         now_ms = self.clock.now_ms()
         match notice:
--- a/tests/test_leaving_watch.py
+++ b/tests/test_leaving_watch.py
@@ -6,13 +6,14 @@
 import pytest
 
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import gateway_metrics
 from quetzalmill import http_client
 from quetzalmill import leaving_watch
 from quetzalmill import logs
 
 _DRAIN_MS = 2_000.0
-_ENTRY = endpoint_pool.Endpoint(
+_ENTRY = endpoint_record.Endpoint(
     endpoint_id="e1",
     service="app",
     address="10.0.0.1:80",
@@ -35,7 +36,7 @@
         )
         self.pool.update(_ENTRY, 0.0)
 
-    def answer(self, now_ms: float) -> endpoint_pool.EndpointState:
+    def answer(self, now_ms: float) -> endpoint_record.EndpointState:
         known = self.pool.get("e1")
         assert known is not None
         self.pool.record_drain_notice(known, "r1", now_ms)
--- a/tests/test_object_affinity.py
+++ b/tests/test_object_affinity.py
@@ -8,6 +8,7 @@
 
 from quetzalmill import endpoint_choice
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import http_message
 from quetzalmill import object_affinity
 from quetzalmill import route_table
@@ -65,7 +66,7 @@
 
     def send(
         self, key: str, now_ms: float, route: route_table.Route
-    ) -> endpoint_pool.EndpointState:
+    ) -> endpoint_record.EndpointState:
         usable = self.pool.usable("app", now_ms)
         gains_ms = self.gains(key, now_ms, route)
         estimates = [
--- a/tests/test_response_verdicts.py
+++ b/tests/test_response_verdicts.py
@@ -12,6 +12,7 @@
 from quetzalmill import dispatch
 from quetzalmill import dispatch_job
 from quetzalmill import endpoint_pool
+from quetzalmill import endpoint_record
 from quetzalmill import gateway_outcomes as outcomes
 from quetzalmill import http_client
 from quetzalmill import http_message
@@ -120,7 +121,7 @@
         self.pool = pool = endpoint_pool.EndpointPool()
         for number, endpoint in enumerate(endpoints, 1):
             pool.update(
-                endpoint_pool.Endpoint(
+                endpoint_record.Endpoint(
                     endpoint_id=f"e{number}",
                     service="app",
                     address=endpoint.address,
