--- a/quetzalmill/host_memory.py
+++ b/quetzalmill/host_memory.py
@@ -135,7 +135,8 @@
         if self.try_grow(charge, more_bytes):
             return
         waiter = _Waiter(charge, more_bytes)
-        started_ms = _now_ms()
+        # The limit is for all waits of a body together.
+        started_ms = _now_ms() - charge.waited_ms
         self._waiters.append(waiter)
         charge.is_waiting = True
         try:
@@ -146,6 +147,7 @@
                 self._recheck(waiter, _now_ms() - started_ms)
         finally:
             charge.is_waiting = False
+            charge.waited_ms = _now_ms() - started_ms
             self.record_progress(charge)
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
@@ -205,14 +207,18 @@
                 raise errors.BadMessageError("memory is short", 503)
 
     def _grant_waiting(self) -> None:
-        """Grants freed memory, first to what has least still to come."""
+        """Grants freed memory, first to what has least still to come.
+
+        Others get what the first body leaves over when it is complete.
+        """
         if not self._waiters:
             return
+        first = memory_decision.first_body(self.account, _now_ms())
         for waiter in sorted(
-            self._waiters, key=lambda each: each.charge.remaining_bytes
+            self._waiters, key=lambda each: memory_decision.order(each.charge)
         ):
             if waiter.charge.is_open and memory_decision.fits(
-                self.account, waiter.charge, waiter.more_bytes
+                self.account, waiter.charge, waiter.more_bytes, first
             ):
                 self.account.add(waiter.charge, waiter.more_bytes)
                 self._waiters.remove(waiter)
--- a/quetzalmill/http_reader.py
+++ b/quetzalmill/http_reader.py
@@ -49,10 +49,15 @@
         self._progress_bytes = 0
 
     async def prepare(
-        self, body_bytes: int, declared_bytes: int | None
+        self, body_bytes: int, declared_bytes: int | None, limit_bytes: int
     ) -> None:
         """Takes memory for what the next receive may return.
 
+        Args:
+            body_bytes: What has been received of the body.
+            declared_bytes: Its declared length; None for a chunked one.
+            limit_bytes: The limit of its length.
+
         Raises:
             errors.BadMessageError: No memory became free in time (503).
         """
@@ -62,7 +67,10 @@
         needed_bytes = body_bytes + _STEP_BYTES
         if declared_bytes is not None:
             needed_bytes = min(needed_bytes, declared_bytes)
-            self._charge.remaining_bytes = declared_bytes - body_bytes
+            limit_bytes = declared_bytes
+        self._charge.remaining_bytes = _charged_bytes(
+            max(limit_bytes - self._taken_bytes, 0)
+        )
         if needed_bytes <= self._taken_bytes:
             return
         # A step in advance, so that tiny chunks do not take memory each.
@@ -71,13 +79,14 @@
             step_bytes = min(step_bytes, declared_bytes - self._taken_bytes)
         self._connection.is_waiting = True
         try:
-            await self._memory.grow(
-                self._charge, step_bytes + step_bytes // _GROWTH_FRACTION
-            )
+            await self._memory.grow(self._charge, _charged_bytes(step_bytes))
         finally:
             self._connection.is_waiting = False
             self._memory.record_progress(self._connection)
         self._taken_bytes += step_bytes
+        self._charge.remaining_bytes = _charged_bytes(
+            max(limit_bytes - self._taken_bytes, 0)
+        )
 
 
 class RequestReader:
@@ -183,7 +192,7 @@
             if chunks % _MAX_CHUNKS_AT_ONCE == 0:
                 await trio.lowlevel.checkpoint()
             if memory is not None:
-                await memory.prepare(len(body), declared_bytes)
+                await memory.prepare(len(body), declared_bytes, limit_bytes)
             with trio.move_on_after(self._limits.idle_timeout_ms / 1000.0):
                 event = await self._next_event()
                 if not isinstance(event, h11.Data):
@@ -223,6 +232,10 @@
             raise _bad_message(error) from error
 
 
+def _charged_bytes(size_bytes: int) -> int:
+    return size_bytes + size_bytes // _GROWTH_FRACTION
+
+
 def _bad_message(error: h11.RemoteProtocolError) -> errors.BadMessageError:
     return errors.BadMessageError(str(error), error.error_status_hint)
 
--- a/quetzalmill/memory_account.py
+++ b/quetzalmill/memory_account.py
@@ -33,8 +33,10 @@
         kind: What it is for.
         team: The team that it is held for.
         progress_ms: When its party last made progress.
+        number: Its position in the order in which charges were opened.
         held_bytes: Its size.
         remaining_bytes: How much may follow.
+        waited_ms: How long it has waited for memory in total.
         is_revocable: Whether its party may be disconnected now: either its
             request has not run, or it does not read its response.
         is_waiting: Whether it waits for memory, so that its party cannot make
@@ -45,8 +47,10 @@
     kind: Kind
     team: str
     progress_ms: float
+    number: int = 0
     held_bytes: int = 0
     remaining_bytes: int = 0
+    waited_ms: float = 0.0
     is_revocable: bool = True
     is_waiting: bool = False
     is_open: bool = True
@@ -65,6 +69,7 @@
         self._by_team: dict[str, int] = {}
         self._by_kind = dict.fromkeys(Kind, 0)
         self._held_bytes = 0
+        self._opened_charges = 0
 
     @property
     def held_bytes(self) -> int:
@@ -90,7 +95,13 @@
 
     def open(self, kind: Kind, team: str, now_ms: float) -> Charge:
         """Adds an empty charge."""
-        charge = Charge(kind=kind, team=team, progress_ms=now_ms)
+        self._opened_charges += 1
+        charge = Charge(
+            kind=kind,
+            team=team,
+            progress_ms=now_ms,
+            number=self._opened_charges,
+        )
         self._charges.add(charge)
         return charge
 
--- a/quetzalmill/memory_decision.py
+++ b/quetzalmill/memory_decision.py
@@ -28,8 +28,8 @@
 memory; several times the longest pause of TCP after one lost packet."""
 
 MAX_WAIT_MS = 2_000.0
-"""How long a body waits for memory before it is refused; half of the usual
-deadline of a request, so that a retry elsewhere is still in time."""
+"""How long a body waits for memory in total before it is refused; half of the
+usual deadline of a request, so that a retry elsewhere is still in time."""
 
 
 @attrs.frozen
@@ -61,12 +61,49 @@
 Decision = Grant | Revoke | Wait | Refuse
 
 
+def order(charge: memory_account.Charge) -> tuple[int, int]:
+    """Returns the sort key of bodies: least still to come, then oldest."""
+    return charge.remaining_bytes, charge.number
+
+
+def first_body(
+    account: memory_account.MemoryAccount, now_ms: float
+) -> memory_account.Charge | None:
+    """Returns the large body that is to be completed before others.
+
+    None if there is none that makes progress or waits for memory.
+    """
+    return min(
+        (
+            each
+            for each in account.charges()
+            if each.kind is memory_account.Kind.BODY
+            and each.is_revocable
+            and each.remaining_bytes > 0
+            and each.held_bytes > SMALL_BYTES
+            and (each.is_waiting or now_ms - each.progress_ms < STALLED_MS)
+        ),
+        key=order,
+        default=None,
+    )
+
+
 def fits(
     account: memory_account.MemoryAccount,
     charge: memory_account.Charge,
     more_bytes: int,
+    first: memory_account.Charge | None = None,
 ) -> bool:
-    """Returns whether a charge may grow without any other one being closed."""
+    """Returns whether a charge may grow without any other one being closed.
+
+    Args:
+        account: All charges.
+        charge: The one that is to grow.
+        more_bytes: By how much.
+        first: The body from ``first_body``. Other large bodies leave free all
+            that it still needs; if all took a step each in turn, none could be
+            completed.
+    """
     connections = memory_account.Kind.CONNECTION
     others_bytes = account.held_bytes - charge.held_bytes
     if charge.kind is not connections and others_bytes <= account.held_by_kind(
@@ -79,6 +116,21 @@
         return free_bytes >= 0
     free_bytes -= int(RESERVE_FRACTION * account.limit_bytes)
     team_bytes = account.held_by_team(charge.team) + more_bytes
+    if charge is first:
+        # Bodies of several teams would otherwise reach the limits of their
+        # teams together and block each other.
+        alone_bytes = (1.0 - RESERVE_FRACTION) * account.limit_bytes
+        alone_bytes *= TEAM_FACTOR / (1.0 + TEAM_FACTOR)
+        if team_bytes <= alone_bytes and free_bytes >= 0:
+            return True
+    elif (
+        first is not None
+        and charge.kind is memory_account.Kind.BODY
+        and order(first) < order(charge)
+    ):
+        free_bytes -= first.remaining_bytes
+        if first.team == charge.team:
+            team_bytes += first.remaining_bytes
     return team_bytes <= TEAM_FACTOR * free_bytes
 
 
@@ -97,9 +149,9 @@
         charge: The one that is to grow.
         more_bytes: By how much.
         now_ms: The current time.
-        waited_ms: How long it has waited for this.
+        waited_ms: How long it has waited for memory in total.
     """
-    if fits(account, charge, more_bytes):
+    if fits(account, charge, more_bytes, first_body(account, now_ms)):
         return Grant()
     victim = find_victim(
         account,
--- a/tests/test_memory_decision.py
+++ b/tests/test_memory_decision.py
@@ -81,6 +81,48 @@
         assert _read_body(account, charge, _BODY_BYTES, now_ms) is is_read
 
 
+class TestHonestCrowd:
+    """Bodies of 4 MiB that are all sent to their end."""
+
+    @pytest.mark.parametrize("teams", [1, 4, 16])
+    @pytest.mark.parametrize("bodies", [8, 16])
+    def test_bodies_complete_one_after_another(
+        self, teams: int, bodies: int
+    ) -> None:
+        """Guards against bodies that share the memory until none fits."""
+        account = memory_account.MemoryAccount(_LIMIT_BYTES)
+        reading = [
+            account.open(_BODY, f"team-{number % teams}", 0.0)
+            for number in range(bodies)
+        ]
+        for charge in reading:
+            charge.remaining_bytes = _BODY_BYTES
+        while reading:
+            granted = 0
+            for charge in list(reading):
+                decision = memory_decision.decide(
+                    account, charge, _STEP_BYTES, now_ms=0.0, waited_ms=0.0
+                )
+                if decision != memory_decision.Grant():
+                    continue
+                granted += 1
+                account.add(charge, _STEP_BYTES)
+                charge.remaining_bytes -= _STEP_BYTES
+                if not charge.remaining_bytes:
+                    account.close(charge)
+                    reading.remove(charge)
+            assert granted, f"{len(reading)} bodies block each other"
+
+    def test_stalled_body_is_not_waited_for(self) -> None:
+        """Guards against memory that is kept free for a stopped body."""
+        account = memory_account.MemoryAccount(_LIMIT_BYTES)
+        stalled = _charge(account, "team", _BODY_BYTES // 2)
+        stalled.remaining_bytes = _BODY_BYTES // 2
+        assert memory_decision.first_body(account, 0.0) is stalled
+        now_ms = memory_decision.STALLED_MS
+        assert memory_decision.first_body(account, now_ms) is None
+
+
 class TestCrowdOfManyTeams:
     """48 bodies of 48 teams, which make progress or run already."""
 
--- a/tests/test_server_memory.py
+++ b/tests/test_server_memory.py
@@ -16,6 +16,7 @@
 from quetzalmill import http_server
 from quetzalmill import http_server_connection
 from quetzalmill import memory_account
+from quetzalmill import memory_decision
 
 _LIMIT_S = 20.0
 _LIMIT_BYTES = 1_000_000
@@ -322,3 +323,19 @@
             assert charge.held_bytes == 0
 
         _run(main)
+
+    def test_wait_is_limited_for_a_body_not_for_a_step(self) -> None:
+        """Guards against bodies that wait anew for each of their steps."""
+
+        async def main() -> None:
+            memory = host_memory.HostMemory(_LIMIT_BYTES)
+            kind = memory_account.Kind.BODY
+            running = memory.open(kind, "team", lambda: None)
+            running.is_revocable = False
+            memory.add(running, _LIMIT_BYTES)
+            charge = memory.open(kind, "team", lambda: None)
+            charge.waited_ms = memory_decision.MAX_WAIT_MS - 100.0
+            with trio.fail_after(1.0), pytest.raises(errors.BadMessageError):
+                await memory.grow(charge, 100_000)
+
+        _run(main)
