--- a/quetzalmill/memory_decision.py
+++ b/quetzalmill/memory_decision.py
@@ -173,25 +173,37 @@
 ) -> memory_account.Charge | None:
     """Returns the charge to close for another one; None if there is none.
 
-    It is one of the team that holds most, the one without progress longest,
-    then the one with most still to come. A team gives way only to those that
-    hold no more than it does. Small charges also displace large ones that make
-    progress.
+    Large charges come before small ones, and connections last. Of these it is
+    one of the team that holds most, the one without progress longest, then the
+    one with most still to come. A team gives way only to those that hold no
+    more than it does; connections are of many callers, so what has stalled
+    gives way to them in any case. Small charges also displace large ones that
+    make progress.
     """
     own_bytes = account.held_by_team(charge.team)
+    connections = memory_account.Kind.CONNECTION
     best: memory_account.Charge | None = None
-    best_rank = (0, 0.0, 0)
+    best_rank = (False, False, 0, 0.0, 0)
     for each in account.charges():
         if each is charge or not each.is_revocable or not each.held_bytes:
             continue
         team_bytes = account.held_by_team(each.team)
-        if team_bytes < own_bytes:
-            continue
+        is_large = each.held_bytes > SMALL_BYTES
         stalled_ms = 0.0 if each.is_waiting else now_ms - each.progress_ms
-        is_displaced = is_small and each.held_bytes > SMALL_BYTES
-        if stalled_ms < STALLED_MS and not is_displaced:
+        is_stalled = stalled_ms >= STALLED_MS
+        if not is_stalled and not (is_small and is_large):
             continue
-        rank = (team_bytes, stalled_ms, each.remaining_bytes)
+        if team_bytes < own_bytes and not (
+            charge.kind is connections and is_stalled and is_large
+        ):
+            continue
+        rank = (
+            is_large,
+            each.kind is not connections,
+            team_bytes,
+            stalled_ms,
+            each.remaining_bytes,
+        )
         if best is None or rank > best_rank:
             best, best_rank = each, rank
     return best
--- a/tests/test_memory_decision.py
+++ b/tests/test_memory_decision.py
@@ -156,6 +156,38 @@
         )
         assert decision == memory_decision.Wait()
 
+    @pytest.mark.parametrize(
+        "kind",
+        [_BODY, memory_account.Kind.CONNECTION],
+        ids=lambda kind: kind.value,
+    )
+    def test_stalled_large_body_goes_before_idle_connections(
+        self, kind: memory_account.Kind
+    ) -> None:
+        """Guards against ordinary callers that are closed for hostile ones."""
+        account = memory_account.MemoryAccount(_BODY_BYTES)
+        hostile = _charge(account, "hostile", _BODY_BYTES // 4)
+        hostile.progress_ms = 5_000.0
+        while account.free_bytes > 0:
+            _connection(account, memory_decision.SMALL_BYTES)
+        charge = account.open(kind, "", 9_000.0)
+        if kind is memory_account.Kind.CONNECTION:
+            charge.team = memory_account.CONNECTIONS
+        decision = memory_decision.decide(
+            account, charge, _STEP_BYTES, now_ms=9_000.0, waited_ms=0.0
+        )
+        assert decision == memory_decision.Revoke(hostile)
+
+    def test_idle_connection_goes_when_nothing_else_has_stalled(self) -> None:
+        account = memory_account.MemoryAccount(_BODY_BYTES)
+        while account.free_bytes > 0:
+            _connection(account, memory_decision.SMALL_BYTES)
+        charge = _connection(account, 0)
+        decision = memory_decision.decide(
+            account, charge, _STEP_BYTES, now_ms=9_000.0, waited_ms=0.0
+        )
+        assert isinstance(decision, memory_decision.Revoke)
+
     def test_running_request_is_never_revoked(self) -> None:
         account = memory_account.MemoryAccount(_BODY_BYTES)
         _charge(account, "much", _BODY_BYTES).is_revocable = False
@@ -174,6 +206,16 @@
         assert memory_decision.fits(account, *_only(account))
 
 
+def _connection(
+    account: memory_account.MemoryAccount, size_bytes: int
+) -> memory_account.Charge:
+    charge = account.open(
+        memory_account.Kind.CONNECTION, memory_account.CONNECTIONS, 0.0
+    )
+    account.add(charge, size_bytes)
+    return charge
+
+
 def _only(
     account: memory_account.MemoryAccount,
 ) -> tuple[memory_account.Charge, int]:
