--- a/quetzalmill/memory_decision.py
+++ b/quetzalmill/memory_decision.py
@@ -115,6 +115,9 @@
     if charge.held_bytes + more_bytes <= SMALL_BYTES:
         return free_bytes >= 0
     free_bytes -= int(RESERVE_FRACTION * account.limit_bytes)
+    if charge.kind is connections:
+        # They are of many callers, so they have no limit of a team.
+        return free_bytes >= 0
     team_bytes = account.held_by_team(charge.team) + more_bytes
     if charge is first:
         # Bodies of several teams would otherwise reach the limits of their
--- a/tests/test_memory_decision.py
+++ b/tests/test_memory_decision.py
@@ -144,6 +144,27 @@
             assert _read_body(account, charge, _STEP_BYTES, 1.0)
 
 
+class TestHeads:
+    """Heads that are charged to their connections."""
+
+    @pytest.mark.parametrize(
+        ("held_fraction", "is_granted"),
+        [(0.6, True), (0.85, True), (0.9, False)],
+    )
+    def test_only_the_reserve_bounds_large_heads(
+        self, held_fraction: float, is_granted: bool
+    ) -> None:
+        """Guards against 503 for long heads while memory is free."""
+        account = memory_account.MemoryAccount(_LIMIT_BYTES)
+        while account.held_bytes < held_fraction * _LIMIT_BYTES:
+            _connection(account, memory_decision.SMALL_BYTES)
+        charge = _connection(account, memory_decision.SMALL_BYTES)
+        decision = memory_decision.decide(
+            account, charge, 2 * _STEP_BYTES, now_ms=0.0, waited_ms=0.0
+        )
+        assert (decision == memory_decision.Grant()) is is_granted
+
+
 class TestVictims:
     """Who is disconnected for others."""
 
