--- a/quetzalmill/http_reader.py
+++ b/quetzalmill/http_reader.py
@@ -17,6 +17,11 @@
 _STEP_BYTES = 16_384
 """Memory is taken in these steps, as much as one receive returns."""
 
+_CHUNKED_AHEAD_BYTES = 4_096
+"""A chunked body takes its next step when less than this is left of the last
+one; a whole step in advance would make every such body a large charge. What a
+receive returns beyond it is within the charge of the connection."""
+
 _GROWTH_FRACTION = 8
 """A buffer that grows is up to an eighth larger than its content."""
 
@@ -64,9 +69,9 @@
         if body_bytes - self._progress_bytes >= _PROGRESS_BYTES:
             self._progress_bytes = body_bytes
             self._memory.record_progress(self._charge)
-        needed_bytes = body_bytes + _STEP_BYTES
+        needed_bytes = body_bytes + _CHUNKED_AHEAD_BYTES
         if declared_bytes is not None:
-            needed_bytes = min(needed_bytes, declared_bytes)
+            needed_bytes = min(body_bytes + _STEP_BYTES, declared_bytes)
             limit_bytes = declared_bytes
         self._charge.remaining_bytes = _charged_bytes(
             max(limit_bytes - self._taken_bytes, 0)
--- a/tests/test_server_memory.py
+++ b/tests/test_server_memory.py
@@ -13,6 +13,7 @@
 from quetzalmill import gateway_memory
 from quetzalmill import host_memory
 from quetzalmill import http_message
+from quetzalmill import http_reader
 from quetzalmill import http_server
 from quetzalmill import http_server_connection
 from quetzalmill import memory_account
@@ -156,6 +157,44 @@
         _run(main)
 
 
+class TestChunkedBodies:
+    """Bodies whose length is not declared."""
+
+    @pytest.mark.parametrize("size_bytes", [1, 2_048, 12_288])
+    def test_small_ones_are_small_charges(self, size_bytes: int) -> None:
+        """Guards against small bodies that are refused or displaced."""
+
+        async def main() -> None:
+            memory = host_memory.HostMemory(_LIMIT_BYTES)
+            charge, connection = (
+                memory.open(kind, "team", lambda: None)
+                for kind in (
+                    memory_account.Kind.BODY,
+                    memory_account.Kind.CONNECTION,
+                )
+            )
+            body = http_reader.BodyMemory(memory, charge, connection)
+            for body_bytes in range(size_bytes + 1):
+                await body.prepare(body_bytes, None, _LIMIT_BYTES)
+            assert charge.held_bytes <= memory_decision.SMALL_BYTES
+
+        _run(main)
+
+    def test_large_ones_are_charged_before_they_are_received(self) -> None:
+        """Guards against chunked bodies that grow without being charged."""
+
+        async def main() -> None:
+            memory = host_memory.HostMemory(_LIMIT_BYTES)
+            kind = memory_account.Kind.BODY
+            charge = memory.open(kind, "team", lambda: None)
+            body = http_reader.BodyMemory(memory, charge, charge)
+            for body_bytes in range(0, 200_000, 1_000):
+                await body.prepare(body_bytes, None, _LIMIT_BYTES)
+                assert charge.held_bytes > body_bytes
+
+        _run(main)
+
+
 class TestFullTable:
     """More connections than the server keeps."""
 
