--- a/quetzalmill/http_server.py
+++ b/quetzalmill/http_server.py
@@ -117,8 +117,8 @@
     async def _make_room(self) -> None:
         """Waits until another connection may be served.
 
-        The connection that has been idle or without progress longest is closed
-        for it. If all run requests, it waits for one of them to end.
+        The connection that has been idle or has stalled longest is closed for
+        it. If all run requests or make progress, it waits for one of them.
         """
         while self._connections >= self._max_connections:
             memory = self._state.memory
--- a/quetzalmill/http_server_connection.py
+++ b/quetzalmill/http_server_connection.py
@@ -430,12 +430,14 @@
         Returns ``b""`` if the caller disconnects or the wait is cancelled.
         """
         self._server.idle.add(self)
+        self.charge.is_idle = True
         try:
             with self.idle_scope:
                 if self._server.stopping.is_set():
                     self.end_idle()
                 return await self.receive(_FIRST_RECEIVE_BYTES)
         finally:
+            self.charge.is_idle = False
             self._server.idle.discard(self)
         return b""
 
--- a/quetzalmill/memory_account.py
+++ b/quetzalmill/memory_account.py
@@ -41,6 +41,7 @@
             request has not run, or it does not read its response.
         is_waiting: Whether it waits for memory, so that its party cannot make
             progress.
+        is_idle: Whether it is a connection that has no request.
         is_open: Whether it is part of the account.
     """
 
@@ -53,6 +54,7 @@
     waited_ms: float = 0.0
     is_revocable: bool = True
     is_waiting: bool = False
+    is_idle: bool = False
     is_open: bool = True
 
 
--- a/quetzalmill/memory_decision.py
+++ b/quetzalmill/memory_decision.py
@@ -217,18 +217,16 @@
 ) -> memory_account.Charge | None:
     """Returns the charge to revoke for a new connection in a full table.
 
-    It is the connection that has been idle, or without progress in a request
-    that has not run, for the longest time; or a response that its caller has
-    stopped reading. None if all connections run requests.
+    It is the connection that has been idle, or has stalled in a request that
+    has not run, for the longest time; or a response that its caller has
+    stopped reading. None if all others run requests or make progress.
     """
     candidates = [
         each
         for each in closable
         if each.is_revocable
         and each.is_open
-        and (
-            each.kind is memory_account.Kind.CONNECTION
-            or now_ms - each.progress_ms >= STALLED_MS
-        )
+        and not each.is_waiting
+        and (each.is_idle or now_ms - each.progress_ms >= STALLED_MS)
     ]
     return min(candidates, key=lambda each: each.progress_ms, default=None)
--- a/tests/test_memory_decision.py
+++ b/tests/test_memory_decision.py
@@ -227,6 +227,36 @@
         assert memory_decision.fits(account, *_only(account))
 
 
+class TestFullTable:
+    """Who is disconnected for a new connection."""
+
+    @pytest.mark.parametrize(
+        ("now_ms", "is_waiting", "is_closed"),
+        [
+            (memory_decision.STALLED_MS - 1.0, False, False),
+            (memory_decision.STALLED_MS, False, True),
+            (memory_decision.STALLED_MS, True, False),
+        ],
+    )
+    def test_only_a_stalled_request_is_closed(
+        self, now_ms: float, is_waiting: bool, is_closed: bool
+    ) -> None:
+        """Guards against requests that are closed while they make progress."""
+        account = memory_account.MemoryAccount(_LIMIT_BYTES)
+        charge = _connection(account, memory_decision.SMALL_BYTES)
+        charge.is_waiting = is_waiting
+        victim = memory_decision.longest_without_progress([charge], now_ms)
+        assert (victim is charge) is is_closed
+
+    def test_idle_connection_is_closed_at_once(self) -> None:
+        account = memory_account.MemoryAccount(_LIMIT_BYTES)
+        _connection(account, memory_decision.SMALL_BYTES)
+        idle = _connection(account, memory_decision.SMALL_BYTES)
+        idle.is_idle = True
+        charges = account.charges()
+        assert memory_decision.longest_without_progress(charges, 1.0) is idle
+
+
 def _connection(
     account: memory_account.MemoryAccount, size_bytes: int
 ) -> memory_account.Charge:
