--- a/quetzalmill/http_server_connection.py
+++ b/quetzalmill/http_server_connection.py
@@ -231,7 +231,7 @@
         Returns whether there is memory for it.
         """
         charge = self._memory.open(
-            memory_account.Kind.PROMPT, self._team, _do_nothing
+            memory_account.Kind.PROMPT, self._team, lambda: None
         )
         self._request_charges.append(charge)
         charge.is_revocable = False
@@ -367,7 +367,7 @@
             self._memory.shrink(self.charge, CONNECTION_BYTES)
         if not self._reader.has_body:
             return await self._reader.read_body(request)
-        match self._server.check_head(request):
+        match self._check_head(request):
             case Accepted(team=team):
                 self._team = team
                 return await self._read_body(request)
@@ -375,6 +375,15 @@
                 await self._reject(request, respond)
         return None
 
+    def _check_head(self, request: http_message.Request) -> Accepted | Rejected:
+        try:
+            return self._server.check_head(request)
+        except errors.BadMessageError:
+            raise
+        except Exception as error:
+            self._server.on_error(error)
+            return Rejected(self._respond_internal_error)
+
     def _take_head_memory(self) -> None:
         """Charges a head that is incomplete after the first receive.
 
@@ -486,7 +495,3 @@
     if isinstance(error, ExceptionGroup):
         return error.split(errors.ConnectionLostError)[1] is None
     return isinstance(error, errors.ConnectionLostError)
-
-
-def _do_nothing() -> None:
-    pass
--- a/tests/test_server_memory.py
+++ b/tests/test_server_memory.py
@@ -63,6 +63,7 @@
     check_head: http_server_connection.HeadCheck = (
         http_server_connection.accept_all
     ),
+    on_error: http_server_connection.ErrorHook = lambda _: None,
 ) -> AsyncIterator[_Server]:
     server = _Server()
     with trio.fail_after(_LIMIT_S):
@@ -75,6 +76,7 @@
                     limits=http_message.Limits(max_connections=max_connections),
                     stopping=trio.Event(),
                     check_head=check_head,
+                    on_error=on_error,
                     memory=host_memory.HostMemory(_LIMIT_BYTES),
                 )
             )
@@ -110,6 +112,31 @@
 
         _run(main)
 
+    def test_failed_check_ends_only_its_connection(self) -> None:
+        """Guards against a process that ends with an exception of a check."""
+        reported: list[BaseException] = []
+
+        def check_head(
+            request: http_message.Request,
+        ) -> http_server_connection.Accepted:
+            if request.path == "/large":
+                raise ValueError("the check failed")
+            return http_server_connection.Accepted()
+
+        async def main() -> None:
+            async with _serving(
+                check_head=check_head, on_error=reported.append
+            ) as server:
+                stream = await server.connect(_LARGE_HEAD)
+                response = await _read_to_end(stream)
+                assert response.startswith(b"HTTP/1.1 500")
+                assert b"connection: close" in response.lower()
+                other = await server.connect(_SMALL)
+                assert b"200" in await other.receive_some(100)
+
+        _run(main)
+        assert [type(error) for error in reported] == [ValueError]
+
     def test_split_heads_are_bounded(self) -> None:
         """Guards against incomplete heads that fill the memory."""
 
