Count what a chunked body may still take up to its limit

Its last step went beyond the limit of a body and was not kept free for it, so that chunked bodies of the largest size still blocked each other.

--- a/quetzalmill/http_reader.py
+++ b/quetzalmill/http_reader.py
@@ -69,19 +69,19 @@
         if body_bytes - self._progress_bytes >= _PROGRESS_BYTES:
             self._progress_bytes = body_bytes
             self._memory.record_progress(self._charge)
-        needed_bytes = body_bytes + _CHUNKED_AHEAD_BYTES
+        ahead_bytes = _CHUNKED_AHEAD_BYTES
         if declared_bytes is not None:
-            needed_bytes = min(body_bytes + _STEP_BYTES, declared_bytes)
+            ahead_bytes = _STEP_BYTES
             limit_bytes = declared_bytes
+        needed_bytes = min(body_bytes + ahead_bytes, limit_bytes)
         self._charge.remaining_bytes = _charged_bytes(
-            max(limit_bytes - self._taken_bytes, 0)
+            limit_bytes - self._taken_bytes
         )
         if needed_bytes <= self._taken_bytes:
             return
         # A step in advance, so that tiny chunks do not take memory each.
         step_bytes = max(_STEP_BYTES, needed_bytes - self._taken_bytes)
-        if declared_bytes is not None:
-            step_bytes = min(step_bytes, declared_bytes - self._taken_bytes)
+        step_bytes = min(step_bytes, limit_bytes - self._taken_bytes)
         self._connection.is_waiting = True
         try:
             await self._memory.grow(self._charge, _charged_bytes(step_bytes))
@@ -90,7 +90,7 @@
             self._memory.record_progress(self._connection)
         self._taken_bytes += step_bytes
         self._charge.remaining_bytes = _charged_bytes(
-            max(limit_bytes - self._taken_bytes, 0)
+            limit_bytes - self._taken_bytes
         )
 
 
--- a/tests/test_server_memory.py
+++ b/tests/test_server_memory.py
@@ -64,6 +64,7 @@
         http_server_connection.accept_all
     ),
     on_error: http_server_connection.ErrorHook = lambda _: None,
+    limit_bytes: int = _LIMIT_BYTES,
 ) -> AsyncIterator[_Server]:
     server = _Server()
     with trio.fail_after(_LIMIT_S):
@@ -77,7 +78,7 @@
                     stopping=trio.Event(),
                     check_head=check_head,
                     on_error=on_error,
-                    memory=host_memory.HostMemory(_LIMIT_BYTES),
+                    memory=host_memory.HostMemory(limit_bytes),
                 )
             )
             yield server
@@ -184,6 +185,42 @@
         _run(main)
 
 
+class TestHonestBodies:
+    """Large bodies that are sent to their end at the same time."""
+
+    @pytest.mark.parametrize("is_chunked", [False, True])
+    def test_all_are_served(self, is_chunked: bool) -> None:
+        """Guards against bodies that block each other until refused."""
+        size_bytes = 4_194_304
+        statuses: list[bytes] = []
+        head = b"POST /whole HTTP/1.1\r\nHost: a\r\n"
+        if is_chunked:
+            head += b"Transfer-Encoding: chunked\r\n\r\n"
+            chunk = b"10000\r\n" + bytes(65_536) + b"\r\n"
+            body = chunk * (size_bytes // 65_536) + b"0\r\n\r\n"
+        else:
+            head += b"Content-Length: %d\r\n\r\n" % size_bytes
+            body = bytes(size_bytes)
+
+        async def main() -> None:
+            # The account of the smallest host, three tenths of 128 MB.
+            async with _serving(limit_bytes=38_400_000) as server:
+
+                async def send() -> None:
+                    stream = await server.connect(head)
+                    with contextlib.suppress(trio.BrokenResourceError):
+                        await stream.send_all(body)
+                    statuses.append((await stream.receive_some(100))[9:12])
+                    await stream.aclose()
+
+                async with trio.open_nursery() as nursery:
+                    for _ in range(8):
+                        nursery.start_soon(send)
+
+        _run(main)
+        assert statuses == [b"200"] * 8
+
+
 class TestChunkedBodies:
     """Bodies whose length is not declared."""
 
