--- a/quetzalmill/memory_decision.py
+++ b/quetzalmill/memory_decision.py
@@ -28,8 +28,8 @@
 memory; several times the longest pause of TCP after one lost packet."""
 
 MAX_WAIT_MS = 2_000.0
-"""How long a body waits for memory before it is refused; half of the usual
-deadline of a request, so that a retry elsewhere is still in time."""
+"""How long a body waits for memory in total before it is refused; half of the
+usual deadline of a request, so that a retry elsewhere is still in time."""
 
 
 @attrs.frozen
@@ -61,12 +61,49 @@
 Decision = Grant | Revoke | Wait | Refuse
 
 
+def order(charge: memory_account.Charge) -> tuple[int, int]:
+    """Returns the sort key of bodies: least still to come, then oldest."""
+    return charge.remaining_bytes, charge.number
+
+
+def first_body(
+    account: memory_account.MemoryAccount, now_ms: float
+) -> memory_account.Charge | None:
+    """Returns the large body that is to be completed before others.
+
+    None if there is none that makes progress or waits for memory.
+    """
+    return min(
+        (
+            each
+            for each in account.charges()
+            if each.kind is memory_account.Kind.BODY
+            and each.is_revocable
+            and each.remaining_bytes > 0
+            and each.held_bytes > SMALL_BYTES
+            and (each.is_waiting or now_ms - each.progress_ms < STALLED_MS)
+        ),
+        key=order,
+        default=None,
+    )
+
+
 def fits(
     account: memory_account.MemoryAccount,
     charge: memory_account.Charge,
     more_bytes: int,
+    first: memory_account.Charge | None = None,
 ) -> bool:
-    """Returns whether a charge may grow without any other one being closed."""
+    """Returns whether a charge may grow without any other one being closed.
+
+    Args:
+        account: All charges.
+        charge: The one that is to grow.
+        more_bytes: By how much.
+        first: The body from ``first_body``. Other large bodies leave free all
+            that it still needs; if all took a step each in turn, none could be
+            completed.
+    """
     connections = memory_account.Kind.CONNECTION
     others_bytes = account.held_bytes - charge.held_bytes
     if charge.kind is not connections and others_bytes <= account.held_by_kind(
@@ -78,7 +115,25 @@
     if charge.held_bytes + more_bytes <= SMALL_BYTES:
         return free_bytes >= 0
     free_bytes -= int(RESERVE_FRACTION * account.limit_bytes)
+    if charge.kind is connections:
+        # They are of many callers, so they have no limit of a team.
+        return free_bytes >= 0
     team_bytes = account.held_by_team(charge.team) + more_bytes
+    if charge is first:
+        # Bodies of several teams would otherwise reach the limits of their
+        # teams together and block each other.
+        alone_bytes = (1.0 - RESERVE_FRACTION) * account.limit_bytes
+        alone_bytes *= TEAM_FACTOR / (1.0 + TEAM_FACTOR)
+        if team_bytes <= alone_bytes and free_bytes >= 0:
+            return True
+    elif (
+        first is not None
+        and charge.kind is memory_account.Kind.BODY
+        and order(first) < order(charge)
+    ):
+        free_bytes -= first.remaining_bytes
+        if first.team == charge.team:
+            team_bytes += first.remaining_bytes
     return team_bytes <= TEAM_FACTOR * free_bytes
 
 
@@ -97,9 +152,9 @@
         charge: The one that is to grow.
         more_bytes: By how much.
         now_ms: The current time.
-        waited_ms: How long it has waited for this.
+        waited_ms: How long it has waited for memory in total.
     """
-    if fits(account, charge, more_bytes):
+    if fits(account, charge, more_bytes, first_body(account, now_ms)):
         return Grant()
     victim = find_victim(
         account,
@@ -121,25 +176,37 @@
 ) -> memory_account.Charge | None:
     """Returns the charge to close for another one; None if there is none.
 
-    It is one of the team that holds most, the one without progress longest,
-    then the one with most still to come. A team gives way only to those that
-    hold no more than it does. Small charges also displace large ones that make
-    progress.
+    Large charges come before small ones, and connections last. Of these it is
+    one of the team that holds most, the one without progress longest, then the
+    one with most still to come. A team gives way only to those that hold no
+    more than it does; connections are of many callers, so what has stalled
+    gives way to them in any case. Small charges also displace large ones that
+    make progress.
     """
     own_bytes = account.held_by_team(charge.team)
+    connections = memory_account.Kind.CONNECTION
     best: memory_account.Charge | None = None
-    best_rank = (0, 0.0, 0)
+    best_rank = (False, False, 0, 0.0, 0)
     for each in account.charges():
         if each is charge or not each.is_revocable or not each.held_bytes:
             continue
         team_bytes = account.held_by_team(each.team)
-        if team_bytes < own_bytes:
-            continue
+        is_large = each.held_bytes > SMALL_BYTES
         stalled_ms = 0.0 if each.is_waiting else now_ms - each.progress_ms
-        is_displaced = is_small and each.held_bytes > SMALL_BYTES
-        if stalled_ms < STALLED_MS and not is_displaced:
+        is_stalled = stalled_ms >= STALLED_MS
+        if not is_stalled and not (is_small and is_large):
+            continue
+        if team_bytes < own_bytes and not (
+            charge.kind is connections and is_stalled and is_large
+        ):
             continue
-        rank = (team_bytes, stalled_ms, each.remaining_bytes)
+        rank = (
+            is_large,
+            each.kind is not connections,
+            team_bytes,
+            stalled_ms,
+            each.remaining_bytes,
+        )
         if best is None or rank > best_rank:
             best, best_rank = each, rank
     return best
@@ -150,18 +217,16 @@
 ) -> memory_account.Charge | None:
     """Returns the charge to revoke for a new connection in a full table.
 
-    It is the connection that has been idle, or without progress in a request
-    that has not run, for the longest time; or a response that its caller has
-    stopped reading. None if all connections run requests.
+    It is the connection that has been idle, or has stalled in a request that
+    has not run, for the longest time; or a response that its caller has
+    stopped reading. None if all others run requests or make progress.
     """
     candidates = [
         each
         for each in closable
         if each.is_revocable
         and each.is_open
-        and (
-            each.kind is memory_account.Kind.CONNECTION
-            or now_ms - each.progress_ms >= STALLED_MS
-        )
+        and not each.is_waiting
+        and (each.is_idle or now_ms - each.progress_ms >= STALLED_MS)
     ]
     return min(candidates, key=lambda each: each.progress_ms, default=None)
--- a/tests/test_memory_decision.py
+++ b/tests/test_memory_decision.py
@@ -81,6 +81,48 @@
         assert _read_body(account, charge, _BODY_BYTES, now_ms) is is_read
 
 
+class TestHonestCrowd:
+    """Bodies of 4 MiB that are all sent to their end."""
+
+    @pytest.mark.parametrize("teams", [1, 4, 16])
+    @pytest.mark.parametrize("bodies", [8, 16])
+    def test_bodies_complete_one_after_another(
+        self, teams: int, bodies: int
+    ) -> None:
+        """Guards against bodies that share the memory until none fits."""
+        account = memory_account.MemoryAccount(_LIMIT_BYTES)
+        reading = [
+            account.open(_BODY, f"team-{number % teams}", 0.0)
+            for number in range(bodies)
+        ]
+        for charge in reading:
+            charge.remaining_bytes = _BODY_BYTES
+        while reading:
+            granted = 0
+            for charge in list(reading):
+                decision = memory_decision.decide(
+                    account, charge, _STEP_BYTES, now_ms=0.0, waited_ms=0.0
+                )
+                if decision != memory_decision.Grant():
+                    continue
+                granted += 1
+                account.add(charge, _STEP_BYTES)
+                charge.remaining_bytes -= _STEP_BYTES
+                if not charge.remaining_bytes:
+                    account.close(charge)
+                    reading.remove(charge)
+            assert granted, f"{len(reading)} bodies block each other"
+
+    def test_stalled_body_is_not_waited_for(self) -> None:
+        """Guards against memory that is kept free for a stopped body."""
+        account = memory_account.MemoryAccount(_LIMIT_BYTES)
+        stalled = _charge(account, "team", _BODY_BYTES // 2)
+        stalled.remaining_bytes = _BODY_BYTES // 2
+        assert memory_decision.first_body(account, 0.0) is stalled
+        now_ms = memory_decision.STALLED_MS
+        assert memory_decision.first_body(account, now_ms) is None
+
+
 class TestCrowdOfManyTeams:
     """48 bodies of 48 teams, which make progress or run already."""
 
@@ -102,6 +144,27 @@
             assert _read_body(account, charge, _STEP_BYTES, 1.0)
 
 
+class TestHeads:
+    """Heads that are charged to their connections."""
+
+    @pytest.mark.parametrize(
+        ("held_fraction", "is_granted"),
+        [(0.6, True), (0.85, True), (0.9, False)],
+    )
+    def test_only_the_reserve_bounds_large_heads(
+        self, held_fraction: float, is_granted: bool
+    ) -> None:
+        """Guards against 503 for long heads while memory is free."""
+        account = memory_account.MemoryAccount(_LIMIT_BYTES)
+        while account.held_bytes < held_fraction * _LIMIT_BYTES:
+            _connection(account, memory_decision.SMALL_BYTES)
+        charge = _connection(account, memory_decision.SMALL_BYTES)
+        decision = memory_decision.decide(
+            account, charge, 2 * _STEP_BYTES, now_ms=0.0, waited_ms=0.0
+        )
+        assert (decision == memory_decision.Grant()) is is_granted
+
+
 class TestVictims:
     """Who is disconnected for others."""
 
@@ -114,6 +177,38 @@
         )
         assert decision == memory_decision.Wait()
 
+    @pytest.mark.parametrize(
+        "kind",
+        [_BODY, memory_account.Kind.CONNECTION],
+        ids=lambda kind: kind.value,
+    )
+    def test_stalled_large_body_goes_before_idle_connections(
+        self, kind: memory_account.Kind
+    ) -> None:
+        """Guards against ordinary callers that are closed for hostile ones."""
+        account = memory_account.MemoryAccount(_BODY_BYTES)
+        hostile = _charge(account, "hostile", _BODY_BYTES // 4)
+        hostile.progress_ms = 5_000.0
+        while account.free_bytes > 0:
+            _connection(account, memory_decision.SMALL_BYTES)
+        charge = account.open(kind, "", 9_000.0)
+        if kind is memory_account.Kind.CONNECTION:
+            charge.team = memory_account.CONNECTIONS
+        decision = memory_decision.decide(
+            account, charge, _STEP_BYTES, now_ms=9_000.0, waited_ms=0.0
+        )
+        assert decision == memory_decision.Revoke(hostile)
+
+    def test_idle_connection_goes_when_nothing_else_has_stalled(self) -> None:
+        account = memory_account.MemoryAccount(_BODY_BYTES)
+        while account.free_bytes > 0:
+            _connection(account, memory_decision.SMALL_BYTES)
+        charge = _connection(account, 0)
+        decision = memory_decision.decide(
+            account, charge, _STEP_BYTES, now_ms=9_000.0, waited_ms=0.0
+        )
+        assert isinstance(decision, memory_decision.Revoke)
+
     def test_running_request_is_never_revoked(self) -> None:
         account = memory_account.MemoryAccount(_BODY_BYTES)
         _charge(account, "much", _BODY_BYTES).is_revocable = False
@@ -132,6 +227,46 @@
         assert memory_decision.fits(account, *_only(account))
 
 
+class TestFullTable:
+    """Who is disconnected for a new connection."""
+
+    @pytest.mark.parametrize(
+        ("now_ms", "is_waiting", "is_closed"),
+        [
+            (memory_decision.STALLED_MS - 1.0, False, False),
+            (memory_decision.STALLED_MS, False, True),
+            (memory_decision.STALLED_MS, True, False),
+        ],
+    )
+    def test_only_a_stalled_request_is_closed(
+        self, now_ms: float, is_waiting: bool, is_closed: bool
+    ) -> None:
+        """Guards against requests that are closed while they make progress."""
+        account = memory_account.MemoryAccount(_LIMIT_BYTES)
+        charge = _connection(account, memory_decision.SMALL_BYTES)
+        charge.is_waiting = is_waiting
+        victim = memory_decision.longest_without_progress([charge], now_ms)
+        assert (victim is charge) is is_closed
+
+    def test_idle_connection_is_closed_at_once(self) -> None:
+        account = memory_account.MemoryAccount(_LIMIT_BYTES)
+        _connection(account, memory_decision.SMALL_BYTES)
+        idle = _connection(account, memory_decision.SMALL_BYTES)
+        idle.is_idle = True
+        charges = account.charges()
+        assert memory_decision.longest_without_progress(charges, 1.0) is idle
+
+
+def _connection(
+    account: memory_account.MemoryAccount, size_bytes: int
+) -> memory_account.Charge:
+    charge = account.open(
+        memory_account.Kind.CONNECTION, memory_account.CONNECTIONS, 0.0
+    )
+    account.add(charge, size_bytes)
+    return charge
+
+
 def _only(
     account: memory_account.MemoryAccount,
 ) -> tuple[memory_account.Charge, int]:
--- a/tests/test_server_memory.py
+++ b/tests/test_server_memory.py
@@ -13,9 +13,11 @@
 from quetzalmill import gateway_memory
 from quetzalmill import host_memory
 from quetzalmill import http_message
+from quetzalmill import http_reader
 from quetzalmill import http_server
 from quetzalmill import http_server_connection
 from quetzalmill import memory_account
+from quetzalmill import memory_decision
 
 _LIMIT_S = 20.0
 _LIMIT_BYTES = 1_000_000
@@ -61,6 +63,8 @@
     check_head: http_server_connection.HeadCheck = (
         http_server_connection.accept_all
     ),
+    on_error: http_server_connection.ErrorHook = lambda _: None,
+    limit_bytes: int = _LIMIT_BYTES,
 ) -> AsyncIterator[_Server]:
     server = _Server()
     with trio.fail_after(_LIMIT_S):
@@ -73,7 +77,8 @@
                     limits=http_message.Limits(max_connections=max_connections),
                     stopping=trio.Event(),
                     check_head=check_head,
-                    memory=host_memory.HostMemory(_LIMIT_BYTES),
+                    on_error=on_error,
+                    memory=host_memory.HostMemory(limit_bytes),
                 )
             )
             yield server
@@ -108,6 +113,31 @@
 
         _run(main)
 
+    def test_failed_check_ends_only_its_connection(self) -> None:
+        """Guards against a process that ends with an exception of a check."""
+        reported: list[BaseException] = []
+
+        def check_head(
+            request: http_message.Request,
+        ) -> http_server_connection.Accepted:
+            if request.path == "/large":
+                raise ValueError("the check failed")
+            return http_server_connection.Accepted()
+
+        async def main() -> None:
+            async with _serving(
+                check_head=check_head, on_error=reported.append
+            ) as server:
+                stream = await server.connect(_LARGE_HEAD)
+                response = await _read_to_end(stream)
+                assert response.startswith(b"HTTP/1.1 500")
+                assert b"connection: close" in response.lower()
+                other = await server.connect(_SMALL)
+                assert b"200" in await other.receive_some(100)
+
+        _run(main)
+        assert [type(error) for error in reported] == [ValueError]
+
     def test_split_heads_are_bounded(self) -> None:
         """Guards against incomplete heads that fill the memory."""
 
@@ -155,6 +185,80 @@
         _run(main)
 
 
+class TestHonestBodies:
+    """Large bodies that are sent to their end at the same time."""
+
+    @pytest.mark.parametrize("is_chunked", [False, True])
+    def test_all_are_served(self, is_chunked: bool) -> None:
+        """Guards against bodies that block each other until refused."""
+        size_bytes = 4_194_304
+        statuses: list[bytes] = []
+        head = b"POST /whole HTTP/1.1\r\nHost: a\r\n"
+        if is_chunked:
+            head += b"Transfer-Encoding: chunked\r\n\r\n"
+            chunk = b"10000\r\n" + bytes(65_536) + b"\r\n"
+            body = chunk * (size_bytes // 65_536) + b"0\r\n\r\n"
+        else:
+            head += b"Content-Length: %d\r\n\r\n" % size_bytes
+            body = bytes(size_bytes)
+
+        async def main() -> None:
+            # The account of the smallest host, three tenths of 128 MB.
+            async with _serving(limit_bytes=38_400_000) as server:
+
+                async def send() -> None:
+                    stream = await server.connect(head)
+                    with contextlib.suppress(trio.BrokenResourceError):
+                        await stream.send_all(body)
+                    statuses.append((await stream.receive_some(100))[9:12])
+                    await stream.aclose()
+
+                async with trio.open_nursery() as nursery:
+                    for _ in range(8):
+                        nursery.start_soon(send)
+
+        _run(main)
+        assert statuses == [b"200"] * 8
+
+
+class TestChunkedBodies:
+    """Bodies whose length is not declared."""
+
+    @pytest.mark.parametrize("size_bytes", [1, 2_048, 12_288])
+    def test_small_ones_are_small_charges(self, size_bytes: int) -> None:
+        """Guards against small bodies that are refused or displaced."""
+
+        async def main() -> None:
+            memory = host_memory.HostMemory(_LIMIT_BYTES)
+            charge, connection = (
+                memory.open(kind, "team", lambda: None)
+                for kind in (
+                    memory_account.Kind.BODY,
+                    memory_account.Kind.CONNECTION,
+                )
+            )
+            body = http_reader.BodyMemory(memory, charge, connection)
+            for body_bytes in range(size_bytes + 1):
+                await body.prepare(body_bytes, None, _LIMIT_BYTES)
+            assert charge.held_bytes <= memory_decision.SMALL_BYTES
+
+        _run(main)
+
+    def test_large_ones_are_charged_before_they_are_received(self) -> None:
+        """Guards against chunked bodies that grow without being charged."""
+
+        async def main() -> None:
+            memory = host_memory.HostMemory(_LIMIT_BYTES)
+            kind = memory_account.Kind.BODY
+            charge = memory.open(kind, "team", lambda: None)
+            body = http_reader.BodyMemory(memory, charge, charge)
+            for body_bytes in range(0, 200_000, 1_000):
+                await body.prepare(body_bytes, None, _LIMIT_BYTES)
+                assert charge.held_bytes > body_bytes
+
+        _run(main)
+
+
 class TestFullTable:
     """More connections than the server keeps."""
 
@@ -322,3 +426,19 @@
             assert charge.held_bytes == 0
 
         _run(main)
+
+    def test_wait_is_limited_for_a_body_not_for_a_step(self) -> None:
+        """Guards against bodies that wait anew for each of their steps."""
+
+        async def main() -> None:
+            memory = host_memory.HostMemory(_LIMIT_BYTES)
+            kind = memory_account.Kind.BODY
+            running = memory.open(kind, "team", lambda: None)
+            running.is_revocable = False
+            memory.add(running, _LIMIT_BYTES)
+            charge = memory.open(kind, "team", lambda: None)
+            charge.waited_ms = memory_decision.MAX_WAIT_MS - 100.0
+            with trio.fail_after(1.0), pytest.raises(errors.BadMessageError):
+                await memory.grow(charge, 100_000)
+
+        _run(main)
