--- a/quetzalmill/endpoint_choice.py
+++ b/quetzalmill/endpoint_choice.py
@@ -12,7 +12,7 @@
 - Several gateways whose load reports are about as old as a request lasts: all
   would choose, and overload, the endpoint that seemed least loaded. Each
   request therefore considers only a few endpoints.
-- Billed bytes between failure domains: a request stays in its gateway's own
+- Bytes that fill the links between failure domains: a request stays in its gateway's own
   domain unless another one is better by more than the crossing is worth, or
   only the other one has a free slot.
 """
@@ -215,8 +215,8 @@
 ) -> Estimate | None:
     """Returns the best estimate; ties and near-ties are broken randomly.
 
-    The price of bytes between failure domains counts unless only endpoints of
-    other domains have a free slot.
+    Other failure domains have to be better by their margin, unless only their
+    endpoints have a free slot.
     """
     if not estimates:
         return None
--- a/quetzalmill/outage_grants.py
+++ b/quetzalmill/outage_grants.py
@@ -13,7 +13,7 @@
 
 MIN_OUTAGE_MS = 600.0
 """How long the store must have been unavailable before turns that need it are
-refused without waiting; three times what one lost answer costs."""
+refused without waiting; longer than a write waits for one lost answer."""
 
 UNCERTAIN_MS = 60_000.0
 """How long after an owner was lost without a handover an unknown program may be
