--- a/quetzalmill/endpoint_choice.py
+++ b/quetzalmill/endpoint_choice.py
@@ -12,8 +12,8 @@
 - Several gateways whose load reports are about as old as a request lasts: all
   would choose, and overload, the endpoint that seemed least loaded. Each
   request therefore considers only a few endpoints.
-- Bytes that fill the links between failure domains: a request stays in its gateway's own
-  domain unless another one is better by more than the crossing is worth, or
+- Bytes that fill the links between failure domains: a request stays in its
+  gateway's own domain unless another one is better by more than a margin, or
   only the other one has a free slot.
 """
 
