--- a/review/6/case.py
+++ b/review/6/case.py
@@ -138,8 +138,9 @@
     whole = sum(each[0] for each in results)
     cut = sum(each[1] for each in results)
     deployment.note(
-        f"{REQUESTS} requests: {garble.spoilt} answers broken off by a reset,"
-        f" {whole} whole successes, {cut} successes that are cut"
+        f"{REQUESTS} requests: {garble.spoilt} of {garble.answers} answers"
+        f" broken off by a reset, {whole} whole successes, {cut} successes"
+        " that are cut"
     )
     return cut > 0
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -115,9 +115,10 @@
         *(book(deployment, number, tally) for number in range(REQUESTS))
     )
     deployment.note(
-        f"{REQUESTS} payments, {tally.served} served; {garble.spoilt} answers"
-        f" without an end; {tally.at_timeout} payments had no answer at"
-        f" timeoutMs, {tally.late} of these none {LATE_S} s later"
+        f"{REQUESTS} payments, {tally.served} served; {garble.spoilt} of"
+        f" {garble.answers} answers without an end; {tally.at_timeout}"
+        f" payments had no answer at timeoutMs, {tally.late} of these none"
+        f" {LATE_S} s later"
     )
     return tally.late > tally.at_timeout / 2
 
