Detect a reset that only the sending side was told of

Callers got a 200 with half of a body, signed and with a length that fitted the half, where an endpoint answered a long request early, without a length or chunks, and reset the connection (review/6, MIXED).

Cause: the operating system reports a reset once. While the request is still being sent, that is to the send, whose failure was ignored so that an early refusal could be read. The reads that follow return what had arrived and then an ordinary end, which is complete for a body without a length. Shown with two sockets alone: send ECONNRESET, recv 1000 bytes, recv an end; with the server's side ended first, send EPIPE. Ruled out: the parser (a length and chunks were never affected) and bodies that fit into the sockets' buffers, where the read gets the error.

Change: a send that fails with anything but a broken pipe marks the connection; its end is then a lost connection for every reader.

--- a/quetzalmill/http_connection.py
+++ b/quetzalmill/http_connection.py
@@ -2,7 +2,6 @@
 
 import collections
 from collections.abc import AsyncIterator, Callable
-import contextlib
 import itertools
 import re
 import select
@@ -180,6 +179,9 @@
     Attributes:
         number: Its number within this process.
         exchanges: The number of requests that it has carried.
+        is_reset: Whether sending failed because the connection was reset.
+            What arrived before can still be read, but its end is not the
+            server's.
     """
 
     address: str
@@ -189,6 +191,7 @@
     idle_since_s: float = 0.0
     received_bytes: int = 0
     skipped_responses: int = 0
+    is_reset: bool = False
     _names: collections.deque[str] = attrs.field(
         factory=lambda: collections.deque(maxlen=_MAX_RECORDED_NAMES)
     )
@@ -222,6 +225,8 @@
         event = self.parse()
         while event is h11.NEED_DATA:
             data = await self._receive()
+            if not data and self.is_reset:
+                raise _connection_lost()
             self.http.receive_data(data)
             event = self.parse(at_eof=not data)
         return event
@@ -308,12 +313,7 @@
         hooks: RequestHooks,
         scope: trio.CancelScope,
     ) -> h11.Response:
-        # A server that refuses a large request may respond and close while the
-        # request is still being sent, so the response is read even if sending
-        # fails.
-        with contextlib.suppress(trio.BrokenResourceError):
-            for part in parts:
-                await self.stream.send_all(part)
+        await self._send(parts)
         while True:
             head = await self._read_head(hooks)
             if not hooks.is_unrelated(self.describe(head)):
@@ -323,6 +323,21 @@
                 scope.deadline -= (1.0 - _FOREIGN_WAIT_FRACTION) * remaining_s
             await self._skip(request, head)
 
+    async def _send(self, parts: list[bytes]) -> None:
+        """Sends a request until all is sent or the connection fails.
+
+        A server that refuses a large request may respond and close while the
+        request is still being sent, so its response is read in any case.
+        """
+        try:
+            for part in parts:
+                await self.stream.send_all(part)
+        except trio.BrokenResourceError as error:
+            # A broken pipe means that the server ended its side before the
+            # reset. The system reports the reset here only; reads that follow
+            # return what has arrived and then an ordinary end.
+            self.is_reset = not isinstance(error.__cause__, BrokenPipeError)
+
     async def _read_head(self, hooks: RequestHooks) -> h11.Response:
         for _ in range(_MAX_INTERIM_RESPONSES + 1):
             event = await self.next_event()
--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -1,6 +1,8 @@
 """Tests of endpoints' responses that are cut at any byte, then closed."""
 
 import pathlib
+import socket
+import struct
 
 import pytest
 import trio
@@ -15,6 +17,9 @@
 _Framing = platform_endpoint.Framing
 _EVENTS = 2
 _ENDS = (b"\n\n", b"\r\n\r\n")
+_LONG_BYTES = 32_000_000
+"""More than the buffers of both sockets take."""
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 @pytest.mark.parametrize("framing", _Framing)
@@ -126,6 +131,83 @@
             trio.run(run)
 
 
+class TestUnfinishedRequests:
+    """Responses that arrive while a long request is still being sent.
+
+    The operating system reports a reset only once, here to the sending side.
+    What the client reads afterwards ends like an orderly closed connection.
+    """
+
+    @pytest.mark.parametrize("status", [200, 503])
+    @pytest.mark.parametrize(
+        "half",
+        [
+            b"\r\nhalf",
+            b"Content-Length: 8\r\n\r\nhalf",
+            b"Transfer-Encoding: chunked\r\n\r\n8\r\nhalf",
+        ],
+    )
+    def test_reset_response_is_not_whole(
+        self, status: int, half: bytes
+    ) -> None:
+        """A reset response without a length was delivered as complete."""
+        sent = b"HTTP/1.1 %d X\r\n%s" % (status, half)
+        with pytest.RaisesGroup(errors.ConnectionLostError):
+            trio.run(_send_long, sent, False)
+
+    @pytest.mark.parametrize(
+        "whole",
+        [
+            b"Content-Length: 4\r\n\r\nfull",
+            b"Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n",
+        ],
+    )
+    def test_delimited_response_before_a_reset_is_whole(
+        self, whole: bytes
+    ) -> None:
+        """A server may refuse a long request without reading its body."""
+        response = trio.run(_send_long, b"HTTP/1.1 413 X\r\n" + whole, False)
+        assert response.body == b"full"
+
+    def test_response_that_ends_before_a_reset_is_whole(self) -> None:
+        """The server ends its side first, then resets the connection."""
+        response = trio.run(_send_long, b"HTTP/1.1 200 X\r\n\r\nfull", True)
+        assert response.body == b"full"
+
+
+async def _send_long(sent: bytes, ends_first: bool) -> http_message.Response:
+    """Sends a long request to a server that resets the connection.
+
+    Args:
+        sent: What the server sends before, without reading the body.
+        ends_first: Whether it ends its side before the reset.
+    """
+
+    async def serve(stream: trio.SocketStream) -> None:
+        await stream.receive_some(1)
+        await stream.send_all(sent)
+        if ends_first:
+            await stream.send_eof()
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        await stream.aclose()
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        try:
+            return await http_client.HttpClient().request(
+                f"127.0.0.1:{port}",
+                http_message.Request(
+                    method="POST", path="/", body=bytes(_LONG_BYTES)
+                ),
+                timeout_ms=5_000.0,
+            )
+        finally:
+            nursery.cancel_scope.cancel()
+    raise AssertionError
+
+
 def _raw_response(
     endpoint: platform_endpoint.PlatformEndpoint,
     framing: platform_endpoint.Framing,
--- a/tests/test_stream_body.py
+++ b/tests/test_stream_body.py
@@ -1,6 +1,7 @@
 """Tests of relaying a stream's body, for each framing, piece and cut."""
 
 import contextlib
+import enum
 import types
 from typing import Any, cast
 import unittest.mock
@@ -19,18 +20,30 @@
 _MANY_BYTES = 100_000
 
 
+class _End(enum.Enum):
+    """How a connection ends."""
+
+    CLOSED = enum.auto()
+    RESET = enum.auto()
+    RESET_WHILE_SENDING = enum.auto()
+    """Reported to the client's sending side, after which reading ends as on a
+    closed connection."""
+
+
 class _Stream:
-    """A connection on which a server sends pieces, then closes or resets."""
+    """A connection on which a server sends pieces, then ends it."""
 
-    def __init__(self, pieces: list[bytes], is_reset: bool) -> None:
+    def __init__(self, pieces: list[bytes], end: _End) -> None:
         self._pieces = pieces
-        self._is_reset = is_reset
+        self._end = end
         self.socket = unittest.mock.Mock()
 
     async def send_all(self, data: bytes) -> None:
         """Ignores the request."""
         del data
         await trio.lowlevel.checkpoint()
+        if self._end is _End.RESET_WHILE_SENDING:
+            raise trio.BrokenResourceError from ConnectionResetError()
 
     async def receive_some(self, max_bytes: int) -> bytes:
         """Returns the next piece."""
@@ -38,7 +51,7 @@
         await trio.lowlevel.checkpoint()
         if self._pieces:
             return self._pieces.pop(0)
-        if self._is_reset:
+        if self._end is _End.RESET:
             raise trio.BrokenResourceError
         return b""
 
@@ -56,7 +69,7 @@
 
 
 async def _relay(
-    pieces: list[bytes], is_reset: bool
+    pieces: list[bytes], end: _End
 ) -> tuple[bytes, bool, list[bytes]]:
     """Returns what the caller gets, whether complete, and the outputs."""
     sent: list[bytes] = []
@@ -66,7 +79,7 @@
         sent.append(data)
 
     connection = http_connection.Connection(
-        "127.0.0.1:1", cast("trio.SocketStream", _Stream(pieces, is_reset))
+        "127.0.0.1:1", cast("trio.SocketStream", _Stream(pieces, end))
     )
     job: Any = types.SimpleNamespace(
         relay=event_relay.EventRelay(), allowance=None
@@ -101,7 +114,16 @@
         unwritten=st.just(0) | st.integers(0, 25),
         cut=st.just(0) | st.integers(0, 200),
         size=st.integers(1, 60),
-        is_reset=st.booleans(),
+        end=st.sampled_from(_End),
+    )
+    @hypothesis.example(
+        framing="connection",
+        count=2,
+        line_end=b"\n",
+        unwritten=0,
+        cut=0,
+        size=60,
+        end=_End.RESET_WHILE_SENDING,
     )
     def test_incomplete_stream_is_not_called_complete(
         self,
@@ -111,7 +133,7 @@
         unwritten: int,
         cut: int,
         size: int,
-        is_reset: bool,
+        end: _End,
     ) -> None:
         """The caller gets complete events, and an end only after one.
 
@@ -132,14 +154,16 @@
             arrived[start : start + size]
             for start in range(0, len(arrived), size)
         ]
-        sent, is_complete, outputs = trio.run(_relay, pieces, is_reset)
+        sent, is_complete, outputs = trio.run(_relay, pieces, end)
         ends = [b"".join(events[:number]) for number in range(count + 1)]
         assert sent in ends
         assert len(outputs) == ends.index(sent)
         if framing == "connection":
             arrived_body = arrived[raw.index(b"\r\n\r\n") + 4 :]
             assert is_complete == (
-                not is_reset and arrived_body in ends and arrived_body != b""
+                end is _End.CLOSED
+                and arrived_body in ends
+                and arrived_body != b""
             )
         else:
             assert is_complete == (arrived == raw and body in ends)
