Limit the time of whole responses, not only of the pauses in them

Cause: only streams were relayed under the request's deadline. For all other bodies StreamedResponse limited the time between two chunks, so each byte granted as much time again. Ruled out: heads, which arrive under the deadline of the exchange, and HttpClient.request, which had a limit of its own.

Change: HttpClient.stream requires the time allowed for the whole response, so each reader states it (dispatcher, endpoint port, executor and home links). The dispatcher loses a body that is not over at the deadline (504), counts it as a failure of its endpoint, and gives the body of a request that may go to another endpoint half of the time left after its head. A refusal is known from its head; its body is read for 50 ms and 64 KiB at most, to reuse the connection.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from quetzalmill import body_reader
 from quetzalmill import clock as clock_module
 from quetzalmill import cold_endpoints
 from quetzalmill import dispatch_job
@@ -57,6 +58,7 @@
 PROBE_TIMEOUT_MS = 300.0
 """Timeout for the connection that checks whether an endpoint is alive."""
 
+_RETRY_AFTER_RANGE_MS = (100.0, 400.0)
 _MISDIRECTED = 421
 _SERVER_ERROR = 500
 
@@ -91,7 +93,6 @@
         hedge_limit: float = 0.0,
     ) -> None:
         self._pool = pool
-        self._answers = answers
         self._client = client
         self._dialect = dialect
         self._clock = clock
@@ -99,6 +100,9 @@
         self._latencies = endpoint_health.AverageLatencies()
         self.recorder = speed_recorder.SpeedRecorder(failure_domain)
         self._retry_timeout = retry_timeout.RetryTimeout()
+        self._bodies = body_reader.BodyReader(
+            answers, self._retry_timeout, clock
+        )
         self._cold = cold or cold_endpoints.ColdEndpoints(
             pool, member_table.MemberTable(""), "", clock
         )
@@ -139,7 +143,7 @@
         self, job: dispatch_job.Job, exchange: http_server.Exchange
     ) -> outcomes.Outcome:
         reason = "no endpoint is known"
-        retry_after_ms = self._retry_after_ms()
+        retry_after_ms = self._random.uniform(*_RETRY_AFTER_RANGE_MS)
         connect_failures = 0
         response_lost = False
         failed: outcomes.Answered | None = None
@@ -225,9 +229,6 @@
             and job.deadline_ms - self._clock.now_ms() > MIN_REMAINING_MS
         )
 
-    def _retry_after_ms(self) -> float:
-        return self._random.uniform(100.0, 400.0)
-
     async def _attempt(
         self,
         job: dispatch_job.Job,
@@ -321,6 +322,7 @@
                 endpoint.address,
                 request,
                 timeout_ms=max_wait_ms,
+                whole_timeout_ms=remaining_ms + STREAM_GRACE_MS,
                 idle_timeout_ms=self._idle_ms(job, remaining_ms),
                 new_connection=response_verdicts.needs_new_connection(job.call),
                 request_name=job.call.request_id,
@@ -406,7 +408,7 @@
     ) -> dispatch_job.SendResult:
         match verdict:
             case response_verdicts.NotRun():
-                await self._answers.read(response)
+                await body_reader.discard(response)
                 if reply.status == _MISDIRECTED:
                     endpoint_pool.failed(endpoint_state, self._clock.now_ms())
                 return dispatch_job.TryNext(
@@ -425,7 +427,7 @@
             if not streamed.complete and _ended_by_endpoint(job, exchange):
                 await self._probe(job, endpoint_state)
             return streamed
-        body = await self._answers.read(response)
+        body = await self._bodies.read(job, endpoint_state, response)
         return outcomes.Answered(
             status=reply.status, headers=reply.headers, body=body
         )
--- a/quetzalmill/endpoint_port.py
+++ b/quetzalmill/endpoint_port.py
@@ -78,7 +78,7 @@
                 address,
                 request,
                 timeout_ms=timeout_ms,
-                idle_timeout_ms=timeout_ms,
+                whole_timeout_ms=timeout_ms,
                 new_connection=True,
                 max_body_bytes=MAX_ANSWER_BYTES,
             ) as response:
--- a/quetzalmill/executor_link.py
+++ b/quetzalmill/executor_link.py
@@ -77,12 +77,14 @@
                 body=codec.to_msgpack(execution),
             )
         )
+        # The sidecar enforces the deadline and reports if the call ran.
+        whole_timeout_ms = execution.call.time_left_ms + self._timeout_ms
         async with self._client.stream(
             process.http_address,
             request,
             timeout_ms=self._timeout_ms,
-            # The sidecar enforces the deadline and reports if the call ran.
-            idle_timeout_ms=execution.call.time_left_ms + self._timeout_ms,
+            whole_timeout_ms=whole_timeout_ms,
+            idle_timeout_ms=whole_timeout_ms,
             new_connection=not idempotent,
             idempotent=idempotent,
             max_body_bytes=internal_api.MAX_ANSWER_BYTES,
--- a/quetzalmill/home_link.py
+++ b/quetzalmill/home_link.py
@@ -274,7 +274,7 @@
             target.address,
             request,
             timeout_ms=timeout_ms,
-            idle_timeout_ms=timeout_ms,
+            whole_timeout_ms=timeout_ms,
             new_connection=call.single and not call.idempotent,
             idempotent=not call.single or call.idempotent,
             max_body_bytes=internal_api.MAX_ANSWER_BYTES,
--- a/quetzalmill/http_client.py
+++ b/quetzalmill/http_client.py
@@ -75,24 +75,20 @@
             errors.BadMessageError: The request is invalid, or the response is
                 malformed or too large.
         """
-        whole_ms = timeout_ms + body_timeout_ms
-        deadline_s = trio.current_time() + whole_ms / 1000.0
         async with self.stream(
             address,
             request,
             timeout_ms=timeout_ms,
-            idle_timeout_ms=timeout_ms,
+            whole_timeout_ms=timeout_ms + body_timeout_ms,
             new_connection=new_connection,
             idempotent=idempotent,
             max_body_bytes=max_body_bytes,
         ) as response:
-            with trio.move_on_at(deadline_s):
-                return http_message.Response(
-                    status=response.status,
-                    headers=response.headers,
-                    body=await response.read(),
-                )
-            raise errors.ResponseTimeoutError("the response did not end")
+            return http_message.Response(
+                status=response.status,
+                headers=response.headers,
+                body=await response.read(),
+            )
 
     @contextlib.asynccontextmanager
     async def stream(
@@ -101,6 +97,7 @@
         request: http_message.Request,
         *,
         timeout_ms: float,
+        whole_timeout_ms: float,
         idle_timeout_ms: float | None = None,
         new_connection: bool = False,
         idempotent: bool = False,
@@ -118,6 +115,8 @@
             address: IP address and port of the server.
             request: The request; hop-by-hop headers are not sent.
             timeout_ms: The time allowed from connecting to the response head.
+            whole_timeout_ms: The time allowed from connecting to the end of
+                the response, however steadily its body arrives.
             idle_timeout_ms: The time allowed between two chunks of the body;
                 defaults to ``timeout_ms``.
             new_connection: Whether to use a new connection.
@@ -128,7 +127,8 @@
             request_name: What its responses name it by; pooled connections
                 that have carried this name are not used.
         """
-        deadline_s = trio.current_time() + timeout_ms / 1000.0
+        start_s = trio.current_time()
+        deadline_s = start_s + timeout_ms / 1000.0
         kept = None
         if not new_connection:
             kept = self._take_idle(address, request_name)
@@ -142,6 +142,7 @@
             timeout_ms if idle_timeout_ms is None else idle_timeout_ms,
             max_body_bytes,
             is_delimited=http_connection.is_delimited(request.method, head),
+            deadline_s=start_s + whole_timeout_ms / 1000.0,
         )
         try:
             yield response
--- a/quetzalmill/http_connection.py
+++ b/quetzalmill/http_connection.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import AsyncIterator, Callable
 import itertools
+import math
 import re
 import select
 
@@ -96,9 +97,11 @@
         max_body_bytes: int,
         *,
         is_delimited: bool,
+        deadline_s: float = math.inf,
     ) -> None:
         self._connection = connection
         self._idle_timeout_ms = idle_timeout_ms
+        self._deadline_s = deadline_s
         self._remaining_bytes = max_body_bytes
         self._chunks_at_once = 0
         self.head = connection.describe(head)
@@ -125,7 +128,8 @@
 
         Raises:
             errors.ConnectionLostError: The connection was lost within the body.
-            errors.ResponseTimeoutError: No chunk arrived in time.
+            errors.ResponseTimeoutError: The next chunk did not arrive in time,
+                or the whole response did not.
             errors.BadMessageError: The body is malformed or too large.
         """
         event = await self._next_event()
@@ -167,8 +171,14 @@
                 await trio.lowlevel.checkpoint()
             return event
         self._chunks_at_once = 0
-        with trio.move_on_after(self._idle_timeout_ms / 1000.0):
+        # The deadline bounds a body whose chunks keep arriving.
+        idle_limit_s = trio.current_time() + self._idle_timeout_ms / 1000.0
+        with trio.move_on_at(min(idle_limit_s, self._deadline_s)):
             return await self._connection.next_event()
+        if self._deadline_s <= idle_limit_s:
+            raise errors.ResponseTimeoutError(
+                "the response did not end in time"
+            )
         raise errors.ResponseTimeoutError("the response body stalled")
 
 
@@ -363,7 +373,7 @@
         response = StreamedResponse(
             self,
             head,
-            float("inf"),
+            math.inf,
             _MAX_FOREIGN_BYTES,
             is_delimited=is_delimited(request.method, head),
         )
--- a/quetzalmill/retry_timeout.py
+++ b/quetzalmill/retry_timeout.py
@@ -51,8 +51,7 @@
             remaining_ms: The time until its deadline.
             average_ms: The average latency of the route; 0 if unknown.
         """
-        is_last = sends + 1 >= route.max_attempts or not has_alternative
-        if not route.is_retryable or is_last:
+        if not _may_go_elsewhere(route, sends + 1, has_alternative):
             return remaining_ms
         self._early_retries.first_attempt()
         if route.retry_mode is route_table.RetryMode.STREAM:
@@ -65,6 +64,34 @@
         overdue_ms = max(route.target_latency_ms, LATENCY_MULTIPLE * average_ms)
         return min(limit_ms, overdue_ms)
 
+    def max_body_wait_ms(
+        self,
+        route: route_table.Route,
+        *,
+        sends: int,
+        has_alternative: bool,
+        remaining_ms: float,
+    ) -> float:
+        """Returns how long to wait for the rest of a body after its head.
+
+        Args:
+            route: The request's route.
+            sends: How many endpoints have received the request, this one
+                included.
+            has_alternative: Whether another endpoint is left for a retry.
+            remaining_ms: The time until its deadline.
+        """
+        if not _may_go_elsewhere(route, sends, has_alternative):
+            return remaining_ms
+        return MAX_WAIT_FRACTION * remaining_ms
+
     def record_early_retry(self) -> None:
         """Counts a retry of a request whose response was overdue."""
         self._early_retries.take()
+
+
+def _may_go_elsewhere(
+    route: route_table.Route, sends: int, has_alternative: bool
+) -> bool:
+    """Returns whether a request may be sent again after some sends."""
+    return route.is_retryable and sends < route.max_attempts and has_alternative
--- a/quetzalmill_emulator/platform_endpoint.py
+++ b/quetzalmill_emulator/platform_endpoint.py
@@ -30,6 +30,7 @@
 
     SHED = "shed"
     SHED_UNNAMED = "shed unnamed"
+    SHED_TRICKLE = "shed trickle"
     LATE_COPY = "late copy"
     LOSE_ANSWER = "lose answer"
     FORGED = "forged"
@@ -190,7 +191,7 @@
             started_s=trio.current_time(),
             started_unix_ms=self.started_unix_ms,
         )
-        if fault in (Fault.SHED, Fault.SHED_UNNAMED):
+        if fault in (Fault.SHED, Fault.SHED_UNNAMED, Fault.SHED_TRICKLE):
             await self._shed(exchange, run, fault)
             return
         if isinstance(fault, late_copies.LateCopy):
@@ -223,6 +224,9 @@
             await self._send_undelimited(exchange, answer, fault)
         elif fault is Fault.ERROR:
             await exchange.respond(500, b"failed", answer, "text/plain")
+        elif fault is Fault.TRICKLE and not self._events:
+            await exchange.start_stream(200, answer)
+            await _trickle(exchange)
         elif self._events:
             first = int(headers.get("last-event-id", "0")) + 1
             await self._stream(exchange, answer, fault, first)
@@ -280,8 +284,12 @@
     ) -> None:
         self.refused.append(run)
         answer = {"Not-Executed": "1", **self._drain_headers(run)}
-        if fault is Fault.SHED:
+        if fault is not Fault.SHED_UNNAMED:
             answer["Attempt-Id"] = run.request_id
+        if fault is Fault.SHED_TRICKLE:
+            await exchange.start_stream(503, answer)
+            await _trickle(exchange)
+            return
         head = "".join(f"{name}: {answer[name]}\r\n" for name in answer)
         refusal = (
             "HTTP/1.1 503 Service Unavailable\r\n"
@@ -358,6 +366,14 @@
         await exchange.finish()
 
 
+async def _trickle(exchange: http_server.Exchange) -> None:
+    """Sends bytes now and then, which complete no event either."""
+    while not exchange.disconnected:
+        await exchange.send(b": \n")
+        await trio.sleep(_TRICKLE_S)
+    exchange.abort()
+
+
 def _event(name: str, number: int) -> bytes:
     return f"id: {number}\ndata: {name}e{number}\n\n".encode()
 
@@ -372,9 +388,7 @@
         case Fault.STALLED_STREAM:
             await exchange.wait_disconnected()
         case Fault.TRICKLE:
-            while not exchange.disconnected:
-                await exchange.send(b": \n")
-                await trio.sleep(_TRICKLE_S)
+            await _trickle(exchange)
         case Fault.ENDLESS_LINE:
             while not exchange.disconnected:
                 await exchange.send(b"x" * _FLOOD_BYTES)
--- a/quetzalmill_load/path_cost.py
+++ b/quetzalmill_load/path_cost.py
@@ -223,7 +223,10 @@
     started_s = time.monotonic()
     first_s = 0.0
     async with client.stream(
-        address, request, timeout_ms=_TIMEOUT_MS
+        address,
+        request,
+        timeout_ms=_TIMEOUT_MS,
+        whole_timeout_ms=_TIMEOUT_MS,
     ) as response:
         if response.status != 200:
             raise processes.LoadError(f"a call got status {response.status}")
--- a/quetzalmill_soak/callers.py
+++ b/quetzalmill_soak/callers.py
@@ -199,6 +199,7 @@
                 address,
                 request,
                 timeout_ms=remaining_ms + 1000.0 * checks.LATE_S,
+                whole_timeout_ms=2.0 * remaining_ms + 1000.0 * checks.LATE_S,
             ) as response:
                 attempt.answered_s = trio.current_time()
                 attempt.headers = response.headers
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -236,7 +236,10 @@
             async with (
                 _serving(handler) as served,
                 client.stream(
-                    served.address, _GET, timeout_ms=_TIMEOUT_MS
+                    served.address,
+                    _GET,
+                    timeout_ms=_TIMEOUT_MS,
+                    whole_timeout_ms=_TIMEOUT_MS,
                 ) as response,
             ):
                 assert response.headers["content-type"] == sse.CONTENT_TYPE
@@ -795,6 +798,7 @@
                         timeout_ms=1000.0 * self._WAIT_S
                         if stays_open
                         else _TIMEOUT_MS,
+                        whole_timeout_ms=_TIMEOUT_MS,
                         hooks=hooks,
                     ) as response:
                         return await response.read()
@@ -824,7 +828,10 @@
                 _scripted(script) as address,
                 _counting(count),
                 client.stream(
-                    address, _GET, timeout_ms=_TIMEOUT_MS
+                    address,
+                    _GET,
+                    timeout_ms=_TIMEOUT_MS,
+                    whole_timeout_ms=_TIMEOUT_MS,
                 ) as response,
             ):
                 await self._read(count, response)
--- a/tests/test_leaving_endpoints.py
+++ b/tests/test_leaving_endpoints.py
@@ -82,6 +82,7 @@
                     gateway.callers,
                     _turn(request_id),
                     timeout_ms=6_000.0,
+                    whole_timeout_ms=12_000.0,
                     new_connection=True,
                 ) as response:
                     body = b""
--- a/tests/test_leaving_sends.py
+++ b/tests/test_leaving_sends.py
@@ -428,6 +428,7 @@
                         first.address,
                         http_message.Request(method="GET", path="/"),
                         timeout_ms=1_000.0,
+                        whole_timeout_ms=1_000.0,
                         idempotent=True,
                         hooks=hooks,
                     ):
--- a/tests/test_retry_timeout.py
+++ b/tests/test_retry_timeout.py
@@ -62,3 +62,34 @@
                 early += 1
                 timeout.record_early_retry()
         assert early <= 1_000 * retry_timeout.EARLY_RETRY_FRACTION + 10
+
+
+class TestBodies:
+    """Bodies that do not end, behind sound heads."""
+
+    def _max_body_wait_ms(
+        self,
+        route: route_table.Route = routes.LOOKUP,
+        *,
+        sends: int = 1,
+        has_alternative: bool = True,
+    ) -> float:
+        return retry_timeout.RetryTimeout().max_body_wait_ms(
+            route,
+            sends=sends,
+            has_alternative=has_alternative,
+            remaining_ms=_LEFT_MS,
+        )
+
+    def test_next_endpoint_gets_as_much_time(self) -> None:
+        assert self._max_body_wait_ms() == _LEFT_MS / 2
+
+    def test_last_endpoint_gets_all_the_time(self) -> None:
+        assert self._max_body_wait_ms(sends=2) == _LEFT_MS
+        assert self._max_body_wait_ms(has_alternative=False) == _LEFT_MS
+
+    def test_request_that_runs_once_waits_for_its_endpoint(self) -> None:
+        booking = attrs.evolve(
+            routes.LOOKUP, retry_mode=route_table.RetryMode.UNSAFE
+        )
+        assert self._max_body_wait_ms(booking) == _LEFT_MS
