Release a lost response before its endpoint is probed

Cause: the check ran inside the handler of the error, whose traceback refers to the frames with the parser and the body. Ruled out: reference cycles (with the collector disabled, the connection is freed with the error).

Change: the check runs after the error has been handled.

TestLostResponses failed before and passes after.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -261,14 +261,16 @@
             if exchange.disconnected:
                 return outcomes.CallerLeft()
             endpoint_state.health.record_failure(self._clock.now_ms())
-            await self._probe(job, endpoint_state)
-            return dispatch_job.Lost(str(error))
+            lost = dispatch_job.Lost(str(error))
         finally:
             endpoint_state.running -= 1
             self._pool.durations.record(
                 job.service.name, self._clock.now_ms() - sent_ms
             )
             self._end_pending(endpoint_state, sent_ms)
+        # Not while the error is handled: its traceback keeps what was received.
+        await self._probe(job, endpoint_state)
+        return lost
 
     def _end_pending(
         self, endpoint_state: endpoint_record.EndpointState, sent_ms: float
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -4,7 +4,9 @@
 import contextlib
 import types
 import unittest.mock
+import weakref
 
+import pytest
 import trio
 import trio.testing
 
@@ -254,6 +256,53 @@
         assert endpoint_state.failures == 0
 
 
+class _Received:
+    """What was received before a response was lost."""
+
+
+class _LosingClient:
+    """Emulates an endpoint whose responses are lost after some bytes.
+
+    Attributes:
+        received: The bytes that were received last.
+    """
+
+    received: weakref.ReferenceType[_Received] | None = None
+
+    @contextlib.asynccontextmanager
+    async def stream(
+        self, *_: object, **__: object
+    ) -> AsyncIterator[unittest.mock.Mock]:
+        """Fails with an error whose traceback refers to the bytes."""
+        await trio.lowlevel.checkpoint()
+        received = _Received()
+        self.received = weakref.ref(received)
+        if self.received() is not None:
+            raise errors.BadMessageError("the answer goes on", 502)
+        yield unittest.mock.Mock()
+
+
+class TestLostResponses:
+    """A check by connecting whether the endpoint of a lost response is up."""
+
+    def test_what_was_received_is_released_before(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against lost responses that are kept beyond their charge."""
+        client = _LosingClient()
+        is_kept: list[bool] = []
+
+        async def connect(*_: object) -> None:
+            await trio.lowlevel.checkpoint()
+            assert client.received is not None
+            is_kept.append(client.received() is not None)
+            raise OSError
+
+        monkeypatch.setattr(trio, "open_tcp_stream", connect)
+        _run(_dispatcher(_endpoint_state("llm-1", "a"), client=client), 1)
+        assert is_kept == [False]
+
+
 class _SlowClient:
     """Emulates endpoints whose responses take given times, in order."""
 
