Charge heads and sizes of chunks that a faulty endpoint does not end

Other operators reported that bytes without end, in a head or a body, were kept until the process ran out of memory and the requests of other clients ended with it. Each response here stays below a limit of its own (64 KiB of an incomplete head or size of a chunk), but nothing bounded a thousand at a time; a head of 10,000 short fields took some MB while its body was read.

Change: what the parser holds of an incomplete head, size of a chunk or trailer is a charge of the memory account from 4 KiB on, and so are the copies of a head until its response ends; without memory the response is refused. Of a head and of a size that is incomplete, 4 KiB are received at once. A head has 256 fields at most, and all heads of one exchange 64 KiB.

--- a/quetzalmill/gateway.py
+++ b/quetzalmill/gateway.py
@@ -121,7 +121,7 @@
         self._cache = conversations.TurnCache(cache_bytes)
         self._control = peer_http.PeerClient()
         self._client = http_client.HttpClient(
-            connect_timeout_ms=CONNECT_TIMEOUT_MS
+            connect_timeout_ms=CONNECT_TIMEOUT_MS, memory=self._memory
         )
         self.state.pool.observer = leaving_watch.LeavingWatch(
             self._client, self.metrics
--- a/quetzalmill/http_client.py
+++ b/quetzalmill/http_client.py
@@ -12,9 +12,11 @@
 import trio
 
 from quetzalmill import errors
+from quetzalmill import host_memory
 from quetzalmill import http_connect
 from quetzalmill import http_connection
 from quetzalmill import http_message
+from quetzalmill import response_memory
 
 _DEFAULT_MAX_BODY_BYTES = 16_777_216
 _NO_HOOKS = http_connection.RequestHooks()
@@ -27,6 +29,7 @@
         connect_timeout_ms: The time allowed for connecting.
         max_idle: The maximum number of idle connections for each address.
         idle_timeout_ms: How long an idle connection is kept.
+        memory: The memory of the process; unlimited if left out.
     """
 
     def __init__(
@@ -35,11 +38,13 @@
         connect_timeout_ms: float = 2000.0,
         max_idle: int = 16,
         idle_timeout_ms: float = 15_000.0,
+        memory: host_memory.HostMemory | None = None,
     ) -> None:
         self._connect_timeout_ms = connect_timeout_ms
         self._max_idle = max_idle
         self._idle_timeout_ms = idle_timeout_ms
         self._idle: dict[str, list[http_connection.Connection]] = {}
+        self._memory = memory or host_memory.HostMemory()
         self._closed = False
         self._last_sweep_s = 0.0
 
@@ -216,8 +221,10 @@
         limit_s = min(deadline_s, trio.current_time() + timeout_s)
         try:
             with trio.move_on_at(limit_s):
+                stream = await http_connect.connect(address)
+                charge = response_memory.ResponseCharge(self._memory)
                 return http_connection.Connection(
-                    address, await http_connect.connect(address)
+                    address, stream, charge=charge
                 )
         except (OSError, ValueError) as error:
             raise errors.ConnectFailedError(f"{address}: {error}") from error
--- a/quetzalmill/http_connection.py
+++ b/quetzalmill/http_connection.py
@@ -12,10 +12,18 @@
 import trio
 
 from quetzalmill import errors
+from quetzalmill import host_memory
 from quetzalmill import http_message
+from quetzalmill import response_memory
 
 _RECEIVE_BYTES = 65_536
+_FRAMING_RECEIVE_BYTES = 4_096
+"""Less than of bodies, as an incomplete head or size of a chunk is kept."""
 _MAX_HEAD_BYTES = 65_536
+_MAX_HEAD_FIELDS = 256
+"""A field takes some hundred bytes of memory, however short it is."""
+_HEAD_COPIES = 4
+"""How many copies of a head's bytes are kept until the response ends."""
 _MAX_INTERIM_RESPONSES = 8
 """Interim (1xx) responses accepted before the final one; servers usually send
 one or two."""
@@ -192,6 +200,7 @@
         is_reset: Whether sending failed because the connection was reset.
             What arrived before can still be read, but its end is not the
             server's.
+        charge: What the parser holds of the current response, and its head.
     """
 
     address: str
@@ -202,6 +211,9 @@
     received_bytes: int = 0
     skipped_responses: int = 0
     is_reset: bool = False
+    charge: response_memory.ResponseCharge = attrs.field(
+        factory=lambda: response_memory.ResponseCharge(host_memory.HostMemory())
+    )
     _names: collections.deque[str] = attrs.field(
         factory=lambda: collections.deque(maxlen=_MAX_RECORDED_NAMES)
     )
@@ -234,7 +246,12 @@
         """Reads the next protocol event of the response."""
         event = self.parse()
         while event is h11.NEED_DATA:
-            data = await self._receive()
+            incomplete, _ = self.http.trailing_data
+            self.charge.hold(len(incomplete))
+            is_body = self.http.their_state is h11.SEND_BODY and not incomplete
+            data = await self._receive(
+                _RECEIVE_BYTES if is_body else _FRAMING_RECEIVE_BYTES
+            )
             if not data and self.is_reset:
                 raise _connection_lost()
             self.http.receive_data(data)
@@ -285,6 +302,7 @@
 
     def prepare_reuse(self) -> bool:
         """Prepares for another exchange; returns whether that is possible."""
+        self.charge.close()
         if self.http.states != {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
             return False
         if self.http.trailing_data[0]:
@@ -295,6 +313,7 @@
 
     def close(self) -> None:
         """Closes the connection immediately."""
+        self.charge.close()
         self.stream.socket.close()
 
     def _encode(self, request: http_message.Request) -> list[bytes]:
@@ -349,14 +368,19 @@
             self.is_reset = not isinstance(error.__cause__, BrokenPipeError)
 
     async def _read_head(self, hooks: RequestHooks) -> h11.Response:
+        earlier_bytes = self.received_bytes
         for _ in range(_MAX_INTERIM_RESPONSES + 1):
             event = await self.next_event()
             if not isinstance(event, h11.Response | h11.InformationalResponse):
                 raise errors.BadMessageError("no response head", _BAD_GATEWAY)
+            head_bytes = _check_size(event)
             _require_one_head(event)
             if isinstance(event, h11.Response):
+                self.charge.hold(_HEAD_COPIES * head_bytes)
                 return event
             hooks.on_interim(self.describe(event))
+            if self.received_bytes - earlier_bytes > _MAX_HEAD_BYTES:
+                break
         raise errors.BadMessageError("interim heads go on", _BAD_GATEWAY)
 
     async def _skip(
@@ -388,9 +412,9 @@
         if rest:
             self.http.receive_data(rest)
 
-    async def _receive(self) -> bytes:
+    async def _receive(self, max_bytes: int) -> bytes:
         try:
-            data = bytes(await self.stream.receive_some(_RECEIVE_BYTES))
+            data = bytes(await self.stream.receive_some(max_bytes))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise _connection_lost() from error
         self.received_bytes += len(data)
@@ -405,6 +429,19 @@
     return bool(names & {b"content-length", b"transfer-encoding"})
 
 
+def _check_size(head: h11.Response | h11.InformationalResponse) -> int:
+    """Returns the bytes of a head's fields.
+
+    Raises:
+        errors.BadMessageError: There are too many of them.
+    """
+    if len(head.headers) > _MAX_HEAD_FIELDS:
+        raise errors.BadMessageError(
+            f"the head has over {_MAX_HEAD_FIELDS} fields", _BAD_GATEWAY
+        )
+    return sum(len(name) + len(value) for name, value in head.headers)
+
+
 def _require_one_head(head: h11.Response | h11.InformationalResponse) -> None:
     """Checks that a head does not contain parts of two responses.
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -911,6 +911,34 @@
     await trio.lowlevel.checkpoint()
 
 
+class TestHeads:
+    """Responses whose heads end, but are larger than any server needs."""
+
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 300,
+            b"HTTP/1.1 103 X\r\n" + b"a: b\r\n" * 300,
+            (b"HTTP/1.1 103 X\r\nX-Filler: " + b"x" * 30_000 + b"\r\n\r\n") * 3
+            + b"HTTP/1.1 200 OK\r\n",
+        ],
+    )
+    def test_large_head_is_refused(self, head: bytes) -> None:
+        """Guards against heads that take many times their bytes."""
+
+        async def script(stream: trio.SocketStream) -> None:
+            await stream.receive_some()
+            await stream.send_all(head + b"Content-Length: 0\r\n\r\n")
+
+        async def main() -> None:
+            client = http_client.HttpClient()
+            async with _scripted(script) as address:
+                with pytest.raises(errors.BadMessageError):
+                    await client.request(address, _GET, timeout_ms=_TIMEOUT_MS)
+
+        trio.run(main)
+
+
 class TestEndlessResponses:
     """Faulty servers that send bytes until the client closes."""
 
--- a/tests/test_response_memory.py
+++ b/tests/test_response_memory.py
@@ -8,6 +8,7 @@
 import trio.testing
 
 from quetzalmill import errors
+from quetzalmill import host_memory
 from quetzalmill import response_memory
 
 _LIMIT_BYTES = 4_000_000
@@ -112,3 +113,49 @@
         assert (
             peak_bytes <= _LIMIT_BYTES + 400 * response_memory.GUARANTEED_BYTES
         )
+
+
+class TestResponseCharge:
+    """Responses that are not buffered as a whole."""
+
+    def test_small_one_is_not_charged(self) -> None:
+        memory = host_memory.HostMemory(_LIMIT_BYTES)
+        charge = response_memory.ResponseCharge(memory)
+        charge.hold(response_memory.UNCHARGED_BYTES - 1)
+        assert memory.account.held_bytes == 0
+
+    def test_growing_one_is_charged_until_it_is_closed(self) -> None:
+        async def run() -> None:
+            memory = host_memory.HostMemory(_LIMIT_BYTES)
+            charge = response_memory.ResponseCharge(memory)
+            for size_bytes in (5_000, 60_000, 9_000):
+                charge.hold(size_bytes)
+                assert memory.account.held_bytes >= size_bytes
+            assert 60_000 <= memory.account.held_bytes < 80_000
+            charge.close()
+            assert memory.account.held_bytes == 0
+
+        trio.run(run)
+
+    @pytest.mark.parametrize("guaranteed_bytes", [0, 16_384])
+    def test_one_without_memory_is_refused(self, guaranteed_bytes: int) -> None:
+        """Many of them share the memory; only what is guaranteed exceeds it."""
+
+        async def run() -> None:
+            memory = host_memory.HostMemory(_LIMIT_BYTES)
+            refused = 0
+            for _ in range(200):
+                charge = response_memory.ResponseCharge(
+                    memory, guaranteed_bytes
+                )
+                charge.hold(guaranteed_bytes)
+                try:
+                    charge.hold(64_000)
+                except errors.BadMessageError:
+                    refused += 1
+            assert 0 < refused < 200
+            assert memory.account.held_bytes <= (
+                _LIMIT_BYTES + 200 * guaranteed_bytes
+            )
+
+        trio.run(run)
