Charge what streams hold, and keep no output that is not stored

All events of a stream were also kept until its end, though only turns that are stored need them.

Events are kept only for turns that are stored. The relay moves beside the reader of bodies, out of the dispatcher.

The slow event and TestHeldBytes failed before.

--- a/quetzalmill/dispatch.py
+++ b/quetzalmill/dispatch.py
@@ -34,7 +34,6 @@
 from quetzalmill import retry_timeout
 from quetzalmill import route_table
 from quetzalmill import speed_recorder
-from quetzalmill import stream_body
 
 MAX_CONNECT_FAILURES = 4
 """Failed connection attempts after which a request is refused."""
@@ -44,10 +43,6 @@
 stream counts as stalled and continues at another endpoint. Callers disconnect
 after eight times the gap."""
 
-STREAM_GRACE_MS = 100.0
-"""How long a stream may continue after its deadline. Endpoints stop at the
-deadline themselves, so only a faulty one still sends."""
-
 MIN_REMAINING_MS = 20.0
 """Minimum time left before the deadline for sending a request; no endpoint can
 answer in less."""
@@ -324,7 +319,7 @@
                 endpoint.address,
                 request,
                 timeout_ms=max_wait_ms,
-                whole_timeout_ms=remaining_ms + STREAM_GRACE_MS,
+                whole_timeout_ms=remaining_ms + body_reader.STREAM_GRACE_MS,
                 idle_timeout_ms=self._idle_ms(job, remaining_ms),
                 new_connection=response_verdicts.needs_new_connection(job.call),
                 request_name=job.call.request_id,
@@ -425,7 +420,9 @@
         self._selector.record_ran(job, endpoint_state)
         is_stream = job.route.retry_mode is route_table.RetryMode.STREAM
         if is_stream and 200 <= reply.status < 300:
-            streamed = await self._relay(job, reply, response, exchange, timer)
+            streamed = await self._bodies.relay(
+                job, reply, response, exchange, timer
+            )
             if not streamed.complete and _ended_by_endpoint(job, exchange):
                 await self._probe(job, endpoint_state)
             return streamed
@@ -434,34 +431,6 @@
             status=reply.status, headers=reply.headers, body=body
         )
 
-    async def _relay(
-        self,
-        job: dispatch_job.Job,
-        reply: gateway_calls.Reply,
-        response: http_connection.StreamedResponse,
-        exchange: http_server.Exchange,
-        timer: speed_recorder.Timer,
-    ) -> outcomes.Streamed:
-        """Relays a stream to the caller, without ending the response."""
-        relay = job.relay
-        if relay.started:
-            relay.resume()
-        else:
-            relay.start(reply.status)
-            await exchange.start_stream(reply.status, reply.headers)
-        remaining_ms = job.deadline_ms + STREAM_GRACE_MS - self._clock.now_ms()
-        try:
-            with trio.fail_after(max(0.0, remaining_ms) / 1000.0):
-                await stream_body.relay(job, response, exchange, timer)
-        except (errors.HttpError, trio.TooSlowError) as error:
-            _log.info(
-                "stream_broke_off",
-                request_id=job.call.request_id,
-                reason=repr(error),
-            )
-            return relay.outcome(complete=False)
-        return relay.outcome(complete=True)
-
     async def _probe(
         self,
         job: dispatch_job.Job,
--- a/quetzalmill/event_relay.py
+++ b/quetzalmill/event_relay.py
@@ -26,6 +26,9 @@
 _MAX_ID_DIGITS = 20
 """The length of the longest event ids that are compared as numbers."""
 
+_OUTPUT_OVERHEAD_BYTES = 64
+"""The memory of an object and of the reference to it."""
+
 _BAD_GATEWAY = 502
 
 
@@ -47,24 +50,32 @@
 class EventRelay:
     """Tracks which events of a stream have been sent to the caller.
 
+    Args:
+        keeps_outputs: Whether the data of the events is kept until the end, as
+            for a turn that is stored.
+
     Attributes:
         status: The status that was sent to the caller; 0 before that.
         last_id: The id of the last event that was sent; empty without one.
+        events: The number of events that have been sent.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, keeps_outputs: bool = True) -> None:
         self.status = 0
         self.last_id = ""
+        self.events = 0
+        self._keeps_outputs = keeps_outputs
         self._outputs: list[bytes] = []
+        self._output_bytes = 0
         self._incomplete = bytearray()
         self._bytes_without_data = 0
         self._parser = sse.SseParser(MAX_EVENT_BYTES)
         self._is_resumed = False
 
     @property
-    def events(self) -> int:
-        """The number of events that have been sent."""
-        return len(self._outputs)
+    def held_bytes(self) -> int:
+        """About the memory that it takes."""
+        return len(self._incomplete) + self._output_bytes
 
     @property
     def started(self) -> bool:
@@ -81,10 +92,14 @@
         An incomplete event of the previous endpoint is discarded, as the next
         one sends it again.
         """
+        self.discard_incomplete()
+        self._is_resumed = True
+
+    def discard_incomplete(self) -> None:
+        """Discards an incomplete event, as its stream has broken off."""
         self._incomplete = bytearray()
         self._bytes_without_data = 0
         self._parser = sse.SseParser(MAX_EVENT_BYTES)
-        self._is_resumed = True
 
     def feed(self, piece: bytes) -> Events:
         """Reads a piece of the body; returns the events that it completes.
@@ -113,12 +128,18 @@
                 "the stream goes on without an event", _BAD_GATEWAY
             )
         before_id, self.last_id = self.last_id, last_id
-        self._outputs += outputs
+        self.events += len(outputs)
+        if self._keeps_outputs:
+            self._outputs += outputs
+            self._output_bytes += _memory_of(outputs)
         return Events(b"".join(forwarded), outputs, before_id)
 
     def mark_unsent(self, events: Events) -> None:
         """Records that the events returned last were not sent after all."""
-        del self._outputs[len(self._outputs) - len(events.outputs) :]
+        self.events -= len(events.outputs)
+        if self._keeps_outputs:
+            del self._outputs[self.events :]
+            self._output_bytes -= _memory_of(events.outputs)
         self.last_id = events.before_id
 
     def finish(self) -> bytes:
@@ -140,7 +161,7 @@
         return outcomes.Streamed(
             status=self.status,
             complete=complete,
-            events=len(self._outputs),
+            events=self.events,
             outputs=tuple(self._outputs),
         )
 
@@ -172,5 +193,9 @@
         )
 
 
+def _memory_of(outputs: list[bytes]) -> int:
+    return sum(len(data) + _OUTPUT_OVERHEAD_BYTES for data in outputs)
+
+
 def _is_number(event_id: str) -> bool:
     return event_id.isdecimal() and len(event_id) <= _MAX_ID_DIGITS
--- a/quetzalmill/gateway_handler.py
+++ b/quetzalmill/gateway_handler.py
@@ -9,6 +9,7 @@
 from quetzalmill import dispatch_job
 from quetzalmill import engine_rank
 from quetzalmill import errors
+from quetzalmill import event_relay
 from quetzalmill import gateway_calls
 from quetzalmill import gateway_metrics
 from quetzalmill import gateway_outcomes as outcomes
@@ -432,6 +433,7 @@
             body=body,
             deadline_ms=self._deadline_ms() - reserve_ms,
             priority=self._priority() if service.is_engine else None,
+            relay=event_relay.EventRelay(keeps_outputs=self.route.stateful),
             allowance=allowance,
             homes=self.homes,
         )
--- a/quetzalmill/gateway_outcomes.py
+++ b/quetzalmill/gateway_outcomes.py
@@ -45,7 +45,8 @@
         status: The HTTP status.
         complete: Whether it was relayed to its end.
         events: The number of events relayed.
-        outputs: The data of each event.
+        outputs: The data of each event; empty unless the stream is a turn that
+            is stored.
     """
 
     status: int
--- a/quetzalmill/stream_body.py
+++ b/quetzalmill/stream_body.py
@@ -6,6 +6,7 @@
 from quetzalmill import errors
 from quetzalmill import http_connection
 from quetzalmill import http_server
+from quetzalmill import response_memory
 from quetzalmill import speed_recorder
 
 MAX_BYTES_AT_ONCE = 4_096
@@ -18,6 +19,7 @@
     response: http_connection.StreamedResponse,
     exchange: http_server.Exchange,
     timer: speed_recorder.Timer | None = None,
+    charge: response_memory.ResponseCharge | None = None,
 ) -> None:
     """Sends the complete events of a body, as far as its budget allows.
 
@@ -26,10 +28,11 @@
         response: The endpoint's response.
         exchange: The caller's request and response.
         timer: Receives the times of the events; None for nobody.
+        charge: Where what the relay holds is charged; None for nowhere.
 
     Raises:
-        errors.HttpError: The body broke off, inside an event or before any, or
-            the caller has disconnected.
+        errors.HttpError: The body broke off, inside an event or before any,
+            there is no memory for it, or the caller has disconnected.
     """
     async for piece in response:
         received_ms = 0.0 if timer is None else timer.clock.now_ms()
@@ -37,6 +40,8 @@
             if start:
                 await trio.lowlevel.checkpoint()
             events = job.relay.feed(piece[start : start + MAX_BYTES_AT_ONCE])
+            if charge is not None:
+                charge.hold(job.relay.held_bytes)
             if timer is not None:
                 timer.record(len(events.outputs), received_ms)
             if job.allowance is not None:
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -32,6 +32,7 @@
 _SLOW_PAUSE_S = 0.5
 _PIECE_BYTES = 65_536
 _ALMOST_HEAD_BYTES = 60_000
+_ALMOST_EVENT_BYTES = 250_000
 """Less than a gateway refuses of one response."""
 _STATUS = b"HTTP/1.1 %d X\r\n"
 _OK = _STATUS % 200
@@ -175,6 +176,14 @@
         callers=_MANY_CALLERS,
         period_s=_PERIOD_S,
     ),
+    "slow event": _Form(
+        start=_OK + _STREAM + b"%(own)s\r\ndata: " + b"x" * _ALMOST_EVENT_BYTES,
+        pieces=_repeated(b"x"),
+        pause_s=_SLOW_PAUSE_S,
+        callers=400,
+        period_s=_PERIOD_S,
+        path="/quote/1",
+    ),
     "comments": _Form(
         start=_OK + _STREAM + b"%(own)s\r\n",
         pieces=_repeated(b": x\n\n" * 999),
--- a/tests/test_event_relay.py
+++ b/tests/test_event_relay.py
@@ -89,6 +89,31 @@
                 sent_bytes += 1_000 * len(filler)
 
 
+class TestHeldBytes:
+    """What the relay keeps of a stream that does not end."""
+
+    def test_incomplete_event_is_counted(self) -> None:
+        relay = event_relay.EventRelay()
+        relay.feed(_event(1))
+        before_bytes = relay.held_bytes
+        relay.feed(b"data: " + b"x" * 9_000)
+        assert relay.held_bytes >= before_bytes + 9_000
+
+    @pytest.mark.parametrize("keeps_outputs", [True, False])
+    def test_outputs_are_kept_only_to_be_stored(
+        self, keeps_outputs: bool
+    ) -> None:
+        """Guards against an endless stream that is kept for nothing."""
+        relay = event_relay.EventRelay(keeps_outputs=keeps_outputs)
+        relay.feed(_event(1))
+        last = relay.feed(_event(2) + _event(3))
+        relay.mark_unsent(last)
+        outcome = relay.outcome(complete=False)
+        assert outcome.events == 1
+        assert outcome.outputs == ((b"e1",) if keeps_outputs else ())
+        assert (relay.held_bytes > 0) == keeps_outputs
+
+
 class TestResumed:
     """A stream that is resumed at another endpoint."""
 
