Count the memory of events towards the limit of an engine's answer

Change: each event counts 320 bytes more towards the same limit; an answer may have about 26,000 events.

TestEndlessStream failed before (227,627,672 bytes held; the bound is the 8,388,608 of the limit) and passes after.

--- a/quetzalmill/endpoint_port.py
+++ b/quetzalmill/endpoint_port.py
@@ -25,7 +25,10 @@
 from quetzalmill import sse
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
-"""Maximum size of an endpoint's answer."""
+"""Maximum size of an endpoint's answer, in its body and in memory."""
+
+_EVENT_OVERHEAD_BYTES = 320
+"""The memory of an event besides its data, in the answer that keeps it."""
 
 _STATUS_CONFLICT = 409
 _ADMIN_TIMEOUT_MS = 2_000.0
@@ -236,9 +239,16 @@
     response: http_connection.StreamedResponse,
 ) -> AsyncIterator[bytes]:
     parser = sse.SseParser()
+    held_bytes = 0
     async for piece in response:
         for event in parser.feed(piece):
             if event.data == sse.DONE:
                 return
-            yield event.data.encode()
+            data = event.data.encode()
+            held_bytes += len(data) + _EVENT_OVERHEAD_BYTES
+            if held_bytes > MAX_ANSWER_BYTES:
+                raise errors.BadMessageError(
+                    "the engine's stream has too many events", 502
+                )
+            yield data
     raise errors.ConnectionLostError("the engine's stream broke off")
