Limit the time of whole replies to the operators' command line

Change: the client sends through HttpClient, which limits the whole response; a listing has 30 s more for its body. A reset while a publication is being sent is detected by the same code as everywhere.

The two cases of TestTrickledReply failed before (still waiting 5 s after a timeout of 0.3 s) and pass after.

--- a/quetzalmill/operator_client.py
+++ b/quetzalmill/operator_client.py
@@ -6,22 +6,25 @@
 """
 
 from collections.abc import Callable
-import http.client
 import time
 from typing import Any, TypeVar
 import urllib.parse
 
 import attrs
+import trio
 
 from quetzalmill import clock
 from quetzalmill import codec
 from quetzalmill import errors
+from quetzalmill import http_client
+from quetzalmill import http_message
 from quetzalmill import objects
 from quetzalmill import settings_rules
 
 PREFIX = "/operator/v1"
 
 _ATTEMPT_TIMEOUT_MS = 10_000.0
+_BODY_TIMEOUT_MS = 30_000.0
 _INITIAL_BACKOFF_MS = 100.0
 _MAX_BACKOFF_MS = 2_000.0
 _MAX_RESPONSE_BYTES = 64 * 1024 * 1024
@@ -174,12 +177,6 @@
     processes: list[ProcessState]
 
 
-@attrs.frozen
-class _Response:
-    status: int
-    body: bytes
-
-
 class OperatorClient:
     """Sends each request to the first entry that responds."""
 
@@ -304,7 +301,9 @@
         failures: list[str] = []
         for address in self._addresses:
             try:
-                response = _exchange(address, "GET", path, None)
+                response = _exchange(
+                    address, "GET", path, body_timeout_ms=_BODY_TIMEOUT_MS
+                )
                 return _decode(response, expected)
             except (errors.HttpError, errors.CodecError) as error:
                 failures.append(f"{address}: {error}")
@@ -322,7 +321,11 @@
 ) -> Outcome:
     try:
         response = _exchange(
-            address, "POST", f"{PREFIX}/publish", body, timeout_ms
+            address,
+            "POST",
+            f"{PREFIX}/publish",
+            body,
+            timeout_ms=timeout_ms,
         )
         return _outcome_of(response, record_id)
     except errors.ConnectFailedError as error:
@@ -331,7 +334,7 @@
         return Unknown(record_id)
 
 
-def _outcome_of(response: _Response, record_id: str) -> Outcome:
+def _outcome_of(response: http_message.Response, record_id: str) -> Outcome:
     match response.status:
         case 200:
             return codec.from_json(response.body, Accepted)
@@ -347,7 +350,7 @@
             return Unknown(record_id)
 
 
-def _decode(response: _Response, expected: type[_T]) -> _T:
+def _decode(response: http_message.Response, expected: type[_T]) -> _T:
     if response.status == 200:
         return codec.from_json(response.body, expected)
     if 400 <= response.status < 500:
@@ -355,7 +358,7 @@
     raise errors.BadMessageError(_error_text(response), response.status)
 
 
-def _error_text(response: _Response) -> str:
+def _error_text(response: http_message.Response) -> str:
     """Returns the status and the body's message, or the start of the body."""
     text = response.body[:_MAX_QUOTED_BYTES].decode("utf-8", "replace")
     try:
@@ -369,9 +372,11 @@
     address: settings_rules.Address,
     method: str,
     path: str,
-    body: bytes | None,
+    body: bytes = b"",
+    *,
     timeout_ms: float = _ATTEMPT_TIMEOUT_MS,
-) -> _Response:
+    body_timeout_ms: float = 0.0,
+) -> http_message.Response:
     """Sends one request on a new connection.
 
     Raises:
@@ -379,39 +384,33 @@
         errors.ConnectionLostError: The connection was lost before the
             complete response arrived.
         errors.ResponseTimeoutError: The response did not arrive in time.
-        errors.BadMessageError: The response is larger than allowed.
+        errors.BadMessageError: The response is malformed or larger than
+            allowed.
     """
-    timeout_s = min(timeout_ms, _ATTEMPT_TIMEOUT_MS) / 1000.0
-    connection = http.client.HTTPConnection(
-        address.ip, address.port, timeout=timeout_s
+    timeout_ms = min(timeout_ms, _ATTEMPT_TIMEOUT_MS)
+    request = http_message.Request(
+        method=method,
+        path=path,
+        headers={"content-type": "application/json"} if body else {},
+        body=body,
     )
+
+    async def send() -> http_message.Response:
+        client = http_client.HttpClient(connect_timeout_ms=timeout_ms)
+        try:
+            return await client.request(
+                str(address),
+                request,
+                timeout_ms=timeout_ms,
+                body_timeout_ms=body_timeout_ms,
+                new_connection=True,
+                max_body_bytes=_MAX_RESPONSE_BYTES,
+            )
+        finally:
+            await client.aclose()
+
     try:
-        _connect(connection)
-        headers = {"Content-Type": "application/json"} if body else {}
-        connection.request(method, path, body, headers)
-        http_response = connection.getresponse()
-        response = _Response(
-            http_response.status, http_response.read(_MAX_RESPONSE_BYTES + 1)
-        )
-    except TimeoutError as error:
-        raise errors.ResponseTimeoutError(
-            f"no response within {timeout_s:g} s"
-        ) from error
-    except (OSError, http.client.HTTPException) as error:
-        raise errors.ConnectionLostError(
-            f"connection lost before the response: {error!r}"
-        ) from error
-    finally:
-        connection.close()
-    if len(response.body) > _MAX_RESPONSE_BYTES:
-        raise errors.BadMessageError("the response is too large")
-    return response
-
-
-def _connect(connection: http.client.HTTPConnection) -> None:
-    try:
-        connection.connect()
-    except OSError as error:
-        raise errors.ConnectFailedError(
-            f"cannot connect: {error.strerror or error}"
-        ) from error
+        return trio.run(send)
+    except errors.ConnectFailedError as error:
+        reason = str(error).removeprefix(f"{address}: ")
+        raise errors.ConnectFailedError(f"cannot connect: {reason}") from error
--- a/tests/test_operator_client.py
+++ b/tests/test_operator_client.py
@@ -1,7 +1,9 @@
 """Tests of the operators' client against a fake operators' interface."""
 
 from collections.abc import Iterator
+import contextlib
 import socket
+import threading
 
 import pytest
 
@@ -148,6 +150,52 @@
         assert refusing in outcome.message
 
 
+class TestTrickledReply:
+    """An entry whose reply arrives byte by byte and does not end."""
+
+    @pytest.mark.parametrize(
+        "head", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n"]
+    )
+    def test_publication_ends_after_its_timeout(self, head: bytes) -> None:
+        """Only the pauses within a reply were limited."""
+        outcomes: list[operator_client.Outcome] = []
+
+        def publish(address: str) -> None:
+            outcomes.append(client_of(address).publish(record(), 300.0))
+
+        with _trickling(head) as address:
+            thread = threading.Thread(target=publish, args=(address,))
+            thread.start()
+            thread.join(TIMEOUT_MS / 1000.0)
+            is_waiting = thread.is_alive()
+        thread.join()
+        assert not is_waiting
+        assert outcomes == [operator_client.Unknown("r1")]
+
+
+@contextlib.contextmanager
+def _trickling(head: bytes) -> Iterator[str]:
+    """Serves replies without an end until the block ends."""
+    ended = threading.Event()
+
+    def serve(listener: socket.socket) -> None:
+        while not ended.is_set():
+            with contextlib.suppress(OSError):
+                connection, _ = listener.accept()
+                with connection:
+                    connection.sendall(head)
+                    while not ended.wait(0.05):
+                        connection.sendall(b"H")
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.settimeout(0.2)
+        thread = threading.Thread(target=serve, args=(listener,))
+        thread.start()
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+        ended.set()
+        thread.join()
+
+
 class TestReading:
     """Reads and their errors."""
 
