Take back events of a stream that there is no memory for

Found in reading again: a stream that broke off for want of memory had already counted its last events as sent. One that may be resumed would have gone on behind them, and its caller would have missed them (ORDER).

Change: the relay takes the events back before it breaks off, as it does when a budget does not release them.

TestNoMemory failed before (100 events counted as sent of 1) and passes after.

--- a/quetzalmill/stream_body.py
+++ b/quetzalmill/stream_body.py
@@ -4,6 +4,7 @@
 
 from quetzalmill import dispatch_job
 from quetzalmill import errors
+from quetzalmill import event_relay
 from quetzalmill import http_connection
 from quetzalmill import http_server
 from quetzalmill import response_memory
@@ -41,7 +42,7 @@
                 await trio.lowlevel.checkpoint()
             events = job.relay.feed(piece[start : start + MAX_BYTES_AT_ONCE])
             if charge is not None:
-                charge.hold(job.relay.held_bytes)
+                _hold(charge, job.relay, events)
             if timer is not None:
                 timer.record(len(events.outputs), received_ms)
             if job.allowance is not None:
@@ -53,3 +54,16 @@
     if not job.relay.events and not response.is_delimited:
         raise errors.ConnectionLostError("the stream ended without an event")
     await exchange.send(rest)
+
+
+def _hold(
+    charge: response_memory.ResponseCharge,
+    relay: event_relay.EventRelay,
+    events: event_relay.Events,
+) -> None:
+    """Charges what the relay holds; without memory takes the events back."""
+    try:
+        charge.hold(relay.held_bytes)
+    except errors.BadMessageError:
+        relay.mark_unsent(events)
+        raise
--- a/tests/test_stream_body.py
+++ b/tests/test_stream_body.py
@@ -1,5 +1,6 @@
 """Tests of relaying a stream's body, for each framing, piece and cut."""
 
+from collections.abc import AsyncIterator
 import contextlib
 import enum
 import types
@@ -8,12 +9,16 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import pytest
 import trio
 
 from quetzalmill import errors
 from quetzalmill import event_relay
+from quetzalmill import host_memory
 from quetzalmill import http_connection
 from quetzalmill import http_message
+from quetzalmill import memory_account
+from quetzalmill import response_memory
 from quetzalmill import stream_body
 
 _REQUEST = http_message.Request(method="POST", path="/chat/1")
@@ -167,3 +172,41 @@
             )
         else:
             assert is_complete == (arrived == raw and body in ends)
+
+
+class TestNoMemory:
+    """A stream for whose events there is no memory."""
+
+    def test_events_that_are_not_sent_do_not_count_as_sent(self) -> None:
+        """Guards against a resumed stream that leaves them out."""
+        memory = host_memory.HostMemory(0)
+        sent: list[bytes] = []
+        relay = event_relay.EventRelay()
+        first, *others = [
+            b"id: %d\ndata: e\n\n" % number for number in range(1, 101)
+        ]
+
+        async def body() -> AsyncIterator[bytes]:
+            for piece in (first, b"".join(others)):
+                await trio.lowlevel.checkpoint()
+                yield piece
+
+        async def send(data: bytes) -> None:
+            await trio.lowlevel.checkpoint()
+            sent.append(data)
+
+        async def run() -> None:
+            # One more response, as a single one is always served.
+            other = memory.open(memory_account.Kind.BODY, "rallies", list)
+            memory.add(other, 1)
+            await stream_body.relay(
+                cast("Any", types.SimpleNamespace(relay=relay, allowance=None)),
+                cast("Any", body()),
+                cast("Any", types.SimpleNamespace(send=send)),
+                charge=response_memory.ResponseCharge(memory),
+            )
+
+        with pytest.raises(errors.BadMessageError):
+            trio.run(run)
+        assert b"".join(sent) == first
+        assert (relay.events, relay.last_id) == (1, "1")
