--- a/quetzalmill/body_reader.py
+++ b/quetzalmill/body_reader.py
@@ -31,6 +31,7 @@
 only so that the connection can be reused."""
 
 MAX_DISCARDED_BYTES = 65_536
+"""The most of it that is read."""
 
 _log = logs.get("dispatch")
 
--- a/quetzalmill/response_memory.py
+++ b/quetzalmill/response_memory.py
@@ -24,7 +24,7 @@
 """An incomplete head, size of a chunk or event below this size needs no charge.
 The charge of the caller's connection has room for it."""
 
-_STEP_BYTES = 16_384
+_STEP_BYTES = 8_192
 _BAD_GATEWAY = 502
 _TEAM = "(responses)"
 """What responses are charged to while they are read."""
