Reset connections of HTTP/1.0 whose response is incomplete

Callers of HTTP/1.0 took a stream that broke off for a whole one.

Cause: HTTP/1.0 has no chunks, so the end of the connection ends the body, and the connection of an incomplete response was closed in order. Responses of HTTP/1.1 lack their last chunk and were not affected.

Change: the server resets such a connection. The check of what an error consists of moves beside the exchange.

TestServer failed before for HTTP/1.0 (2 of 4 cases) and passes after.

--- a/quetzalmill/http_connect.py
+++ b/quetzalmill/http_connect.py
@@ -1,6 +1,7 @@
-"""Opens TCP connections that detect an unresponsive peer."""
+"""Opens TCP connections that detect an unresponsive peer; resets them."""
 
 import socket
+import struct
 
 import trio
 
@@ -21,6 +22,8 @@
 KEEPALIVE_PROBES = 2
 """Unanswered probes after which the connection fails."""
 
+_NO_LINGER = struct.pack("ii", 1, 0)
+
 
 async def connect(address: str) -> trio.SocketStream:
     """Connects to an IP address and port.
@@ -57,3 +60,12 @@
         (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def reset_on_close(stream: trio.SocketStream) -> None:
+    """Makes closing a connection reset it.
+
+    Without a length or chunks, as in HTTP/1.0, only a reset tells the peer that
+    a response is incomplete.
+    """
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
--- a/quetzalmill/http_exchange.py
+++ b/quetzalmill/http_exchange.py
@@ -157,6 +157,13 @@
             raise
 
 
+def is_connection_loss(error: Exception) -> bool:
+    """Returns whether an error consists of nothing but lost connections."""
+    if isinstance(error, ExceptionGroup):
+        return error.split(errors.ConnectionLostError)[1] is None
+    return isinstance(error, errors.ConnectionLostError)
+
+
 def _without_framing(headers: dict[str, str] | None) -> dict[str, str]:
     """Returns the headers without those that only the connection may set."""
     return {
--- a/quetzalmill/http_server_connection.py
+++ b/quetzalmill/http_server_connection.py
@@ -9,6 +9,7 @@
 
 from quetzalmill import errors
 from quetzalmill import host_memory
+from quetzalmill import http_connect
 from quetzalmill import http_exchange
 from quetzalmill import http_message
 from quetzalmill import http_reader
@@ -293,6 +294,11 @@
                 await self._handle(request, exchange)
                 nursery.cancel_scope.cancel()
         finally:
+            if (
+                not exchange.finished
+                and self._http.their_http_version == b"1.0"
+            ):
+                http_connect.reset_on_close(self._stream)
             self._close_request_charges()
             self.charge.is_revocable = True
             self._memory.record_progress(self.charge)
@@ -312,7 +318,9 @@
             if not exchange.started:
                 raise errors.HttpError("the handler sent no response")
         except Exception as error:
-            if exchange.disconnected and _is_connection_loss(error):
+            if exchange.disconnected and http_exchange.is_connection_loss(
+                error
+            ):
                 return
             self._server.on_error(error)
             await self._respond_internal_error(exchange)
@@ -488,10 +496,3 @@
                 if not data:
                     return
                 remaining_bytes -= len(data)
-
-
-def _is_connection_loss(error: Exception) -> bool:
-    """Returns whether an error consists of nothing but lost connections."""
-    if isinstance(error, ExceptionGroup):
-        return error.split(errors.ConnectionLostError)[1] is None
-    return isinstance(error, errors.ConnectionLostError)
--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -11,6 +11,7 @@
 from quetzalmill import errors
 from quetzalmill import http_client
 from quetzalmill import http_message
+from quetzalmill import http_server
 from quetzalmill_emulator import platform_endpoint
 from quetzalmill_load import platform_cluster
 from tests import gateway_case
@@ -163,6 +164,61 @@
         assert response.body == b"full"
 
 
+class TestServer:
+    """Responses of the own server that end before they are complete."""
+
+    @pytest.mark.parametrize("fails", [False, True])
+    @pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+    def test_incomplete_response_does_not_look_complete(
+        self, version: bytes, fails: bool
+    ) -> None:
+        """For HTTP/1.0, the end of the connection is the end of the body."""
+
+        async def handler(
+            request: http_message.Request, exchange: http_server.Exchange
+        ) -> None:
+            await exchange.start_stream(200)
+            await exchange.send(b"half")
+            if fails:
+                raise ValueError
+            exchange.abort()
+
+        async def run() -> bytes:
+            received = b""
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(_serve, handler)
+                stream = await trio.open_tcp_stream("127.0.0.1", port)
+                await stream.send_all(
+                    b"GET / HTTP/%s\r\nHost: x\r\n\r\n" % version
+                )
+                try:
+                    async for data in stream:
+                        received += data
+                except trio.BrokenResourceError:
+                    return b"reset"
+                finally:
+                    nursery.cancel_scope.cancel()
+            return received
+
+        received = trio.run(run)
+        assert received == b"reset" or (
+            version == b"1.1" and not received.endswith(b"0\r\n\r\n")
+        )
+
+
+async def _serve(
+    handler: http_server.Handler,
+    task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    await http_server.serve(
+        "127.0.0.1:0",
+        handler,
+        limits=http_message.Limits(),
+        stopping=trio.Event(),
+        task_status=task_status,
+    )
+
+
 async def _send_long(sent: bytes, ends_first: bool) -> http_message.Response:
     """Sends a long request to a server that resets the connection.
 
