--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -238,12 +238,14 @@
     return await _ask(
         serve,
         http_message.Request(method="POST", path="/", body=bytes(_LONG_BYTES)),
+        timeout_ms=5_000.0,
     )
 
 
 async def _ask(
     serve: Callable[[trio.SocketStream], Awaitable[None]],
     request: http_message.Request,
+    timeout_ms: float = 2_000.0,
 ) -> http_message.Response:
     """Sends a request to a server and returns the response."""
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
@@ -252,7 +254,7 @@
         nursery.start_soon(trio.serve_listeners, serve, listeners)
         try:
             return await http_client.HttpClient().request(
-                f"127.0.0.1:{port}", request, timeout_ms=5_000.0
+                f"127.0.0.1:{port}", request, timeout_ms=timeout_ms
             )
         finally:
             nursery.cancel_scope.cancel()
